--- /dev/null
+++ b/cmd/headhill/cmds/cmds.go
@@ -0,0 +1,95 @@
+// Package cmds holds the commands of the daemon.
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kit/log/level"
+	"github.com/urfave/cli/v3"
+
+	"headhill.example/headhill/pkg/box"
+	"headhill.example/headhill/pkg/logflags"
+	"headhill.example/headhill/pkg/settings"
+	"headhill.example/headhill/pkg/version"
+)
+
+// Main runs the program and returns its exit status.
+func Main(args []string) int {
+	if err := New(os.Stdout, os.Stderr).Run(context.Background(), args); err != nil {
+		fmt.Fprintln(os.Stderr, "headhill:", err)
+		return 1
+	}
+	return 0
+}
+
+// New returns the program's command line.
+func New(out, errOut io.Writer) *cli.Command {
+	file := &cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "the box's settings `FILE`", Required: true}
+	outputs := &cli.StringFlag{Name: "log-output", Usage: "debug logs of these `SUBSYSTEMS`, separated by commas"}
+	return &cli.Command{
+		Name:      "headhill",
+		Usage:     "route language-model traffic by service level and priority",
+		Version:   version.String(),
+		Writer:    out,
+		ErrWriter: errOut,
+		Commands: []*cli.Command{
+			{
+				Name:  "serve",
+				Usage: "run the daemon of this box",
+				Flags: []cli.Flag{file, outputs},
+				Action: func(_ context.Context, c *cli.Command) error {
+					return serve(c.String("config"), c.String("log-output"), errOut)
+				},
+			},
+			{
+				Name:  "check",
+				Usage: "check the settings and say everything that is wrong with them",
+				Flags: []cli.Flag{file},
+				Action: func(_ context.Context, c *cli.Command) error {
+					if _, err := settings.Load(c.String("config")); err != nil {
+						return err
+					}
+					fmt.Fprintln(out, "settings are good")
+					return nil
+				},
+			},
+		},
+	}
+}
+
+// serve runs the daemon until a signal ends it. The first SIGTERM or SIGINT is a
+// planned stop, the second cuts off what is still in progress.
+func serve(file, outputs string, w io.Writer) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	if outputs != "" {
+		if s.Log.Output, err = logflags.Split(outputs); err != nil {
+			return err
+		}
+	}
+	logs := logflags.New(w, s.Log.Format, s.Log.Level, s.Log.Output)
+	b, err := box.New(s, logs)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	b.Start()
+	<-signals
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-signals
+		_ = level.Warn(logs.For(logflags.Box)).Log("msg", "second signal: what is in progress is cut off", "in_progress", b.InProgress())
+		cancel()
+	}()
+	b.Stop(ctx)
+	return nil
+}
--- /dev/null
+++ b/pkg/box/calls.go
@@ -0,0 +1,124 @@
+package box
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc/iter"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"headhill.example/headhill/pkg/api"
+	"headhill.example/headhill/pkg/claims"
+	"headhill.example/headhill/pkg/membership"
+	"headhill.example/headhill/pkg/peer/peerpb"
+)
+
+func claimKeys() []membership.Key {
+	keys := make([]membership.Key, 0, claims.Shards)
+	for n := range claims.Shards {
+		keys = append(keys, membership.Key{Name: claims.OwnerKey(n)})
+	}
+	return keys
+}
+
+// Claim implements peer.Calls.
+func (b *Box) Claim(ctx context.Context, r *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	return b.claims.ServeClaim(ctx, r)
+}
+
+// EndClaim implements peer.Calls.
+func (b *Box) EndClaim(ctx context.Context, r *peerpb.EndClaimRequest) (*peerpb.EndClaimReply, error) {
+	return b.claims.ServeEnd(ctx, r)
+}
+
+// PullConfig implements peer.Calls.
+func (b *Box) PullConfig(r *peerpb.PullConfigRequest, stream grpc.ServerStreamingServer[peerpb.PullConfigReply]) error {
+	if !b.store.Loaded() {
+		return status.Error(codes.Unavailable, "this box has no configuration yet: ask another")
+	}
+	entries, ok := b.store.Since(r.GetGeneration())
+	if !ok {
+		return b.sendCopy(stream)
+	}
+	for _, e := range entries {
+		err := stream.Send(&peerpb.PullConfigReply{
+			Generation: e.Generation, RecordId: e.Record.ID, RecordData: e.Record.Data,
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *Box) sendCopy(stream grpc.ServerStreamingServer[peerpb.PullConfigReply]) error {
+	generation, parts := b.store.Parts()
+	for i, p := range parts {
+		m := &peerpb.PullConfigReply{Generation: generation, Part: p, Last: i == len(parts)-1}
+		if err := stream.Send(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Status answers a peer.
+func (b *peerCalls) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
+	return b.status(), nil
+}
+
+// peerCalls is the box as peers call it; its Status differs from the operators'.
+type peerCalls struct{ *Box }
+
+func (b *Box) status() *peerpb.StatusReply {
+	r := &peerpb.StatusReply{
+		Box:         b.self.Box,
+		Incarnation: b.self.Incarnation,
+		Generation:  b.Generation(),
+		Ready:       b.Ready(),
+		Stopping:    !b.tracker.Serving(),
+		Shards:      b.runner.Status(time.Now()),
+	}
+	for _, x := range b.tracker.Roster() {
+		r.Roster = append(r.Roster, &peerpb.BoxEntry{Id: x.ID, Hall: x.Hall, Region: x.Region, Peer: x.Peer, State: x.State})
+	}
+	return r
+}
+
+const statusTimeout = 2 * time.Second
+
+// Status asks every box of the roster.
+func (b *Box) Status(ctx context.Context) []api.BoxStatus {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	v := b.tracker.View()
+	return iter.Map(v.Boxes, func(x *membership.Box) api.BoxStatus { return b.askStatus(ctx, x) })
+}
+
+func (b *Box) askStatus(ctx context.Context, x *membership.Box) api.BoxStatus {
+	if x.ID == b.self.Box {
+		return statusOf(b.status())
+	}
+	conn, err := b.security.Dial(x.ID, x.Peer)
+	if err != nil {
+		return api.BoxStatus{Box: x.ID, Error: err.Error()}
+	}
+	defer conn.Close()
+	r, err := peerpb.NewPeerClient(conn).Status(ctx, &peerpb.StatusRequest{})
+	if err != nil {
+		return api.BoxStatus{Box: x.ID, Error: err.Error()}
+	}
+	return statusOf(r)
+}
+
+func statusOf(r *peerpb.StatusReply) api.BoxStatus {
+	s := api.BoxStatus{Box: r.GetBox(), Generation: r.GetGeneration(), Ready: r.GetReady(), Stopping: r.GetStopping()}
+	for _, sh := range r.GetShards() {
+		s.Shards = append(s.Shards, api.ShardStatus{
+			Shard: sh.GetShard(), Waiting: sh.GetWaiting(), Running: sh.GetRunning(), Free: sh.GetFree(),
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/box/stop.go
@@ -0,0 +1,57 @@
+package box
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+// Stop ends the box as planned: it hands its shards over, still takes callers
+// for a moment while the balancer notices, finishes every request in progress,
+// and only then ends. It is bounded by [limits] stop, and by ctx.
+func (b *Box) Stop(ctx context.Context) {
+	b.mu.Lock()
+	b.stopping = true
+	b.mu.Unlock()
+	level.Info(b.logger).Log("msg", "stopping", "in_progress", b.entry.Running(), "limit", b.settings.Limits.Stop)
+	b.tracker.SetServing(time.Now(), false)
+	b.links.Beat()
+	ctx, cancel := b.stopContext(ctx)
+	defer cancel()
+	wait(ctx, b.settings.Limits.StopNotice)
+	if err := b.callers.Shutdown(ctx); err != nil {
+		level.Warn(b.logger).Log("msg", "planned stop cut short", "cut", b.entry.Running(), "err", err)
+		b.callers.Close()
+	}
+	b.drain(ctx)
+	b.cancel()
+	b.admins.Close()
+	b.peers.Stop()
+	b.finish()
+	level.Info(b.logger).Log("msg", "stopped")
+}
+
+func (b *Box) stopContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if b.settings.Limits.Stop <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, b.settings.Limits.Stop)
+}
+
+// drain waits until no reservation of this box is left with any owner.
+func (b *Box) drain(ctx context.Context) {
+	for b.broker.Held() > 0 && ctx.Err() == nil {
+		wait(ctx, heldCheck)
+	}
+}
+
+// wait sleeps for d or until ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/pkg/config/follow.go
@@ -0,0 +1,56 @@
+package config
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-kit/log/level"
+
+	"headhill.example/headhill/pkg/platform"
+)
+
+// Collect is the longest that a box waits after a change before it reads on, so
+// that many changes in a row cost it one read, and the boxes' reads spread out.
+const Collect = 2 * time.Second
+
+// Follow keeps the store up with the platform's log until ctx ends. While the
+// platform is away, peers bring what is new.
+func (s *Store) Follow(ctx context.Context, collect time.Duration) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = 200 * time.Millisecond
+	pause.MaxInterval = 15 * time.Second
+	for ctx.Err() == nil {
+		err := s.Refresh(ctx)
+		if err == nil {
+			err = s.waitForNews(ctx)
+		}
+		if err == nil {
+			pause.Reset()
+			sleep(ctx, rand.N(collect+1))
+			continue
+		}
+		level.Debug(s.logger).Log("msg", "the platform's configuration log can't be read", "err", err)
+		sleep(ctx, pause.NextBackOff())
+	}
+}
+
+// waitForNews waits for a change of the log. A watch that ended without one is
+// no failure.
+func (s *Store) waitForNews(ctx context.Context) error {
+	err := s.log.Wait(ctx)
+	if platform.IsNoChange(err) {
+		return nil
+	}
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/pkg/localfleet/call.go
@@ -0,0 +1,128 @@
+package localfleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"headhill.example/headhill/pkg/api"
+	"headhill.example/headhill/pkg/sse"
+)
+
+// Answer is what a caller got.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Text is the content of a chat completion, or the body of anything else.
+	Text string
+	// Events are the raw events of a stream.
+	Events [][]byte
+	// Clean says that a stream ended with its closing mark.
+	Clean bool
+	// Error is the error event or body, if there was one.
+	Error *api.Error
+	// Outcome is what the caller was told.
+	Outcome api.Outcome
+}
+
+// Chat sends a streamed chat completion to a base URL.
+func Chat(ctx context.Context, base, content string, header http.Header) (Answer, error) {
+	body, err := json.Marshal(map[string]any{
+		"model":    Model,
+		"stream":   true,
+		"messages": []map[string]string{{"role": "user", "content": content}},
+	})
+	if err != nil {
+		return Answer{}, err
+	}
+	return do(ctx, http.MethodPost, base+"/v1/chat/completions", body, header)
+}
+
+// Call sends a call to the plain service at a base URL.
+func Call(ctx context.Context, base, path string, body []byte, header http.Header) (Answer, error) {
+	return do(ctx, http.MethodPost, base+"/services/"+PlainService+path, body, header)
+}
+
+func do(ctx context.Context, method, url string, body []byte, header http.Header) (Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return Answer{}, err
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	if req.Header.Get("Authorization") == "" {
+		req.Header.Set("Authorization", "Bearer "+CallerKey)
+	}
+	resp, err := callers.Do(req)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer resp.Body.Close()
+	return read(resp)
+}
+
+// callers is the callers' own client: it never repeats a request by itself.
+var callers = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+func read(resp *http.Response) (Answer, error) {
+	a := Answer{Status: resp.StatusCode, Header: resp.Header}
+	if resp.Header.Get("Content-Type") == "text/event-stream" {
+		err := a.readStream(resp.Body)
+		a.Outcome = api.Outcome(resp.Trailer.Get(api.HeaderOutcome))
+		return a, err
+	}
+	data, err := io.ReadAll(resp.Body)
+	a.Text = string(data)
+	a.Outcome = api.Outcome(resp.Header.Get(api.HeaderOutcome))
+	var e api.ErrorBody
+	if json.Unmarshal(data, &e) == nil && e.Error.Type != "" {
+		a.Error = &e.Error
+	}
+	return a, err
+}
+
+// eventBody is the part of an event that a caller reads.
+type eventBody struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Error *api.Error `json:"error"`
+}
+
+func (a *Answer) readStream(body io.Reader) error {
+	events := sse.NewReader(body)
+	var text strings.Builder
+	defer func() { a.Text = text.String() }()
+	for {
+		data, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		a.Events = append(a.Events, append([]byte(nil), data...))
+		if string(data) == "[DONE]" {
+			a.Clean = true
+			continue
+		}
+		var e eventBody
+		if err := json.Unmarshal(data, &e); err != nil {
+			return fmt.Errorf("event %q: %w", data, err)
+		}
+		if e.Error != nil {
+			a.Error = e.Error
+		}
+		for _, c := range e.Choices {
+			text.WriteString(c.Delta.Content)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/localfleet/fleet.go
@@ -0,0 +1,300 @@
+// Package localfleet runs a whole fleet in one process, on loopback: stand-ins
+// for the platform, engines and a service, and real boxes. The demo and the
+// tests use it.
+package localfleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"headhill.example/headhill/pkg/adminclient"
+	"headhill.example/headhill/pkg/box"
+	"headhill.example/headhill/pkg/config"
+	"headhill.example/headhill/pkg/logflags"
+	"headhill.example/headhill/pkg/platform"
+	"headhill.example/headhill/pkg/settings"
+	"headhill.example/headhill/pkg/standin/engine"
+	standin "headhill.example/headhill/pkg/standin/platform"
+	"headhill.example/headhill/pkg/standin/service"
+)
+
+// Names and keys of the fleet. They guard nothing but stand-ins.
+const (
+	Operator      = "operator"
+	OperatorToken = "demo-operator-token"
+	CallerKey     = "demo-caller-key"
+	Organisation  = "demo"
+	Model         = "demo-model"
+	EngineService = "engines"
+	PlainService  = "business"
+	Hall          = "north"
+)
+
+// Options shape a fleet.
+type Options struct {
+	Boxes, Engines, Slots int
+	// Engine shapes the engines.
+	Engine engine.Options
+	// Fences says whether the plain service checks fences.
+	Fences bool
+	// Log receives the boxes' logs.
+	Log io.Writer
+	// LogLevel and LogOutput are as in the settings.
+	LogLevel  string
+	LogOutput []string
+	// Change adjusts the settings of each box.
+	Change func(*settings.Settings)
+}
+
+// DefaultOptions returns a fleet of two boxes and two engines.
+func DefaultOptions() Options {
+	return Options{Boxes: 2, Engines: 2, Slots: 8, Engine: engine.DefaultOptions(), Log: io.Discard, LogLevel: "info"}
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Platform    *standin.Server
+	PlatformURL string
+	Engines     []*engine.Engine
+	Service     *service.Service
+	Boxes       []*box.Box
+
+	opts      Options
+	names     []string
+	addresses []string
+	service   string
+	servers   []*http.Server
+}
+
+// serve runs a handler on a port of its own and returns its address.
+func (f *Fleet) serve(h http.Handler) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	f.servers = append(f.servers, s)
+	go func() { _ = s.Serve(ln) }()
+	return ln.Addr().String(), nil
+}
+
+// Start runs a fleet, configures it through the intent API, and returns when
+// every box is ready and has the configuration in force.
+func Start(ctx context.Context, o Options) (*Fleet, error) {
+	f := &Fleet{opts: o, Platform: standin.New(), Service: service.New(o.Fences)}
+	if err := f.startStandins(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	for range o.Boxes {
+		if _, err := f.AddBox(); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	if err := f.configure(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) startStandins() error {
+	address, err := f.serve(f.Platform)
+	if err != nil {
+		return err
+	}
+	f.PlatformURL = "http://" + address
+	for range f.opts.Engines {
+		e := engine.New(f.opts.Engine)
+		f.Engines = append(f.Engines, e)
+		address, err := f.serve(e)
+		if err != nil {
+			return err
+		}
+		f.addresses = append(f.addresses, address)
+	}
+	f.service, err = f.serve(f.Service)
+	return err
+}
+
+// AddBox starts one more box and puts it on the platform's box list.
+func (f *Fleet) AddBox() (*box.Box, error) { return f.StartBox(fmt.Sprintf("box-%d", len(f.Boxes)+1)) }
+
+// StartBox starts a box of this name.
+func (f *Fleet) StartBox(name string) (*box.Box, error) {
+	s := settings.Default()
+	s.Box = settings.Box{ID: name, Hall: Hall, Region: "default"}
+	s.Listen = settings.Listen{Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"}
+	s.Platform.URL = f.PlatformURL
+	s.Peers.Mode = settings.PeersPlain
+	for _, b := range f.Boxes {
+		s.Peers.Seeds = append(s.Peers.Seeds, b.PeerAddr())
+	}
+	s.Operators = map[string]string{Operator: config.HashKey(OperatorToken)}
+	s.Limits.StopNotice = 100 * time.Millisecond
+	if f.opts.Change != nil {
+		f.opts.Change(&s)
+	}
+	b, err := box.New(s, logflags.New(f.opts.Log, "logfmt", f.opts.LogLevel, f.opts.LogOutput))
+	if err != nil {
+		return nil, err
+	}
+	f.Boxes = append(f.Boxes, b)
+	f.names = append(f.names, name)
+	f.Platform.SetBox(platform.Box{ID: name, Hall: Hall, Region: "default", Peer: b.PeerAddr(), State: platform.BoxLive})
+	b.Start()
+	return b, nil
+}
+
+// Name returns the name of box i.
+func (f *Fleet) Name(i int) string { return f.names[i] }
+
+// Intent returns the intent that the fleet is configured with.
+func (f *Fleet) Intent() string {
+	var b strings.Builder
+	b.WriteString(baseIntent)
+	fmt.Fprintf(&b, "key-sha256 = %s\n", config.HashKey(CallerKey))
+	for i, a := range f.addresses {
+		fmt.Fprintf(&b, "\n[server engine-%d]\nservice = %s\nhall = %s\naddress = %s\nslots = %d\n", i+1, EngineService, Hall, a, f.opts.Slots)
+	}
+	fences := "no"
+	if f.opts.Fences {
+		fences = "yes"
+	}
+	fmt.Fprintf(&b, "\n[server business-1]\nservice = %s\nhall = %s\naddress = %s\nslots = 64\nchecks-fences = %s\n", PlainService, Hall, f.service, fences)
+	return b.String()
+}
+
+// baseIntent ends in the organisation's section, whose key is added.
+const baseIntent = `
+[class counter]
+tier = 1
+first-token = 1.3s
+between-tokens = 37ms
+deadline = 20s
+floor = 5%
+
+[class batch]
+tier = 3
+first-token = 30s
+deadline = 2m
+floor = 3%
+
+[service engines]
+kind = engine
+models = demo-model
+queue = 200
+
+[service business]
+kind = plain
+repeatable = no
+queue = 200
+
+[organisation demo]
+class = counter
+`
+
+// Admin returns an operator's client of box i.
+func (f *Fleet) Admin(i int) *adminclient.Client {
+	return adminclient.New("http://"+f.Boxes[i].AdminAddr(), OperatorToken)
+}
+
+// Caller is the base URL of box i for callers.
+func (f *Fleet) Caller(i int) string { return "http://" + f.Boxes[i].CallerAddr() }
+
+// Apply plans and confirms an intent at box i and returns its generation.
+func (f *Fleet) Apply(ctx context.Context, i int, text string) (uint64, error) {
+	p, err := f.Admin(i).Plan(ctx, text)
+	if err != nil {
+		return 0, err
+	}
+	return f.Admin(i).Confirm(ctx, p)
+}
+
+func (f *Fleet) configure(ctx context.Context) error {
+	if err := f.WaitReady(ctx); err != nil {
+		return err
+	}
+	g, err := f.Apply(ctx, 0, f.Intent())
+	if err != nil {
+		return err
+	}
+	return f.WaitGeneration(ctx, g)
+}
+
+// NotReadyError says what a fleet still waits for.
+type NotReadyError struct{ What string }
+
+func (e *NotReadyError) Error() string {
+	return fmt.Sprintf("the fleet is not ready in time: %s: look at its logs", e.What)
+}
+
+// WaitReady waits until every box is ready.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	return until(ctx, "boxes not ready", func() bool {
+		for _, b := range f.Boxes {
+			if !b.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// WaitGeneration waits until every box has a generation in force.
+func (f *Fleet) WaitGeneration(ctx context.Context, g uint64) error {
+	return until(ctx, fmt.Sprintf("generation %d not in force", g), func() bool {
+		for _, b := range f.Boxes {
+			if b.Generation() < g {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func until(ctx context.Context, what string, ok func() bool) error {
+	t := time.NewTicker(5 * time.Millisecond)
+	defer t.Stop()
+	for !ok() {
+		select {
+		case <-ctx.Done():
+			return &NotReadyError{What: what}
+		case <-t.C:
+		}
+	}
+	return nil
+}
+
+// Drop kills box i and takes it off the box list. The others keep their numbers
+// but for those after it.
+func (f *Fleet) Drop(i int) {
+	f.Boxes[i].Kill()
+	f.Platform.RemoveBox(f.names[i])
+	f.Forget(i)
+}
+
+// Forget takes a box that ended by itself off the fleet's own list.
+func (f *Fleet) Forget(i int) {
+	f.Boxes = append(f.Boxes[:i:i], f.Boxes[i+1:]...)
+	f.names = append(f.names[:i:i], f.names[i+1:]...)
+}
+
+// Close ends everything at once.
+func (f *Fleet) Close() {
+	for _, b := range f.Boxes {
+		b.Kill()
+	}
+	for _, e := range f.Engines {
+		e.Close()
+	}
+	for _, s := range f.servers {
+		s.Close()
+	}
+}
--- /dev/null
+++ b/pkg/localfleet/fleet_test.go
@@ -0,0 +1,84 @@
+package localfleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+	"github.com/stretchr/testify/require"
+
+	"headhill.example/headhill/pkg/api"
+	"headhill.example/headhill/pkg/standin/engine"
+)
+
+// withFleet runs fn against a fleet that is ready.
+func withFleet(t *testing.T, change func(*Options), fn func(ctx context.Context, f *Fleet)) {
+	t.Helper()
+	o := DefaultOptions()
+	o.Log = t.Output()
+	o.LogLevel = "warn"
+	if change != nil {
+		change(&o)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	f, err := Start(ctx, o)
+	require.NoError(t, err)
+	defer f.Close()
+	fn(ctx, f)
+}
+
+func TestStreamedAnswerArrivesWhole(t *testing.T) {
+	withFleet(t, nil, func(ctx context.Context, f *Fleet) {
+		for i := range f.Boxes {
+			content := fmt.Sprintf("caller at box %d", i)
+			a, err := Chat(ctx, f.Caller(i), content, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, a.Status, a.Text)
+			require.True(t, a.Clean)
+			require.Equal(t, api.OutcomeDone, a.Outcome)
+			n := strings.Count(a.Text, " ")
+			require.Equal(t, strings.Join(engine.Answer(content, n), ""), a.Text)
+		}
+	})
+}
+
+func TestPlainCallRunsOnce(t *testing.T) {
+	withFleet(t, nil, func(ctx context.Context, f *Fleet) {
+		h := http.Header{api.HeaderIdempotencyKey: {"call-1"}}
+		a, err := Call(ctx, f.Caller(0), "/activate?x=1", []byte("paper"), h)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, a.Status, a.Text)
+		require.Equal(t, "POST /activate?x=1 paper", a.Text)
+		require.Equal(t, 1, f.Service.Runs("call-1"))
+		again, err := Call(ctx, f.Caller(1), "/activate?x=1", []byte("paper"), h)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusConflict, again.Status)
+		require.Equal(t, 1, f.Service.Runs("call-1"))
+	})
+}
+
+func TestManyCallersGetTheirOwnAnswers(t *testing.T) {
+	withFleet(t, func(o *Options) { o.Boxes = 3 }, func(ctx context.Context, f *Fleet) {
+		p := pool.New().WithErrors()
+		for i := range 200 {
+			p.Go(func() error {
+				content := fmt.Sprintf("caller-%d", i)
+				a, err := Chat(ctx, f.Caller(i%len(f.Boxes)), content, nil)
+				if err != nil {
+					return err
+				}
+				want := strings.Join(engine.Answer(content, strings.Count(a.Text, " ")), "")
+				if !a.Clean || a.Text != want {
+					return fmt.Errorf("%s got status %d, %q", content, a.Status, a.Text)
+				}
+				return nil
+			})
+		}
+		require.NoError(t, p.Wait())
+	})
+}
--- /dev/null
+++ b/pkg/logflags/logflags.go
@@ -0,0 +1,86 @@
+// Package logflags makes the loggers of the subsystems, each with its own switch.
+package logflags
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// Subsystems that can be switched to debug level.
+const (
+	Entry     = "entry"
+	Shard     = "shard"
+	Backend   = "backend"
+	Claims    = "claims"
+	Config    = "config"
+	Peer      = "peer"
+	Platform  = "platform"
+	Admin     = "admin"
+	Box       = "box"
+	allOutput = "all"
+)
+
+var subsystems = []string{Entry, Shard, Backend, Claims, Config, Peer, Platform, Admin, Box}
+
+// UnknownSubsystemError says that a switch names no subsystem.
+type UnknownSubsystemError struct{ Name string }
+
+func (e *UnknownSubsystemError) Error() string {
+	return fmt.Sprintf("no subsystem %q: write %s, or %s", e.Name, strings.Join(subsystems, ", "), allOutput)
+}
+
+// Check tells whether name is a subsystem or "all".
+func Check(name string) error {
+	if name == allOutput || slices.Contains(subsystems, name) {
+		return nil
+	}
+	return &UnknownSubsystemError{Name: name}
+}
+
+// Split reads a list of subsystems separated by commas.
+func Split(list string) ([]string, error) {
+	names := strings.Split(list, ",")
+	for _, n := range names {
+		if err := Check(n); err != nil {
+			return nil, err
+		}
+	}
+	return names, nil
+}
+
+// Logs makes loggers.
+type Logs struct {
+	base   log.Logger
+	level  string
+	output []string
+}
+
+// New returns loggers that write to w, in format logfmt or json, at the level and
+// above; the subsystems in output also log at debug level.
+func New(w io.Writer, format, lvl string, output []string) *Logs {
+	w = log.NewSyncWriter(w)
+	base := log.NewLogfmtLogger(w)
+	if format == "json" {
+		base = log.NewJSONLogger(w)
+	}
+	base = log.With(base, "ts", log.DefaultTimestampUTC)
+	return &Logs{base: base, level: lvl, output: output}
+}
+
+// Discard returns loggers that write nothing.
+func Discard() *Logs { return New(io.Discard, "logfmt", "error", nil) }
+
+// For returns the logger of a subsystem.
+func (l *Logs) For(subsystem string) log.Logger {
+	lvl := l.level
+	if slices.Contains(l.output, subsystem) || slices.Contains(l.output, allOutput) {
+		lvl = "debug"
+	}
+	filtered := level.NewFilter(l.base, level.Allow(level.ParseDefault(lvl, level.InfoValue())))
+	return log.With(filtered, "sys", subsystem)
+}
--- /dev/null
+++ b/pkg/peer/credentials.go
@@ -0,0 +1,109 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"headhill.example/headhill/pkg/settings"
+)
+
+// CredentialsError says that the peer port's keys can't be used.
+type CredentialsError struct {
+	File  string
+	Cause error
+}
+
+func (e *CredentialsError) Error() string {
+	return fmt.Sprintf("peer credentials %s: %v: see [peers] cert, key and roots", e.File, e.Cause)
+}
+
+func (e *CredentialsError) Unwrap() error { return e.Cause }
+
+// Security makes the credentials of both sides of a link.
+type Security struct {
+	tls *tls.Config
+}
+
+// LoadSecurity reads the keys that the settings name and checks that they fit
+// together. Plain mode has none.
+func LoadSecurity(p settings.Peers) (*Security, error) {
+	if p.Mode == settings.PeersPlain {
+		return &Security{}, nil
+	}
+	cert, err := tls.LoadX509KeyPair(p.Cert, p.Key)
+	if err != nil {
+		return nil, &CredentialsError{File: p.Cert, Cause: err}
+	}
+	pem, err := os.ReadFile(p.Roots)
+	if err != nil {
+		return nil, &CredentialsError{File: p.Roots, Cause: err}
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, &CredentialsError{File: p.Roots, Cause: fmt.Errorf("no certificate in it")}
+	}
+	_, err = cert.Leaf.Verify(x509.VerifyOptions{Roots: roots, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}})
+	if err != nil {
+		return nil, &CredentialsError{File: p.Cert, Cause: err}
+	}
+	return &Security{tls: &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      roots,
+		ClientCAs:    roots,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}}, nil
+}
+
+// server returns the credentials of the peer port.
+func (s *Security) server() credentials.TransportCredentials {
+	if s.tls == nil {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(s.tls)
+}
+
+// client returns the credentials for calling a box: its certificate must name
+// its ID.
+func (s *Security) client(box string) credentials.TransportCredentials {
+	if s.tls == nil {
+		return insecure.NewCredentials()
+	}
+	c := s.tls.Clone()
+	c.ServerName = box
+	return credentials.NewTLS(c)
+}
+
+// seed returns the credentials for calling a box whose ID is not known: its
+// certificate must be signed by the roots, whatever it names.
+func (s *Security) seed() credentials.TransportCredentials {
+	if s.tls == nil {
+		return insecure.NewCredentials()
+	}
+	c := s.tls.Clone()
+	c.InsecureSkipVerify = true
+	c.VerifyConnection = func(st tls.ConnectionState) error {
+		pool := x509.NewCertPool()
+		for _, cert := range st.PeerCertificates[1:] {
+			pool.AddCert(cert)
+		}
+		_, err := st.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: c.RootCAs, Intermediates: pool})
+		return err
+	}
+	return credentials.NewTLS(c)
+}
+
+// names tells whether a caller's certificate names the box it says it is.
+func names(info credentials.AuthInfo, box string) bool {
+	t, ok := info.(credentials.TLSInfo)
+	if !ok {
+		return true
+	}
+	certs := t.State.PeerCertificates
+	return len(certs) > 0 && certs[0].VerifyHostname(box) == nil
+}
--- /dev/null
+++ b/pkg/platform/client.go
@@ -0,0 +1,288 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	callTimeout  = 3 * time.Second
+	watchTimeout = 25 * time.Second
+	// watchGrace is what a watch may take beyond the time it asked to wait.
+	watchGrace = 3 * time.Second
+)
+
+// Budget is a box's share of the fleet's rates at the platform, per second.
+type Budget struct {
+	Reads  float64
+	Writes float64
+}
+
+// FleetBudget is what the platform takes from all boxes together.
+var FleetBudget = Budget{Reads: 2000, Writes: 100}
+
+// Share divides the fleet's budget among n boxes. A box keeps a little even in
+// a huge fleet, so that it can make progress.
+func (b Budget) Share(n int) Budget {
+	n = max(1, n)
+	return Budget{Reads: max(b.Reads/float64(n), 0.5), Writes: max(b.Writes/float64(n), 0.2)}
+}
+
+// Calls counts the calls made since start.
+type Calls struct {
+	Reads, Writes uint64
+}
+
+// Client speaks the platform's HTTP protocol.
+type Client struct {
+	base   string
+	token  string
+	http   *http.Client
+	reads  *rate.Limiter
+	writes *rate.Limiter
+
+	readCalls, writeCalls atomic.Uint64
+}
+
+// NewClient returns a client for the platform at base, a URL. The token
+// authenticates the box; it may be empty.
+func NewClient(base, token string, budget Budget) *Client {
+	c := &Client{
+		base:  strings.TrimSuffix(base, "/"),
+		token: token,
+		http:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
+	}
+	c.reads = rate.NewLimiter(rate.Limit(budget.Reads), burst(budget.Reads))
+	c.writes = rate.NewLimiter(rate.Limit(budget.Writes), burst(budget.Writes))
+	return c
+}
+
+// burst lets a starting box read its configuration in one go.
+func burst(perSecond float64) int { return max(10, int(perSecond)) }
+
+// SetBudget changes the client's rates, as when the roster's size changes.
+func (c *Client) SetBudget(b Budget) {
+	c.reads.SetLimit(rate.Limit(b.Reads))
+	c.writes.SetLimit(rate.Limit(b.Writes))
+}
+
+// Calls returns the number of calls made so far.
+func (c *Client) Calls() Calls {
+	return Calls{Reads: c.readCalls.Load(), Writes: c.writeCalls.Load()}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// call is one exchange with the platform.
+type call struct {
+	op     string
+	method string
+	path   string
+	header http.Header
+	body   []byte
+	write  bool
+	// timeout bounds the exchange.
+	timeout time.Duration
+}
+
+// answer is a complete answer of the platform.
+type answer struct {
+	status  int
+	version Version
+	body    []byte
+}
+
+// do makes a call. For a write, an error after the request may have gone out is
+// an UnknownError.
+func (c *Client) do(ctx context.Context, cl call) (answer, error) {
+	if err := c.admit(ctx, cl.write); err != nil {
+		return answer{}, &UnavailableError{Op: cl.op, Cause: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, cl.timeout)
+	defer cancel()
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	req, err := c.request(ctx, cl)
+	if err != nil {
+		return answer{}, &UnavailableError{Op: cl.op, Cause: err}
+	}
+	a, err := c.exchange(req)
+	if err == nil {
+		return a, c.judge(cl, a)
+	}
+	if cl.write && sent.Load() {
+		return answer{}, &UnknownError{Op: cl.op, Cause: err}
+	}
+	return answer{}, &UnavailableError{Op: cl.op, Cause: err}
+}
+
+func (c *Client) admit(ctx context.Context, write bool) error {
+	if write {
+		c.writeCalls.Add(1)
+		return c.writes.Wait(ctx)
+	}
+	c.readCalls.Add(1)
+	return c.reads.Wait(ctx)
+}
+
+func (c *Client) request(ctx context.Context, cl call) (*http.Request, error) {
+	// A plain reader without GetBody: the transport must not repeat a write.
+	var body io.Reader
+	if cl.write {
+		body = struct{ io.Reader }{bytes.NewReader(cl.body)}
+	}
+	req, err := http.NewRequestWithContext(ctx, cl.method, c.base+cl.path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(cl.body))
+	for k, v := range cl.header {
+		req.Header[k] = v
+	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	return req, nil
+}
+
+func (c *Client) exchange(req *http.Request) (answer, error) {
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxValue*4))
+	if err != nil {
+		return answer{}, err
+	}
+	v, _ := strconv.ParseUint(strings.Trim(resp.Header.Get("ETag"), `"`), 10, 64)
+	return answer{status: resp.StatusCode, version: Version(v), body: body}, nil
+}
+
+var errThrottled = errors.New("rate limit")
+
+func (c *Client) judge(cl call, a answer) error {
+	switch {
+	case a.status < 300:
+		return nil
+	case a.status == http.StatusNotFound:
+		return &NotFoundError{Key: cl.path}
+	case a.status == http.StatusPreconditionFailed, a.status == http.StatusConflict:
+		return &ConflictError{Key: cl.path}
+	case a.status == http.StatusTooManyRequests:
+		return &UnavailableError{Op: cl.op, Cause: errThrottled}
+	case a.status == http.StatusNotModified:
+		return &UnavailableError{Op: cl.op, Cause: errNoChange}
+	case a.status >= 500 && cl.write:
+		// Also 503: a gateway may say so of a write that went through.
+		return &UnknownError{Op: cl.op, Cause: fmt.Errorf("status %d", a.status)}
+	case a.status >= 500:
+		return &UnavailableError{Op: cl.op, Cause: fmt.Errorf("status %d", a.status)}
+	}
+	return &BadAnswerError{Op: cl.op, Status: a.status}
+}
+
+var errNoChange = errors.New("no change within the wait")
+
+// IsNoChange tells whether a watch ended without a change.
+func IsNoChange(err error) bool { return errors.Is(err, errNoChange) }
+
+func objectPath(key string) string { return "/v1/objects/" + url.PathEscape(key) }
+
+// Get implements Objects.
+func (c *Client) Get(ctx context.Context, key string) (Object, error) {
+	a, err := c.do(ctx, call{op: "get", method: http.MethodGet, path: objectPath(key), timeout: callTimeout})
+	if err != nil {
+		return Object{}, err
+	}
+	return Object{Key: key, Value: a.body, Version: a.version}, nil
+}
+
+// List implements Objects.
+func (c *Client) List(ctx context.Context, prefix string) ([]Entry, error) {
+	path := "/v1/objects?prefix=" + url.QueryEscape(prefix)
+	a, err := c.do(ctx, call{op: "list", method: http.MethodGet, path: path, timeout: callTimeout})
+	if err != nil {
+		return nil, err
+	}
+	var entries []Entry
+	if err := json.Unmarshal(a.body, &entries); err != nil {
+		return nil, &BadAnswerError{Op: "list", Status: a.status}
+	}
+	return entries, nil
+}
+
+// Create implements Objects.
+func (c *Client) Create(ctx context.Context, key string, value []byte) (Version, error) {
+	return c.put(ctx, "create", key, value, http.Header{"If-None-Match": {"*"}})
+}
+
+// Update implements Objects.
+func (c *Client) Update(ctx context.Context, key string, value []byte, version Version) (Version, error) {
+	return c.put(ctx, "update", key, value, ifMatch(version))
+}
+
+func ifMatch(v Version) http.Header {
+	return http.Header{"If-Match": {strconv.Quote(strconv.FormatUint(uint64(v), 10))}}
+}
+
+func (c *Client) put(ctx context.Context, op, key string, value []byte, h http.Header) (Version, error) {
+	if len(value) > MaxValue {
+		return 0, &TooLargeError{Key: key, Size: len(value)}
+	}
+	a, err := c.do(ctx, call{
+		op: op, method: http.MethodPut, path: objectPath(key),
+		header: h, body: value, write: true, timeout: callTimeout,
+	})
+	return a.version, err
+}
+
+// Delete implements Objects.
+func (c *Client) Delete(ctx context.Context, key string, version Version) error {
+	_, err := c.do(ctx, call{
+		op: "delete", method: http.MethodDelete, path: objectPath(key),
+		header: ifMatch(version), write: true, timeout: callTimeout,
+	})
+	return err
+}
+
+// Watch implements Objects.
+func (c *Client) Watch(ctx context.Context, key string, after Version) (Object, error) {
+	path := fmt.Sprintf("%s?watch=1&after=%d&timeout=%s", objectPath(key), after, watchTimeout)
+	a, err := c.do(ctx, call{
+		op: "watch", method: http.MethodGet, path: path, timeout: watchTimeout + watchGrace,
+	})
+	if err != nil {
+		return Object{}, err
+	}
+	return Object{Key: key, Value: a.body, Version: a.version}, nil
+}
+
+// Boxes implements Boxes.
+func (c *Client) Boxes(ctx context.Context) ([]Box, error) {
+	a, err := c.do(ctx, call{op: "boxes", method: http.MethodGet, path: "/v1/boxes", timeout: callTimeout})
+	if err != nil {
+		return nil, err
+	}
+	var boxes []Box
+	if err := json.Unmarshal(a.body, &boxes); err != nil {
+		return nil, &BadAnswerError{Op: "boxes", Status: a.status}
+	}
+	return boxes, nil
+}
--- /dev/null
+++ b/pkg/scheduler/admission.go
@@ -0,0 +1,198 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+)
+
+// reserve admits, refuses, or sheds another request to make room.
+//
+// The bound counts only what stands beyond the classes' floor places. A class
+// with a free floor place is therefore always admitted, and nobody is refused
+// on account of lower-tier work that stands in its floor places.
+func (s *Scheduler) reserve(now time.Time, q Request, fresh bool) {
+	if s.waiting[q.ID] != nil || s.granted[q.ID] != nil {
+		return
+	}
+	r := &request{Request: q}
+	c := s.byName[q.Class]
+	if c == nil {
+		s.refuse(r, ReasonUnknownClass)
+		return
+	}
+	if c.allowed == 0 {
+		s.refuse(r, ReasonNoServer)
+		return
+	}
+	o := s.organisation(now, q.Organisation)
+	r.flow = &flow{class: c, org: o}
+	if fresh {
+		if wait, ok := o.admit(now, q.PromptTokens); !ok {
+			s.refuseFor(r, ReasonLimit, wait)
+			return
+		}
+	}
+	if fresh && s.hopeless(now, r) {
+		s.refuse(r, ReasonDeadline)
+		return
+	}
+	s.enqueue(c, o, r)
+	if victim := s.overflow(c); victim != nil {
+		s.drop(victim)
+		s.refuse(victim, ReasonQueueFull)
+	}
+}
+
+func (s *Scheduler) enqueue(c *class, o *organisation, r *request) {
+	c.add(o, r)
+	s.waiting[r.ID] = r
+	if !r.Deadline.IsZero() {
+		s.deadlines.add(r)
+	}
+}
+
+// overflow returns the request to shed after one of class newcomer was added,
+// or nil while the queue is within its bound. A class that was within its floor
+// places is never the reason that the queue overflows.
+func (s *Scheduler) overflow(newcomer *class) *request {
+	if newcomer.beyond() == 0 || s.beyond() <= s.cfg.Queue {
+		return nil
+	}
+	return s.victim()
+}
+
+// beyond counts the waiting requests that stand in the shared part of the queue.
+func (s *Scheduler) beyond() int {
+	n := 0
+	for _, c := range s.classes {
+		n += c.beyond()
+	}
+	return n
+}
+
+// victim picks what gives way: in the lowest tier with work beyond its floor
+// places, the class furthest over its guarantee; there the organisation with
+// the longest queue for its weight; there the newest request.
+func (s *Scheduler) victim() *request {
+	var worst *class
+	for i := len(s.classes) - 1; i >= 0; i-- {
+		c := s.classes[i]
+		if c.beyond() == 0 {
+			continue
+		}
+		if worst != nil && c.Tier < worst.Tier {
+			break
+		}
+		if worst == nil || c.waiting-c.Places > worst.waiting-worst.Places {
+			worst = c
+		}
+	}
+	if worst == nil {
+		return nil
+	}
+	f, _ := worst.shed.min()
+	return f.tail()
+}
+
+// hopeless tells whether a newcomer can't be served before its deadline, judged
+// by the rate of starts and what stands before it. A class within its floor
+// places gets the benefit of the doubt.
+func (s *Scheduler) hopeless(now time.Time, r *request) bool {
+	c := r.flow.class
+	if s.cfg.Policy.NoEarlyRefusal || r.Deadline.IsZero() || c.waiting < c.FloorPlaces {
+		return false
+	}
+	wait, known := s.expectedWait(c)
+	return known && now.Add(wait).After(r.Deadline)
+}
+
+// expectedWait estimates how long a newcomer of class c waits.
+func (s *Scheduler) expectedWait(c *class) (wait time.Duration, known bool) {
+	perSecond, known := s.rate.perSecond()
+	if !known {
+		return 0, false
+	}
+	ahead := 0
+	for _, o := range s.classes {
+		if o.Tier <= c.Tier {
+			ahead += o.waiting
+		}
+	}
+	return time.Duration(float64(ahead) / perSecond * float64(time.Second)), true
+}
+
+// drop takes a waiting request out of every queue.
+func (s *Scheduler) drop(r *request) {
+	delete(s.waiting, r.ID)
+	s.deadlines.remove(r)
+	r.flow.class.remove(r)
+}
+
+func (s *Scheduler) refuseAll(c *class, reason Reason) {
+	for c.waiting > 0 {
+		f, _ := c.shed.min()
+		r := f.head()
+		s.drop(r)
+		s.refuse(r, reason)
+	}
+}
+
+// refuse answers at once, with an estimate of when asking again has a chance.
+func (s *Scheduler) refuse(r *request, reason Reason) {
+	wait := time.Duration(0)
+	if r.flow != nil {
+		wait, _ = s.expectedWait(r.flow.class)
+	}
+	s.refuseFor(r, reason, wait)
+}
+
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = time.Minute
+	// retryJitter spreads callers who were refused together.
+	retryJitter = 0.5
+)
+
+func (s *Scheduler) refuseFor(r *request, reason Reason, wait time.Duration) {
+	wait = time.Duration(float64(wait) * (1 + retryJitter*s.rng.Float64()))
+	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	s.out.Refusals = append(s.out.Refusals, Refusal{ID: r.ID, Reason: reason, RetryAfter: wait})
+}
+
+// startRate measures starts a second over sliding one-second windows.
+type startRate struct {
+	windowFrom time.Time
+	count      int
+	mean       float64
+	known      bool
+}
+
+const rateWindow = time.Second
+
+func (r *startRate) start() { r.count++ }
+
+func (r *startRate) tick(now time.Time) {
+	if r.windowFrom.IsZero() {
+		r.windowFrom = now
+		return
+	}
+	passed := now.Sub(r.windowFrom)
+	if passed < rateWindow {
+		return
+	}
+	sample := float64(r.count) / passed.Seconds()
+	if !r.known {
+		r.mean = sample
+	}
+	r.mean += smoothing * (sample - r.mean)
+	r.known = true
+	r.count = 0
+	r.windowFrom = now
+}
+
+// leastRate keeps estimates finite when nothing starts at all.
+const leastRate = 0.1
+
+func (r *startRate) perSecond() (rate float64, known bool) {
+	return math.Max(r.mean, leastRate), r.known
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,255 @@
+// Package settings reads a box's settings: one INI file, checked as a whole
+// before anything starts.
+package settings
+
+import (
+	"encoding/hex"
+	"os"
+	"regexp"
+	"time"
+
+	"headhill.example/headhill/pkg/inifile"
+	"headhill.example/headhill/pkg/logflags"
+)
+
+// TLS modes of the peer port.
+const (
+	PeersTLS   = "tls"
+	PeersPlain = "plain"
+)
+
+// Settings are a box's own settings. What the fleet shares is configuration, and
+// changes through the intent API.
+type Settings struct {
+	Box       Box
+	Listen    Listen
+	Platform  Platform
+	Peers     Peers
+	Operators map[string]string // name to hex SHA-256 of the operator's token
+	Limits    Limits
+	Log       Log
+}
+
+// Box says which box this is and where it stands.
+type Box struct {
+	ID     string
+	Hall   string
+	Region string
+}
+
+// Listen holds the addresses of the three ports.
+type Listen struct {
+	Caller string
+	Peer   string
+	Admin  string
+}
+
+// Platform says how to reach the platform.
+type Platform struct {
+	URL       string
+	TokenFile string
+	// Token is the content of TokenFile.
+	Token string
+	// Prefix stands before every key headhill uses.
+	Prefix string
+}
+
+// Peers says how boxes talk to each other.
+type Peers struct {
+	// Seeds are peers to ask while the platform's box list can't be had.
+	Seeds []string
+	Mode  string
+	// Cert, Key and Roots are PEM files: this box's certificate and key, and the
+	// roots that sign the peers' certificates.
+	Cert, Key, Roots string
+}
+
+// Limits bound what callers can make a box hold.
+type Limits struct {
+	// Body bounds a request's body, Header its header, Held the bodies held at a
+	// time, all in bytes.
+	Body, Header, Held int
+	// Requests bounds the requests in progress.
+	Requests int
+	// HeaderTimeout and BodyTimeout bound how long a caller may take to send.
+	HeaderTimeout, BodyTimeout time.Duration
+	// AnswerTimeout bounds the silence of a backend server.
+	AnswerTimeout time.Duration
+	// StopNotice is how long a stopping box still takes new callers, so that the
+	// balancer can notice. Stop bounds a planned stop; zero means no bound.
+	StopNotice, Stop time.Duration
+}
+
+// Log says what is logged and how.
+type Log struct {
+	Level  string
+	Format string
+	// Output lists the subsystems that log at debug level.
+	Output []string
+}
+
+var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?$`)
+
+const nameRemedy = "write 1 to 64 of a-z, 0-9, dot and dash, beginning and ending with a letter or digit"
+
+// Default returns the settings that stand where the file says nothing.
+func Default() Settings {
+	return Settings{
+		Listen:   Listen{Caller: "127.0.0.1:8080", Peer: "127.0.0.1:8081", Admin: "127.0.0.1:8082"},
+		Platform: Platform{Prefix: "headhill"},
+		Peers:    Peers{Mode: PeersTLS},
+		Limits: Limits{
+			Body:          4 << 20,
+			Header:        32 << 10,
+			Held:          512 << 20,
+			Requests:      20000,
+			HeaderTimeout: 5 * time.Second,
+			BodyTimeout:   30 * time.Second,
+			AnswerTimeout: 60 * time.Second,
+			StopNotice:    2 * time.Second,
+		},
+		Log: Log{Level: "info", Format: "logfmt"},
+	}
+}
+
+// Load reads and checks a file. All its faults come in one *inifile.Error.
+func Load(path string) (Settings, error) { return parse(path, path) }
+
+// Parse checks settings held in memory, as Load does.
+func Parse(content []byte) (Settings, error) { return parse("settings", content) }
+
+func parse(name string, source any) (Settings, error) {
+	f, err := inifile.Load(name, source)
+	if err != nil {
+		return Settings{}, err
+	}
+	s := Default()
+	readBox(f.Section("box"), &s.Box)
+	readListen(f.Section("listen"), &s.Listen)
+	readPlatform(f.Section("platform"), &s.Platform)
+	readPeers(f.Section("peers"), &s.Peers)
+	s.Operators = readOperators(f.Section("operators"))
+	readLimits(f.Section("limits"), &s.Limits)
+	readLog(f.Section("log"), &s.Log)
+	return s, f.Done()
+}
+
+func readBox(s *inifile.Section, b *Box) {
+	s.Require("id", nameRemedy)
+	s.Require("hall", "name the hall that the box stands in")
+	s.String("id", &b.ID)
+	s.String("hall", &b.Hall)
+	b.Region = "default"
+	s.String("region", &b.Region)
+	checkName(s, "id", b.ID)
+	checkName(s, "hall", b.Hall)
+	checkName(s, "region", b.Region)
+	s.Done()
+}
+
+func checkName(s *inifile.Section, key, v string) {
+	if v != "" && !nameForm.MatchString(v) {
+		s.Problem(key, v, nameRemedy)
+	}
+}
+
+func readListen(s *inifile.Section, l *Listen) {
+	s.AddrPort("caller", &l.Caller, true)
+	s.AddrPort("peer", &l.Peer, true)
+	s.AddrPort("admin", &l.Admin, true)
+	s.Done()
+}
+
+var urlForm = regexp.MustCompile(`^https?://[^\s/]+`)
+
+func readPlatform(s *inifile.Section, p *Platform) {
+	s.Require("url", "write the URL of the platform's object API, as http://192.0.2.1:7000")
+	s.String("url", &p.URL)
+	s.String("token-file", &p.TokenFile)
+	s.String("prefix", &p.Prefix)
+	if p.URL != "" && !urlForm.MatchString(p.URL) {
+		s.Problem("url", p.URL, "write an http or https URL, as http://192.0.2.1:7000")
+	}
+	checkName(s, "prefix", p.Prefix)
+	p.Token = readToken(s, p.TokenFile)
+	s.Done()
+}
+
+func readToken(s *inifile.Section, file string) string {
+	if file == "" {
+		return ""
+	}
+	b, err := os.ReadFile(file)
+	if err != nil {
+		s.Problem("token-file", file, "name a readable file: "+err.Error())
+	}
+	return string(trimNewline(b))
+}
+
+func trimNewline(b []byte) []byte {
+	for len(b) > 0 && (b[len(b)-1] == '\n' || b[len(b)-1] == '\r') {
+		b = b[:len(b)-1]
+	}
+	return b
+}
+
+func readPeers(s *inifile.Section, p *Peers) {
+	s.AddrPorts("seeds", &p.Seeds)
+	s.OneOf("mode", &p.Mode, PeersTLS, PeersPlain)
+	s.String("cert", &p.Cert)
+	s.String("key", &p.Key)
+	s.String("roots", &p.Roots)
+	if p.Mode == PeersTLS {
+		for _, f := range []struct{ key, path string }{{"cert", p.Cert}, {"key", p.Key}, {"roots", p.Roots}} {
+			checkFile(s, f.key, f.path)
+		}
+	}
+	s.Done()
+}
+
+func checkFile(s *inifile.Section, key, path string) {
+	const remedy = "name a readable PEM file, or set mode = plain on a network you trust"
+	if path == "" {
+		s.Problem(key, path, remedy)
+		return
+	}
+	if _, err := os.ReadFile(path); err != nil {
+		s.Problem(key, path, remedy)
+	}
+}
+
+func readOperators(s *inifile.Section) map[string]string {
+	m := s.All()
+	for name, hash := range m {
+		if b, err := hex.DecodeString(hash); err != nil || len(b) != 32 {
+			s.Problem(name, hash, "write the hex SHA-256 of the operator's token, as `headhillctl key` prints it")
+		}
+	}
+	return m
+}
+
+func readLimits(s *inifile.Section, l *Limits) {
+	const most = 1 << 40
+	s.Int("body", &l.Body, 1<<10, 1<<30)
+	s.Int("header", &l.Header, 1<<10, 1<<20)
+	s.Int("held", &l.Held, 1<<20, most)
+	s.Int("requests", &l.Requests, 1, 1<<20)
+	s.Duration("header-timeout", &l.HeaderTimeout, 100*time.Millisecond, time.Minute)
+	s.Duration("body-timeout", &l.BodyTimeout, 100*time.Millisecond, 10*time.Minute)
+	s.Duration("answer-timeout", &l.AnswerTimeout, 100*time.Millisecond, time.Hour)
+	s.Duration("stop-notice", &l.StopNotice, 0, time.Minute)
+	s.Duration("stop", &l.Stop, 0, 24*time.Hour)
+	s.Done()
+}
+
+func readLog(s *inifile.Section, l *Log) {
+	s.OneOf("level", &l.Level, "debug", "info", "warn", "error")
+	s.OneOf("format", &l.Format, "logfmt", "json")
+	s.List("output", &l.Output)
+	for _, o := range l.Output {
+		if err := logflags.Check(o); err != nil {
+			s.Problem("output", o, err.Error())
+		}
+	}
+	s.Done()
+}
--- /dev/null
+++ b/pkg/shard/convert.go
@@ -0,0 +1,112 @@
+package shard
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"headhill.example/headhill/pkg/config"
+	"headhill.example/headhill/pkg/membership"
+	"headhill.example/headhill/pkg/peer/peerpb"
+	"headhill.example/headhill/pkg/scheduler"
+)
+
+// schedulerConfig works out what the scheduler of a shard needs to know.
+func schedulerConfig(st *config.State, sh config.Shard, v *membership.View) scheduler.Config {
+	svc, _ := st.Service(sh.Service)
+	cfg := scheduler.Config{
+		Queue:    svc.Queue,
+		Headroom: svc.Headroom,
+		Limits:   func(name string) scheduler.Limits { return limitsOf(st, name) },
+	}
+	share := minorityShare(v)
+	for _, name := range sh.Servers {
+		s, _ := st.Server(name)
+		cfg.Servers = append(cfg.Servers, scheduler.Server{
+			Name:    name,
+			Slots:   max(1, int(math.Floor(float64(s.Slots)*share))),
+			Leaving: s.State == config.StateLeaving || v.ServerLeaving(name),
+		})
+	}
+	for _, c := range st.Classes() {
+		cfg.Classes = append(cfg.Classes, classOf(st, sh, c))
+	}
+	return cfg
+}
+
+func classOf(st *config.State, sh config.Shard, c config.Class) scheduler.Class {
+	return scheduler.Class{
+		Name:        c.Name,
+		Tier:        c.Tier,
+		Floor:       c.Floor,
+		FloorPlaces: c.FloorPlaces,
+		Places:      c.Places,
+		FirstToken:  c.FirstToken,
+		Between:     c.Between,
+		Servers:     serversFor(st, sh.Service, c.Servers),
+	}
+}
+
+// serversFor keeps the servers of one service. A class's list restricts the
+// services that it names servers of, and no others.
+func serversFor(st *config.State, service string, names []string) []string {
+	var list []string
+	for _, n := range names {
+		if s, ok := st.Server(n); ok && s.Service == service {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+func limitsOf(st *config.State, name string) scheduler.Limits {
+	o, _ := st.Organisation(name)
+	return scheduler.Limits{
+		Weight:      o.Weight,
+		Requests:    o.Requests,
+		Tokens:      o.Tokens,
+		Concurrency: o.Concurrency,
+	}
+}
+
+// minorityShare is the part of each server's slots that this box may count on.
+// A box that sees fewer than half of the boxes answer may be cut off, while the
+// others go on: it takes its share only.
+func minorityShare(v *membership.View) float64 {
+	live, all := v.LiveCount()
+	if live*2 >= all {
+		return 1
+	}
+	return float64(live) / float64(all)
+}
+
+// requestOf builds the scheduler's request from a peer's message.
+func requestOf(now time.Time, box string, m *peerpb.Reserve) scheduler.Request {
+	r := scheduler.Request{
+		ID:           scheduler.ID{Box: box, Seq: m.GetSeq()},
+		Class:        m.GetClass(),
+		Organisation: m.GetOrganisation(),
+		PromptTokens: int(m.GetPromptTokens()),
+		Arrival:      now.Add(-time.Duration(max(0, m.GetWaitedNanos()))),
+		Prefix:       m.GetPrefix(),
+		Avoid:        m.GetAvoid(),
+	}
+	if m.GetRemainingNanos() > 0 {
+		r.Deadline = now.Add(time.Duration(m.GetRemainingNanos()))
+	}
+	return r
+}
+
+func completionOf(box string, m *peerpb.Finish) scheduler.Completion {
+	return scheduler.Completion{
+		ID:           scheduler.ID{Box: box, Seq: m.GetSeq()},
+		Result:       scheduler.Result(m.GetResult()),
+		PromptTokens: int(m.GetPromptTokens()),
+		OutputTokens: int(m.GetOutputTokens()),
+		FirstToken:   time.Duration(m.GetFirstTokenNanos()),
+		Between:      time.Duration(m.GetBetweenNanos()),
+	}
+}
+
+// sameServers tells whether two configurations have the same servers.
+func sameServers(a, b []scheduler.Server) bool { return slices.Equal(a, b) }
--- /dev/null
+++ b/pkg/shard/runner.go
@@ -0,0 +1,277 @@
+package shard
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/sourcegraph/conc"
+
+	"headhill.example/headhill/pkg/config"
+	"headhill.example/headhill/pkg/membership"
+	"headhill.example/headhill/pkg/peer"
+	"headhill.example/headhill/pkg/peer/peerpb"
+	"headhill.example/headhill/pkg/scheduler"
+)
+
+const (
+	tickEvery = 25 * time.Millisecond
+	// ReportEvery is how often an owner asks its servers for their load.
+	ReportEvery = 500 * time.Millisecond
+)
+
+// Prober asks a backend server for its load.
+type Prober interface {
+	Probe(ctx context.Context, s config.Server) (scheduler.Report, error)
+}
+
+// Runner runs the schedulers of the shards that this box owns.
+type Runner struct {
+	self    *peer.Self
+	store   *config.Store
+	tracker *membership.Tracker
+	prober  Prober
+	logger  log.Logger
+
+	mu    sync.Mutex
+	owned map[string]*owned
+	conns map[string]*peer.Conn // by origin key
+}
+
+// NewRunner returns a runner that owns nothing until Run.
+func NewRunner(self *peer.Self, store *config.Store, tracker *membership.Tracker, prober Prober, logger log.Logger) *Runner {
+	return &Runner{
+		self:    self,
+		store:   store,
+		tracker: tracker,
+		prober:  prober,
+		logger:  logger,
+		owned:   make(map[string]*owned),
+		conns:   make(map[string]*peer.Conn),
+	}
+}
+
+// Run owns what the view gives this box until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { r.reports(ctx) })
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		view, conf := r.tracker.Changed(), r.store.Changed()
+		r.reconcile(time.Now())
+		if !r.ticks(ctx, t, view, conf) {
+			return
+		}
+	}
+}
+
+// ticks lets time pass until the view or the configuration changes; false means
+// that ctx ended.
+func (r *Runner) ticks(ctx context.Context, t *time.Ticker, view, conf <-chan struct{}) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-view:
+			return true
+		case <-conf:
+			return true
+		case now := <-t.C:
+			r.tracker.Tick(now)
+			for _, o := range r.all() {
+				r.deliver(o, o.tick(now))
+			}
+		}
+	}
+}
+
+// reconcile takes shards over and gives shards up, by the view.
+func (r *Runner) reconcile(now time.Time) {
+	v, st := r.tracker.View(), r.store.Current()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	kept := make(map[string]bool)
+	for _, sh := range st.Shards() {
+		if v.Owner(sh.ID, sh.Hall) != r.self.Box {
+			continue
+		}
+		kept[sh.ID] = true
+		if o := r.owned[sh.ID]; o != nil {
+			o.configure(now, st, sh, v)
+			continue
+		}
+		o := newOwned(now, st, sh, v, rand.Uint64())
+		r.owned[sh.ID] = o
+		level.Info(r.logger).Log("msg", "shard taken over", "shard", sh.ID, "epoch", o.epoch)
+	}
+	for id, o := range r.owned {
+		if !kept[id] {
+			o.end()
+			delete(r.owned, id)
+			level.Info(r.logger).Log("msg", "shard given up", "shard", id, "epoch", o.epoch)
+		}
+	}
+}
+
+func (r *Runner) all() []*owned {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]*owned, 0, len(r.owned))
+	for _, o := range r.owned {
+		list = append(list, o)
+	}
+	return list
+}
+
+// Up implements peer.Owner.
+func (r *Runner) Up(c *peer.Conn, m *peerpb.UpMessage) {
+	id := shardOf(m)
+	r.mu.Lock()
+	r.conns[c.Key()] = c
+	o := r.owned[id]
+	r.mu.Unlock()
+	if o == nil {
+		c.Send(&peerpb.DownMessage{Kind: &peerpb.DownMessage_NotOwner{NotOwner: &peerpb.NotOwner{Shard: id}}})
+		return
+	}
+	r.deliver(o, o.up(time.Now(), c, m, r.liveBoxes()))
+}
+
+func shardOf(m *peerpb.UpMessage) string {
+	switch k := m.GetKind().(type) {
+	case *peerpb.UpMessage_Reserve:
+		return k.Reserve.GetShard()
+	case *peerpb.UpMessage_Cancel:
+		return k.Cancel.GetShard()
+	case *peerpb.UpMessage_Start:
+		return k.Start.GetShard()
+	case *peerpb.UpMessage_Finish:
+		return k.Finish.GetShard()
+	case *peerpb.UpMessage_Register:
+		return k.Register.GetShard()
+	}
+	return ""
+}
+
+func (r *Runner) liveBoxes() []string {
+	v := r.tracker.View()
+	var ids []string
+	for _, b := range v.Boxes {
+		if b.Live {
+			ids = append(ids, b.ID)
+		}
+	}
+	return ids
+}
+
+// Gone implements peer.Owner.
+func (r *Runner) Gone(c *peer.Conn) {
+	r.mu.Lock()
+	if r.conns[c.Key()] != c {
+		// The box has linked again already.
+		r.mu.Unlock()
+		return
+	}
+	delete(r.conns, c.Key())
+	r.mu.Unlock()
+	for _, o := range r.all() {
+		o.linkBroke(time.Now(), c.Key())
+	}
+}
+
+// deliver sends decisions to the boxes that asked.
+func (r *Runner) deliver(o *owned, d scheduler.Decisions) {
+	for _, g := range d.Grants {
+		c := r.conn(g.ID.Box)
+		if c == nil {
+			continue
+		}
+		c.Send(&peerpb.DownMessage{Kind: &peerpb.DownMessage_Grant{Grant: &peerpb.Grant{
+			Shard: o.id, Seq: g.ID.Seq, Server: g.Server, Epoch: o.epoch, EchoNanos: c.Echo(),
+		}}})
+	}
+	for _, f := range d.Refusals {
+		c := r.conn(f.ID.Box)
+		if c == nil {
+			continue
+		}
+		c.Send(&peerpb.DownMessage{Kind: &peerpb.DownMessage_Refuse{Refuse: &peerpb.Refuse{
+			Shard: o.id, Seq: f.ID.Seq, Reason: uint32(f.Reason), RetryAfterNanos: int64(f.RetryAfter),
+		}}})
+	}
+}
+
+func (r *Runner) conn(origin string) *peer.Conn {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.conns[origin]
+}
+
+// reports polls the servers of the owned shards.
+func (r *Runner) reports(ctx context.Context) {
+	t := time.NewTicker(ReportEvery)
+	defer t.Stop()
+	for {
+		var wg conc.WaitGroup
+		for _, o := range r.all() {
+			wg.Go(func() { r.probeShard(ctx, o) })
+		}
+		wg.Wait()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+const probeTimeout = time.Second
+
+func (r *Runner) probeShard(ctx context.Context, o *owned) {
+	st := r.store.Current()
+	sh, ok := st.Shard(o.id)
+	if !ok {
+		return
+	}
+	var wg conc.WaitGroup
+	for _, name := range sh.Servers {
+		s, _ := st.Server(name)
+		wg.Go(func() { r.probe(ctx, o, s) })
+	}
+	wg.Wait()
+}
+
+func (r *Runner) probe(ctx context.Context, o *owned, s config.Server) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	rep, err := r.prober.Probe(ctx, s)
+	if err != nil {
+		level.Debug(r.logger).Log("msg", "no load report", "server", s.Name, "err", err)
+		rep = scheduler.Report{Down: true}
+	}
+	rep.Server = s.Name
+	r.deliver(o, o.do(func(sc *scheduler.Scheduler) { sc.Report(time.Now(), rep) }))
+}
+
+// Status describes the owned shards.
+func (r *Runner) Status(now time.Time) []*peerpb.ShardStatus {
+	var list []*peerpb.ShardStatus
+	for _, o := range r.all() {
+		st := o.stats(now)
+		s := &peerpb.ShardStatus{
+			Shard: o.id, Epoch: o.epoch,
+			Running: uint32(st.Running), Free: uint32(st.Free),
+			Waiting: make(map[string]uint32),
+		}
+		for class, n := range st.Waiting {
+			s.Waiting[class] = uint32(n)
+		}
+		list = append(list, s)
+	}
+	return list
+}
