scheduler: judge waits by slots and time held, not by starts made

Cause: a shard that had made one start a second in a quiet time refused a burst of 200 as hopeless (deadline 30 s), although 8 slots of 100 ms serve it in 2.5 s. The start rate measured the demand, not the capacity.

Ruled out: slow boxes or links (all callers were refused within 1 ms of their arrival); the deadline timer (refusals came from Reserve).

The estimate is now waiting / (slots / mean time held), by Little's law.

--- /dev/null
+++ b/cmd/headhill/path_test.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+	"github.com/stretchr/testify/require"
+
+	"headhill.example/headhill/pkg/api"
+	"headhill.example/headhill/pkg/backend"
+	"headhill.example/headhill/pkg/localfleet"
+	"headhill.example/headhill/pkg/settings"
+	"headhill.example/headhill/pkg/sse"
+	"headhill.example/headhill/pkg/standin/engine"
+)
+
+func putJSON(t *testing.T, url, body string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
+	require.NoError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+}
+
+// direct asks an engine itself for the answer to a request of this ID.
+func direct(t *testing.T, address, id, content string) [][]byte {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":%q}]}`, localfleet.Model, content)
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set(backend.HeaderRequestID, id)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	var events [][]byte
+	r := sse.NewReader(resp.Body)
+	for {
+		e, err := r.Next()
+		if err == io.EOF {
+			return events
+		}
+		require.NoError(t, err)
+		events = append(events, bytes.Clone(e))
+	}
+}
+
+func TestPathOfProcesses(t *testing.T) {
+	withProcesses(t, func(ctx context.Context, f *fleet) {
+		t.Run("byte for byte", func(t *testing.T) {
+			for _, d := range f.daemons {
+				a, err := localfleet.Chat(ctx, d.caller, "from "+d.id, nil)
+				require.NoError(t, err)
+				require.True(t, a.Clean, a.Text)
+				want := direct(t, f.engines[0], a.Header.Get(api.HeaderRequestID), "from "+d.id)
+				require.Equal(t, want, a.Events)
+			}
+		})
+		t.Run("plain call", func(t *testing.T) {
+			a, err := localfleet.Call(ctx, f.daemons[1].caller, "/check?id=7", []byte("paper"), http.Header{api.HeaderIdempotencyKey: {"k"}})
+			require.NoError(t, err)
+			require.Equal(t, "POST /check?id=7 paper", a.Text)
+			require.Equal(t, api.OutcomeDone, a.Outcome)
+		})
+		t.Run("200 callers", func(t *testing.T) { manyCallers(ctx, t, f.daemons, 200) })
+		t.Run("planned stop under load", func(t *testing.T) { plannedStop(ctx, t, f) })
+		t.Run("kill", func(t *testing.T) {
+			f.daemons[1].signal(t, syscall.SIGKILL)
+			manyCallers(ctx, t, f.daemons[2:], 50)
+		})
+	})
+}
+
+// manyCallers sends n requests at once and checks that each got its own answer.
+func manyCallers(ctx context.Context, t *testing.T, daemons []*daemon, n int) {
+	t.Helper()
+	p := pool.New().WithErrors()
+	for i := range n {
+		p.Go(func() error { return ownAnswer(ctx, daemons[i%len(daemons)].caller, fmt.Sprintf("caller-%d", i)) })
+	}
+	require.NoError(t, p.Wait())
+}
+
+func ownAnswer(ctx context.Context, base, content string) error {
+	a, err := localfleet.Chat(ctx, base, content, nil)
+	if err != nil {
+		return err
+	}
+	want := strings.Join(engine.Answer(content, strings.Count(a.Text, " ")), "")
+	if !a.Clean || a.Text != want {
+		return fmt.Errorf("%s: status %d, text %q, error %+v", content, a.Status, a.Text, a.Error)
+	}
+	return nil
+}
+
+// plannedStop sends SIGTERM to a daemon whose callers stream and wait.
+func plannedStop(ctx context.Context, t *testing.T, f *fleet) {
+	t.Helper()
+	p := pool.New().WithErrors()
+	for i := range 100 {
+		p.Go(func() error { return ownAnswer(ctx, f.daemons[0].caller, fmt.Sprintf("stopping-%d", i)) })
+	}
+	time.Sleep(50 * time.Millisecond)
+	f.daemons[0].signal(t, syscall.SIGTERM)
+	require.NoError(t, p.Wait(), "the planned stop cut a request off")
+	select {
+	case err := <-f.daemons[0].done:
+		require.NoError(t, err)
+	case <-time.After(20 * time.Second):
+		t.Fatal("the stopped daemon does not end")
+	}
+}
+
+func TestExampleSettingsLoad(t *testing.T) {
+	file := filepath.Join("..", "..", "docs", "examples", "box.ini")
+	s, err := settings.Load(file)
+	require.NoError(t, err)
+	want := settings.Default().Limits
+	require.Equal(t, want, s.Limits, "the example shows the defaults")
+}
+
+func TestCheckFailsOnBadSettings(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "bad.ini")
+	require.NoError(t, os.WriteFile(file, []byte("[box]\nid = UPPER\n[listen]\ncaller = nowhere\n[limits]\nbody = many\nbodi = 1\n"), 0o600))
+	p := start(t, "headhill", "check", "-c", file)
+	require.Error(t, <-p.done)
+	var text strings.Builder
+	for len(p.lines) > 0 {
+		text.WriteString(<-p.lines + "\n")
+	}
+	for _, want := range []string{"[box] id", "[box] hall", "[listen] caller", "[limits] body", "[limits] bodi", "[platform] url"} {
+		require.Contains(t, text.String(), want)
+	}
+}
--- /dev/null
+++ b/cmd/headhillctl/cmds/config.go
@@ -0,0 +1,191 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"headhill.example/headhill/pkg/api"
+	"headhill.example/headhill/pkg/intent"
+)
+
+func planCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:      "plan",
+		Usage:     "show what an intent would change; nothing takes effect",
+		ArgsUsage: "INTENT.ini",
+		Flags: adminFlags(
+			&cli.StringFlag{Name: "out", Aliases: []string{"o"}, Usage: "write the plan to `FILE`, for confirm"},
+			jsonFlag(),
+		),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.NArg() != 1 {
+				return &UsageError{Usage: "plan --out PLAN.json INTENT.ini"}
+			}
+			text, err := os.ReadFile(c.Args().First())
+			if err != nil {
+				return err
+			}
+			p, err := adminOf(c).Plan(ctx, string(text))
+			if err != nil {
+				return err
+			}
+			if file := c.String("out"); file != "" {
+				if err := writeJSONFile(file, p); err != nil {
+					return err
+				}
+			}
+			if c.Bool(flagJSON) {
+				return writeJSON(out, p)
+			}
+			printPlan(out, p)
+			return nil
+		},
+	}
+}
+
+func writeJSONFile(file string, v any) error {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, append(b, '\n'), 0o600)
+}
+
+func writeJSON(out io.Writer, v any) error {
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// signs mark the lines of a plan.
+var signs = map[string]string{intent.VerbAdd: "+", intent.VerbChange: "~", intent.VerbRemove: "-"}
+
+func printPlan(out io.Writer, p intent.Plan) {
+	fmt.Fprintf(out, "plan %s on generation %d\n", p.ID, p.Base)
+	for _, l := range p.Lines {
+		fmt.Fprintf(out, "  %s %s %s\n", signs[l.Verb], l.Kind, l.Name)
+		for _, f := range l.Fields {
+			fmt.Fprintf(out, "      %s: %s -> %s\n", f.Name, f.Old, f.New)
+		}
+	}
+	for _, w := range p.Warnings {
+		fmt.Fprintf(out, "  ! %s\n", w)
+	}
+	fmt.Fprintln(out, "nothing has changed yet: `headhillctl confirm PLAN.json` puts it in force")
+}
+
+func confirmCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:      "confirm",
+		Usage:     "put a plan in force; confirming twice has the effect of once",
+		ArgsUsage: "PLAN.json",
+		Flags:     adminFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.NArg() != 1 {
+				return &UsageError{Usage: "confirm PLAN.json"}
+			}
+			b, err := os.ReadFile(c.Args().First())
+			if err != nil {
+				return err
+			}
+			var p intent.Plan
+			if err := json.Unmarshal(b, &p); err != nil {
+				return fmt.Errorf("%s is no plan: %w: make one with `headhillctl plan --out`", c.Args().First(), err)
+			}
+			g, err := adminOf(c).Confirm(ctx, p)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(out, "accepted as generation %d; `headhillctl rollout %d` shows where it is in force\n", g, g)
+			return nil
+		},
+	}
+}
+
+func configCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "config",
+		Usage: "show the configuration in force, as JSON",
+		Flags: adminFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			r, err := adminOf(c).Config(ctx)
+			if err != nil {
+				return err
+			}
+			return writeJSON(out, r)
+		},
+	}
+}
+
+// MissingError says that a generation is not in force everywhere.
+type MissingError struct{ Boxes []string }
+
+func (e *MissingError) Error() string {
+	return "not in force yet on: " + strings.Join(e.Boxes, ", ") + ": ask again in some seconds; if it stays so, look at `headhillctl status`"
+}
+
+func rolloutCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:      "rollout",
+		Usage:     "show which boxes have a generation in force",
+		ArgsUsage: "GENERATION",
+		Flags:     adminFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			g, err := strconv.ParseUint(c.Args().First(), 10, 64)
+			if err != nil {
+				return &UsageError{Usage: "rollout GENERATION"}
+			}
+			r, err := adminOf(c).Rollout(ctx, g)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(out, "generation %d is in force on: %s\n", g, strings.Join(r.InForce, ", "))
+			if len(r.Missing) > 0 {
+				return &MissingError{Boxes: r.Missing}
+			}
+			return nil
+		},
+	}
+}
+
+func statusCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show every box and shard",
+		Flags: adminFlags(jsonFlag()),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			r, err := adminOf(c).Status(ctx)
+			if err != nil {
+				return err
+			}
+			if c.Bool(flagJSON) {
+				return writeJSON(out, r)
+			}
+			printStatus(out, r)
+			return nil
+		},
+	}
+}
+
+func printStatus(out io.Writer, r api.StatusReply) {
+	for _, b := range r.Boxes {
+		if b.Error != "" {
+			fmt.Fprintf(out, "%-16s does not answer: %s\n", b.Box, b.Error)
+			continue
+		}
+		fmt.Fprintf(out, "%-16s generation %d  ready %t  stopping %t\n", b.Box, b.Generation, b.Ready, b.Stopping)
+		for _, s := range b.Shards {
+			fmt.Fprintf(out, "    owns %-24s running %d  free %d  waiting %v\n", s.Shard, s.Running, s.Free, s.Waiting)
+		}
+	}
+	for _, w := range r.Warnings {
+		fmt.Fprintf(out, "! %s\n", w)
+	}
+}
--- /dev/null
+++ b/cmd/headhillctl/cmds/key.go
@@ -0,0 +1,26 @@
+package cmds
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"headhill.example/headhill/pkg/config"
+)
+
+// keyCommand makes a key for an organisation or a token for an operator. Only
+// its hash goes into intents and settings.
+func keyCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "key",
+		Usage: "make a random key and the hash that is stored of it",
+		Action: func(context.Context, *cli.Command) error {
+			key := "hh-" + rand.Text()
+			fmt.Fprintf(out, "key    = %s\nsha256 = %s\n", key, config.HashKey(key))
+			return nil
+		},
+	}
+}
--- a/pkg/scheduler/admission.go
+++ b/pkg/scheduler/admission.go
@@ -1,9 +1,6 @@
 package scheduler
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // reserve admits, refuses, or sheds another request to make room.
 //
@@ -106,10 +103,12 @@
 	return known && now.Add(wait).After(r.Deadline)
 }
 
-// expectedWait estimates how long a newcomer of class c waits.
+// expectedWait estimates how long a newcomer of class c waits: what stands before
+// it, over the starts a second that its servers make when they are full. The
+// starts that were made say nothing: when there is little to do they measure the
+// demand. So the rate comes from slots and the mean time in one (Little's law).
 func (s *Scheduler) expectedWait(c *class) (wait time.Duration, known bool) {
-	perSecond, known := s.rate.perSecond()
-	if !known {
+	if s.meanHeld == 0 {
 		return 0, false
 	}
 	ahead := 0
@@ -118,9 +117,26 @@
 			ahead += o.waiting
 		}
 	}
-	return time.Duration(float64(ahead) / perSecond * float64(time.Second)), true
+	slots := 0
+	for _, sv := range s.servers {
+		if c.allowed.has(sv.index) && !sv.Leaving && !sv.leaving && !sv.down {
+			slots += int(sv.limit)
+		}
+	}
+	return time.Duration(ahead) * s.meanHeld / time.Duration(max(1, slots)), true
+}
+
+// noteHeld takes the time that a request held its slot into the running mean.
+func (s *Scheduler) noteHeld(held time.Duration) {
+	if s.meanHeld == 0 {
+		s.meanHeld = held
+	}
+	s.meanHeld += time.Duration(heldSmoothing * float64(held-s.meanHeld))
 }
 
+// heldSmoothing is the weight of one more request in the mean time in a slot.
+const heldSmoothing = 0.02
+
 // drop takes a waiting request out of every queue.
 func (s *Scheduler) drop(r *request) {
 	delete(s.waiting, r.ID)
@@ -158,41 +174,3 @@
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	s.out.Refusals = append(s.out.Refusals, Refusal{ID: r.ID, Reason: reason, RetryAfter: wait})
 }
-
-// startRate measures starts a second over sliding one-second windows.
-type startRate struct {
-	windowFrom time.Time
-	count      int
-	mean       float64
-	known      bool
-}
-
-const rateWindow = time.Second
-
-func (r *startRate) start() { r.count++ }
-
-func (r *startRate) tick(now time.Time) {
-	if r.windowFrom.IsZero() {
-		r.windowFrom = now
-		return
-	}
-	passed := now.Sub(r.windowFrom)
-	if passed < rateWindow {
-		return
-	}
-	sample := float64(r.count) / passed.Seconds()
-	if !r.known {
-		r.mean = sample
-	}
-	r.mean += smoothing * (sample - r.mean)
-	r.known = true
-	r.count = 0
-	r.windowFrom = now
-}
-
-// leastRate keeps estimates finite when nothing starts at all.
-const leastRate = 0.1
-
-func (r *startRate) perSecond() (rate float64, known bool) {
-	return math.Max(r.mean, leastRate), r.known
-}
--- a/pkg/scheduler/dispatch.go
+++ b/pkg/scheduler/dispatch.go
@@ -143,7 +143,6 @@
 	s.hold(now, r)
 	s.unstarted = append(s.unstarted, r)
 	s.prefixes.sent(r.Prefix, sv.Name)
-	s.rate.start()
 	s.out.Grants = append(s.out.Grants, Grant{ID: r.ID, Server: sv.Name, Waited: now.Sub(r.Arrival)})
 }
 
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -33,7 +33,8 @@
 	unstarted []*request
 	deadlines *prioHeap[*request]
 	prefixes  *prefixIndex
-	rate      startRate
+	// meanHeld is the running mean of the time that a request holds its slot.
+	meanHeld  time.Duration
 	rng       *rand.Rand
 	settleEnd time.Time
 	settling  bool
@@ -239,6 +240,7 @@
 		r.server.fail(now)
 	case ResultDone:
 		r.server.succeed()
+		s.noteHeld(now.Sub(r.grantedAt))
 		cl := r.flow.class
 		cl.meanOutput += smoothing * (float64(c.OutputTokens) - cl.meanOutput)
 		s.observe(now, r, c)
@@ -281,7 +283,6 @@
 	if s.settling && !now.Before(s.settleEnd) {
 		s.settling = false
 	}
-	s.rate.tick(now)
 	s.expireDeadlines(now)
 	s.expireGrants(now)
 	s.clean(now)
