--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -150,6 +150,12 @@
 	Error   *chunkError   `json:"error"`
 }
 
+// reset clears a chunk but keeps its memory.
+func (c *chunk) reset() {
+	clear(c.Choices)
+	*c = chunk{Choices: c.Choices[:0]}
+}
+
 type chunkChoice struct {
 	Index        int             `json:"index"`
 	Delta        chunkDelta      `json:"delta"`
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -54,6 +54,8 @@
 	req    *request
 	body   *chatBody
 	answer answer
+	// chunk is decoded into again and again: an answer has hundreds.
+	chunk chunk
 }
 
 func (x *chatExchange) do(ctx context.Context, s config.Server) (scheduler.Completion, error) {
@@ -161,8 +163,9 @@
 // event checks one event and passes it on. More tells that another one is there
 // already, so that flushing can wait for it.
 func (x *chatExchange) event(data []byte, more bool) error {
-	var c chunk
-	if err := json.Unmarshal(data, &c); err != nil {
+	c := &x.chunk
+	c.reset()
+	if err := json.Unmarshal(data, c); err != nil {
 		return fmt.Errorf("event is no JSON: %w", err)
 	}
 	if c.Error != nil {
@@ -172,7 +175,7 @@
 		return &backend.MismatchError{Want: x.answer.id, Got: c.ID}
 	}
 	before := x.answer.tokens
-	if !x.answer.take(&c) {
+	if !x.answer.take(c) {
 		return nil
 	}
 	x.req.opaque = x.answer.opaque
