--- a/pkg/objlog/log.go
+++ b/pkg/objlog/log.go
@@ -37,7 +37,8 @@
 	open    segment
 	version platform.Version
 	// oldest is the lowest number of an archive that may still exist.
-	oldest int
+	oldest  int
+	folding bool
 }
 
 // New returns a log under the key prefix. Its content is read by Refresh.
--- a/pkg/objlog/snapshot.go
+++ b/pkg/objlog/snapshot.go
@@ -12,11 +12,12 @@
 // FoldAfter is the number of archived segments that make a snapshot worth while.
 const FoldAfter = 16
 
-// Foldable tells whether enough archived segments stand before the head.
+// Foldable tells whether enough archived segments stand before the head, and
+// nobody folds them already.
 func (l *Log) Foldable() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.open.Number-l.oldest >= FoldAfter
+	return !l.folding && l.open.Number-l.oldest >= FoldAfter
 }
 
 // Fold stores the reader's state after the last record read as a snapshot, and
@@ -27,10 +28,14 @@
 	l.mu.Lock()
 	index := l.open.next() - 1
 	parts, ok := state(index)
-	if !ok {
+	if !ok || l.folding {
 		l.mu.Unlock()
 		return nil
 	}
+	// One at a time: each append would begin another, and their writes would
+	// take the budget from the appends.
+	l.folding = true
+	defer l.endFolding()
 	m := manifest{
 		Index:   index,
 		Segment: l.open.Number,
@@ -45,6 +50,12 @@
 	return l.dropFolded(ctx, m)
 }
 
+func (l *Log) endFolding() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.folding = false
+}
+
 func (l *Log) storeSnapshot(ctx context.Context, m manifest, parts [][]byte) error {
 	for i, p := range parts {
 		if _, err := l.objects.Create(ctx, l.partKey(&m, i), p); err != nil {
