entry: an answer that has all its tokens is ended, not continued

Cause: an engine that crashed between the last token and the event that says so left an answer that was whole; another engine asked to go on added a token (max_tokens can't be asked below 1).

Found by: TestCrashAtEveryByteOfAStream, red at byte 745 (first through the stand-in, which added a token to a whole answer of its own accord and is mended; then, with max_tokens below the natural length, through the box).

Before: one token too many; with the mechanism off the test is red again. After: every byte position of a stream with and without max_tokens gives the whole answer once, one role, one closing mark.

Ruled out: asking with max_tokens = 0 (engines refuse it).

--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -134,6 +134,9 @@
 			// Only the closing mark is missing.
 			return x.finish()
 		}
+		if err != nil && x.full() {
+			return x.finishFull()
+		}
 		if err != nil {
 			return broken(x.explain(err))
 		}
@@ -153,6 +156,22 @@
 	}
 }
 
+// full tells whether the caller has as many tokens as it asked for. An event
+// carries one token or more, so counting events never counts too many.
+func (x *chatExchange) full() bool {
+	return x.body.maxTokens > 0 && !x.answer.opaque && x.answer.tokens >= x.body.maxTokens
+}
+
+// finishFull ends an answer that is whole but for the engine saying so. Another
+// engine would add a token to it.
+func (x *chatExchange) finishFull() error {
+	last := fmt.Sprintf(`{"id":%q,"object":"chat.completion.chunk","choices":[{"index":0,"delta":{},"finish_reason":"length"}]}`, x.answer.id)
+	if err := x.send([]byte(last), false); err != nil {
+		return err
+	}
+	return x.finish()
+}
+
 func (x *chatExchange) explain(err error) error {
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -295,7 +295,7 @@
 	if p.MaxTokens > 0 {
 		n = min(n, p.MaxTokens)
 	}
-	return max(1, n)
+	return max(0, n)
 }
 
 const bodyMost = 64 << 20
@@ -341,7 +341,12 @@
 	}
 	n := e.length(p, messages, done)
 	s := &sequence{ctx: r.Context(), prefill: size, length: n, tokens: make(chan struct{}, n)}
-	e.waiting = append(e.waiting, s)
+	if n == 0 {
+		// The partial answer was whole already.
+		close(s.tokens)
+	} else {
+		e.waiting = append(e.waiting, s)
+	}
 	e.stats.Started++
 	e.runs[r.Header.Get(backend.HeaderRequestID)]++
 	return e.faults, s
