--- a/cmd/headhillctl/cmds/cmds.go
+++ b/cmd/headhillctl/cmds/cmds.go
@@ -44,6 +44,7 @@
 			standinCommand(out),
 			loadCommand(out, errOut),
 			demoCommand(out, errOut),
+			measureCommand(out),
 		},
 	}
 }
