scheduler: a floor is a share of the work, not of the starts

Cause: Recife's appraisals are about 6.6 times as long as bidders' answers, so two floors of 5% of the starts took some 40% of the engines in the burst and the bidders' own load no longer fitted.

Ruled out: headroom (6 of 360 slots), crashes (one server of nine).

TestFloorIsAShareOfTheWork is red with floors counted in starts, green now; TestEveryClassGetsItsFloorUnderFlood is unchanged and green: with answers of one size both countings are the same.

--- a/pkg/scheduler/dispatch.go
+++ b/pkg/scheduler/dispatch.go
@@ -71,7 +71,7 @@
 		if c.serve.Len() == 0 || c.allowed&free.set == 0 {
 			continue
 		}
-		if s.owed(c) && (due == nil || c.credit > due.credit) {
+		if s.owed(c) && (due == nil || c.owedStarts() > due.owedStarts()) {
 			due = c
 		}
 		if best != nil && best.Tier < c.Tier {
@@ -91,9 +91,15 @@
 }
 
 func (s *Scheduler) owed(c *class) bool {
-	return !s.cfg.Policy.NoFloor && c.Floor > 0 && c.credit >= 1
+	return !s.cfg.Policy.NoFloor && c.Floor > 0 && c.owedStarts() >= 1
 }
 
+// owedStarts is the class's credit in starts of its own usual size.
+func (c *class) owedStarts() float64 { return c.credit / c.cost() }
+
+// cost is the work of a usual request of the class, in output tokens.
+func (c *class) cost() float64 { return max(1, c.meanOutput) }
+
 // mayUseHeadroom holds for the highest tier, or where there is no headroom.
 func (s *Scheduler) mayUseHeadroom(c *class) bool {
 	return s.cfg.Headroom == 0 || s.cfg.Policy.NoHeadroom || c.Tier == s.classes[0].Tier
@@ -114,21 +120,23 @@
 	return f.head().Arrival.Add(c.FirstToken)
 }
 
-// maxCredit bounds what a class can be owed, so that a class that could not run
-// for a while doesn't take the shard over afterwards.
+// maxCredit bounds what a class can be owed, in starts, so that a class that could
+// not run for a while doesn't take the shard over afterwards.
 const maxCredit = 2
 
-// credit books one start of class c. Every class with work waiting earns its
-// floor; the one that starts pays one.
+// credit books one start. Every class with work waiting earns its floor of the
+// work that starts; the one that starts pays for it. Counted in starts alone, a
+// class of long answers would take a multiple of its floor.
 func (s *Scheduler) credit(started *class) {
+	work := started.cost()
 	for _, c := range s.classes {
 		if c.waiting == 0 {
 			c.credit = 0
 			continue
 		}
-		c.credit = min(maxCredit, c.credit+c.Floor)
+		c.credit = min(maxCredit*c.cost(), c.credit+c.Floor*work)
 	}
-	started.credit = max(0, started.credit-1)
+	started.credit = max(0, started.credit-work)
 }
 
 // grant moves a waiting request to a server.
--- a/pkg/scheduler/naive_test.go
+++ b/pkg/scheduler/naive_test.go
@@ -19,6 +19,7 @@
 	idle     map[string]float64
 	credit   map[string]float64
 	output   map[string]float64
+	seen     map[string]bool
 	prefix   map[uint64]string
 	meanHeld time.Duration
 	out      Decisions
@@ -40,6 +41,7 @@
 		idle:     make(map[string]float64),
 		credit:   make(map[string]float64),
 		output:   make(map[string]float64),
+		seen:     make(map[string]bool),
 		prefix:   make(map[uint64]string),
 	}
 	for i, s := range cfg.Servers {
@@ -273,6 +275,9 @@
 			n.meanHeld = held
 		}
 		n.meanHeld += time.Duration(heldSmoothing * float64(held-n.meanHeld))
+		if !n.seen[r.Class] {
+			n.output[r.Class], n.seen[r.Class] = float64(c.OutputTokens), true
+		}
 		n.output[r.Class] += smoothing * (float64(c.OutputTokens) - n.output[r.Class])
 		n.observe(now, r, c)
 	}
@@ -328,9 +333,9 @@
 				n.credit[k.Name] = 0
 				continue
 			}
-			n.credit[k.Name] = math.Min(maxCredit, n.credit[k.Name]+k.Floor)
+			n.credit[k.Name] = math.Min(maxCredit*n.cost(k.Name), n.credit[k.Name]+k.Floor*n.cost(c.Name))
 		}
-		n.credit[c.Name] = math.Max(0, n.credit[c.Name]-1)
+		n.credit[c.Name] = math.Max(0, n.credit[c.Name]-n.cost(c.Name))
 		n.drop(r)
 		r.server, r.grantedAt = s, now
 		r.charged = float64(r.PromptTokens) + n.output[r.Class]
@@ -346,6 +351,10 @@
 	}
 }
 
+func (n *naive) cost(class string) float64 { return math.Max(1, n.output[class]) }
+
+func (n *naive) owed(class string) float64 { return n.credit[class] / n.cost(class) }
+
 func (n *naive) free(now time.Time, c Class) int {
 	sum := 0
 	for _, s := range n.servers {
@@ -364,7 +373,7 @@
 		if len(n.active(c.Name, false)) == 0 || free == 0 {
 			continue
 		}
-		if n.credit[c.Name] >= 1 && (due == nil || n.credit[c.Name] > n.credit[due.Name]) {
+		if n.owed(c.Name) >= 1 && (due == nil || n.owed(c.Name) > n.owed(due.Name)) {
 			due = c
 		}
 		if c.Tier > n.classes[0].Tier && free <= n.cfg.Headroom && n.cfg.Headroom > 0 {
--- a/pkg/scheduler/promises_test.go
+++ b/pkg/scheduler/promises_test.go
@@ -116,11 +116,13 @@
 	waiting map[ID]Request
 	ends    map[ID]time.Time
 	starts  []string
+	class   map[ID]string
+	output  map[string]int
 }
 
 func newFlood(t *testing.T) *flood {
 	cfg := oneServer(8, 100, counterClass(), Class{Name: "reports", Tier: 2, Floor: 0.03, FloorPlaces: 2}, batchClass())
-	return &flood{t: t, cfg: cfg, s: New(cfg, 1), now: epoch, waiting: map[ID]Request{}, ends: map[ID]time.Time{}}
+	return &flood{t: t, cfg: cfg, s: New(cfg, 1), now: epoch, waiting: map[ID]Request{}, ends: map[ID]time.Time{}, class: map[ID]string{}}
 }
 
 func (f *flood) request(class string) {
@@ -134,7 +136,8 @@
 func (f *flood) take() {
 	d := f.s.Take()
 	for _, g := range d.Grants {
-		f.starts = append(f.starts, f.waiting[g.ID].Class)
+		f.class[g.ID] = f.waiting[g.ID].Class
+		f.starts = append(f.starts, f.class[g.ID])
 		f.ends[g.ID] = f.now.Add(100 * time.Millisecond)
 		f.s.Start(g.ID)
 		delete(f.waiting, g.ID)
@@ -168,7 +171,7 @@
 	for id, end := range f.ends {
 		if !end.After(f.now) {
 			delete(f.ends, id)
-			f.s.Finish(f.now, Completion{ID: id, Result: ResultDone, OutputTokens: 10})
+			f.s.Finish(f.now, Completion{ID: id, Result: ResultDone, OutputTokens: f.output[f.class[id]]})
 			f.take()
 		}
 	}
@@ -188,6 +191,7 @@
 
 func TestEveryClassGetsItsFloorUnderFlood(t *testing.T) {
 	f := newFlood(t)
+	f.output = map[string]int{"counter": 10, "reports": 10, "batch": 10}
 	for range 6 * 60 * 100 { // six minutes
 		f.step()
 	}
@@ -202,6 +206,27 @@
 	}
 }
 
+// A floor is a share of the work: a class of long answers gets no multiple of it,
+// and no less than it.
+func TestFloorIsAShareOfTheWork(t *testing.T) {
+	f := newFlood(t)
+	f.output = map[string]int{"counter": 20, "reports": 20, "batch": 400}
+	for range 6 * 60 * 100 {
+		f.step()
+	}
+	const window = 4000
+	for from := window; from+window <= len(f.starts); from += 1000 {
+		total := 0
+		for class, output := range f.output {
+			total += output * f.count(from, from+window, class)
+		}
+		for _, c := range f.cfg.Classes[1:] {
+			share := float64(f.output[c.Name]*f.count(from, from+window, c.Name)) / float64(total)
+			require.InDelta(t, c.Floor, share, 0.01, "%s in starts %d to %d", c.Name, from, from+window)
+		}
+	}
+}
+
 // Work that waits must not lose its claim to the floor with each new owner.
 func TestNoStarvationWhenTheOwnerKeepsChanging(t *testing.T) {
 	f := newFlood(t)
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -99,16 +99,17 @@
 	Class
 	allowed serverSet
 	waiting int
-	// credit grows by the floor at each start while work waits; at 1 the class
-	// is owed a start.
+	// credit, in output tokens, grows by the floor at each start while work waits;
+	// when it reaches the work of a usual request the class is owed a start.
 	credit float64
 	flows  map[string]*flow
 	// serve holds the flows that may start a request, shed all that wait.
 	serve       *prioHeap[*flow]
 	shed        *prioHeap[*flow]
 	idleCounter float64
-	// meanOutput is the running mean of output tokens.
+	// meanOutput is the running mean of output tokens, a guess until one is seen.
 	meanOutput float64
+	seenOutput bool
 }
 
 // initialOutput is the guess for a class's output tokens before any is seen.
@@ -128,6 +129,15 @@
 	}
 }
 
+// learn takes the size of a whole answer into the running mean.
+func (c *class) learn(outputTokens int) {
+	if !c.seenOutput {
+		c.meanOutput = float64(outputTokens)
+		c.seenOutput = true
+	}
+	c.meanOutput += smoothing * (float64(outputTokens) - c.meanOutput)
+}
+
 // beyond is how many of the class's waiting requests stand in the shared part
 // of the queue.
 func (c *class) beyond() int { return max(0, c.waiting-c.FloorPlaces) }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -166,7 +166,7 @@
 	for _, c := range s.classes {
 		for _, f := range c.flows {
 			if f.queue.Len() > 0 && now.Sub(f.head().Arrival) > owedAfter {
-				c.credit = max(c.credit, 1)
+				c.credit = max(c.credit, c.cost())
 			}
 		}
 	}
@@ -257,8 +257,7 @@
 	case ResultDone:
 		r.server.succeed()
 		s.noteHeld(now.Sub(r.grantedAt))
-		cl := r.flow.class
-		cl.meanOutput += smoothing * (float64(c.OutputTokens) - cl.meanOutput)
+		r.flow.class.learn(c.OutputTokens)
 		s.observe(now, r, c)
 	}
 }
