measure: count as wasted what is really done twice

Cause: the model counted every token of a crashed call as wasted, also what the next server's prefix cache spares and what was never read.

--- a/pkg/measure/result.go
+++ b/pkg/measure/result.go
@@ -132,7 +132,7 @@
 
 func (r *Result) worked(read, generated int) { r.work += read + generated }
 
-func (r *Result) wasted(_ *call, tokens int) { r.waste += max(0, tokens) }
+func (r *Result) wasted(tokens int) { r.waste += tokens }
 
 func (r *Result) ended(c *call, done bool, now time.Duration) {
 	cr := r.byClass[c.class.Name]
--- a/pkg/measure/run.go
+++ b/pkg/measure/run.go
@@ -29,6 +29,9 @@
 	firstAt   time.Duration
 	lastAt    time.Duration
 	ended     bool
+	// lostRead is the number of tokens that a crashed server had read for the
+	// call: what the next one reads of them is done twice.
+	lostRead int
 }
 
 func (c *call) token(now time.Duration) {
@@ -334,7 +337,9 @@
 	}
 	c.server = i
 	r.result.started(c, r.now)
-	s.add(r.now, c)
+	q := s.add(r.now, c)
+	r.result.wasted(min(q.prefill, c.lostRead))
+	c.lostRead = 0
 	s.note(r.now)
 	if r.baseline {
 		r.giveUpLater(c, c.seq)
@@ -351,7 +356,7 @@
 		s := r.servers[c.server]
 		for _, q := range s.running {
 			if q.call == c {
-				r.result.wasted(c, s.uncached(c)-q.prefill)
+				r.result.wasted(q.read)
 			}
 		}
 		s.remove(r.now, c)
@@ -406,12 +411,10 @@
 	for _, q := range s.crash(r.now) {
 		c := q.call
 		c.server = -1
+		c.lostRead = q.read + q.generated
 		if r.baseline {
-			r.result.wasted(c, c.delivered+c.promptTokens-q.prefill)
+			r.result.wasted(c.delivered)
 			c.delivered = 0
-		} else {
-			// What was read is read again, with what was delivered.
-			r.result.wasted(c, max(0, c.promptTokens-q.prefill)+c.delivered)
 		}
 		r.policy.finish(r.now, c, scheduler.Completion{Result: scheduler.ResultFailed, OutputTokens: q.generated})
 		r.place(c, s.index)
--- a/pkg/measure/server.go
+++ b/pkg/measure/server.go
@@ -10,6 +10,7 @@
 	call *call
 	// prefill is the number of prompt tokens still to read.
 	prefill   int
+	read      int
 	generated int
 	startedAt time.Duration
 	firstAt   time.Duration
@@ -115,6 +116,7 @@
 		if q.prefill > 0 {
 			n := min(q.prefill, chunkTokens)
 			q.prefill -= n
+			q.read += n
 			read += n
 			if q.prefill > 0 {
 				kept = append(kept, q)
