scheduler: give refused callers turns to come back, spaced by their class's rate

Cause: callers refused together were told about the same time, came back together and were refused again.

Ruled out: a longer bound alone (without turns the callers stay together).

--- a/pkg/scheduler/admission.go
+++ b/pkg/scheduler/admission.go
@@ -14,11 +14,11 @@
 	r := &request{Request: q}
 	c := s.byName[q.Class]
 	if c == nil {
-		s.refuse(r, ReasonUnknownClass)
+		s.refuse(now, r, ReasonUnknownClass)
 		return
 	}
 	if c.allowed == 0 {
-		s.refuse(r, ReasonNoServer)
+		s.refuse(now, r, ReasonNoServer)
 		return
 	}
 	o := s.organisation(now, q.Organisation)
@@ -30,13 +30,13 @@
 		}
 	}
 	if fresh && s.hopeless(now, r) {
-		s.refuse(r, ReasonDeadline)
+		s.refuse(now, r, ReasonDeadline)
 		return
 	}
 	s.enqueue(c, o, r)
 	if victim := s.overflow(c); victim != nil {
 		s.drop(victim)
-		s.refuse(victim, ReasonQueueFull)
+		s.refuse(now, victim, ReasonQueueFull)
 	}
 }
 
@@ -144,24 +144,42 @@
 	r.flow.class.remove(r)
 }
 
-func (s *Scheduler) refuseAll(c *class, reason Reason) {
+func (s *Scheduler) refuseAll(now time.Time, c *class, reason Reason) {
 	for c.waiting > 0 {
 		f, _ := c.shed.min()
 		r := f.head()
 		s.drop(r)
-		s.refuse(r, reason)
+		s.refuse(now, r, reason)
 	}
 }
 
 // refuse answers at once, with an estimate of when asking again has a chance.
-func (s *Scheduler) refuse(r *request, reason Reason) {
+func (s *Scheduler) refuse(now time.Time, r *request, reason Reason) {
 	wait := time.Duration(0)
 	if r.flow != nil {
-		wait = s.untilRoom(r.flow.class)
+		wait = s.nextReturn(now, r.flow.class)
 	}
 	s.refuseFor(r, reason, wait)
 }
 
+// nextReturn gives a refused caller its turn to come back. Callers who were all
+// told the same time would come back all at once and be refused again; turns are
+// spaced by the class's own rate, so that there is room for each.
+func (s *Scheduler) nextReturn(now time.Time, c *class) time.Duration {
+	turn := now.Add(s.untilRoom(c))
+	if perSecond, known := c.starts.perSecond(); known {
+		spaced := c.lastReturn.Add(time.Duration(float64(time.Second) / max(perSecond, leastRate)))
+		if spaced.After(turn) {
+			turn = spaced
+		}
+	}
+	if latest := now.Add(maxRetryAfter); turn.After(latest) {
+		turn = latest
+	}
+	c.lastReturn = turn
+	return turn.Sub(now)
+}
+
 // untilRoom estimates when a class's queue will have drained: at the rate of its
 // own starts, if it had work waiting lately, since what comes in higher tiers
 // meanwhile goes first; else at the servers' whole rate.
@@ -214,7 +232,7 @@
 
 const (
 	minRetryAfter = time.Second
-	maxRetryAfter = time.Minute
+	maxRetryAfter = 2 * time.Minute
 	// retryJitter spreads callers who were refused together.
 	retryJitter = 0.5
 )
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -111,6 +111,8 @@
 	meanOutput float64
 	seenOutput bool
 	starts     startRate
+	// lastReturn is the last turn that was given to a refused caller.
+	lastReturn time.Time
 }
 
 // initialOutput is the guess for a class's output tokens before any is seen.
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -54,21 +54,22 @@
 		prefixes:  newPrefixIndex(),
 		rng:       rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 	}
-	s.configure(cfg)
+	// No class is there yet, so nothing can be refused.
+	s.configure(time.Time{}, cfg)
 	return s
 }
 
 // Configure puts a new configuration in force. Waiting work of a class that is
 // gone is refused; what runs goes on.
 func (s *Scheduler) Configure(now time.Time, cfg Config) {
-	s.configure(cfg)
+	s.configure(now, cfg)
 	s.dispatch(now)
 }
 
-func (s *Scheduler) configure(cfg Config) {
+func (s *Scheduler) configure(now time.Time, cfg Config) {
 	s.cfg = cfg
 	s.configureServers(cfg.Servers)
-	s.configureClasses(cfg.Classes)
+	s.configureClasses(now, cfg.Classes)
 	for _, o := range s.orgs {
 		o.setLimits(s.limits(o.name))
 		s.unblock(o)
@@ -97,7 +98,7 @@
 	s.index, s.servers = index, list
 }
 
-func (s *Scheduler) configureClasses(classes []Class) {
+func (s *Scheduler) configureClasses(now time.Time, classes []Class) {
 	byName := make(map[string]*class, len(classes))
 	list := make([]*class, 0, len(classes))
 	for _, cc := range classes {
@@ -117,7 +118,7 @@
 	s.classes, s.byName = list, byName
 	for _, c := range old {
 		if byName[c.Name] == nil {
-			s.refuseAll(c, ReasonUnknownClass)
+			s.refuseAll(now, c, ReasonUnknownClass)
 		}
 	}
 }
@@ -314,7 +315,7 @@
 			return
 		}
 		s.drop(r)
-		s.refuse(r, ReasonDeadline)
+		s.refuse(now, r, ReasonDeadline)
 	}
 }
 
