--- a/cmd/headhillctl/cmds/measure.go
+++ b/cmd/headhillctl/cmds/measure.go
@@ -16,7 +16,7 @@
 		Usage: "measure the scheduler in virtual time against a baseline policy; the same seeds give the same figures",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "scenario", Usage: "hanoi, recife or all", Value: "all"},
-			&cli.StringFlag{Name: "variants", Usage: "mechanisms, faults or brief", Value: "brief"},
+			&cli.StringFlag{Name: "variants", Usage: "brief, mechanisms, faults or slow", Value: "brief"},
 			&cli.IntFlag{Name: "seeds", Usage: "number of runs of each variant", Value: 10},
 			jsonFlag(),
 		},
@@ -65,8 +65,10 @@
 		return measure.Mechanisms()[:2], nil
 	case "mechanisms":
 		return measure.Mechanisms(), nil
+	case "slow":
+		return measure.SlowVariants(), nil
 	case "faults":
 		return measure.FaultVariants(), nil
 	}
-	return nil, &UsageError{Usage: "measure --variants brief|mechanisms|faults"}
+	return nil, &UsageError{Usage: "measure --variants brief|mechanisms|faults|slow"}
 }
--- a/pkg/measure/scenario.go
+++ b/pkg/measure/scenario.go
@@ -143,6 +143,21 @@
 	}
 }
 
+// SlowVariants have a third of the servers five times slower, beyond the strictest
+// target between tokens, with the mechanisms meant for that on and off.
+func SlowVariants() []Variant {
+	slow := func(s *Scenario) {
+		s.Faults.Slow, s.Faults.SlowFactor, s.Faults.SlowAt = s.Servers/3, 5, s.BurstAt/2
+	}
+	return []Variant{
+		{Name: "slow-5x", Change: slow},
+		{Name: "slow-5x/baseline", Change: slow, Baseline: true},
+		{Name: "slow-5x/no-speed-weight", Change: slow, Policy: scheduler.Policy{NoSpeedWeight: true}},
+		{Name: "slow-5x/no-adaptive-limit", Change: slow, Policy: scheduler.Policy{NoAdaptiveLimit: true}},
+		{Name: "slow-5x/neither", Change: slow, Policy: scheduler.Policy{NoSpeedWeight: true, NoAdaptiveLimit: true}},
+	}
+}
+
 // FaultVariants are the faults of the field, each with the scheduler and with the
 // baseline.
 func FaultVariants() []Variant {
