entry: a caller that is slow with its body is cut off

Cause: the read deadline was lifted after the body had failed to arrive, and net/http then read what was left of it without any bound, to use the connection again. A request refused for its key kept its connection in the same way.

Before: TestCallersAreBoundedAndKeptApart red, the slow body still held its connection after 20 s. After: green, cut off after [limits] body-timeout.

Ruled out: http.Server.ReadTimeout (it would also end the watch for callers that leave while their answer streams).

--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -113,6 +113,9 @@
 			return
 		}
 		defer func() { h.held.Add(-int64(len(req.body))) }()
+		// The bound stands until the body is there whole. It also bounds what the
+		// server still reads of a request that was refused before.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(h.Limits.BodyTimeout))
 		err := h.open(w, r, req)
 		if err == nil {
 			err = serve(w, r, req)
@@ -186,10 +189,7 @@
 	if h.held.Load() > int64(h.Limits.Held) {
 		return &RequestError{Status: http.StatusServiceUnavailable, Type: typeBusy, Message: "this box holds as much as it may: ask again"}
 	}
-	c := http.NewResponseController(w)
-	_ = c.SetReadDeadline(time.Now().Add(h.Limits.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(h.Limits.Body)))
-	_ = c.SetReadDeadline(time.Time{})
 	req.body = body
 	h.held.Add(int64(len(body)))
 	var tooLarge *http.MaxBytesError
@@ -199,7 +199,7 @@
 	if err != nil {
 		return badRequest("the body did not arrive whole: %v", err)
 	}
-	return nil
+	return http.NewResponseController(w).SetReadDeadline(time.Time{})
 }
 
 // classify works out the request's class and whether it may be repeated, from
