config, membership: the price of a change and of links at the target size

Cause (change): each change copied the maps of 7,200 servers and made their shards anew: 9.3 ms and 6.6 MB for one organisation at the target's configuration (BenchmarkApply). Now only what a change touches is copied, and shards are made anew for servers and services only.

Cause (links): a link costs 0.09 to 0.11% of a core in heartbeats, both ends in one process (BenchmarkIdleLinks). With three candidates for each of 48 keys a box would keep some 150 links each way: 14% of a core. Now a box reserves in four shards of a service, links to their owner and the next in line, calls claim homes without a link, and beats at half the rate beyond 32 boxes: about 32 links each way.

Ruled out: fewer beats with the same links (silence would count as death after 9 s).

Gauges of what a box holds and owns are shown.

--- a/pkg/box/box.go
+++ b/pkg/box/box.go
@@ -80,7 +80,7 @@
 	}
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	b.assemble(logs)
-	return b, nil
+	return b, b.gauges()
 }
 
 func open(l settings.Listen) (ports, error) {
@@ -124,7 +124,7 @@
 	b.claims = claims.NewClient(b.platform, s.Platform.Prefix, b.tracker, logs.For(logflags.Claims))
 	b.claims.Attach(b.links)
 	b.entry = entry.NewHandler(entry.Deps{
-		Limits: s.Limits, Hall: s.Box.Hall, Store: b.store, Broker: b.broker, Backend: b.backend,
+		Limits: s.Limits, Box: s.Box.ID, Hall: s.Box.Hall, Store: b.store, Broker: b.broker, Backend: b.backend,
 		Claims: b.claims, Metrics: b.metrics, Logger: logs.For(logflags.Entry), Ready: b.Ready,
 	})
 	b.callers = b.entry.Server()
--- a/pkg/box/calls.go
+++ b/pkg/box/calls.go
@@ -10,19 +10,10 @@
 	"google.golang.org/grpc/status"
 
 	"headhill.example/headhill/pkg/api"
-	"headhill.example/headhill/pkg/claims"
 	"headhill.example/headhill/pkg/membership"
 	"headhill.example/headhill/pkg/peer/peerpb"
 )
 
-func claimKeys() []membership.Key {
-	keys := make([]membership.Key, 0, claims.Shards)
-	for n := range claims.Shards {
-		keys = append(keys, membership.Key{Name: claims.OwnerKey(n)})
-	}
-	return keys
-}
-
 // Claim implements peer.Calls.
 func (b *Box) Claim(ctx context.Context, r *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
 	return b.claims.ServeClaim(ctx, r)
--- a/pkg/box/follow.go
+++ b/pkg/box/follow.go
@@ -14,6 +14,7 @@
 	"headhill.example/headhill/pkg/objlog"
 	"headhill.example/headhill/pkg/peer/peerpb"
 	"headhill.example/headhill/pkg/platform"
+	"headhill.example/headhill/pkg/shard"
 )
 
 const (
@@ -203,14 +204,15 @@
 	b.links.SetTargets(targets)
 }
 
-// keys names what this box may need the owners of: shards of its hall, and the
-// claim shards.
+// keys names the shards whose owners this box reserves with. Claim homes are
+// called without a link.
 func (b *Box) keys() []membership.Key {
+	st := b.store.Current()
 	var keys []membership.Key
-	for _, sh := range b.store.Current().Shards() {
-		if sh.Hall == "" || sh.Hall == b.settings.Box.Hall {
+	for _, svc := range st.Services() {
+		for _, sh := range shard.Eligible(st, svc.Name, b.settings.Box.Hall, b.settings.Box.ID) {
 			keys = append(keys, membership.Key{Name: sh.ID, Hall: sh.Hall})
 		}
 	}
-	return append(keys, claimKeys()...)
+	return keys
 }
--- a/pkg/config/items.go
+++ b/pkg/config/items.go
@@ -1,6 +1,9 @@
 package config
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Class is a service class: callers with the same targets and priority.
 type Class struct {
@@ -112,6 +115,17 @@
 	return len(c.Classes)+len(c.Organisations)+len(c.Services)+len(c.Servers)+len(c.Remove) == 0
 }
 
+// touches tells whether the change puts or removes an item of a kind.
+func (c *Change) touches(k Kind) bool {
+	put := map[Kind]int{
+		KindClass:        len(c.Classes),
+		KindOrganisation: len(c.Organisations),
+		KindService:      len(c.Services),
+		KindServer:       len(c.Servers),
+	}
+	return put[k] > 0 || slices.ContainsFunc(c.Remove, func(r Ref) bool { return r.Kind == k })
+}
+
 // Accepted is a record of the configuration log. Its ID is the plan's.
 type Accepted struct {
 	Operator string    `json:"operator"`
--- a/pkg/config/state.go
+++ b/pkg/config/state.go
@@ -121,9 +121,7 @@
 func (s *State) Apply(c Change) *State {
 	n := *s
 	n.Generation = s.Generation + 1
-	n.classes = maps.Clone(s.classes)
-	n.services = maps.Clone(s.services)
-	n.servers = maps.Clone(s.servers)
+	n.unshare(c)
 	for _, r := range c.Remove {
 		n.removeItem(r)
 	}
@@ -146,10 +144,26 @@
 			n.keys = n.keys.put(h, v.Name)
 		}
 	}
-	n.shards = makeShards(&n)
+	if c.touches(KindServer) || c.touches(KindService) {
+		n.shards = makeShards(&n)
+	}
 	return &n
 }
 
+// unshare copies the maps that a change touches; the others stay shared between
+// the generations.
+func (s *State) unshare(c Change) {
+	if c.touches(KindClass) {
+		s.classes = maps.Clone(s.classes)
+	}
+	if c.touches(KindService) {
+		s.services = maps.Clone(s.services)
+	}
+	if c.touches(KindServer) {
+		s.servers = maps.Clone(s.servers)
+	}
+}
+
 func (s *State) removeItem(r Ref) {
 	switch r.Kind {
 	case KindClass:
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -26,6 +26,7 @@
 // Deps are what the callers' side is built on.
 type Deps struct {
 	Limits  settings.Limits
+	Box     string
 	Hall    string
 	Store   *config.Store
 	Broker  *shard.Broker
--- a/pkg/entry/run.go
+++ b/pkg/entry/run.go
@@ -21,7 +21,7 @@
 // run dispatches a request until an exchange succeeds or nothing more may be
 // tried. A request is in one exchange at a time.
 func (h *Handler) run(ctx context.Context, req *request, q shard.Query, do exchange) error {
-	shards := h.eligible(req.service.Name)
+	shards := shard.Eligible(h.Store.Current(), req.service.Name, h.Hall, h.Box)
 	for n := 0; ; n++ {
 		err := h.runOnce(ctx, req, shards, q, do)
 		if err == nil {
@@ -142,21 +142,6 @@
 	}
 }
 
-// eligible lists the service's shards, those of this hall first.
-func (h *Handler) eligible(service string) []config.Shard {
-	all := h.Store.Current().ShardsOf(service)
-	near := make([]config.Shard, 0, len(all))
-	var far []config.Shard
-	for _, sh := range all {
-		if sh.Hall == h.Hall {
-			near = append(near, sh)
-			continue
-		}
-		far = append(far, sh)
-	}
-	return append(near, far...)
-}
-
 // query is the reservation of a request.
 func (h *Handler) query(req *request, promptTokens int, prefix []uint64) shard.Query {
 	q := shard.Query{
--- a/pkg/localfleet/fleet_test.go
+++ b/pkg/localfleet/fleet_test.go
@@ -82,3 +82,23 @@
 		require.NoError(t, p.Wait())
 	})
 }
+
+func TestMetricsAreShownByClass(t *testing.T) {
+	withFleet(t, nil, func(ctx context.Context, f *Fleet) {
+		_, err := Chat(ctx, f.Caller(0), "measured", nil)
+		require.NoError(t, err)
+		a, err := do(ctx, http.MethodGet, "http://"+f.Boxes[0].AdminAddr()+"/metrics", nil, nil)
+		require.NoError(t, err)
+		for _, want := range []string{
+			`headhill_first_token_seconds_count{class="counter"} 1`,
+			`headhill_queue_wait_seconds_bucket{class="counter"`,
+			`headhill_between_tokens_seconds_sum{class="counter"}`,
+			`headhill_requests_total{class="counter",organisation="demo",outcome="done"} 1`,
+			`headhill_attained_total{class="counter"} 1`,
+			`headhill_generation{box="box-1"} 1`,
+			`headhill_platform_calls{kind="read"}`,
+		} {
+			require.Contains(t, a.Text, want)
+		}
+	})
+}
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -20,8 +20,10 @@
 )
 
 const (
-	// HeartbeatEvery is the time between two heartbeats on a link.
-	HeartbeatEvery = 250 * time.Millisecond
+	// HeartbeatEvery is the time between two heartbeats on a link of a small
+	// fleet, SparseHeartbeatEvery in one beyond MeshSize, where links are many.
+	HeartbeatEvery       = 250 * time.Millisecond
+	SparseHeartbeatEvery = 500 * time.Millisecond
 	// DeadAfter is the silence after which a box is not relied on any more.
 	DeadAfter = 1500 * time.Millisecond
 	// brokenDeadAfter is the same for a box whose link just broke: long enough to
@@ -392,7 +394,26 @@
 }
 
 // linkCandidates is how many possible owners of a key a box keeps links to.
-const linkCandidates = 3
+const linkCandidates = 2
+
+// HeartbeatEvery is the time between two heartbeats in a fleet of this size.
+func (v *View) HeartbeatEvery() time.Duration {
+	if len(v.Boxes) <= MeshSize {
+		return HeartbeatEvery
+	}
+	return SparseHeartbeatEvery
+}
+
+// Choose returns the n names that come first in rendezvous order for a box. Boxes
+// choose differently, so that their work spreads.
+func Choose(box string, names []string, n int) []string {
+	if len(names) <= n {
+		return names
+	}
+	list := slices.Clone(names)
+	slices.SortFunc(list, func(a, b string) int { return cmp.Compare(score(box, b), score(box, a)) })
+	return list[:n]
+}
 
 // Key names something that is owned, and the hall that its owner should stand in.
 type Key struct{ Name, Hall string }
--- /dev/null
+++ b/pkg/membership/membership_test.go
@@ -0,0 +1,116 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"headhill.example/headhill/pkg/platform"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func roster(n int) []platform.Box {
+	var list []platform.Box
+	for i := range n {
+		list = append(list, platform.Box{ID: fmt.Sprintf("box-%04d", i), Hall: fmt.Sprintf("hall-%d", i%7), Peer: "10.0.0.1:1", State: platform.BoxLive})
+	}
+	return list
+}
+
+func newTracker(n int) *Tracker {
+	r := roster(n)
+	t := NewTracker(r[0])
+	t.SetServing(now, true)
+	t.SetRoster(now, r)
+	return t
+}
+
+func TestOwnerPrefersTheHall(t *testing.T) {
+	v := newTracker(70).View()
+	for h := range 7 {
+		hall := fmt.Sprintf("hall-%d", h)
+		b, ok := v.Box(v.Owner("shard-"+hall, hall))
+		require.True(t, ok)
+		require.Equal(t, hall, b.Hall)
+	}
+}
+
+func TestSilentAndStoppingBoxesOwnNothing(t *testing.T) {
+	tr := newTracker(3)
+	owned := func() string { return tr.View().Owner("k", "") }
+	first := owned()
+	for _, b := range []string{"box-0001", "box-0002"} {
+		tr.Heard(now, Heartbeat{Box: b})
+	}
+	require.Equal(t, first, owned())
+	tr.Heard(now.Add(time.Second), Heartbeat{Box: "box-0001", Stopping: true})
+	tr.Tick(now.Add(2 * time.Second))
+	require.Equal(t, "box-0000", owned(), "one stops, one is silent")
+	tr.Heard(now.Add(3*time.Second), Heartbeat{Box: "box-0001"})
+	tr.Heard(now.Add(3*time.Second), Heartbeat{Box: "box-0002"})
+	require.Equal(t, first, owned())
+	tr.SetServing(now.Add(3*time.Second), false)
+	require.NotEqual(t, "box-0000", owned())
+}
+
+func TestLeavingServersAreNoBoxes(t *testing.T) {
+	tr := newTracker(2)
+	tr.SetRoster(now, append(roster(2), platform.Box{ID: "engine-1", State: platform.BoxLeaving}))
+	require.Len(t, tr.View().Boxes, 2)
+	require.True(t, tr.View().ServerLeaving("engine-1"))
+}
+
+// A box that goes moves only what it owned.
+func TestFewShardsMove(t *testing.T) {
+	tr := newTracker(50)
+	before := tr.View()
+	tr.SetRoster(now, append(roster(50)[:49:49], roster(50)[49])[:49])
+	after := tr.View()
+	for i := range 500 {
+		k := fmt.Sprint("shard-", i)
+		if before.Owner(k, "") != "box-0049" {
+			require.Equal(t, before.Owner(k, ""), after.Owner(k, ""))
+		}
+	}
+}
+
+func TestLinksAreBoundedInALargeFleet(t *testing.T) {
+	v := newTracker(1700).View()
+	var keys []Key
+	for i := range 32 {
+		keys = append(keys, Key{Name: fmt.Sprint("shard-", i), Hall: "hall-0"})
+	}
+	require.LessOrEqual(t, len(v.Targets(keys)), ringLinks+linkCandidates*len(keys))
+	require.Len(t, newTracker(8).View().Targets(nil), 7)
+}
+
+func BenchmarkViewAt1700(b *testing.B) {
+	tr := newTracker(1700)
+	for b.Loop() {
+		tr.compute(now)
+	}
+}
+
+func BenchmarkOwnerAt1700(b *testing.B) {
+	v := newTracker(1700).View()
+	b.Run("first", func(b *testing.B) {
+		for b.Loop() {
+			v.owner("shard", "hall-1")
+		}
+	})
+	b.Run("again", func(b *testing.B) {
+		for b.Loop() {
+			v.Owner("shard", "hall-1")
+		}
+	})
+}
+
+func BenchmarkHeardAt1700(b *testing.B) {
+	tr := newTracker(1700)
+	for b.Loop() {
+		tr.Heard(now, Heartbeat{Box: "box-0700", Incarnation: "i"})
+	}
+}
--- a/pkg/peer/links.go
+++ b/pkg/peer/links.go
@@ -14,7 +14,6 @@
 	"google.golang.org/grpc/keepalive"
 
 	"headhill.example/headhill/pkg/mailbox"
-	"headhill.example/headhill/pkg/membership"
 	"headhill.example/headhill/pkg/peer/peerpb"
 )
 
@@ -37,6 +36,7 @@
 
 	mu    sync.Mutex
 	links map[string]*link
+	calls map[string]*callConn
 	wg    conc.WaitGroup
 }
 
@@ -52,7 +52,7 @@
 
 // NewLinks returns links that live until ctx ends.
 func NewLinks(ctx context.Context, self *Self, sec *Security, holder Holder, logger log.Logger) *Links {
-	return &Links{ctx: ctx, self: self, security: sec, holder: holder, logger: logger, links: make(map[string]*link)}
+	return &Links{ctx: ctx, self: self, security: sec, holder: holder, logger: logger, links: make(map[string]*link), calls: make(map[string]*callConn)}
 }
 
 const (
@@ -87,6 +87,9 @@
 func (l *Links) SetTargets(boxes map[string]string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for id := range boxes {
+		l.dropCall(id)
+	}
 	for id, k := range l.links {
 		if boxes[id] != k.address {
 			k.cancel()
@@ -145,7 +148,7 @@
 	defer cancel()
 	wg.Go(func() { sendUp(ctx, cancel, s, q) })
 	wg.Go(func() {
-		every(ctx, membership.HeartbeatEvery, func() { q.Put(l.beatMessage()) })
+		every(ctx, l.self.Tracker.View().HeartbeatEvery(), func() { q.Put(l.beatMessage()) })
 	})
 	up := false
 	for {
@@ -219,16 +222,50 @@
 	}
 }
 
-// Client returns a client for calls to a linked box.
+// Client returns a client for single calls to a box of the roster. A box that
+// this one has no link to gets a connection without heartbeats.
 func (l *Links) Client(box string) (peerpb.PeerClient, bool) {
+	b, known := l.self.Tracker.View().Box(box)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	k := l.links[box]
-	if k == nil {
+	if k := l.links[box]; k != nil {
+		return peerpb.NewPeerClient(k.conn), true
+	}
+	if !known || l.ctx.Err() != nil {
 		return nil, false
 	}
-	return peerpb.NewPeerClient(k.conn), true
+	if c := l.calls[box]; c != nil && c.address == b.Peer {
+		return peerpb.NewPeerClient(c.conn), true
+	}
+	conn, err := l.security.Dial(box, b.Peer)
+	if err != nil {
+		return nil, false
+	}
+	l.dropCall(box)
+	l.calls[box] = &callConn{address: b.Peer, conn: conn}
+	return peerpb.NewPeerClient(conn), true
+}
+
+// callConn is a connection for single calls.
+type callConn struct {
+	address string
+	conn    *grpc.ClientConn
+}
+
+// dropCall is called with the lock held.
+func (l *Links) dropCall(box string) {
+	if c := l.calls[box]; c != nil {
+		c.conn.Close()
+		delete(l.calls, box)
+	}
 }
 
 // Wait returns when all links have ended, after ctx has.
-func (l *Links) Wait() { l.wg.Wait() }
+func (l *Links) Wait() {
+	l.wg.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for box := range l.calls {
+		l.dropCall(box)
+	}
+}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -15,7 +15,6 @@
 	"google.golang.org/grpc/status"
 
 	"headhill.example/headhill/pkg/mailbox"
-	"headhill.example/headhill/pkg/membership"
 	"headhill.example/headhill/pkg/peer/peerpb"
 )
 
@@ -175,7 +174,7 @@
 }
 
 func (s *Server) beat(ctx context.Context, q *mailbox.Mailbox[*peerpb.DownMessage]) {
-	every(ctx, membership.HeartbeatEvery, func() {
+	every(ctx, s.self.Tracker.View().HeartbeatEvery(), func() {
 		q.Put(&peerpb.DownMessage{Kind: &peerpb.DownMessage_Heartbeat{Heartbeat: s.self.heartbeat()}})
 	})
 }
