membership, config: sparse heartbeats and one read a change beyond 32 boxes

Cause: at the target size an owner would link to some 140 boxes at 0.027% of a core a link (BenchmarkIdleLinks, halved rate): 3.9% of a core, over the 2.6% allowed; and a box read the head of the configuration log twice for each change, once by the watch and once after it.

Now a box reserves in two shards of a service beyond 32 boxes (all of them below), beats once a second there, counts 3.5 s of silence as death (a dead process is noticed by its broken links after 0.3 s as before), and takes what the watch answered.

--- a/pkg/box/box.go
+++ b/pkg/box/box.go
@@ -124,7 +124,7 @@
 	b.claims = claims.NewClient(b.platform, s.Platform.Prefix, b.tracker, logs.For(logflags.Claims))
 	b.claims.Attach(b.links)
 	b.entry = entry.NewHandler(entry.Deps{
-		Limits: s.Limits, Box: s.Box.ID, Hall: s.Box.Hall, Store: b.store, Broker: b.broker, Backend: b.backend,
+		Limits: s.Limits, Hall: s.Box.Hall, Tracker: b.tracker, Store: b.store, Broker: b.broker, Backend: b.backend,
 		Claims: b.claims, Metrics: b.metrics, Logger: logs.For(logflags.Entry), Ready: b.Ready,
 	})
 	b.callers = b.entry.Server()
--- a/pkg/box/follow.go
+++ b/pkg/box/follow.go
@@ -207,10 +207,10 @@
 // keys names the shards whose owners this box reserves with. Claim homes are
 // called without a link.
 func (b *Box) keys() []membership.Key {
-	st := b.store.Current()
+	st, v := b.store.Current(), b.tracker.View()
 	var keys []membership.Key
 	for _, svc := range st.Services() {
-		for _, sh := range shard.Eligible(st, svc.Name, b.settings.Box.Hall, b.settings.Box.ID) {
+		for _, sh := range shard.Eligible(st, v, svc.Name, b.settings.Box.Hall) {
 			keys = append(keys, membership.Key{Name: sh.ID, Hall: sh.Hall})
 		}
 	}
--- a/pkg/config/follow.go
+++ b/pkg/config/follow.go
@@ -21,31 +21,22 @@
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = 200 * time.Millisecond
 	pause.MaxInterval = 15 * time.Second
+	next := s.Refresh
 	for ctx.Err() == nil {
-		err := s.Refresh(ctx)
-		if err == nil {
-			err = s.waitForNews(ctx)
-		}
-		if err == nil {
+		err := next(ctx)
+		if err == nil || platform.IsNoChange(err) {
 			pause.Reset()
+			next = s.Await
 			sleep(ctx, rand.N(collect+1))
 			continue
 		}
 		level.Debug(s.logger).Log("msg", "the platform's configuration log can't be read", "err", err)
+		// After a failure the log is read as it is: a watch would wait for a change.
+		next = s.Refresh
 		sleep(ctx, pause.NextBackOff())
 	}
 }
 
-// waitForNews waits for a change of the log. A watch that ended without one is
-// no failure.
-func (s *Store) waitForNews(ctx context.Context) error {
-	err := s.log.Wait(ctx)
-	if platform.IsNoChange(err) {
-		return nil
-	}
-	return err
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/pkg/config/store.go
+++ b/pkg/config/store.go
@@ -150,8 +150,13 @@
 }
 
 // Refresh reads what is new from the platform.
-func (s *Store) Refresh(ctx context.Context) error {
-	err := s.log.Refresh(ctx)
+func (s *Store) Refresh(ctx context.Context) error { return s.read(s.log.Refresh(ctx)) }
+
+// Await waits until the platform's log grows and reads what is new.
+func (s *Store) Await(ctx context.Context) error { return s.read(s.log.Await(ctx)) }
+
+// read notes what came of reading the platform's log.
+func (s *Store) read(err error) error {
 	if err == nil {
 		err = s.checkBehind()
 	}
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -18,6 +18,7 @@
 	"headhill.example/headhill/pkg/backend"
 	"headhill.example/headhill/pkg/claims"
 	"headhill.example/headhill/pkg/config"
+	"headhill.example/headhill/pkg/membership"
 	"headhill.example/headhill/pkg/settings"
 	"headhill.example/headhill/pkg/shard"
 	"headhill.example/headhill/pkg/telemetry"
@@ -26,8 +27,8 @@
 // Deps are what the callers' side is built on.
 type Deps struct {
 	Limits  settings.Limits
-	Box     string
 	Hall    string
+	Tracker *membership.Tracker
 	Store   *config.Store
 	Broker  *shard.Broker
 	Backend *backend.Client
--- a/pkg/entry/run.go
+++ b/pkg/entry/run.go
@@ -21,7 +21,7 @@
 // run dispatches a request until an exchange succeeds or nothing more may be
 // tried. A request is in one exchange at a time.
 func (h *Handler) run(ctx context.Context, req *request, q shard.Query, do exchange) error {
-	shards := shard.Eligible(h.Store.Current(), req.service.Name, h.Hall, h.Box)
+	shards := shard.Eligible(h.Store.Current(), h.Tracker.View(), req.service.Name, h.Hall)
 	for n := 0; ; n++ {
 		err := h.runOnce(ctx, req, shards, q, do)
 		if err == nil {
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -20,12 +20,14 @@
 )
 
 const (
-	// HeartbeatEvery is the time between two heartbeats on a link of a small
-	// fleet, SparseHeartbeatEvery in one beyond MeshSize, where links are many.
-	HeartbeatEvery       = 250 * time.Millisecond
-	SparseHeartbeatEvery = 500 * time.Millisecond
-	// DeadAfter is the silence after which a box is not relied on any more.
-	DeadAfter = 1500 * time.Millisecond
+	// HeartbeatEvery is the time between two heartbeats on a link, and DeadAfter
+	// the silence after which a box is not relied on any more.
+	HeartbeatEvery = 250 * time.Millisecond
+	DeadAfter      = 1500 * time.Millisecond
+	// The same in a fleet beyond MeshSize, where links are many. A process that
+	// dies is noticed by its broken links all the same.
+	sparseHeartbeatEvery = time.Second
+	sparseDeadAfter      = 3500 * time.Millisecond
 	// brokenDeadAfter is the same for a box whose link just broke: long enough to
 	// make the link anew, if the box is still there.
 	brokenDeadAfter = 300 * time.Millisecond
@@ -263,7 +265,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peer(h.Box)
-	known := p.linked && p.stopping == h.Stopping && now.Sub(p.heard) < DeadAfter
+	known := p.linked && p.stopping == h.Stopping && now.Sub(p.heard) < deadAfter(len(t.roster))
 	p.incarnation = h.Incarnation
 	p.heard = now
 	p.linked = true
@@ -280,7 +282,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peer(box)
-	if limit := now.Add(brokenDeadAfter - DeadAfter); p.heard.After(limit) {
+	if limit := now.Add(brokenDeadAfter - deadAfter(len(t.roster))); p.heard.After(limit) {
 		p.heard = limit
 	}
 }
@@ -363,7 +365,7 @@
 	if p == nil || !p.linked {
 		return Box{Box: b, Live: b.State == platform.BoxLive}
 	}
-	return Box{Box: b, Live: now.Sub(p.heard) < DeadAfter, Stopping: p.stopping}
+	return Box{Box: b, Live: now.Sub(p.heard) < deadAfter(len(t.roster)), Stopping: p.stopping}
 }
 
 // Targets returns the boxes to keep links to: all of a small roster, else a few
@@ -401,7 +403,17 @@
 	if len(v.Boxes) <= MeshSize {
 		return HeartbeatEvery
 	}
-	return SparseHeartbeatEvery
+	return sparseHeartbeatEvery
+}
+
+// DeadAfter is the silence that counts as death in a fleet of this size.
+func (v *View) DeadAfter() time.Duration { return deadAfter(len(v.Boxes)) }
+
+func deadAfter(boxes int) time.Duration {
+	if boxes <= MeshSize {
+		return DeadAfter
+	}
+	return sparseDeadAfter
 }
 
 // Choose returns the n names that come first in rendezvous order for a box. Boxes
--- a/pkg/objlog/log.go
+++ b/pkg/objlog/log.go
@@ -75,6 +75,11 @@
 	if err != nil {
 		return err
 	}
+	return l.take(ctx, o)
+}
+
+// take brings the log up to a state of its head.
+func (l *Log) take(ctx context.Context, o platform.Object) error {
 	if o.Version == l.version {
 		return nil
 	}
@@ -295,12 +300,17 @@
 	return l.objects.Update(ctx, l.headKey(), value, l.version)
 }
 
-// Wait returns when the log may have grown since it was last read, or with the
-// error of the platform.
-func (l *Log) Wait(ctx context.Context) error {
+// Await waits until the log has grown since it was last read, and reads what is
+// new: one call of the platform, as the answer to a watch is the head itself.
+func (l *Log) Await(ctx context.Context) error {
 	l.mu.Lock()
 	after := l.version
 	l.mu.Unlock()
-	_, err := l.objects.Watch(ctx, l.headKey(), after)
-	return err
+	o, err := l.objects.Watch(ctx, l.headKey(), after)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.take(ctx, o)
 }
--- a/pkg/shard/broker.go
+++ b/pkg/shard/broker.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	// grantFresh bounds how old a grant may be: the owner's last word from this
-	// box lies no further back. It stops grants of an owner that was frozen.
-	grantFresh = 1500 * time.Millisecond
 	// deadlineGrace is how long after its deadline a request still waits for the
 	// owner's own refusal, which knows when to come back.
 	deadlineGrace = 250 * time.Millisecond
@@ -277,9 +274,11 @@
 }
 
 // granted heeds a grant if it comes from the owner that this box computes now,
-// is fresh, and the request still waits. Else it gives the slot back.
+// is fresh, and the request still waits. Else it gives the slot back. A grant is
+// stale if the owner's last word from this box lies further back than the silence
+// that counts as death: it stops grants of an owner that was frozen.
 func (b *Broker) granted(owner string, g *peerpb.Grant) {
-	fresh := owner == b.self.Box || b.self.Clock()-g.GetEchoNanos() < int64(grantFresh)
+	fresh := owner == b.self.Box || b.self.Clock()-g.GetEchoNanos() < int64(b.tracker.View().DeadAfter())
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.view(g.GetShard())
--- a/pkg/shard/eligible.go
+++ b/pkg/shard/eligible.go
@@ -5,15 +5,19 @@
 	"headhill.example/headhill/pkg/membership"
 )
 
-// shardsUsed bounds the shards of one service that a box reserves in. Each costs
-// links to its owner and to the next in line; at the target size a service has 75
-// shards, and a box needs a few of them only.
-const shardsUsed = 4
+// shardsUsed bounds the shards of one service that a box reserves in, in a fleet
+// beyond membership.MeshSize. Each costs links to its owner and to the next in
+// line; at the target size a service has 75 shards.
+const shardsUsed = reserveIn
 
 // Eligible lists the shards of a service that a box reserves in, those of its own
 // hall first.
-func Eligible(st *config.State, service, hall, box string) []config.Shard {
+func Eligible(st *config.State, v *membership.View, service, hall string) []config.Shard {
 	all := st.ShardsOf(service)
+	most := shardsUsed
+	if len(v.Boxes) <= membership.MeshSize {
+		most = len(all)
+	}
 	byID := make(map[string]config.Shard, len(all))
 	var near, far []string
 	for _, sh := range all {
@@ -24,9 +28,9 @@
 		}
 		far = append(far, sh.ID)
 	}
-	ids := membership.Choose(box, near, shardsUsed)
-	if left := shardsUsed - len(ids); left > 0 {
-		ids = append(ids[:len(ids):len(ids)], membership.Choose(box, far, left)...)
+	ids := membership.Choose(v.Self, near, most)
+	if left := most - len(ids); left > 0 {
+		ids = append(ids[:len(ids):len(ids)], membership.Choose(v.Self, far, left)...)
 	}
 	list := make([]config.Shard, 0, len(ids))
 	for _, id := range ids {
