config, membership: bound the history by bytes; a tick looks at linked peers only

Cause: a daemon with the target's configuration (7,200 servers, 41,000 organisations, 1,700 boxes on the list; one process, its peers unreachable) took 8.8% of a core at rest and 82 MB. Each 25 ms it worked out the view of 1,700 boxes (0.6 to 0.8 ms), and it kept 1,024 records whatever their size.

Ruled out: probing (the box owned about 0 shards).

--- a/pkg/config/store.go
+++ b/pkg/config/store.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// historyKept bounds the records that peers and repeated confirmations can
-	// ask for. Whoever is further behind takes a whole copy.
-	historyKept = 1024
+	// historyKept and historyBytes bound the records that peers and repeated
+	// confirmations can ask for. Whoever is further behind takes a whole copy.
+	historyKept  = 1024
+	historyBytes = 2 << 20
 	// partBytes is the size aimed at for a part of a snapshot.
 	partBytes = 512 << 10
 	logName   = "/config"
@@ -36,9 +37,10 @@
 
 	state atomic.Pointer[State]
 
-	mu      sync.Mutex
-	history []Entry
-	changed chan struct{}
+	mu          sync.Mutex
+	history     []Entry
+	historySize int
+	changed     chan struct{}
 	// loaded is set once the platform or a peer gave its configuration.
 	loaded bool
 	// behind is what the platform last showed less than.
@@ -106,15 +108,27 @@
 	if e.Generation != now.Generation+1 {
 		return &RacedError{Base: now.Generation, Now: e.Generation}
 	}
-	s.history = append(s.history, e)
-	if len(s.history) > historyKept {
-		s.history = append([]Entry(nil), s.history[len(s.history)-historyKept:]...)
-	}
+	s.remember(e)
 	s.publish(now.Apply(a.Change))
 	level.Info(s.logger).Log("msg", "configuration in force", "generation", e.Generation, "operator", a.Operator, "plan", e.Record.ID)
 	return nil
 }
 
+// remember keeps the newest records within the bounds, the very newest always. It
+// is called with the lock held.
+func (s *Store) remember(e Entry) {
+	s.history = append(s.history, e)
+	s.historySize += len(e.Record.Data)
+	drop := 0
+	for len(s.history)-drop > 1 && (len(s.history)-drop > historyKept || s.historySize > historyBytes) {
+		s.historySize -= len(s.history[drop].Record.Data)
+		drop++
+	}
+	if drop > 0 {
+		s.history = append([]Entry(nil), s.history[drop:]...)
+	}
+}
+
 // Restore puts a whole copy in force, unless it is older than what is.
 func (s *Store) Restore(generation uint64, parts [][]byte) error {
 	changes := make([]Change, len(parts))
@@ -128,7 +142,7 @@
 	if generation <= s.state.Load().Generation {
 		return nil
 	}
-	s.history = nil
+	s.history, s.historySize = nil, 0
 	s.publish(importState(generation, changes))
 	level.Info(s.logger).Log("msg", "configuration restored from a whole copy", "generation", generation)
 	return nil
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -331,11 +331,18 @@
 	return box, generation
 }
 
-// Tick lets time pass: silent boxes stop being live.
+// Tick lets time pass: silent boxes stop being live. It looks at the linked peers
+// only, and works the view out anew only if one of them changed.
 func (t *Tracker) Tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.update(now)
+	for id, p := range t.peers {
+		b, known := t.view.Box(id)
+		if known && p.linked && b.Live != (now.Sub(p.heard) < deadAfter(len(t.roster))) {
+			t.update(now)
+			return
+		}
+	}
 }
 
 func (t *Tracker) update(now time.Time) {
