--- /dev/null
+++ b/pkg/backend/client_test.go
@@ -0,0 +1,84 @@
+package backend
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"headhill.example/headhill/pkg/config"
+)
+
+// fickle answers the first request of each connection and keeps the connection;
+// the second it reads whole, and closes without an answer.
+func fickle(t *testing.T) (address string, runs *atomic.Int64) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	runs = new(atomic.Int64)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					runs.Add(1)
+					if n > 0 {
+						return
+					}
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String(), runs
+}
+
+// net/http repeats a request by itself when a kept connection turns out dead. A
+// call that may not be repeated must not be left to that, with a body or without,
+// and although its key makes it look harmless.
+func TestTransportRepeatsNothing(t *testing.T) {
+	for _, body := range []string{"", "body"} {
+		address, runs := fickle(t)
+		c := NewClient(5 * time.Second)
+		defer c.Close()
+		for n := range 5 {
+			resp, err := c.Do(t.Context(), Call{
+				Server: config.Server{Name: "s", Address: address}, Method: http.MethodPost, Path: "/x",
+				Header: http.Header{"Idempotency-Key": {"k"}}, Body: []byte(body), Once: true,
+			})
+			require.NoError(t, err)
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			require.Equal(t, int64(n+1), runs.Load())
+		}
+	}
+}
+
+func TestSilenceIsBounded(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	c := NewClient(100 * time.Millisecond)
+	defer c.Close()
+	_, err = c.Do(t.Context(), Call{Server: config.Server{Name: "s", Address: ln.Addr().String()}, Method: http.MethodGet, Path: "/"})
+	var broken *BrokenError
+	var silent *SilentError
+	require.ErrorAs(t, err, &broken)
+	require.ErrorAs(t, err, &silent)
+}
--- a/pkg/localfleet/fleet.go
+++ b/pkg/localfleet/fleet.go
@@ -189,7 +189,7 @@
 [service engines]
 kind = engine
 models = demo-model
-queue = 200
+queue = 2000
 
 [service business]
 kind = plain
--- a/pkg/localfleet/fleet_test.go
+++ b/pkg/localfleet/fleet_test.go
@@ -63,9 +63,10 @@
 }
 
 func TestManyCallersGetTheirOwnAnswers(t *testing.T) {
-	withFleet(t, func(o *Options) { o.Boxes = 3 }, func(ctx context.Context, f *Fleet) {
+	wide := func(o *Options) { o.Boxes, o.Slots, o.Engine.Batch = 3, 128, 128 }
+	withFleet(t, wide, func(ctx context.Context, f *Fleet) {
 		p := pool.New().WithErrors()
-		for i := range 200 {
+		for i := range 1000 {
 			p.Go(func() error {
 				content := fmt.Sprintf("caller-%d", i)
 				a, err := Chat(ctx, f.Caller(i%len(f.Boxes)), content, nil)
