Split membership and the engine stand-in by concern; one readiness handler; tiers over shards

Also proved: TestLowInAnotherShardGivesWay (three shards of which only the last holds lower-tier work), red without asking the other shards. Behaviour is unchanged else.

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -24,6 +24,7 @@
 	"headhill.example/headhill/pkg/intent"
 	"headhill.example/headhill/pkg/objlog"
 	"headhill.example/headhill/pkg/platform"
+	"headhill.example/headhill/pkg/readiness"
 	"headhill.example/headhill/pkg/telemetry"
 )
 
@@ -57,7 +58,6 @@
 	PathStatus  = "/v1/status"
 	PathRollout = "/v1/rollout/"
 	pathHealth  = "/healthz"
-	pathReady   = "/readyz"
 	pathMetrics = "/metrics"
 )
 
@@ -72,7 +72,7 @@
 	h.router.GET(pathHealth, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		_, _ = io.WriteString(w, "ok\n")
 	})
-	h.router.GET(pathReady, h.ready)
+	h.router.GET(readiness.Path, readiness.Handle(d.Ready))
 	h.router.Handler(http.MethodGet, pathMetrics, d.Metrics.Handler())
 	return h
 }
@@ -90,14 +90,6 @@
 	}
 }
 
-func (h *Handler) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	if !h.Ready() {
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
-		return
-	}
-	_, _ = io.WriteString(w, "ready\n")
-}
-
 // call is an authenticated operator's call; it returns the reply.
 type call func(r *http.Request, operator string, p httprouter.Params) (any, error)
 
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -19,6 +19,7 @@
 	"headhill.example/headhill/pkg/claims"
 	"headhill.example/headhill/pkg/config"
 	"headhill.example/headhill/pkg/membership"
+	"headhill.example/headhill/pkg/readiness"
 	"headhill.example/headhill/pkg/settings"
 	"headhill.example/headhill/pkg/shard"
 	"headhill.example/headhill/pkg/telemetry"
@@ -52,7 +53,6 @@
 const (
 	pathChat     = "/v1/chat/completions"
 	pathServices = "/services/:service/*path"
-	pathReady    = "/readyz"
 )
 
 // NewHandler returns the callers' handler.
@@ -62,7 +62,7 @@
 	for _, m := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
 		h.router.Handle(m, pathServices, h.bounded(h.plain))
 	}
-	h.router.GET(pathReady, h.ready)
+	h.router.GET(readiness.Path, readiness.Handle(d.Ready))
 	h.router.NotFound = http.HandlerFunc(notFound)
 	h.router.HandleMethodNotAllowed = false
 	return h
@@ -84,14 +84,6 @@
 	}
 }
 
-func (h *Handler) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	if !h.Ready() {
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
-		return
-	}
-	_, _ = io.WriteString(w, "ready\n")
-}
-
 func notFound(w http.ResponseWriter, r *http.Request) {
 	err := &RequestError{
 		Status:  http.StatusNotFound,
--- a/pkg/intent/warnings.go
+++ b/pkg/intent/warnings.go
@@ -34,7 +34,7 @@
 	if sum == 0 {
 		return ""
 	}
-	return fmt.Sprintf("floors: up to %.1f%% of starts go to classes by their floor, and %d queue places stand besides each shard's bound; floors make higher tiers wait, they never shed them", sum*100, places)
+	return fmt.Sprintf("floors: up to %.1f%% of the work goes to classes by their floor, and %d queue places stand besides each shard's bound; floors make higher tiers wait, they never shed them", sum*100, places)
 }
 
 func classWarnings(st *config.State, c config.Class) []string {
--- /dev/null
+++ b/pkg/membership/tracker.go
@@ -0,0 +1,233 @@
+package membership
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"headhill.example/headhill/pkg/platform"
+)
+
+// Tracker works the view out from the roster and from heartbeats.
+type Tracker struct {
+	self platform.Box
+
+	mu      sync.Mutex
+	roster  map[string]platform.Box
+	peers   map[string]*peerState
+	serving bool
+	// leavingServers are entries of the box list that are no boxes of ours.
+	leavingServers map[string]bool
+	view           *View
+	changed        chan struct{}
+}
+
+// peerState is what a box's heartbeats say.
+type peerState struct {
+	incarnation string
+	heard       time.Time
+	linked      bool
+	stopping    bool
+	generation  uint64
+}
+
+// NewTracker returns a tracker that knows only this box.
+func NewTracker(self platform.Box) *Tracker {
+	t := &Tracker{
+		self:    self,
+		roster:  map[string]platform.Box{self.ID: self},
+		peers:   make(map[string]*peerState),
+		changed: make(chan struct{}),
+	}
+	t.view = t.compute(time.Now())
+	return t
+}
+
+// View returns the view as last worked out.
+func (t *Tracker) View() *View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.view
+}
+
+// Changed returns a channel that is closed when the view next changes.
+func (t *Tracker) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+// SetRoster puts a newer box list in force. This box always belongs to it.
+func (t *Tracker) SetRoster(now time.Time, boxes []platform.Box) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.roster = make(map[string]platform.Box, len(boxes)+1)
+	t.leavingServers = make(map[string]bool)
+	for _, b := range boxes {
+		switch {
+		case b.Peer != "":
+			t.roster[b.ID] = b
+		case b.State == platform.BoxLeaving:
+			t.leavingServers[b.ID] = true
+		}
+	}
+	self := t.self
+	if b, ok := t.roster[self.ID]; ok {
+		self.State = b.State
+	}
+	t.roster[self.ID] = self
+	t.update(now)
+}
+
+// Roster returns the box list in force, by ID.
+func (t *Tracker) Roster() []platform.Box {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]platform.Box, 0, len(t.roster))
+	for _, b := range t.roster {
+		list = append(list, b)
+	}
+	slices.SortFunc(list, func(a, b platform.Box) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+// SetServing says whether this box can own anything: a starting box can't before
+// it is ready, and a stopping one can't any more.
+func (t *Tracker) SetServing(now time.Time, serving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.serving = serving
+	t.update(now)
+}
+
+// Serving tells whether this box can own anything.
+func (t *Tracker) Serving() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.serving
+}
+
+// Heartbeat is what a peer said of itself.
+type Heartbeat struct {
+	Box         string
+	Incarnation string
+	Generation  uint64
+	Stopping    bool
+}
+
+// Heard takes a heartbeat in.
+func (t *Tracker) Heard(now time.Time, h Heartbeat) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peer(h.Box)
+	known := p.linked && p.stopping == h.Stopping && now.Sub(p.heard) < deadAfter(len(t.roster))
+	p.incarnation = h.Incarnation
+	p.heard = now
+	p.linked = true
+	p.generation = h.Generation
+	p.stopping = h.Stopping
+	if !known {
+		t.update(now)
+	}
+}
+
+// LinkBroke says that the link to a peer broke, as it does at once when its
+// process dies. Unless it is heard again soon, it is not relied on.
+func (t *Tracker) LinkBroke(now time.Time, box string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peer(box)
+	if limit := now.Add(brokenDeadAfter - deadAfter(len(t.roster))); p.heard.After(limit) {
+		p.heard = limit
+	}
+}
+
+// HeardAll tells whether every box of the roster sent a heartbeat at some time.
+func (t *Tracker) HeardAll() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id := range t.roster {
+		if id == t.self.ID {
+			continue
+		}
+		if p := t.peers[id]; p == nil || p.heard.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+// Linked says that this box tries to keep a link to a peer, so that its silence
+// means something.
+func (t *Tracker) Linked(box string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peer(box).linked = true
+}
+
+func (t *Tracker) peer(box string) *peerState {
+	p := t.peers[box]
+	if p == nil {
+		p = &peerState{}
+		t.peers[box] = p
+	}
+	return p
+}
+
+// Highest returns the box that said the highest configuration generation.
+func (t *Tracker) Highest() (box string, generation uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, p := range t.peers {
+		if p.generation > generation || (p.generation == generation && id < box) {
+			box, generation = id, p.generation
+		}
+	}
+	return box, generation
+}
+
+// Tick lets time pass: silent boxes stop being live. It looks at the linked peers
+// only, and works the view out anew only if one of them changed.
+func (t *Tracker) Tick(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, p := range t.peers {
+		b, known := t.view.Box(id)
+		if known && p.linked && b.Live != (now.Sub(p.heard) < deadAfter(len(t.roster))) {
+			t.update(now)
+			return
+		}
+	}
+}
+
+func (t *Tracker) update(now time.Time) {
+	v := t.compute(now)
+	if slices.Equal(v.Boxes, t.view.Boxes) && maps.Equal(v.leavingServers, t.view.leavingServers) {
+		return
+	}
+	t.view = v
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+func (t *Tracker) compute(now time.Time) *View {
+	v := &View{Self: t.self.ID, Boxes: make([]Box, 0, len(t.roster)), leavingServers: t.leavingServers}
+	for id, b := range t.roster {
+		v.Boxes = append(v.Boxes, t.judge(now, id, b))
+	}
+	slices.SortFunc(v.Boxes, func(a, b Box) int { return strings.Compare(a.ID, b.ID) })
+	return v
+}
+
+func (t *Tracker) judge(now time.Time, id string, b platform.Box) Box {
+	if id == t.self.ID {
+		return Box{Box: b, Live: true, Stopping: !t.serving}
+	}
+	p := t.peers[id]
+	if p == nil || !p.linked {
+		return Box{Box: b, Live: b.State == platform.BoxLive}
+	}
+	return Box{Box: b, Live: now.Sub(p.heard) < deadAfter(len(t.roster)), Stopping: p.stopping}
+}
--- a/pkg/scheduler/prefix.go
+++ b/pkg/scheduler/prefix.go
@@ -31,13 +31,3 @@
 		p.servers.Add(h, server)
 	}
 }
-
-// evicted takes an engine's late cache event in.
-func (p *prefixIndex) evicted(hash uint64, server string) {
-	if s, ok := p.servers.Peek(hash); ok && s == server {
-		p.servers.Remove(hash)
-	}
-}
-
-// Evicted says that a server no longer holds the prompt prefix of this hash.
-func (s *Scheduler) Evicted(server string, hash uint64) { s.prefixes.evicted(hash, server) }
--- a/pkg/shard/shard_test.go
+++ b/pkg/shard/shard_test.go
@@ -123,8 +123,13 @@
 	}
 }
 
-// newNetwork starts n boxes that know each other. It must be called in a bubble.
+// newNetwork starts n boxes that know each other, with testChange in force. It must
+// be called in a bubble.
 func newNetwork(ctx context.Context, t require.TestingT, n int) *network {
+	return newNetworkWith(ctx, t, n, testChange())
+}
+
+func newNetworkWith(ctx context.Context, t require.TestingT, n int, change config.Change) *network {
 	net := &network{ctx: ctx, boxes: map[string]*testBox{}, cut: map[[2]string]bool{}}
 	p := standin.New()
 	var roster []platform.Box
@@ -134,7 +139,7 @@
 	for _, r := range roster {
 		store := config.NewStore(p.Client(), "p", log.NewNopLogger())
 		if store.Refresh(ctx); store.Current().Generation == 0 {
-			_, err := store.Confirm(ctx, "plan", 0, config.Accepted{Change: testChange()})
+			_, err := store.Confirm(ctx, "plan", 0, config.Accepted{Change: change})
 			require.NoError(t, err)
 		}
 		b := &testBox{id: r.ID, net: net, tracker: membership.NewTracker(r), links: map[string]*testLink{}}
@@ -364,6 +369,59 @@
 	})
 }
 
+// threeShards is a service of 36 servers of one slot in three halls; the low class
+// may only use those of the last hall in the box's order.
+func threeShards(lowHall string) config.Change {
+	c := testChange()
+	c.Services[0].Queue = 2
+	c.Servers = nil
+	for i := range 36 {
+		v := config.Server{Name: fmt.Sprintf("v%02d", i), Service: "s", Hall: fmt.Sprint("h", i%3), Address: fmt.Sprint("127.0.0.1:", i+1), Slots: 1, State: config.StateActive}
+		c.Servers = append(c.Servers, v)
+		if v.Hall == lowHall {
+			c.Classes[1].Servers = append(c.Classes[1].Servers, v.Name)
+		}
+	}
+	return c
+}
+
+// Before a request is refused every shard is asked, and lower-tier work that waits
+// in any of them gives way.
+func TestLowInAnotherShardGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		net := newNetworkWith(ctx, t, 1, threeShards("h2"))
+		time.Sleep(2 * time.Second)
+		for range 36 {
+			s, err := net.acquire(ctx, "b0", "high")
+			require.NoError(t, err)
+			s.Start()
+		}
+		results := map[string]chan error{"high": make(chan error, 10), "low": make(chan error, 10)}
+		ask := func(class string) {
+			go func() {
+				_, err := net.acquire(ctx, "b0", class)
+				results[class] <- err
+			}()
+			time.Sleep(100 * time.Millisecond)
+		}
+		for range 3 { // the bound and the floor place of the last shard
+			ask("low")
+		}
+		require.Empty(t, results["low"])
+		for range 3 { // fill the first two shards, in both of which each waits
+			ask("high")
+		}
+		for range 2 {
+			ask("high")
+			require.Empty(t, results["high"], "a high request was refused while low work waits in another shard")
+		}
+		require.NotEmpty(t, results["low"])
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
 // chaosStep is one step of a history of boxes whose links break.
 type chaosStep struct {
 	Kind string
