membership: a box that the list does not show owns nothing beside others

Cause: the box list lags, and is not read at all in an outage. A new box put itself on its own roster and owned what its own view gave it, while the others, which did not know it, had another owner: two owners for as long as the list lagged.

Found by asking the boxes of TestHoursWithoutThePlatform who owns what: red twice, 'owners of engines: [box-2 box-4]'. After: one owner each; the new box serves callers all the same. Alone, it owns everything.

Ruled out: not serving until listed (a replaced box could not help in an outage).

--- a/pkg/localfleet/failures_test.go
+++ b/pkg/localfleet/failures_test.go
@@ -40,6 +40,22 @@
 	return owner
 }
 
+// owners lists, for each shard, the boxes that own it in their own view.
+func (f *Fleet) owners(ctx context.Context) map[string][]string {
+	m := make(map[string][]string)
+	for i, b := range f.Boxes {
+		for _, s := range b.Status(ctx) {
+			if s.Box != f.names[i] {
+				continue
+			}
+			for _, sh := range s.Shards {
+				m[sh.Shard] = append(m[sh.Shard], s.Box)
+			}
+		}
+	}
+	return m
+}
+
 func (f *Fleet) index(name string) int {
 	for i := range f.Boxes {
 		if f.names[i] == name {
@@ -271,6 +287,10 @@
 		require.NoError(t, err)
 		require.NoError(t, f.WaitReady(ctx))
 		require.NoError(t, f.WaitGeneration(ctx, 1))
+		time.Sleep(time.Second)
+		for shard, owners := range f.owners(ctx) {
+			require.Len(t, owners, 1, "owners of %s", shard)
+		}
 		for i := range f.Boxes {
 			content := fmt.Sprint("outage-", i)
 			a, err := Chat(ctx, f.Caller(i), content, nil)
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -56,6 +56,26 @@
 	require.NotEqual(t, "box-0000", owned())
 }
 
+// The list lags: a box that it does not show yet owns nothing beside the others,
+// and everything if there is no other.
+func TestUnlistedBoxOwnsNothingBesideOthers(t *testing.T) {
+	tr := NewTracker(platform.Box{ID: "new", Peer: "10.0.0.1:1", State: platform.BoxLive})
+	tr.SetServing(now, true)
+	require.Equal(t, "new", tr.View().Owner("k", ""))
+	tr.SetRoster(now, roster(3))
+	for i := range 100 {
+		require.NotEqual(t, "new", tr.View().Owner(fmt.Sprint("k", i), ""))
+	}
+	tr.SetRoster(now, append(roster(3), platform.Box{ID: "new", Peer: "10.0.0.1:1", State: platform.BoxLive}))
+	owned := 0
+	for i := range 100 {
+		if tr.View().Owner(fmt.Sprint("k", i), "") == "new" {
+			owned++
+		}
+	}
+	require.Positive(t, owned)
+}
+
 func TestLeavingServersAreNoBoxes(t *testing.T) {
 	tr := newTracker(2)
 	tr.SetRoster(now, append(roster(2), platform.Box{ID: "engine-1", State: platform.BoxLeaving}))
--- a/pkg/membership/tracker.go
+++ b/pkg/membership/tracker.go
@@ -18,6 +18,8 @@
 	roster  map[string]platform.Box
 	peers   map[string]*peerState
 	serving bool
+	// listed tells whether the box list shows this box.
+	listed bool
 	// leavingServers are entries of the box list that are no boxes of ours.
 	leavingServers map[string]bool
 	view           *View
@@ -74,9 +76,11 @@
 		}
 	}
 	self := t.self
-	if b, ok := t.roster[self.ID]; ok {
+	b, listed := t.roster[self.ID]
+	if listed {
 		self.State = b.State
 	}
+	t.listed = listed
 	t.roster[self.ID] = self
 	t.update(now)
 }
@@ -223,7 +227,7 @@
 
 func (t *Tracker) judge(now time.Time, id string, b platform.Box) Box {
 	if id == t.self.ID {
-		return Box{Box: b, Live: true, Stopping: !t.serving}
+		return Box{Box: b, Live: true, Stopping: !t.serving, Unlisted: !t.listed}
 	}
 	p := t.peers[id]
 	if p == nil || !p.linked {
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -20,6 +20,8 @@
 	Live bool
 	// Stopping boxes said that they own nothing: they stop, or are not ready yet.
 	Stopping bool
+	// Unlisted is this box while the list does not show it.
+	Unlisted bool
 }
 
 // View is who is there, at one moment. It is immutable.
@@ -62,6 +64,9 @@
 
 // Owner returns the box that owns key: the first eligible box in rendezvous
 // order, boxes of the hall before others. It returns "" when none is eligible.
+//
+// While the list does not show this box, the others don't count on it, and it owns
+// nothing beside them: two owners would stand until the list has caught up.
 func (v *View) Owner(key, hall string) string {
 	k := Key{Name: key, Hall: hall}
 	if o, ok := v.owners.Load(k); ok {
@@ -78,7 +83,7 @@
 	bestNear := false
 	for i := range v.Boxes {
 		b := &v.Boxes[i]
-		if !b.eligible() {
+		if !b.eligible() || b.Unlisted {
 			continue
 		}
 		near := hall != "" && b.Hall == hall
@@ -87,6 +92,9 @@
 			best, bestScore, bestNear = b.ID, s, near
 		}
 	}
+	if self, ok := v.Box(v.Self); best == "" && ok && self.eligible() {
+		return v.Self
+	}
 	return best
 }
 
