--- a/cmd/headhill/path_test.go
+++ b/cmd/headhill/path_test.go
@@ -166,12 +166,29 @@
 		time.Sleep(500 * time.Millisecond)
 		f.daemons[owner].signal(t, syscall.SIGSTOP)
 		time.Sleep(2500 * time.Millisecond)
+		g := f.change(ctx, t, (owner+1)%3)
 		f.daemons[owner].signal(t, syscall.SIGCONT)
 		require.NoError(t, p.Wait())
+		// What was accepted while it was frozen is in force on it too.
+		require.Eventually(t, func() bool {
+			r, err := adminclient.New(f.daemons[owner].admin, localfleet.OperatorToken).Rollout(ctx, g)
+			return err == nil && len(r.InForce) == 3
+		}, 20*time.Second, 20*time.Millisecond)
 		require.NoError(t, ownAnswer(ctx, f.daemons[owner].caller, "after"))
 	})
 }
 
+// change puts another class in force through daemon i.
+func (f *fleet) change(ctx context.Context, t *testing.T, i int) uint64 {
+	t.Helper()
+	admin := adminclient.New(f.daemons[i].admin, localfleet.OperatorToken)
+	plan, err := admin.Plan(ctx, "[class extra]\ntier = 2\nfirst-token = 1s\n")
+	require.NoError(t, err)
+	g, err := admin.Confirm(ctx, plan)
+	require.NoError(t, err)
+	return g
+}
+
 // ownerOf returns the number of the daemon that owns a shard.
 func (f *fleet) ownerOf(ctx context.Context, t *testing.T, shard string) int {
 	t.Helper()
