entry: every answer gives its caller bounded time to read, not only streams

Cause: an answer in one piece and a plain service's answer were written without a deadline: a caller that does not read held them for ever.

Tried and reverted: lifting the write deadline at the next request of a kept connection. TestKeptConnectionOutlivesAnAnswersDeadline is green without it: net/http does so itself. The test stays.

Conclusion: the deadline is extended before each piece in all three ways of answering; identifying the caller is apart from reading the body now.

--- a/pkg/entry/exchange_test.go
+++ b/pkg/entry/exchange_test.go
@@ -4,18 +4,22 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
 	"headhill.example/headhill/pkg/backend"
 	"headhill.example/headhill/pkg/config"
+	"headhill.example/headhill/pkg/settings"
 	"headhill.example/headhill/pkg/sse"
 	"headhill.example/headhill/pkg/standin/engine"
+	"headhill.example/headhill/pkg/telemetry"
 )
 
 const tokens = 3
@@ -36,7 +40,9 @@
 	}
 	c := backend.NewClient(5 * time.Second)
 	defer c.Close()
-	fn(&Handler{Deps: Deps{Backend: c}, budget: newRetryBudget()}, engines, servers)
+	metrics, err := telemetry.New()
+	require.NoError(t, err)
+	fn(&Handler{Deps: Deps{Backend: c, Metrics: metrics, Logger: log.NewNopLogger()}, budget: newRetryBudget(), patience: callerTimeout}, engines, servers)
 }
 
 // newExchange is a chat exchange whose caller is a recorder.
@@ -196,6 +202,36 @@
 	require.Equal(t, http.Header{"Idempotency-Key": {"k"}, "X-Kept": {"a", "b"}}, forwarded(in))
 }
 
+// A caller that keeps its connection and comes back after a while must not meet the
+// deadline of its last answer.
+func TestKeptConnectionOutlivesAnAnswersDeadline(t *testing.T) {
+	withEngines(t, func(h *Handler, _ [2]*engine.Engine, servers [2]config.Server) {
+		h.patience = 300 * time.Millisecond
+		h.Limits = settings.Default().Limits
+		n := 0
+		serve := h.bounded(func(w http.ResponseWriter, r *http.Request, req *request) error {
+			if n++; n > 1 {
+				return badRequest("no answer this time")
+			}
+			x, _ := newExchange(t, h, req.id, true, 0)
+			x.w, x.req.body = w, []byte(fmt.Sprintf(`{"stream":true,"messages":[{"role":"user","content":%q}]}`, req.id))
+			_, err := x.do(r.Context(), servers[0])
+			return err
+		}, func(*http.Request, *request) error { return nil })
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serve(w, r, nil) }))
+		defer s.Close()
+		for _, want := range []string{streamEnd, "no answer this time"} {
+			resp, err := s.Client().Post(s.URL, "application/json", strings.NewReader("{}"))
+			require.NoError(t, err)
+			body, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Contains(t, string(body), want)
+			resp.Body.Close()
+			time.Sleep(2 * h.patience)
+		}
+	})
+}
+
 func FuzzParseChat(f *testing.F) {
 	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":5,"n":2,"stream":true}`))
 	f.Add([]byte(`{"model":1}`))
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -47,6 +47,8 @@
 	budget  *retryBudget
 	running atomic.Int64
 	held    atomic.Int64
+	// patience bounds how long a caller may take to read a piece of its answer.
+	patience time.Duration
 }
 
 // Paths of the caller's interface.
@@ -57,10 +59,10 @@
 
 // NewHandler returns the callers' handler.
 func NewHandler(d Deps) *Handler {
-	h := &Handler{Deps: d, router: httprouter.New(), budget: newRetryBudget()}
-	h.router.POST(pathChat, h.bounded(h.chat))
+	h := &Handler{Deps: d, router: httprouter.New(), budget: newRetryBudget(), patience: callerTimeout}
+	h.router.POST(pathChat, h.bounded(h.chat, h.identify))
 	for _, m := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
-		h.router.Handle(m, pathServices, h.bounded(h.plain))
+		h.router.Handle(m, pathServices, h.bounded(h.plain, h.identify))
 	}
 	h.router.GET(readiness.Path, readiness.Handle(d.Ready))
 	h.router.NotFound = http.HandlerFunc(notFound)
@@ -93,8 +95,12 @@
 	judge(err).write(w, "")
 }
 
-// bounded admits a bounded number of requests and ends each with a verdict.
-func (h *Handler) bounded(serve func(http.ResponseWriter, *http.Request, *request) error) httprouter.Handle {
+// serve answers one request whose caller is known and whose body is there.
+type serve func(http.ResponseWriter, *http.Request, *request) error
+
+// bounded admits a bounded number of requests, identifies their callers, and ends
+// each with a verdict.
+func (h *Handler) bounded(serve serve, identify func(*http.Request, *request) error) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 		req := newRequest(p)
 		w.Header().Set(api.HeaderRequestID, req.id)
@@ -110,7 +116,10 @@
 		// The bound stands until the body is there whole. It also bounds what the
 		// server still reads of a request that was refused before.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(h.Limits.BodyTimeout))
-		err := h.open(w, r, req)
+		err := identify(r, req)
+		if err == nil {
+			err = h.readBody(w, r, req)
+		}
 		if err == nil {
 			err = serve(w, r, req)
 		}
@@ -161,8 +170,8 @@
 	return hex.EncodeToString(b[:])
 }
 
-// open finds out who calls and takes the body in.
-func (h *Handler) open(w http.ResponseWriter, r *http.Request, req *request) error {
+// identify finds out who calls.
+func (h *Handler) identify(r *http.Request, req *request) error {
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return unauthorized("send the organisation's API key as Authorization: Bearer KEY")
@@ -171,7 +180,7 @@
 	if !ok {
 		return unauthorized("the API key belongs to no organisation: check it, or ask the operators for one")
 	}
-	return h.readBody(w, r, req)
+	return nil
 }
 
 func unauthorized(message string) error {
--- a/pkg/entry/plain.go
+++ b/pkg/entry/plain.go
@@ -108,7 +108,7 @@
 	x.req.begun = true
 	x.req.status = resp.Status
 	x.w.WriteHeader(resp.Status)
-	caller := &callerWriter{w: x.w}
+	caller := &callerWriter{h: x.h, w: x.w}
 	_, err = io.Copy(caller, io.MultiReader(bytes.NewReader(head), resp.Body))
 	if caller.err != nil {
 		return caller.err
@@ -121,11 +121,13 @@
 
 // callerWriter tells errors of the caller's side from those of the server's.
 type callerWriter struct {
-	w   io.Writer
+	h   *Handler
+	w   http.ResponseWriter
 	err error
 }
 
 func (c *callerWriter) Write(p []byte) (int, error) {
+	c.h.extend(c.w)
 	n, err := c.w.Write(p)
 	if err != nil {
 		c.err = &callerError{Cause: err}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -225,7 +225,7 @@
 		header.Set("Trailer", api.HeaderOutcome)
 		x.w.WriteHeader(http.StatusOK)
 	}
-	_ = c.SetWriteDeadline(time.Now().Add(callerTimeout))
+	x.h.extend(x.w)
 	err := sse.Write(x.w, data)
 	if err == nil && flush {
 		err = c.Flush()
@@ -236,6 +236,12 @@
 	return nil
 }
 
+// extend gives the caller its time to read the next piece.
+func (h *Handler) extend(w http.ResponseWriter) {
+	// A writer without deadlines, as in tests, has no slow caller either.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(h.patience))
+}
+
 // finish closes a whole answer.
 func (x *chatExchange) finish() error {
 	if err := x.send([]byte(streamEnd), true); err != nil {
@@ -276,6 +282,7 @@
 	h := x.w.Header()
 	h.Set("Content-Type", resp.Header.Get("Content-Type"))
 	h.Set(api.HeaderOutcome, string(api.OutcomeDone))
+	x.h.extend(x.w)
 	x.w.WriteHeader(resp.Status)
 	if _, err := x.w.Write(data); err != nil {
 		return &callerError{Cause: err}
