box: an accepted change is on two other boxes before its operator is told

Cause: a change was accepted, the platform went away at that moment, and the box that had accepted it was killed. The others knew nothing of it until the platform was back: a server that a plan had made leave got new work.

Ruled out: waiting for all boxes (one that is cut off would hold every change up).

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -42,6 +42,8 @@
 	Metrics   *telemetry.Metrics
 	Logger    log.Logger
 	Ready     func() bool
+	// Spread waits a moment until other boxes have a generation as well.
+	Spread func(ctx context.Context, generation uint64)
 }
 
 // Handler answers operators.
@@ -230,6 +232,9 @@
 	if err != nil {
 		return nil, oops.In("admin").With("plan", req.Plan.ID).Wrap(err)
 	}
+	// The operator is told only when the change would survive this box, even if
+	// the platform went away now.
+	h.Spread(r.Context(), g)
 	return api.ConfirmReply{Generation: g}, nil
 }
 
--- a/pkg/box/follow.go
+++ b/pkg/box/follow.go
@@ -177,6 +177,28 @@
 	return nil, b.store.Restore(m.GetGeneration(), parts)
 }
 
+const (
+	// spreadTo is the number of other boxes that have a change before its operator
+	// is told, spreadWithin the longest wait for them: the change is accepted
+	// either way.
+	spreadTo     = 2
+	spreadWithin = 2 * time.Second
+	spreadCheck  = 5 * time.Millisecond
+)
+
+// spread waits until enough other boxes have a generation.
+func (b *Box) spread(ctx context.Context, generation uint64) {
+	ctx, cancel := context.WithTimeout(ctx, spreadWithin)
+	defer cancel()
+	for ctx.Err() == nil {
+		have, live := b.tracker.Known(generation)
+		if have >= min(spreadTo, live) {
+			return
+		}
+		wait(ctx, spreadCheck)
+	}
+}
+
 // followView keeps the links to the boxes that matter, and tells peers of a new
 // configuration at once.
 func (b *Box) followView() {
--- a/pkg/localfleet/failures_test.go
+++ b/pkg/localfleet/failures_test.go
@@ -253,7 +253,10 @@
 			time.Sleep(3500 * time.Millisecond)
 		},
 		"a plan": func(ctx context.Context, t *testing.T, f *Fleet) {
-			_, err := f.Apply(ctx, 0, fmt.Sprintf("[server engine-1]\nservice = %s\nhall = %s\naddress = %s\nslots = %d\nstate = leaving\n", EngineService, Hall, f.addresses[0], f.opts.Slots))
+			// At the box that is killed next, while the platform goes away: whoever is
+			// told that the plan was accepted can rely on it.
+			owner := f.ownerOf(ctx, t, EngineService)
+			_, err := f.Apply(ctx, owner, fmt.Sprintf("[server engine-1]\nservice = %s\nhall = %s\naddress = %s\nslots = %d\nstate = leaving\n", EngineService, Hall, f.addresses[0], f.opts.Slots))
 			require.NoError(t, err)
 		},
 	}
--- a/pkg/membership/tracker.go
+++ b/pkg/membership/tracker.go
@@ -192,6 +192,25 @@
 	return box, generation
 }
 
+// Known counts the other live boxes, and those of them that said that they have a
+// configuration generation in force.
+func (t *Tracker) Known(generation uint64) (have, live int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range t.view.Boxes {
+		b := &t.view.Boxes[i]
+		p := t.peers[b.ID]
+		if b.ID == t.self.ID || !b.Live || p == nil {
+			continue
+		}
+		live++
+		if p.generation >= generation {
+			have++
+		}
+	}
+	return have, live
+}
+
 // Tick lets time pass: silent boxes stop being live. It looks at the linked peers
 // only, and works the view out anew only if one of them changed.
 func (t *Tracker) Tick(now time.Time) {
