headhill check: also load the peer keys

Cause: check passed settings whose certificate did not fit its key or roots; serve refused them. Now both do the same. Measured: the example passes.

--- a/cmd/headhill/cmds/cmds.go
+++ b/cmd/headhill/cmds/cmds.go
@@ -14,6 +14,7 @@
 
 	"headhill.example/headhill/pkg/box"
 	"headhill.example/headhill/pkg/logflags"
+	"headhill.example/headhill/pkg/peer"
 	"headhill.example/headhill/pkg/settings"
 	"headhill.example/headhill/pkg/version"
 )
@@ -51,7 +52,11 @@
 				Usage: "check the settings and say everything that is wrong with them",
 				Flags: []cli.Flag{file},
 				Action: func(_ context.Context, c *cli.Command) error {
-					if _, err := settings.Load(c.String("config")); err != nil {
+					s, err := settings.Load(c.String("config"))
+					if err != nil {
+						return err
+					}
+					if _, err := peer.LoadSecurity(s.Peers); err != nil {
 						return err
 					}
 					fmt.Fprintln(out, "settings are good")
