membership: boxes are also known by their heartbeats and from peers

Cause: the box list was read every 1 to 3 s, so shortly after a start a box did not have the latest ones on it; when the platform went away then, its view lacked them for the whole outage: two owners, changes that were spread to nobody, and requests of a new box waiting for an owner that knew better.

Now a heartbeat carries its sender's entry of the list, boxes that are heard count for a minute, a box that its own list does not show says that it owns nothing, and without the platform a box asks a live peer whom it knows.

Ruled out: reading the list more often (it does not help in an outage).

--- a/pkg/box/follow.go
+++ b/pkg/box/follow.go
@@ -36,7 +36,7 @@
 			b.setRoster(boxes)
 		} else {
 			level.Debug(b.logger).Log("msg", "box list can't be read; the last one stays", "err", err)
-			b.askSeeds()
+			b.askPeers()
 		}
 		every := max(rosterLeast, time.Duration(len(boxes))*rosterPerBox)
 		wait(b.ctx, every/2+rand.N(every))
@@ -48,12 +48,32 @@
 	b.platform.SetBudget(platform.FleetBudget.Share(len(boxes)))
 }
 
-// askSeeds gets the box list and the configuration from the peers named in the
-// settings, as long as the box knows of no other.
-func (b *Box) askSeeds() {
-	if len(b.tracker.Roster()) > 1 {
+// askPeers learns of boxes while the platform is away: from a live peer, or from
+// the seeds of the settings as long as no other box is known.
+func (b *Box) askPeers() {
+	v := b.tracker.View()
+	var live []string
+	for i := range v.Boxes {
+		if x := &v.Boxes[i]; x.Live && x.ID != v.Self {
+			live = append(live, x.ID)
+		}
+	}
+	if len(live) == 0 {
+		b.askSeeds()
+		return
+	}
+	id := live[rand.N(len(live))]
+	c, ok := b.links.Client(id)
+	if !ok {
 		return
 	}
+	if err := b.learn(c); err != nil {
+		level.Debug(b.logger).Log("msg", "peer does not tell of other boxes", "peer", id, "err", err)
+	}
+}
+
+// askSeeds asks one seed after the other until one answers.
+func (b *Box) askSeeds() {
 	for _, address := range b.settings.Peers.Seeds {
 		if address == b.PeerAddr() {
 			continue
@@ -72,23 +92,28 @@
 		return err
 	}
 	defer conn.Close()
+	c := peerpb.NewPeerClient(conn)
+	if err := b.learn(c); err != nil {
+		return err
+	}
+	return b.pull(c)
+}
+
+// learn takes in the boxes that a peer knows of.
+func (b *Box) learn(c peerpb.PeerClient) error {
 	ctx, cancel := context.WithTimeout(b.ctx, seedTimeout)
 	defer cancel()
-	c := peerpb.NewPeerClient(conn)
 	st, err := c.Status(ctx, &peerpb.StatusRequest{}, grpc.WaitForReady(true))
 	if err != nil {
 		return err
 	}
-	if err := b.pull(c); err != nil {
-		return err
-	}
 	boxes := make([]platform.Box, 0, len(st.GetRoster()))
 	for _, e := range st.GetRoster() {
 		boxes = append(boxes, platform.Box{
 			ID: e.GetId(), Hall: e.GetHall(), Region: e.GetRegion(), Peer: e.GetPeer(), State: e.GetState(),
 		})
 	}
-	b.setRoster(boxes)
+	b.tracker.Learn(time.Now(), boxes)
 	return nil
 }
 
--- a/pkg/localfleet/fleet_test.go
+++ b/pkg/localfleet/fleet_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,11 +17,35 @@
 	"headhill.example/headhill/pkg/standin/engine"
 )
 
+// testWriter drops what a dying box still logs after its test ended.
+type testWriter struct {
+	mu     sync.Mutex
+	w      io.Writer
+	closed bool
+}
+
+func (w *testWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return len(p), nil
+	}
+	return w.w.Write(p)
+}
+
+func (w *testWriter) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+}
+
 // withFleet runs fn against a fleet that is ready.
 func withFleet(t *testing.T, change func(*Options), fn func(ctx context.Context, f *Fleet)) {
 	t.Helper()
 	o := DefaultOptions()
-	o.Log = t.Output()
+	w := &testWriter{w: t.Output()}
+	t.Cleanup(w.close)
+	o.Log = w
 	o.LogLevel = "warn"
 	if change != nil {
 		change(&o)
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -76,6 +76,24 @@
 	require.Positive(t, owned)
 }
 
+// A box that the list does not show yet, but that says it owns things, belongs to
+// the view: its peers that have it on their list count on it.
+func TestBoxHeardBeforeItIsListed(t *testing.T) {
+	tr := newTracker(2)
+	tr.Heard(now, Heartbeat{Box: "late", Peer: "10.0.0.9:1", Hall: "hall-1"})
+	b, ok := tr.View().Box("late")
+	require.True(t, ok)
+	require.True(t, b.eligible())
+	require.Contains(t, tr.View().Targets(nil), "late")
+	tr.Heard(now.Add(time.Second), Heartbeat{Box: "late", Peer: "10.0.0.9:1", Stopping: true})
+	b, _ = tr.View().Box("late")
+	require.False(t, b.eligible())
+	tr.Tick(now.Add(3 * time.Second))
+	tr.SetRoster(now.Add(2*metFor), roster(2))
+	_, ok = tr.View().Box("late")
+	require.False(t, ok, "a box that is neither listed nor heard is kept")
+}
+
 func TestLeavingServersAreNoBoxes(t *testing.T) {
 	tr := newTracker(2)
 	tr.SetRoster(now, append(roster(2), platform.Box{ID: "engine-1", State: platform.BoxLeaving}))
--- a/pkg/membership/tracker.go
+++ b/pkg/membership/tracker.go
@@ -33,6 +33,17 @@
 	linked      bool
 	stopping    bool
 	generation  uint64
+	// entry is what the box says of itself.
+	entry platform.Box
+}
+
+// metFor is how long a box that the list does not show is kept after it was last
+// heard. The list lags, and in an outage it may lack a box for hours.
+const metFor = time.Minute
+
+// met tells whether a peer counts although the list does not show it.
+func (p *peerState) met(now time.Time) bool {
+	return p.entry.Peer != "" && now.Sub(p.heard) < metFor
 }
 
 // NewTracker returns a tracker that knows only this box.
@@ -85,16 +96,32 @@
 	t.update(now)
 }
 
-// Roster returns the box list in force, by ID.
+// Roster returns the boxes that this one knows of, by ID: those of the list in
+// force and those that it only heard.
 func (t *Tracker) Roster() []platform.Box {
+	v := t.View()
+	list := make([]platform.Box, 0, len(v.Boxes))
+	for i := range v.Boxes {
+		list = append(list, v.Boxes[i].Box)
+	}
+	return list
+}
+
+// Learn takes in boxes that a peer knows of. Those that the list does not show are
+// kept while they are heard.
+func (t *Tracker) Learn(now time.Time, boxes []platform.Box) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := make([]platform.Box, 0, len(t.roster))
-	for _, b := range t.roster {
-		list = append(list, b)
+	for _, b := range boxes {
+		if _, listed := t.roster[b.ID]; listed || b.Peer == "" {
+			continue
+		}
+		p := t.peer(b.ID)
+		if !p.met(now) {
+			p.entry, p.heard = b, now
+		}
 	}
-	slices.SortFunc(list, func(a, b platform.Box) int { return strings.Compare(a.ID, b.ID) })
-	return list
+	t.update(now)
 }
 
 // SetServing says whether this box can own anything: a starting box can't before
@@ -119,6 +146,8 @@
 	Incarnation string
 	Generation  uint64
 	Stopping    bool
+	// Hall, Region and Peer are the sender's own entry of the box list.
+	Hall, Region, Peer string
 }
 
 // Heard takes a heartbeat in.
@@ -132,6 +161,7 @@
 	p.linked = true
 	p.generation = h.Generation
 	p.stopping = h.Stopping
+	p.entry = platform.Box{ID: h.Box, Hall: h.Hall, Region: h.Region, Peer: h.Peer, State: platform.BoxLive}
 	if !known {
 		t.update(now)
 	}
@@ -192,6 +222,12 @@
 	return box, generation
 }
 
+// Self returns this box as its view shows it.
+func (t *Tracker) Self() Box {
+	b, _ := t.View().Box(t.self.ID)
+	return b
+}
+
 // Known counts the other live boxes, and those of them that said that they have a
 // configuration generation in force.
 func (t *Tracker) Known(generation uint64) (have, live int) {
@@ -240,6 +276,11 @@
 	for id, b := range t.roster {
 		v.Boxes = append(v.Boxes, t.judge(now, id, b))
 	}
+	for id, p := range t.peers {
+		if _, listed := t.roster[id]; !listed && id != t.self.ID && p.met(now) {
+			v.Boxes = append(v.Boxes, t.judge(now, id, p.entry))
+		}
+	}
 	slices.SortFunc(v.Boxes, func(a, b Box) int { return strings.Compare(a.ID, b.ID) })
 	return v
 }
--- a/pkg/peer/self.go
+++ b/pkg/peer/self.go
@@ -50,12 +50,16 @@
 func (s *Self) Clock() int64 { return int64(time.Since(s.started)) }
 
 func (s *Self) heartbeat() *peerpb.Heartbeat {
+	b := s.Tracker.Self()
 	return &peerpb.Heartbeat{
 		Box:         s.Box,
 		Incarnation: s.Incarnation,
 		Generation:  s.Generation(),
-		Stopping:    !s.Tracker.Serving(),
+		Stopping:    b.Stopping || b.Unlisted,
 		SentNanos:   s.Clock(),
+		Hall:        b.Hall,
+		Region:      b.Region,
+		Peer:        b.Peer,
 	}
 }
 
@@ -66,5 +70,8 @@
 		Incarnation: h.GetIncarnation(),
 		Generation:  h.GetGeneration(),
 		Stopping:    h.GetStopping(),
+		Hall:        h.GetHall(),
+		Region:      h.GetRegion(),
+		Peer:        h.GetPeer(),
 	})
 }
