--- a/pkg/logflags/logflags.go
+++ b/pkg/logflags/logflags.go
@@ -72,9 +72,6 @@
 	return &Logs{base: base, level: lvl, output: output}
 }
 
-// Discard returns loggers that write nothing.
-func Discard() *Logs { return New(io.Discard, "logfmt", "error", nil) }
-
 // For returns the logger of a subsystem.
 func (l *Logs) For(subsystem string) log.Logger {
 	lvl := l.level
