mailbox: the owner on one's own box can't be cut off by a burst

It has no bound of its own now; what it holds is bounded by the requests of the box.

Measured: order and both bounds (TestOrderAndBounds); shard and peer tests green.

--- a/pkg/mailbox/mailbox.go
+++ b/pkg/mailbox/mailbox.go
@@ -20,16 +20,21 @@
 	mu     sync.Mutex
 	items  []T
 	wake   chan struct{}
+	most   int
 	broken bool
 }
 
 // New returns an empty mailbox.
-func New[T any]() *Mailbox[T] { return &Mailbox[T]{wake: make(chan struct{}, 1)} }
+func New[T any]() *Mailbox[T] { return &Mailbox[T]{wake: make(chan struct{}, 1), most: Most} }
+
+// NewUnbounded returns an empty mailbox that never breaks, for a reader in the same
+// process: there is no other side to agree with anew.
+func NewUnbounded[T any]() *Mailbox[T] { return &Mailbox[T]{wake: make(chan struct{}, 1)} }
 
 // Put adds a message without waiting; false means that the mailbox is broken.
 func (m *Mailbox[T]) Put(v T) bool {
 	m.mu.Lock()
-	if len(m.items) >= Most {
+	if m.most > 0 && len(m.items) >= m.most {
 		m.broken = true
 	}
 	ok := !m.broken
--- /dev/null
+++ b/pkg/mailbox/mailbox_test.go
@@ -0,0 +1,28 @@
+package mailbox
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestOrderAndBounds(t *testing.T) {
+	bounded, unbounded := New[int](), NewUnbounded[int]()
+	for i := range Most {
+		require.True(t, bounded.Put(i))
+		require.True(t, unbounded.Put(i))
+	}
+	require.False(t, bounded.Put(Most), "beyond the bound the mailbox breaks")
+	_, ok := bounded.Take(t.Context())
+	require.False(t, ok)
+	require.True(t, unbounded.Put(Most))
+	next := 0
+	for next <= Most {
+		batch, ok := unbounded.Take(t.Context())
+		require.True(t, ok)
+		for _, v := range batch {
+			require.Equal(t, next, v)
+			next++
+		}
+	}
+}
--- a/pkg/shard/broker.go
+++ b/pkg/shard/broker.go
@@ -104,7 +104,7 @@
 		tracker: tracker,
 		local:   local,
 
-		localMail: mailbox.New[*peerpb.UpMessage](),
+		localMail: mailbox.NewUnbounded[*peerpb.UpMessage](),
 		logger:    logger,
 		shards:    make(map[string]*shardView),
 	}
