membership, shard: one rule for a silent peer; no wrapper around slices.Equal

Cause: found in reading the whole change once more. Whether a linked peer was heard lately enough stood three times in the tracker (Heard, Tick, judge), so a change of the rule could miss one; sameServers only called slices.Equal. Behaviour is the same.

Ruled out: merging the streams' readers of the load tool, the callers' side and the local fleet (each reads other fields for other ends, and all call sse.Reader already); merging the fault generators of the claims' and the log's tests (their steps differ).

--- a/pkg/membership/tracker.go
+++ b/pkg/membership/tracker.go
@@ -155,7 +155,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peer(h.Box)
-	known := p.linked && p.stopping == h.Stopping && now.Sub(p.heard) < deadAfter(len(t.roster))
+	known := p.linked && p.stopping == h.Stopping && t.answers(now, p)
 	p.incarnation = h.Incarnation
 	p.heard = now
 	p.linked = true
@@ -254,7 +254,7 @@
 	defer t.mu.Unlock()
 	for id, p := range t.peers {
 		b, known := t.view.Box(id)
-		if known && p.linked && b.Live != (now.Sub(p.heard) < deadAfter(len(t.roster))) {
+		if known && p.linked && b.Live != t.answers(now, p) {
 			t.update(now)
 			return
 		}
@@ -285,6 +285,11 @@
 	return v
 }
 
+// answers tells whether a linked peer was heard lately enough to be relied on.
+func (t *Tracker) answers(now time.Time, p *peerState) bool {
+	return now.Sub(p.heard) < deadAfter(len(t.roster))
+}
+
 func (t *Tracker) judge(now time.Time, id string, b platform.Box) Box {
 	if id == t.self.ID {
 		return Box{Box: b, Live: true, Stopping: !t.serving, Unlisted: !t.listed}
@@ -293,5 +298,5 @@
 	if p == nil || !p.linked {
 		return Box{Box: b, Live: b.State == platform.BoxLive}
 	}
-	return Box{Box: b, Live: now.Sub(p.heard) < deadAfter(len(t.roster)), Stopping: p.stopping}
+	return Box{Box: b, Live: t.answers(now, p), Stopping: p.stopping}
 }
--- a/pkg/shard/convert.go
+++ b/pkg/shard/convert.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"headhill.example/headhill/pkg/config"
@@ -107,6 +106,3 @@
 		Between:      time.Duration(m.GetBetweenNanos()),
 	}
 }
-
-// sameServers tells whether two configurations have the same servers.
-func sameServers(a, b []scheduler.Server) bool { return slices.Equal(a, b) }
--- a/pkg/shard/owned.go
+++ b/pkg/shard/owned.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -52,7 +53,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	cfg := schedulerConfig(st, sh, v)
-	if st.Generation == o.generation && sameServers(cfg.Servers, o.cfg.Servers) {
+	if st.Generation == o.generation && slices.Equal(cfg.Servers, o.cfg.Servers) {
 		return
 	}
 	o.cfg, o.generation = cfg, st.Generation
