--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -112,6 +112,10 @@
 	Running int
 	Unread  int
 	Others  int
+	// Prefix names the longest part of the prompt that others may share, and Home
+	// tells whether the server is the one where all boxes send it.
+	Prefix string
+	Home   bool
 	// Kept is what the server is believed to keep of the prompt, in tokens.
 	Kept int
 	// Failures is the share of recent calls that failed.
@@ -141,7 +145,7 @@
 	s := b.server(chosen.ID, now)
 	l := &Lease{Server: chosen.Server, balancer: b, Inputs: Inputs{
 		Candidates: len(choices), Running: s.running, Unread: s.unread, Others: s.others.sum(now),
-		Kept: chosen.kept, Failures: chosen.failures,
+		Prefix: q.prefix(), Home: chosen.home, Kept: chosen.kept, Failures: chosen.failures,
 	}}
 	s.running++
 	if q.Engine {
@@ -157,6 +161,7 @@
 // costs to choose it.
 type choice struct {
 	routing.Server
+	home bool
 	kept int
 	cost float64
 	// failures is the share of recent calls that failed.
@@ -213,7 +218,7 @@
 // choice works out the cost of a server. The home of a prefix is believed to keep
 // it, as all boxes send it there.
 func (s *server) choice(c routing.Server, q Query, home bool, now time.Time) choice {
-	x := choice{Server: c}
+	x := choice{Server: c, home: home}
 	shared := 0
 	for _, p := range q.shared() {
 		shared += p.Tokens
