loadshare: boxes know what all have the servers do, and take prompts from servers that read them

Now two relays a hall add the reports up; placements are told with them; a home is the first usable server in rendezvous order; what another server has read is taken from it.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -8,16 +8,12 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"math"
 	"math/rand/v2"
 	"net"
 	"time"
 
-	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
-
-	"headhill.example/headhill/pkg/balancer"
+	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/directory"
 )
 
@@ -31,19 +27,18 @@
 
 // Deps are what a Checker is built on.
 type Deps struct {
-	Box    string
-	Conn   net.PacketConn
+	Port   *datagram.Port
 	Timing func() Timing
 	// Check asks the store. It returns false if there was no answer.
 	Check func(context.Context) (directory.Check, bool)
 	// Peers are the addresses of the other boxes.
 	Peers     func() []*net.UDPAddr
 	Directory *directory.Directory
-	// Balancer is told what other boxes have the servers read; nil for none.
-	Balancer *balancer.Balancer
-	Logger   log.Logger
 }
 
+// kind marks the datagrams of this package.
+const kind = "announce"
+
 // Checker checks the store by turns with its peers.
 type Checker struct {
 	Deps
@@ -56,19 +51,16 @@
 func New(d Deps) *Checker {
 	c := &Checker{Deps: d, heard: make(chan message, 64), unknown: make(chan struct{}, 1)}
 	d.Directory.OnNotice(c.tellNotice)
-	if d.Balancer != nil {
-		d.Balancer.OnLoad(c.tellLoad)
-	}
+	d.Port.Handle(kind, c.receive)
+	d.Port.OnStranger(c.lookWhoIsThere)
 	return c
 }
 
-// message is one announcement: a check, a notice of a change, or a load. Boxes need not agree on the time
-// of day, so it carries an age.
+// message is one announcement: a check, or a notice of a change. Boxes need not agree
+// on the time of day, so it carries an age.
 type message struct {
-	Box   string        `json:"box"`
 	Check *checkMessage `json:"check,omitempty"`
 	Delta *deltaMessage `json:"delta,omitempty"`
-	Load  *loadMessage  `json:"load,omitempty"`
 	// TableChanged is the revision of a table that a reader has just seen.
 	TableChanged uint64 `json:"table_changed,omitempty"`
 
@@ -82,12 +74,6 @@
 	ServersChanged uint64 `json:"servers_changed"`
 }
 
-// loadMessage is what a box has a server read, in tokens.
-type loadMessage struct {
-	Server string `json:"server"`
-	Unread int    `json:"unread"`
-}
-
 type deltaMessage struct {
 	From   uint64                  `json:"from"`
 	To     uint64                  `json:"to"`
@@ -95,9 +81,6 @@
 }
 
 const (
-	// messageMost bounds a datagram. A longer delta is not sent: the next check
-	// makes the others ask for it.
-	messageMost = 8 << 10
 	// flight is how long a datagram is assumed to be on its way at the most.
 	flight  = 50 * time.Millisecond
 	ageMost = 10 * time.Second
@@ -140,9 +123,6 @@
 		c.Directory.Apply(directory.Delta{From: m.Delta.From, To: m.Delta.To, Events: m.Delta.Events})
 	}
 	c.Directory.Noticed(directory.Notice{TableChanged: m.TableChanged})
-	if m.Load != nil && c.Balancer != nil {
-		c.Balancer.Heard(m.Box, m.Load.Server, m.Load.Unread, m.received)
-	}
 	if m.Check == nil {
 		return false
 	}
@@ -159,7 +139,7 @@
 	if !ok {
 		return
 	}
-	c.tell(message{Box: c.Box, Check: &checkMessage{
+	c.tell(message{Check: &checkMessage{
 		AgeMillis: time.Since(check.Asked).Milliseconds(), Revision: check.Revision,
 		TableChanged: check.TableChanged, ServersChanged: check.ServersChanged,
 	}})
@@ -175,93 +155,44 @@
 }
 
 func (c *Checker) tellNotice(n directory.Notice) {
-	m := message{Box: c.Box, TableChanged: n.TableChanged}
+	m := message{TableChanged: n.TableChanged}
 	if n.Delta != nil {
 		m.Delta = &deltaMessage{From: n.Delta.From, To: n.Delta.To, Events: n.Delta.Events}
 	}
 	c.tell(m)
 }
 
-// neighboursMost bounds the boxes that are told of loads.
-const neighboursMost = 8
-
-// tellLoad tells some boxes what this one has a server read. With few boxes these
-// are all; with many, each still knows what a part of the others do.
-func (c *Checker) tellLoad(server string, unread int) {
-	peers := c.Peers()
-	c.tellTo(peers[:min(len(peers), neighboursMost)], message{Box: c.Box, Load: &loadMessage{Server: server, Unread: unread}})
-}
-
-func (c *Checker) tell(m message) { c.tellTo(c.Peers(), m) }
+// tell sends a message to all other boxes. One that is lost, or too long for a
+// datagram, makes its receiver ask for itself.
+func (c *Checker) tell(m message) { c.Port.Send(kind, m, c.Peers()...) }
 
-func (c *Checker) tellTo(peers []*net.UDPAddr, m message) {
-	data, err := json.Marshal(m)
-	if err != nil || len(data) > messageMost {
+// receive takes a datagram in. While the checker is busy more are dropped.
+func (c *Checker) receive(d datagram.Message) {
+	m, ok := parse(d)
+	if !ok {
 		return
 	}
-	for _, p := range peers {
-		// A datagram that is lost makes its receiver ask for itself.
-		_, _ = c.Conn.WriteTo(data, p)
+	select {
+	case c.heard <- m:
+	default:
 	}
 }
 
-// Listen takes the others' announcements until the connection is closed.
-func (c *Checker) Listen() {
-	buffer := make([]byte, messageMost)
-	for {
-		n, from, err := c.Conn.ReadFrom(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
-		m, ok := c.parse(buffer[:n], from)
-		if !ok {
-			continue
-		}
-		select {
-		case c.heard <- m:
-		default:
-		}
+// lookWhoIsThere makes this box read the roster again.
+func (c *Checker) lookWhoIsThere() {
+	select {
+	case c.unknown <- struct{}{}:
+	default:
 	}
 }
 
-// parse reads a datagram. Only those of known boxes are believed; others make this
-// box look who there is.
-func (c *Checker) parse(data []byte, from net.Addr) (message, bool) {
-	m := message{received: time.Now()}
-	err := json.Unmarshal(data, &m)
-	valid := err == nil && m.valid()
-	if valid && c.known(from) {
-		return m, true
-	}
-	if valid {
-		select {
-		case c.unknown <- struct{}{}:
-		default:
-		}
-	}
-	_ = level.Debug(c.Logger).Log("msg", "datagram dropped", "from", from, "bytes", len(data), "valid", valid, "err", err)
-	return m, false
+// parse reads a message.
+func parse(d datagram.Message) (message, bool) {
+	m := message{received: d.Received}
+	err := json.Unmarshal(d.Body, &m)
+	return m, err == nil && m.valid()
 }
 
 func (m message) valid() bool {
-	if m.Load != nil && m.Load.Unread < 0 {
-		return false
-	}
 	return m.Check == nil || m.Check.AgeMillis >= 0 && m.Check.AgeMillis <= ageMost.Milliseconds()
 }
-
-func (c *Checker) known(from net.Addr) bool {
-	a, ok := from.(*net.UDPAddr)
-	if !ok {
-		return false
-	}
-	for _, p := range c.Peers() {
-		if p.IP.Equal(a.IP) && p.Port == a.Port {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/directory"
 )
 
@@ -22,6 +25,13 @@
 	return c
 }
 
+// port believes the addresses of a list.
+func port(conn net.PacketConn, known ...*net.UDPAddr) *datagram.Port {
+	return datagram.NewPort(datagram.Deps{Conn: conn, Logger: log.NewNopLogger(), Known: func(a netip.AddrPort) bool {
+		return slices.ContainsFunc(known, func(k *net.UDPAddr) bool { return k.AddrPort() == a })
+	}})
+}
+
 // group is some checkers that know each other.
 type group struct {
 	mu     sync.Mutex
@@ -55,7 +65,7 @@
 			}
 		}
 		c := New(Deps{
-			Conn: conns[i], Directory: directory.New(log.NewNopLogger()), Logger: log.NewNopLogger(),
+			Port: port(conns[i], peers...), Directory: directory.New(log.NewNopLogger()),
 			Timing: func() Timing { return Timing{Every: 50 * time.Millisecond, Spread: 50 * time.Millisecond} },
 			Peers:  func() []*net.UDPAddr { return peers },
 			Check: func(context.Context) (directory.Check, bool) {
@@ -65,7 +75,7 @@
 				return directory.Check{Asked: time.Now(), Revision: 1}, true
 			},
 		})
-		wg.Go(c.Listen)
+		wg.Go(c.Port.Listen)
 		wg.Go(func() { c.Run(ctx) })
 	}
 	f(g)
@@ -97,44 +107,35 @@
 
 func checker(t *testing.T, peers ...*net.UDPAddr) *Checker {
 	return New(Deps{
-		Conn: listen(t), Directory: directory.New(log.NewNopLogger()), Logger: log.NewNopLogger(),
+		Port: port(listen(t), peers...), Directory: directory.New(log.NewNopLogger()),
 		Peers: func() []*net.UDPAddr { return peers },
 	})
 }
 
-func TestOnlyKnownBoxesAreBelieved(t *testing.T) {
-	known := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 5000}
-	c := checker(t, known)
-	data, err := json.Marshal(message{Box: "b", Check: &checkMessage{Revision: 9}})
-	require.NoError(t, err)
-	_, ok := c.parse(data, known)
-	assert.True(t, ok)
-	_, ok = c.parse(data, &net.UDPAddr{IP: known.IP, Port: 5001})
-	assert.False(t, ok)
-	assert.Len(t, c.unknown, 1, "it looks who there is")
+// A box that was started beside others is not in their rosters yet.
+func TestUnknownBoxMakesTheOthersLook(t *testing.T) {
+	c, stranger := checker(t), listen(t)
+	go c.Port.Listen()
+	port(stranger).Send(kind, message{Check: &checkMessage{Revision: 9}}, c.Port.Conn.LocalAddr().(*net.UDPAddr))
+	require.Eventually(t, func() bool { return len(c.unknown) == 1 }, 10*time.Second, time.Millisecond)
+	assert.Empty(t, c.heard, "it is not believed")
 }
 
 func TestImpossibleAgesAreDropped(t *testing.T) {
-	known := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 5000}
-	c := checker(t, known)
 	for _, age := range []int64{-1, ageMost.Milliseconds() + 1} {
-		data, err := json.Marshal(message{Check: &checkMessage{AgeMillis: age}})
+		body, err := json.Marshal(message{Check: &checkMessage{AgeMillis: age}})
 		require.NoError(t, err)
-		_, ok := c.parse(data, known)
+		_, ok := parse(datagram.Message{Body: body})
 		assert.False(t, ok)
 	}
 }
 
 func FuzzParse(f *testing.F) {
-	f.Add([]byte(`{"box":"b","check":{"revision":3,"age_ms":5}}`))
+	f.Add([]byte(`{"check":{"revision":3,"age_ms":5}}`))
 	f.Add([]byte(`{"delta":{"from":1,"to":2,"events":[{"server":{"ID":"i"},"removed":true}]}}`))
-	known := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 5000}
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		c := &Checker{Deps: Deps{
-			Directory: directory.New(log.NewNopLogger()), Logger: log.NewNopLogger(),
-			Peers: func() []*net.UDPAddr { return []*net.UDPAddr{known} },
-		}, unknown: make(chan struct{}, 1)}
-		if m, ok := c.parse(data, known); ok {
+		c := &Checker{Deps: Deps{Directory: directory.New(log.NewNopLogger())}}
+		if m, ok := parse(datagram.Message{Body: data}); ok {
 			c.take(m)
 		}
 	})
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -16,7 +16,7 @@
 func servers(n int) []routing.Server {
 	list := make([]routing.Server, n)
 	for i := range list {
-		list[i] = routing.Server{ID: fmt.Sprintf("i-%d", i), Service: "models", Hall: fmt.Sprintf("hall-%d", i%3)}
+		list[i] = routing.Server{ID: fmt.Sprintf("i-%d", i), Service: "models", Hall: fmt.Sprintf("hall-%d", i%3), Address: fmt.Sprintf("192.0.2.%d:1", i)}
 	}
 	return list
 }
@@ -37,8 +37,8 @@
 		require.True(t, ok)
 		b, _ := second.Pick(q, now)
 		assert.Equal(t, a.Server.ID, b.Server.ID, "boxes agree without talking")
-		a.Begun()
-		b.Begun()
+		a.Begun(now)
+		b.Begun(now)
 		a.Done(ResultDone, now)
 		b.Done(ResultDone, now)
 	}
@@ -115,15 +115,36 @@
 func TestKeptPartsCountFromTheFirst(t *testing.T) {
 	var k keptParts
 	now := time.Now()
-	k.note([]Part{{"a", 10}, {"c", 30}}, now)
-	assert.Equal(t, 10, k.longest([]Part{{"a", 10}, {"b", 20}, {"c", 30}}, now))
-	assert.Zero(t, k.longest([]Part{{"a", 10}}, now.Add(keptFor+time.Second)))
+	longest := func(parts []Part, at time.Time) int {
+		kept, _ := k.longest(parts, at)
+		return kept
+	}
+	k.note([]Part{{"a", 10}, {"c", 30}}, true, now)
+	assert.Equal(t, 10, longest([]Part{{"a", 10}, {"b", 20}, {"c", 30}}, now))
+	assert.Zero(t, longest([]Part{{"a", 10}}, now.Add(keptFor+time.Second)))
 	for i := range 3 * keptMost {
-		k.note([]Part{{ID: fmt.Sprint(i), Tokens: 1}}, now)
+		k.note([]Part{{ID: fmt.Sprint(i), Tokens: 1}}, true, now)
 	}
 	assert.LessOrEqual(t, len(k), keptMost+1)
 }
 
+// What was sent to a server counts as kept there, but not as read: it may still fail.
+func TestSentPartsAreNotReadYet(t *testing.T) {
+	var k keptParts
+	now := time.Now()
+	parts := []Part{{"a", 10}}
+	assert.True(t, k.note(parts, false, now))
+	kept, read := k.longest(parts, now)
+	assert.Equal(t, []int{10, 0}, []int{kept, read})
+	kept, _ = k.longest(parts, now.Add(assignedFor+time.Millisecond))
+	assert.Zero(t, kept)
+	assert.True(t, k.note(parts, true, now), "that it was read is news")
+	k.tell(parts, now)
+	assert.False(t, k.note(parts, false, now.Add(time.Second)), "sent again, it still keeps it")
+	kept, read = k.longest(parts, now.Add(keptFor))
+	assert.Equal(t, []int{10, 10}, []int{kept, read})
+}
+
 // Whatever happens, what was counted in is counted out.
 func TestCountsEndAtZero(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -140,7 +161,7 @@
 			}
 			i := rapid.IntRange(0, len(open)-1).Draw(t, "which")
 			if rapid.Bool().Draw(t, "begun") {
-				open[i].Begun()
+				open[i].Begun(now)
 			}
 			open[i].Done(Result(rapid.IntRange(0, int(ResultAbandoned)).Draw(t, "result")), now)
 			open[i].Done(ResultDone, now)
@@ -180,26 +201,113 @@
 	assert.NotEqual(t, home.Server.ID, l.Server.ID)
 }
 
+// tellEachOther passes reports between two boxes.
+func tellEachOther(one, two *Balancer, now time.Time) {
+	for _, b := range [][2]*Balancer{{one, two}, {two, one}} {
+		r := b[0].Report(now)
+		b[1].SetOthers(r.Loads, now)
+		b[1].NotePlacements(r.Placements, now)
+	}
+}
+
 // Two boxes that tell each other what they have servers read spread new prompts as
 // one box would.
 func TestOtherBoxesLoadsCount(t *testing.T) {
 	now := time.Now()
 	one, two := New(log.NewNopLogger()), New(log.NewNopLogger())
-	one.OnLoad(func(server string, unread int) { two.Heard("one", server, unread, now) })
 	prompt := query(2, "long")
 	prompt.Parts[1].Tokens, prompt.Tokens = 20000, 28000
 	long, _ := one.Pick(prompt, now)
+	tellEachOther(one, two, now)
 	short := Query{Candidates: servers(2), Hall: long.Server.Hall, Engine: true, Tokens: 300, Parts: []Part{{ID: "own", Tokens: 300}}}
 	for range 10 {
 		l, _ := two.Pick(short, now)
 		assert.NotEqual(t, long.Server.ID, l.Server.ID)
 		l.Done(ResultDone, now)
 	}
-	long.Begun()
-	assert.Zero(t, two.servers[long.Server.ID].others.sum(now), "the end is told as well")
-	two.Heard("gone", long.Server.ID, 9000, now)
-	assert.Equal(t, 9000, two.servers[long.Server.ID].others.sum(now))
-	assert.Zero(t, two.servers[long.Server.ID].others.sum(now.Add(remoteFor+time.Millisecond)), "a box that falls silent is forgotten")
+	long.Begun(now)
+	tellEachOther(one, two, now)
+	assert.Zero(t, two.other(long.Server.ID, now), "the end is told as well")
+	two.SetOthers(map[string]Load{long.Server.ID: {Unread: 9000}}, now)
+	assert.Equal(t, 9000, two.other(long.Server.ID, now).Unread)
+	assert.Zero(t, two.other(long.Server.ID, now.Add(othersFor+time.Millisecond)), "others that fall silent are forgotten")
+}
+
+// A box goes where another one has sent a prefix, and takes it from there when that
+// server is busy.
+func TestOtherBoxesPlacementsCount(t *testing.T) {
+	now := time.Now()
+	one, two := New(log.NewNopLogger()), New(log.NewNopLogger())
+	q := query(9, "part")
+	home, _ := one.Pick(q, now)
+	one.SetOthers(map[string]Load{home.Server.ID: {Unread: 500000}}, now)
+	away, _ := one.Pick(q, now)
+	require.NotEqual(t, home.Server.ID, away.Server.ID)
+	assert.Empty(t, away.Source, "the home has not read it yet")
+	home.Done(ResultFailed, now)
+	away.Begun(now)
+	tellEachOther(one, two, now)
+
+	l, _ := two.Pick(q, now)
+	assert.Equal(t, away.Server.ID, l.Server.ID, "not the home, which does not keep it")
+	now = now.Add(assignedFor + time.Millisecond)
+	two.SetOthers(map[string]Load{away.Server.ID: {Unread: 500000}}, now)
+	l, _ = two.Pick(q, now)
+	assert.NotEqual(t, away.Server.ID, l.Server.ID)
+	assert.Equal(t, away.Server.Address, l.Source)
+	assert.Equal(t, 8000, l.Inputs.Moved)
+}
+
+// When a home can't be reached, all boxes go to the same next one.
+func TestNextHomeIsTheSameForAll(t *testing.T) {
+	now := time.Now()
+	one, two := New(log.NewNopLogger()), New(log.NewNopLogger())
+	for i := range 20 {
+		q := query(9, fmt.Sprintf("part-%d", i))
+		for _, b := range []*Balancer{one, two} {
+			home, _ := b.Pick(q, now)
+			home.Done(ResultUnreached, now)
+		}
+		now = now.Add(assignedFor + time.Millisecond)
+		for _, b := range []*Balancer{one, two} {
+			b.servers[homeOf(q, choicesOf(q))].health.aside = now.Add(time.Second)
+		}
+		a, _ := one.Pick(q, now)
+		b, _ := two.Pick(q, now)
+		assert.Equal(t, a.Server.ID, b.Server.ID)
+		a.Done(ResultDone, now)
+		b.Done(ResultDone, now)
+	}
+}
+
+func choicesOf(q Query) []choice {
+	list := make([]choice, len(q.Candidates))
+	for i, c := range q.Candidates {
+		list[i].Server = c
+	}
+	return list
+}
+
+// A server that several boxes can't reach is left out, unless this box has just
+// reached it itself.
+func TestServerThatOthersCallDown(t *testing.T) {
+	now := time.Now()
+	b := New(log.NewNopLogger())
+	q := Query{Candidates: servers(2)}
+	pick := func() string {
+		l, _ := b.Pick(q, now)
+		l.Done(ResultAbandoned, now)
+		return l.Server.ID
+	}
+	b.SetOthers(map[string]Load{"i-0": {Down: downLeast - 1}}, now)
+	assert.Eventually(t, func() bool { return pick() == "i-0" }, 10*time.Second, time.Microsecond, "one box may be cut off itself")
+	b.SetOthers(map[string]Load{"i-0": {Down: downLeast}}, now)
+	for range 20 {
+		assert.Equal(t, "i-1", pick())
+	}
+	own, _ := b.Pick(Query{Candidates: servers(1)}, now)
+	own.Done(ResultDone, now)
+	assert.Eventually(t, func() bool { return pick() == "i-0" }, 10*time.Second, time.Microsecond, "its own word counts for more")
 }
 
 // Reading a prompt again costs everybody the more, the busier all are.
@@ -208,10 +316,12 @@
 	b := New(log.NewNopLogger())
 	q := query(3, "part")
 	home, _ := b.Pick(q, now)
+	loads := make(map[string]Load)
 	for _, s := range servers(3) {
-		b.Heard("other", s.ID, 30000, now)
+		loads[s.ID] = Load{Unread: 30000}
 	}
-	b.Heard("other", home.Server.ID, 60000, now)
+	loads[home.Server.ID] = Load{Unread: 60000}
+	b.SetOthers(loads, now)
 	l, _ := b.Pick(q, now)
 	assert.Equal(t, home.Server.ID, l.Server.ID)
 }
--- a/pkg/balancer/health.go
+++ b/pkg/balancer/health.go
@@ -48,8 +48,15 @@
 	counted  time.Time
 	inARow   int
 	aside    time.Time
+	// reached is when the server last answered well; unreachable says that it was
+	// put aside because it can't be reached.
+	reached     time.Time
+	unreachable bool
 }
 
+// down tells whether the server is put aside because it can't be reached.
+func (h *health) down(now time.Time) bool { return h.unreachable && now.Before(h.aside) }
+
 // note takes the end of a call in. It returns how long the server is put aside.
 func (h *health) note(r Result, now time.Time) time.Duration {
 	h.decay(now)
@@ -60,10 +67,13 @@
 		h.calls++
 		h.inARow = 0
 		h.aside = time.Time{}
+		h.reached = now
+		h.unreachable = false
 		return 0
 	case ResultRefused:
 		return h.putAside(asideRefused, now)
 	case ResultReplaced:
+		h.unreachable = true
 		return h.putAside(asideReplaced, now)
 	}
 	h.calls++
@@ -72,6 +82,7 @@
 	if r == ResultFailed && h.inARow < brokenInARow {
 		return 0
 	}
+	h.unreachable = r == ResultUnreached
 	d := asideFirst << min(h.inARow-1, 8)
 	return h.putAside(min(d, asideMost), now)
 }
--- a/pkg/balancer/kept.go
+++ b/pkg/balancer/kept.go
@@ -3,33 +3,63 @@
 import "time"
 
 const (
-	// keptFor is how long a server is believed to keep a part after its last use.
-	keptFor = 30 * time.Second
+	// keptFor is how long a server is believed to keep a part after its last use,
+	// assignedFor how long it is believed to read one that was sent to it.
+	keptFor     = 30 * time.Second
+	assignedFor = 4 * time.Second
 	// keptMost bounds the parts that are remembered of one server.
 	keptMost = 2048
 )
 
-// keptParts are the parts of prompts that this box sent to a server, by the time
-// of the last sending.
-type keptParts map[string]time.Time
+// keptPart is what is believed of one part of a prompt at one server.
+type keptPart struct {
+	used time.Time
+	// read is set once the server has read the part; before, it is about to.
+	read bool
+	// told is when other boxes were told of it last.
+	told time.Time
+}
+
+func (p keptPart) valid(now time.Time) bool {
+	age := now.Sub(p.used)
+	return age <= assignedFor || p.read && age <= keptFor
+}
 
-// note remembers that the parts were sent.
-func (k *keptParts) note(parts []Part, now time.Time) {
+// keptParts are the parts of prompts that were sent to a server.
+type keptParts map[string]keptPart
+
+// note remembers that the parts were sent, or that they were read. It returns whether
+// the last one is news for other boxes.
+func (k *keptParts) note(parts []Part, read bool, now time.Time) bool {
 	if *k == nil {
 		*k = make(keptParts)
 	}
 	if len(*k) > keptMost {
 		k.forget(now)
 	}
+	news := false
 	for _, p := range parts {
-		(*k)[p.ID] = now
+		old := (*k)[p.ID]
+		wasRead := old.read && old.valid(now)
+		news = !old.valid(now) || read && !wasRead || now.Sub(old.told) > keptFor/3
+		(*k)[p.ID] = keptPart{used: now, read: read || wasRead, told: old.told}
+	}
+	return news
+}
+
+// tell marks the parts as told to the other boxes.
+func (k keptParts) tell(parts []Part, now time.Time) {
+	for _, p := range parts {
+		known := k[p.ID]
+		known.told = now
+		k[p.ID] = known
 	}
 }
 
 // forget drops what is too old, or everything if that is not enough.
 func (k *keptParts) forget(now time.Time) {
-	for id, used := range *k {
-		if now.Sub(used) > keptFor {
+	for id, p := range *k {
+		if !p.valid(now) {
 			delete(*k, id)
 		}
 	}
@@ -39,15 +69,19 @@
 }
 
 // longest returns the tokens of the longest run of parts, from the first, that the
-// server is believed to keep.
-func (k keptParts) longest(parts []Part, now time.Time) int {
-	tokens := 0
+// server is believed to keep, and how many of them it has read for certain.
+func (k keptParts) longest(parts []Part, now time.Time) (kept, read int) {
+	allRead := true
 	for _, p := range parts {
-		used, ok := k[p.ID]
-		if !ok || now.Sub(used) > keptFor {
-			return tokens
+		known, ok := k[p.ID]
+		if !ok || !known.valid(now) {
+			return kept, read
+		}
+		kept += p.Tokens
+		allRead = allRead && known.read
+		if allRead {
+			read = kept
 		}
-		tokens += p.Tokens
 	}
-	return tokens
+	return kept, read
 }
--- /dev/null
+++ b/pkg/balancer/share.go
@@ -0,0 +1,133 @@
+package balancer
+
+import (
+	"time"
+)
+
+const (
+	// toldStep is the change of a server's unread prompts, in tokens, that other
+	// boxes are told of.
+	toldStep = 1000
+	// othersFor is how long the other boxes' word is believed.
+	othersFor = 3 * time.Second
+	// placementLeast is the length of a shared prefix, in tokens, that other boxes
+	// are told of: shorter ones are read anew at less than the telling costs.
+	placementLeast = 1000
+	// placementsMost bounds the placements that wait to be told.
+	placementsMost = 256
+	// downLeast is how many other boxes must call a server down to be believed, and
+	// ownWord how long this box's own success there counts for more.
+	downLeast = 2
+	ownWord   = 2 * time.Second
+)
+
+// Load is what boxes have one server do.
+type Load struct {
+	// Unread is the length of the prompts that it has not read yet, in tokens.
+	Unread int `json:"unread,omitempty"`
+	// Down is how many boxes can't reach it.
+	Down int `json:"down,omitempty"`
+}
+
+// Placement says that a server keeps the parts of a prompt's prefix, or is about to
+// read them.
+type Placement struct {
+	Server string `json:"server"`
+	Parts  []Part `json:"parts"`
+	Read   bool   `json:"read,omitempty"`
+}
+
+// Report is what this box tells the others.
+type Report struct {
+	// Loads holds each server that this box has something to say of.
+	Loads map[string]Load
+	// Placements are those since the last report.
+	Placements []Placement
+}
+
+// OnChange sets who is told that there is something to report. It must not block, nor
+// call the balancer.
+func (b *Balancer) OnChange(f func()) { b.onChange = f }
+
+// Report returns what the others should know. Placements are returned once.
+func (b *Balancer) Report(now time.Time) Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := Report{Loads: make(map[string]Load), Placements: b.placements}
+	b.placements = nil
+	for id, s := range b.servers {
+		l := Load{Unread: s.unread}
+		if s.health.down(now) {
+			l.Down = 1
+		}
+		s.told = s.unread
+		if l != (Load{}) {
+			r.Loads[id] = l
+		}
+	}
+	return r
+}
+
+// SetOthers takes in what all other boxes together have the servers do.
+func (b *Balancer) SetOthers(loads map[string]Load, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.others, b.othersHeard = loads, now
+}
+
+// NotePlacements takes in where other boxes have sent prompts.
+func (b *Balancer) NotePlacements(list []Placement, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range list {
+		s := b.server(p.Server, now)
+		s.kept.note(p.Parts, p.Read, now)
+		s.kept.tell(p.Parts, now)
+	}
+}
+
+// other is what the other boxes have a server do.
+func (b *Balancer) other(id string, now time.Time) Load {
+	if now.Sub(b.othersHeard) > othersFor {
+		return Load{}
+	}
+	return b.others[id]
+}
+
+// down tells whether a server is to be left out on the word of others.
+func (b *Balancer) down(id string, s *server, now time.Time) bool {
+	return b.other(id, now).Down >= downLeast && now.Sub(s.health.reached) > ownWord
+}
+
+// tellLoad passes on a change of a server's load that is large enough, and each return
+// to nothing.
+func (b *Balancer) tellLoad(s *server) {
+	change := max(s.unread-s.told, s.told-s.unread)
+	if change >= toldStep || s.unread == 0 && s.told > 0 {
+		b.changed()
+	}
+}
+
+// tellPlacement passes on where a prompt's prefix is now.
+func (b *Balancer) tellPlacement(id string, s *server, parts []Part, read bool, now time.Time) {
+	if !s.kept.note(parts, read, now) || tokens(parts) < placementLeast || len(b.placements) >= placementsMost {
+		return
+	}
+	s.kept.tell(parts, now)
+	b.placements = append(b.placements, Placement{Server: id, Parts: parts, Read: read})
+	b.changed()
+}
+
+func (b *Balancer) changed() {
+	if b.onChange != nil {
+		b.onChange()
+	}
+}
+
+func tokens(parts []Part) int {
+	total := 0
+	for _, p := range parts {
+		total += p.Tokens
+	}
+	return total
+}
--- /dev/null
+++ b/pkg/datagram/port.go
@@ -0,0 +1,122 @@
+// Package datagram carries small messages between boxes over one UDP port. A message
+// may be lost, doubled or late: whoever sends one must be able to do without it.
+package datagram
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// SizeMost bounds a datagram, in bytes. Longer ones are not sent.
+const SizeMost = 8 << 10
+
+// Message is one message as it arrived.
+type Message struct {
+	// Box is the name of the sender.
+	Box      string
+	Received time.Time
+	Body     json.RawMessage
+}
+
+// envelope is what stands on the wire. The kind names the duty that a message is for.
+type envelope struct {
+	Box  string          `json:"box"`
+	Kind string          `json:"kind"`
+	Body json.RawMessage `json:"body"`
+}
+
+// Deps are what a Port is built on.
+type Deps struct {
+	// Box is the name of this box.
+	Box  string
+	Conn net.PacketConn
+	// Known tells whether an address is that of a box of the roster. Others are not
+	// believed.
+	Known  func(netip.AddrPort) bool
+	Logger log.Logger
+}
+
+// Port sends and receives messages. Handlers are set before Listen is called.
+type Port struct {
+	Deps
+	handlers map[string]func(Message)
+	stranger func()
+}
+
+// NewPort returns a port on an open connection.
+func NewPort(d Deps) *Port {
+	return &Port{Deps: d, handlers: make(map[string]func(Message)), stranger: func() {}}
+}
+
+// Handle sets who takes the messages of a kind. The handler must not block.
+func (p *Port) Handle(kind string, f func(Message)) { p.handlers[kind] = f }
+
+// OnStranger sets who is told of a well-formed message from an unknown box. It must
+// not block.
+func (p *Port) OnStranger(f func()) { p.stranger = f }
+
+// Send sends a message to some boxes. It returns false if the message is too long.
+func (p *Port) Send(kind string, body any, to ...*net.UDPAddr) bool {
+	if len(to) == 0 {
+		return true
+	}
+	data, err := p.encode(kind, body)
+	if err != nil || len(data) > SizeMost {
+		return false
+	}
+	for _, address := range to {
+		// A datagram that can't be sent counts as lost.
+		_, _ = p.Conn.WriteTo(data, address)
+	}
+	return true
+}
+
+func (p *Port) encode(kind string, body any) ([]byte, error) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(envelope{Box: p.Box, Kind: kind, Body: raw})
+}
+
+// Listen hands messages to their handlers until the connection is closed.
+func (p *Port) Listen() {
+	buffer := make([]byte, SizeMost)
+	for {
+		n, from, err := p.Conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		p.receive(buffer[:n], from)
+	}
+}
+
+// receive hands one datagram to its handler.
+func (p *Port) receive(data []byte, from net.Addr) {
+	var e envelope
+	err := json.Unmarshal(data, &e)
+	handler, handled := p.handlers[e.Kind]
+	known := p.knows(from)
+	if err == nil && handled && known {
+		handler(Message{Box: e.Box, Received: time.Now(), Body: e.Body})
+		return
+	}
+	if err == nil && handled {
+		p.stranger()
+	}
+	_ = level.Debug(p.Logger).Log("msg", "datagram dropped", "from", from, "bytes", len(data), "known", known, "handled", handled, "err", err)
+}
+
+func (p *Port) knows(from net.Addr) bool {
+	a, ok := from.(*net.UDPAddr)
+	return ok && p.Known(netip.AddrPortFrom(a.AddrPort().Addr().Unmap(), a.AddrPort().Port()))
+}
--- /dev/null
+++ b/pkg/datagram/port_test.go
@@ -0,0 +1,77 @@
+package datagram
+
+import (
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const kindWord = "word"
+
+// listen opens a port that believes the addresses of a list.
+func listen(t *testing.T, box string, known *[]netip.AddrPort) (*Port, *net.UDPAddr) {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	p := NewPort(Deps{Box: box, Conn: conn, Logger: log.NewNopLogger(), Known: func(a netip.AddrPort) bool {
+		for _, k := range *known {
+			if a == k {
+				return true
+			}
+		}
+		return false
+	}})
+	return p, conn.LocalAddr().(*net.UDPAddr)
+}
+
+func TestMessagesOfKnownBoxesArrive(t *testing.T) {
+	var known []netip.AddrPort
+	from, fromAddress := listen(t, "sender", &known)
+	to, toAddress := listen(t, "receiver", &known)
+	got := make(chan Message, 10)
+	strangers := make(chan struct{}, 10)
+	to.Handle(kindWord, func(m Message) { got <- m })
+	to.OnStranger(func() { strangers <- struct{}{} })
+	go to.Listen()
+
+	require.True(t, from.Send(kindWord, "hello", toAddress))
+	select {
+	case <-strangers:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a stranger is told of")
+	}
+	assert.Empty(t, got, "a stranger is not believed")
+
+	known = append(known, fromAddress.AddrPort())
+	require.True(t, from.Send(kindWord, "hello", toAddress))
+	select {
+	case m := <-got:
+		assert.Equal(t, "sender", m.Box)
+		assert.JSONEq(t, `"hello"`, string(m.Body))
+	case <-time.After(10 * time.Second):
+		t.Fatal("the message arrives")
+	}
+}
+
+func TestLongMessagesAreNotSent(t *testing.T) {
+	var known []netip.AddrPort
+	p, address := listen(t, "box", &known)
+	assert.False(t, p.Send(kindWord, strings.Repeat("x", SizeMost), address))
+	assert.True(t, p.Send(kindWord, "short"), "nobody to tell is no failure")
+}
+
+func FuzzReceive(f *testing.F) {
+	f.Add([]byte(`{"box":"b","kind":"word","body":{"x":1}}`))
+	f.Add([]byte(`{"kind":"other"}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		p := NewPort(Deps{Logger: log.NewNopLogger(), Known: func(netip.AddrPort) bool { return true }})
+		p.Handle(kindWord, func(Message) {})
+		p.receive(data, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 5000})
+	})
+}
--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -51,7 +51,7 @@
 		resp.Close(false)
 		return &failure{result: balancer.ResultFailed, cause: err}, nil
 	}
-	lease.Begun()
+	lease.Begun(time.Now())
 	if len(body) > answerMost {
 		return x.passLong(resp, body)
 	}
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -35,6 +35,9 @@
 	Left time.Duration
 	// LastEvent is the last event that the caller has by now.
 	LastEvent string
+	// Source is the address of a server from which this one can take what it lacks of
+	// the prompt, "" for none.
+	Source string
 }
 
 // Reply is what the head of a server's answer says beside its status.
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -222,6 +222,7 @@
 		Engine:    x.service.Engine,
 		Left:      time.Until(x.deadline),
 		LastEvent: x.lastEvent,
+		Source:    lease.Source,
 	}
 	if x.organisation != nil {
 		a.Organisation = x.organisation.Name
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -26,7 +26,7 @@
 		n, err := resp.Body.Read(buffer)
 		events, cutErr := cutter.add(buffer[:n])
 		if len(events) > 0 {
-			lease.Begun()
+			lease.Begun(time.Now())
 			if werr := x.sendEvents(resp, events); werr != nil {
 				resp.Close(false)
 				return nil, &callerGoneError{Cause: werr}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -47,6 +48,7 @@
 	mu      sync.Mutex
 	entries []Entry
 	peers   []*net.UDPAddr
+	known   map[netip.AddrPort]bool
 	entered bool
 }
 
@@ -71,6 +73,20 @@
 	return r.peers
 }
 
+// Entries lists the boxes, this one included. Callers must not change the list.
+func (r *Roster) Entries() []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.entries
+}
+
+// Known tells whether an address is that of another box.
+func (r *Roster) Known(a netip.AddrPort) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.known[a]
+}
+
 // readers is how many boxes watch the store for the others.
 const readers = 2
 
@@ -120,10 +136,12 @@
 
 func (r *Roster) set(entries []Entry) {
 	peers := make([]*net.UDPAddr, 0, len(entries))
+	known := make(map[netip.AddrPort]bool, len(entries))
 	for _, e := range behind(entries, r.self.Box) {
 		a, err := net.ResolveUDPAddr("udp", e.Peer)
 		if e.Box != r.self.Box && err == nil {
 			peers = append(peers, a)
+			known[netip.AddrPortFrom(a.AddrPort().Addr().Unmap(), a.AddrPort().Port())] = true
 		}
 	}
 	if !slices.ContainsFunc(entries, func(e Entry) bool { return e.Box == r.self.Box }) {
@@ -134,7 +152,7 @@
 	if len(entries) != len(r.entries) {
 		_ = level.Info(r.logger).Log("msg", "boxes counted", "count", len(entries), "before", len(r.entries))
 	}
-	r.entries, r.peers = entries, peers
+	r.entries, r.peers, r.known = entries, peers, known
 }
 
 // behind orders entries by name, those behind a name first.
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -18,8 +18,10 @@
 
 	"headhill.example/headhill/pkg/announce"
 	"headhill.example/headhill/pkg/balancer"
+	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/gateway"
+	"headhill.example/headhill/pkg/loadshare"
 	"headhill.example/headhill/pkg/logflags"
 	"headhill.example/headhill/pkg/readiness"
 	"headhill.example/headhill/pkg/retry"
@@ -69,7 +71,9 @@
 	directory *directory.Directory
 	source    directory.Source
 	roster    *roster.Roster
+	peers     *datagram.Port
 	checker   *announce.Checker
+	sharer    *loadshare.Sharer
 	upstream  *upstream.Client
 	budget    *retry.Budget
 	gateway   *gateway.Gateway
@@ -106,9 +110,13 @@
 	self := roster.Entry{Box: s.Box.ID, Hall: s.Box.Hall, Peer: d.peerPort.LocalAddr().String()}
 	d.roster = roster.New(a.Roster(address), self, storeAnswer, logs.For(logflags.Directory))
 	balance := balancer.New(logs.For(logflags.Balancer))
+	peerLogger := logs.For(logflags.Peer)
+	d.peers = datagram.NewPort(datagram.Deps{Box: s.Box.ID, Conn: d.peerPort, Known: d.roster.Known, Logger: peerLogger})
 	d.checker = announce.New(announce.Deps{
-		Box: s.Box.ID, Conn: d.peerPort, Timing: d.checkTiming, Check: d.checkStore, Peers: d.roster.Peers,
-		Directory: d.directory, Balancer: balance, Logger: logs.For(logflags.Peer),
+		Port: d.peers, Timing: d.checkTiming, Check: d.checkStore, Peers: d.roster.Peers, Directory: d.directory,
+	})
+	d.sharer = loadshare.New(loadshare.Deps{
+		Box: s.Box.ID, Hall: s.Box.Hall, Port: d.peers, Balancer: balance, Entries: d.roster.Entries, Logger: peerLogger,
 	})
 	d.budget = retry.NewBudget(d.retryLimits())
 	d.gateway = gateway.New(gateway.Deps{
@@ -234,7 +242,8 @@
 	for _, f := range []func(){
 		func() { d.directory.Follow(d.ctx, d.source, d.timing(), d.roster.Reader) },
 		func() { d.checker.Run(d.ctx) },
-		d.checker.Listen,
+		func() { d.sharer.Run(d.ctx) },
+		d.peers.Listen,
 		func() { d.upstream.Run(d.ctx) },
 		func() {
 			d.report("caller", d.callers.Serve(netutil.LimitListener(d.callerPort, callersMost(s.Limits))))
