loadshare: placements in datagrams of their own, rounds of loads in parts

Cause: a summary with 90 loads and 40 placements was longer than a datagram may be and was not sent.

--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -119,11 +119,11 @@
 		kept, _ := k.longest(parts, at)
 		return kept
 	}
-	k.note([]Part{{"a", 10}, {"c", 30}}, true, now)
+	k.note([]string{"a", "c"}, true, now)
 	assert.Equal(t, 10, longest([]Part{{"a", 10}, {"b", 20}, {"c", 30}}, now))
 	assert.Zero(t, longest([]Part{{"a", 10}}, now.Add(keptFor+time.Second)))
 	for i := range 3 * keptMost {
-		k.note([]Part{{ID: fmt.Sprint(i), Tokens: 1}}, true, now)
+		k.note([]string{fmt.Sprint(i)}, true, now)
 	}
 	assert.LessOrEqual(t, len(k), keptMost+1)
 }
@@ -133,14 +133,15 @@
 	var k keptParts
 	now := time.Now()
 	parts := []Part{{"a", 10}}
-	assert.True(t, k.note(parts, false, now))
+	ids := idsOf(parts)
+	assert.True(t, k.note(ids, false, now))
 	kept, read := k.longest(parts, now)
 	assert.Equal(t, []int{10, 0}, []int{kept, read})
 	kept, _ = k.longest(parts, now.Add(assignedFor+time.Millisecond))
 	assert.Zero(t, kept)
-	assert.True(t, k.note(parts, true, now), "that it was read is news")
-	k.tell(parts, now)
-	assert.False(t, k.note(parts, false, now.Add(time.Second)), "sent again, it still keeps it")
+	assert.True(t, k.note(ids, true, now), "that it was read is news")
+	k.tell(ids, now)
+	assert.False(t, k.note(ids, false, now.Add(time.Second)), "sent again, it still keeps it")
 	kept, read = k.longest(parts, now.Add(keptFor))
 	assert.Equal(t, []int{10, 10}, []int{kept, read})
 }
--- a/pkg/balancer/kept.go
+++ b/pkg/balancer/kept.go
@@ -30,7 +30,7 @@
 
 // note remembers that the parts were sent, or that they were read. It returns whether
 // the last one is news for other boxes.
-func (k *keptParts) note(parts []Part, read bool, now time.Time) bool {
+func (k *keptParts) note(parts []string, read bool, now time.Time) bool {
 	if *k == nil {
 		*k = make(keptParts)
 	}
@@ -38,21 +38,21 @@
 		k.forget(now)
 	}
 	news := false
-	for _, p := range parts {
-		old := (*k)[p.ID]
+	for _, id := range parts {
+		old := (*k)[id]
 		wasRead := old.read && old.valid(now)
 		news = !old.valid(now) || read && !wasRead || now.Sub(old.told) > keptFor/3
-		(*k)[p.ID] = keptPart{used: now, read: read || wasRead, told: old.told}
+		(*k)[id] = keptPart{used: now, read: read || wasRead, told: old.told}
 	}
 	return news
 }
 
 // tell marks the parts as told to the other boxes.
-func (k keptParts) tell(parts []Part, now time.Time) {
-	for _, p := range parts {
-		known := k[p.ID]
+func (k keptParts) tell(parts []string, now time.Time) {
+	for _, id := range parts {
+		known := k[id]
 		known.told = now
-		k[p.ID] = known
+		k[id] = known
 	}
 }
 
--- a/pkg/balancer/share.go
+++ b/pkg/balancer/share.go
@@ -32,9 +32,9 @@
 // Placement says that a server keeps the parts of a prompt's prefix, or is about to
 // read them.
 type Placement struct {
-	Server string `json:"server"`
-	Parts  []Part `json:"parts"`
-	Read   bool   `json:"read,omitempty"`
+	Server string   `json:"server"`
+	Parts  []string `json:"parts"`
+	Read   bool     `json:"read,omitempty"`
 }
 
 // Report is what this box tells the others.
@@ -110,11 +110,12 @@
 
 // tellPlacement passes on where a prompt's prefix is now.
 func (b *Balancer) tellPlacement(id string, s *server, parts []Part, read bool, now time.Time) {
-	if !s.kept.note(parts, read, now) || tokens(parts) < placementLeast || len(b.placements) >= placementsMost {
+	ids := idsOf(parts)
+	if !s.kept.note(ids, read, now) || tokens(parts) < placementLeast || len(b.placements) >= placementsMost {
 		return
 	}
-	s.kept.tell(parts, now)
-	b.placements = append(b.placements, Placement{Server: id, Parts: parts, Read: read})
+	s.kept.tell(ids, now)
+	b.placements = append(b.placements, Placement{Server: id, Parts: ids, Read: read})
 	b.changed()
 }
 
@@ -124,6 +125,14 @@
 	}
 }
 
+func idsOf(parts []Part) []string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
+	}
+	return ids
+}
+
 func tokens(parts []Part) int {
 	total := 0
 	for _, p := range parts {
--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -9,23 +9,30 @@
 
 // Kinds of datagrams.
 const (
+	// kindReport tells a relay what a box has servers do, kindSummary tells others
+	// what a relay has added up.
 	kindReport  = "load-report"
 	kindSummary = "load-summary"
+	// kindPlaced tells a relay, and kindPassed is told by a relay, where prompts went.
+	kindPlaced = "placements"
+	kindPassed = "placements-passed"
 )
 
-// report is what one box has servers do, told to its relays.
-type report struct {
-	Loads      map[string]balancer.Load `json:"loads,omitempty"`
-	Placements []balancer.Placement     `json:"placements,omitempty"`
+// loadsMessage is a part of a round of loads. A round counts once all of its parts
+// have arrived.
+type loadsMessage struct {
+	// Hall is that of the sender.
+	Hall  string                   `json:"hall"`
+	Round uint64                   `json:"round"`
+	Part  int                      `json:"part"`
+	Parts int                      `json:"parts"`
+	Loads map[string]balancer.Load `json:"loads,omitempty"`
 }
 
-// summary is what a relay tells. To a box of its hall it tells what all boxes do, to a
-// relay of another hall what the boxes of its own hall do.
-type summary struct {
-	// Hall is that of the relay.
-	Hall       string                   `json:"hall"`
-	Loads      map[string]balancer.Load `json:"loads,omitempty"`
-	Placements []balancer.Placement     `json:"placements,omitempty"`
+// placementsMessage tells where prompts went.
+type placementsMessage struct {
+	Hall       string               `json:"hall"`
+	Placements []balancer.Placement `json:"placements"`
 }
 
 const (
@@ -38,10 +45,57 @@
 	refresh = time.Second
 	// believed is how long a box's word is taken.
 	believed = 3 * time.Second
-	// placementsMost bounds the placements of one datagram.
-	placementsMost = 40
+	// loadsMost and placementsMost bound what one datagram holds.
+	loadsMost      = 100
+	placementsMost = 50
 )
 
+// split cuts a round of loads into messages.
+func split(hall string, round uint64, loads map[string]balancer.Load) []loadsMessage {
+	list := []loadsMessage{{Hall: hall, Round: round, Loads: make(map[string]balancer.Load)}}
+	for id, l := range loads {
+		if len(list[len(list)-1].Loads) == loadsMost {
+			list = append(list, loadsMessage{Hall: hall, Round: round, Loads: make(map[string]balancer.Load)})
+		}
+		list[len(list)-1].Loads[id] = l
+	}
+	for i := range list {
+		list[i].Part, list[i].Parts = i, len(list)
+	}
+	return list
+}
+
+// rounds puts the parts of each sender's latest round together.
+type rounds map[string]*pendingRound
+
+type pendingRound struct {
+	round uint64
+	parts map[int]bool
+	loads map[string]balancer.Load
+}
+
+// partsMost bounds the parts of a round that is believed.
+const partsMost = 1000
+
+// add takes a part in. It returns the whole round with its last part.
+func (r rounds) add(sender string, m loadsMessage) (map[string]balancer.Load, bool) {
+	if m.Parts < 1 || m.Parts > partsMost || m.Part < 0 || m.Part >= m.Parts {
+		return nil, false
+	}
+	p := r[sender]
+	if p == nil || p.round != m.Round {
+		p = &pendingRound{round: m.Round, parts: make(map[int]bool), loads: make(map[string]balancer.Load)}
+		r[sender] = p
+	}
+	p.parts[m.Part] = true
+	maps.Copy(p.loads, m.Loads)
+	if len(p.parts) < m.Parts {
+		return nil, false
+	}
+	delete(r, sender)
+	return p.loads, true
+}
+
 // loadTable holds the loads that some senders have told last.
 type loadTable map[string]toldLoads
 
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -30,9 +32,12 @@
 type Sharer struct {
 	Deps
 	changed chan struct{}
-	inbox   chan datagramIn
+	inbox   chan message
 
 	silence silence
+	// round numbers the rounds that this box sends.
+	round  uint64
+	rounds rounds
 	// boxes are the reports of this hall's boxes, halls the summaries of others'.
 	boxes loadTable
 	halls loadTable
@@ -50,12 +55,13 @@
 	idle  bool
 }
 
-// datagramIn is a message that has arrived: exactly one of the two is set.
-type datagramIn struct {
-	from     string
-	received time.Time
-	report   *report
-	summary  *summary
+// message is one that has arrived: loads or placements are set.
+type message struct {
+	kind       string
+	from       string
+	received   time.Time
+	loads      *loadsMessage
+	placements *placementsMessage
 }
 
 // inboxMost bounds the messages that wait; more are dropped.
@@ -64,11 +70,21 @@
 // New returns a sharer that hears the port's messages from now on.
 func New(d Deps) *Sharer {
 	s := &Sharer{
-		Deps: d, changed: make(chan struct{}, 1), inbox: make(chan datagramIn, inboxMost),
-		silence: newSilence(), boxes: make(loadTable), halls: make(loadTable),
+		Deps: d, changed: make(chan struct{}, 1), inbox: make(chan message, inboxMost), round: rand.Uint64() >> 1,
+		silence: newSilence(), boxes: make(loadTable), halls: make(loadTable), rounds: make(rounds),
+	}
+	for _, kind := range []string{kindReport, kindSummary} {
+		d.Port.Handle(kind, func(m datagram.Message) {
+			body := new(loadsMessage)
+			s.receive(m, body, message{kind: kind, loads: body})
+		})
+	}
+	for _, kind := range []string{kindPlaced, kindPassed} {
+		d.Port.Handle(kind, func(m datagram.Message) {
+			body := new(placementsMessage)
+			s.receive(m, body, message{kind: kind, placements: body})
+		})
 	}
-	d.Port.Handle(kindReport, func(m datagram.Message) { receive(s, m, func(in *datagramIn, r *report) { in.report = r }) })
-	d.Port.Handle(kindSummary, func(m datagram.Message) { receive(s, m, func(in *datagramIn, r *summary) { in.summary = r }) })
 	d.Balancer.OnChange(func() {
 		select {
 		case s.changed <- struct{}{}:
@@ -79,14 +95,12 @@
 }
 
 // receive decodes a message and hands it to the sharer's goroutine.
-func receive[T any](s *Sharer, m datagram.Message, set func(*datagramIn, *T)) {
-	body := new(T)
+func (s *Sharer) receive(m datagram.Message, body any, in message) {
 	if err := json.Unmarshal(m.Body, body); err != nil {
 		_ = level.Debug(s.Logger).Log("msg", "load message dropped", "from", m.Box, "err", err)
 		return
 	}
-	in := datagramIn{from: m.Box, received: m.Received}
-	set(&in, body)
+	in.from, in.received = m.Box, m.Received
 	select {
 	case s.inbox <- in:
 	default:
@@ -136,34 +150,41 @@
 }
 
 // take takes one message in.
-func (s *Sharer) take(in datagramIn) {
-	if in.report != nil {
-		s.boxes[in.from] = toldLoads{loads: in.report.Loads, heard: in.received}
-		s.place(in.from, in.report.Placements, true)
-		s.dirty = true
+func (s *Sharer) take(in message) {
+	if in.placements != nil {
+		s.place(in)
 		return
 	}
-	if in.summary.Hall == s.Hall {
+	loads, whole := s.rounds.add(in.from, *in.loads)
+	switch {
+	case !whole:
+	case in.kind == kindReport:
+		s.boxes[in.from] = toldLoads{loads: loads, heard: in.received}
+		s.dirty = true
+	case in.loads.Hall == s.Hall:
 		s.silence.heard(in.from)
-		s.setOthers(in.summary.Loads, in.received)
-		s.Balancer.NotePlacements(in.summary.Placements, in.received)
-		return
+		s.setOthers(loads, in.received)
+	default:
+		s.halls[in.loads.Hall] = toldLoads{loads: loads, heard: in.received}
+		s.dirty = true
 	}
-	s.halls[in.summary.Hall] = toldLoads{loads: in.summary.Loads, heard: in.received}
-	s.place(in.from, in.summary.Placements, false)
-	s.dirty = true
 }
 
-// place takes placements in and keeps them to be passed on. Those of this hall's
-// boxes go to other halls too.
-func (s *Sharer) place(from string, list []balancer.Placement, own bool) {
-	if from != s.Box {
-		s.Balancer.NotePlacements(list, time.Now())
+// place takes placements in. A relay passes on to its hall what it hears from there
+// or from another hall, and to other halls what it hears from its own.
+func (s *Sharer) place(in message) {
+	list := in.placements.Placements
+	if in.from != s.Box {
+		s.Balancer.NotePlacements(list, in.received)
 	}
-	s.toHall = append(s.toHall, list...)
+	own := in.kind == kindPlaced
 	if own {
 		s.toHalls = append(s.toHalls, list...)
 	}
+	if own || in.placements.Hall != s.Hall {
+		s.toHall = append(s.toHall, list...)
+		s.dirty = true
+	}
 }
 
 // report tells this hall's relays what this box does. Nothing is told twice in a row.
@@ -173,25 +194,27 @@
 	if empty && s.idle {
 		return
 	}
-	s.idle = empty
-	s.told = r.Loads
+	s.idle, s.told = empty, r.Loads
 	relays := s.silence.relays(s.members(), s.Hall, now)
-	for first := true; first || len(r.Placements) > 0; first = false {
-		n := min(len(r.Placements), placementsMost)
-		s.tellRelays(relays, report{Loads: r.Loads, Placements: r.Placements[:n]}, now)
-		r.Placements = r.Placements[n:]
-	}
-}
-
-func (s *Sharer) tellRelays(relays []member, r report, now time.Time) {
+	var others []*net.UDPAddr
 	for _, m := range relays {
 		if m.box == s.Box {
-			s.take(datagramIn{from: s.Box, received: now, report: &r})
+			s.relayOwn(r, now)
 			continue
 		}
 		s.silence.told(m.box, now)
-		s.Port.Send(kindReport, r, m.address)
+		others = append(others, m.address)
 	}
+	s.sendLoads(kindReport, r.Loads, others)
+	s.sendPlacements(kindPlaced, r.Placements, others)
+}
+
+// relayOwn takes this box's own report in where it is a relay itself.
+func (s *Sharer) relayOwn(r balancer.Report, now time.Time) {
+	s.boxes[s.Box] = toldLoads{loads: r.Loads, heard: now}
+	s.toHalls = append(s.toHalls, r.Placements...)
+	s.toHall = append(s.toHall, r.Placements...)
+	s.dirty = true
 }
 
 // summarise tells the boxes of this hall what all do, and the relays of other halls
@@ -201,11 +224,13 @@
 	members := s.members()
 	own := s.boxes.sum(now)
 	if len(s.boxes) > 0 {
-		s.send(s.otherRelays(members, now), own, s.toHalls)
+		s.sendLoads(kindSummary, own, s.otherRelays(members, now))
 	}
 	add(own, s.halls.sum(now))
 	s.setOthers(own, now)
-	s.send(s.sameHall(members), own, s.toHall)
+	s.sendLoads(kindSummary, own, s.sameHall(members))
+	s.sendPlacements(kindPassed, s.toHalls, s.otherRelays(members, now))
+	s.sendPlacements(kindPassed, s.toHall, s.sameHall(members))
 	s.toHall, s.toHalls = nil, nil
 }
 
@@ -236,12 +261,18 @@
 	return list
 }
 
-// send sends a summary, in several datagrams if it has many placements.
-func (s *Sharer) send(to []*net.UDPAddr, loads map[string]balancer.Load, placements []balancer.Placement) {
-	for first := true; first || len(placements) > 0; first = false {
-		n := min(len(placements), placementsMost)
-		s.Port.Send(kindSummary, summary{Hall: s.Hall, Loads: loads, Placements: placements[:n]}, to...)
-		placements = placements[n:]
+// sendLoads sends a round of loads.
+func (s *Sharer) sendLoads(kind string, loads map[string]balancer.Load, to []*net.UDPAddr) {
+	s.round++
+	for _, m := range split(s.Hall, s.round, loads) {
+		s.Port.Send(kind, m, to...)
+	}
+}
+
+// sendPlacements sends placements.
+func (s *Sharer) sendPlacements(kind string, list []balancer.Placement, to []*net.UDPAddr) {
+	for chunk := range slices.Chunk(list, placementsMost) {
+		s.Port.Send(kind, placementsMessage{Hall: s.Hall, Placements: chunk}, to...)
 	}
 }
 
