loadshare: short messages by protobuf; a prompt that nobody keeps counts as unread in full

Cause: relays sent 4 KB a summary to each box of their hall, 12 times a second: 9 Mbit/s on links of 10. Datagrams were lost (a prefix that another box had placed two seconds before was not known), and plain calls were late. A cold prompt's home was believed to keep it, so the load told was its own part only. Ruled out: the processor (34 of 37 seconds stay); the bound of a datagram (mended before).

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -164,7 +164,13 @@
 
 // tell sends a message to all other boxes. One that is lost, or too long for a
 // datagram, makes its receiver ask for itself.
-func (c *Checker) tell(m message) { c.Port.Send(kind, m, c.Peers()...) }
+func (c *Checker) tell(m message) {
+	body, err := json.Marshal(m)
+	if err != nil {
+		return
+	}
+	c.Port.Send(kind, body, c.Peers()...)
+}
 
 // receive takes a datagram in. While the checker is busy more are dropped.
 func (c *Checker) receive(d datagram.Message) {
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -116,7 +116,7 @@
 func TestUnknownBoxMakesTheOthersLook(t *testing.T) {
 	c, stranger := checker(t), listen(t)
 	go c.Port.Listen()
-	port(stranger).Send(kind, message{Check: &checkMessage{Revision: 9}}, c.Port.Conn.LocalAddr().(*net.UDPAddr))
+	port(stranger).Send(kind, []byte(`{"check":{"revision":9}}`), c.Port.Conn.LocalAddr().(*net.UDPAddr))
 	require.Eventually(t, func() bool { return len(c.unknown) == 1 }, 10*time.Second, time.Millisecond)
 	assert.Empty(t, c.heard, "it is not believed")
 }
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -56,15 +56,16 @@
 	onChange func()
 
 	mu      sync.Mutex
-	servers map[string]*server
+	servers map[ServerKey]*server
 	// others is what the other boxes have servers do, heard at a time.
-	others      map[string]Load
+	others      map[ServerKey]Load
 	othersHeard time.Time
 	// placements wait to be told.
 	placements []Placement
 }
 
 type server struct {
+	key     ServerKey
 	running int
 	// unread is the length of the prompts whose first event is awaited, told is
 	// what the other boxes were told of it.
@@ -77,7 +78,7 @@
 
 // New returns a balancer that knows nothing yet.
 func New(logger log.Logger) *Balancer {
-	return &Balancer{logger: logger, servers: make(map[string]*server)}
+	return &Balancer{logger: logger, servers: make(map[ServerKey]*server)}
 }
 
 // Inputs are what a choice rested on, for the logs.
@@ -109,6 +110,7 @@
 	Inputs Inputs
 
 	balancer *Balancer
+	state    *server
 	shared   []Part
 	unread   int
 	begun    bool
@@ -124,9 +126,9 @@
 	if !ok {
 		return nil, false
 	}
-	s := b.server(chosen.ID, now)
-	l := &Lease{Server: chosen.Server, Source: chosen.source, balancer: b, Inputs: Inputs{
-		Candidates: len(q.Candidates), Running: s.running, Unread: s.unread, Others: b.other(chosen.ID, now).Unread,
+	s := chosen.state
+	l := &Lease{Server: chosen.Server, Source: chosen.source, balancer: b, state: s, Inputs: Inputs{
+		Candidates: len(q.Candidates), Running: s.running, Unread: s.unread, Others: b.other(s, now).Unread,
 		Prefix: q.prefix(), Home: chosen.home, Kept: chosen.kept, Moved: chosen.moved, Failures: chosen.failures,
 	}}
 	s.running++
@@ -135,26 +137,26 @@
 		l.unread = chosen.unread(q)
 		s.unread += l.unread
 		b.tellLoad(s)
-		b.tellPlacement(chosen.ID, s, l.shared, false, now)
+		b.tellPlacement(s, l.shared, false, now)
 	}
 	return l, true
 }
 
-func (b *Balancer) server(id string, now time.Time) *server {
-	s, ok := b.servers[id]
+func (b *Balancer) server(key ServerKey, now time.Time) *server {
+	s, ok := b.servers[key]
 	if !ok {
 		b.forget(now)
-		s = &server{}
-		b.servers[id] = s
+		s = &server{key: key}
+		b.servers[key] = s
 	}
 	s.touched = now
 	return s
 }
 
 func (b *Balancer) forget(now time.Time) {
-	for id, s := range b.servers {
+	for key, s := range b.servers {
 		if s.running == 0 && now.Sub(s.touched) > forgetAfter {
-			delete(b.servers, id)
+			delete(b.servers, key)
 		}
 	}
 }
@@ -169,15 +171,14 @@
 	}
 	l.begun = true
 	l.settle()
-	b.tellPlacement(l.Server.ID, b.servers[l.Server.ID], l.shared, true, now)
+	b.tellPlacement(l.state, l.shared, true, now)
 }
 
 // settle counts the prompt as read, or as given up.
 func (l *Lease) settle() {
-	s := l.balancer.servers[l.Server.ID]
-	s.unread -= l.unread
+	l.state.unread -= l.unread
 	l.unread = 0
-	l.balancer.tellLoad(s)
+	l.balancer.tellLoad(l.state)
 }
 
 // Done ends the call.
@@ -190,7 +191,7 @@
 	}
 	l.done = true
 	l.settle()
-	s := b.servers[l.Server.ID]
+	s := l.state
 	s.running--
 	aside := s.health.note(r, now)
 	if aside > 0 && s.health.unreachable {
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -116,14 +116,14 @@
 	var k keptParts
 	now := time.Now()
 	longest := func(parts []Part, at time.Time) int {
-		kept, _ := k.longest(parts, at)
+		kept, _ := k.longest(parts, keysOf(parts), at)
 		return kept
 	}
-	k.note([]string{"a", "c"}, true, now)
+	k.note(keysOf([]Part{{ID: "a"}, {ID: "c"}}), true, now)
 	assert.Equal(t, 10, longest([]Part{{"a", 10}, {"b", 20}, {"c", 30}}, now))
 	assert.Zero(t, longest([]Part{{"a", 10}}, now.Add(keptFor+time.Second)))
 	for i := range 3 * keptMost {
-		k.note([]string{fmt.Sprint(i)}, true, now)
+		k.note([]partKey{uint64(i)}, true, now)
 	}
 	assert.LessOrEqual(t, len(k), keptMost+1)
 }
@@ -133,16 +133,16 @@
 	var k keptParts
 	now := time.Now()
 	parts := []Part{{"a", 10}}
-	ids := idsOf(parts)
+	ids := keysOf(parts)
 	assert.True(t, k.note(ids, false, now))
-	kept, read := k.longest(parts, now)
+	kept, read := k.longest(parts, ids, now)
 	assert.Equal(t, []int{10, 0}, []int{kept, read})
-	kept, _ = k.longest(parts, now.Add(assignedFor+time.Millisecond))
+	kept, _ = k.longest(parts, ids, now.Add(assignedFor+time.Millisecond))
 	assert.Zero(t, kept)
 	assert.True(t, k.note(ids, true, now), "that it was read is news")
 	k.tell(ids, now)
 	assert.False(t, k.note(ids, false, now.Add(time.Second)), "sent again, it still keeps it")
-	kept, read = k.longest(parts, now.Add(keptFor))
+	kept, read = k.longest(parts, ids, now.Add(keptFor))
 	assert.Equal(t, []int{10, 10}, []int{kept, read})
 }
 
@@ -173,7 +173,7 @@
 		}
 		for id, s := range b.servers {
 			if s.running != 0 || s.unread != 0 {
-				t.Fatalf("%s: %d running, %d unread", id, s.running, s.unread)
+				t.Fatalf("%d: %d running, %d unread", id, s.running, s.unread)
 			}
 		}
 	})
@@ -228,10 +228,10 @@
 	}
 	long.Begun(now)
 	tellEachOther(one, two, now)
-	assert.Zero(t, two.other(long.Server.ID, now), "the end is told as well")
-	two.SetOthers(map[string]Load{long.Server.ID: {Unread: 9000}}, now)
-	assert.Equal(t, 9000, two.other(long.Server.ID, now).Unread)
-	assert.Zero(t, two.other(long.Server.ID, now.Add(othersFor+time.Millisecond)), "others that fall silent are forgotten")
+	assert.Zero(t, two.other(two.servers[KeyOf(long.Server.ID)], now), "the end is told as well")
+	two.SetOthers(map[ServerKey]Load{KeyOf(long.Server.ID): {Unread: 9000}}, now)
+	assert.Equal(t, 9000, two.other(two.servers[KeyOf(long.Server.ID)], now).Unread)
+	assert.Zero(t, two.other(two.servers[KeyOf(long.Server.ID)], now.Add(othersFor+time.Millisecond)), "others that fall silent are forgotten")
 }
 
 // A box goes where another one has sent a prefix, and takes it from there when that
@@ -241,7 +241,7 @@
 	one, two := New(log.NewNopLogger()), New(log.NewNopLogger())
 	q := query(9, "part")
 	home, _ := one.Pick(q, now)
-	one.SetOthers(map[string]Load{home.Server.ID: {Unread: 500000}}, now)
+	one.SetOthers(map[ServerKey]Load{KeyOf(home.Server.ID): {Unread: 500000}}, now)
 	away, _ := one.Pick(q, now)
 	require.NotEqual(t, home.Server.ID, away.Server.ID)
 	assert.Empty(t, away.Source, "the home has not read it yet")
@@ -252,7 +252,7 @@
 	l, _ := two.Pick(q, now)
 	assert.Equal(t, away.Server.ID, l.Server.ID, "not the home, which does not keep it")
 	now = now.Add(assignedFor + time.Millisecond)
-	two.SetOthers(map[string]Load{away.Server.ID: {Unread: 500000}}, now)
+	two.SetOthers(map[ServerKey]Load{KeyOf(away.Server.ID): {Unread: 500000}}, now)
 	l, _ = two.Pick(q, now)
 	assert.NotEqual(t, away.Server.ID, l.Server.ID)
 	assert.Equal(t, away.Server.Address, l.Source)
@@ -271,7 +271,7 @@
 		}
 		now = now.Add(assignedFor + time.Millisecond)
 		for _, b := range []*Balancer{one, two} {
-			b.servers[homeOf(q, choicesOf(q))].health.aside = now.Add(time.Second)
+			b.server(KeyOf(homeOf(q, choicesOf(q))), now).health.aside = now.Add(time.Second)
 		}
 		a, _ := one.Pick(q, now)
 		b, _ := two.Pick(q, now)
@@ -300,9 +300,9 @@
 		l.Done(ResultAbandoned, now)
 		return l.Server.ID
 	}
-	b.SetOthers(map[string]Load{"i-0": {Down: downLeast - 1}}, now)
+	b.SetOthers(map[ServerKey]Load{KeyOf("i-0"): {Down: downLeast - 1}}, now)
 	assert.Eventually(t, func() bool { return pick() == "i-0" }, 10*time.Second, time.Microsecond, "one box may be cut off itself")
-	b.SetOthers(map[string]Load{"i-0": {Down: downLeast}}, now)
+	b.SetOthers(map[ServerKey]Load{KeyOf("i-0"): {Down: downLeast}}, now)
 	for range 20 {
 		assert.Equal(t, "i-1", pick())
 	}
@@ -317,11 +317,11 @@
 	b := New(log.NewNopLogger())
 	q := query(3, "part")
 	home, _ := b.Pick(q, now)
-	loads := make(map[string]Load)
+	loads := make(map[ServerKey]Load)
 	for _, s := range servers(3) {
-		loads[s.ID] = Load{Unread: 30000}
+		loads[KeyOf(s.ID)] = Load{Unread: 30000}
 	}
-	loads[home.Server.ID] = Load{Unread: 60000}
+	loads[KeyOf(home.Server.ID)] = Load{Unread: 60000}
 	b.SetOthers(loads, now)
 	l, _ := b.Pick(q, now)
 	assert.Equal(t, home.Server.ID, l.Server.ID)
--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -76,14 +76,16 @@
 // all of them.
 func (b *Balancer) usable(q Query, now time.Time) []choice {
 	var fit, aside []choice
+	shared := q.shared()
+	keys := keysOf(shared)
 	for _, c := range q.Candidates {
 		if slices.Contains(q.Avoid, c.ID) {
 			continue
 		}
-		s := b.server(c.ID, now)
+		s := b.server(KeyOf(c.ID), now)
 		x := choice{Server: c, state: s, failures: s.health.failureShare(now)}
-		x.kept, x.read = s.kept.longest(q.shared(), now)
-		if now.Before(s.health.aside) || b.down(c.ID, s, now) {
+		x.kept, x.read = s.kept.longest(shared, keys, now)
+		if now.Before(s.health.aside) || b.down(s, now) {
 			aside = append(aside, x)
 			continue
 		}
@@ -103,7 +105,8 @@
 	// shared is the length of the prefix, in tokens.
 	shared   int
 	missCost float64
-	// home is where all boxes send a prefix of which nobody knows where it is kept.
+	// home is where all boxes send a prefix of which this one has not heard where it is
+	// kept.
 	home string
 	// source has read more of the prefix than any other candidate.
 	source choice
@@ -115,7 +118,7 @@
 	unread := 0
 	for _, c := range choices {
 		known = max(known, c.kept)
-		unread += c.state.unread + b.other(c.ID, now).Unread
+		unread += c.state.unread + b.other(c.state, now).Unread
 		if c.read > p.source.read || c.read == p.source.read && c.Hall == q.Hall {
 			p.source = c
 		}
@@ -129,16 +132,16 @@
 
 // price works out the cost of a candidate.
 func (p *placing) price(c *choice) {
-	if c.ID == p.home {
-		c.home = true
-		c.kept = p.shared
-	}
-	c.cost = float64(c.state.unread+p.balancer.other(c.ID, p.now).Unread) + runningCost*float64(c.state.running)
+	c.home = c.ID == p.home
+	c.cost = float64(c.state.unread+p.balancer.other(c.state, p.now).Unread) + runningCost*float64(c.state.running)
 	c.cost += failureCost * c.failures
 	if c.Hall != p.query.Hall {
 		c.cost += byteCost * float64(p.query.Bytes+answerBytes)
 	}
 	missing := p.shared - c.kept
+	if c.home {
+		missing = 0
+	}
 	if moved := p.source.read - c.kept; moved > 0 {
 		c.source, c.moved = p.source.Address, moved
 		c.cost += moveFactor * float64(moved)
--- a/pkg/balancer/kept.go
+++ b/pkg/balancer/kept.go
@@ -26,11 +26,11 @@
 }
 
 // keptParts are the parts of prompts that were sent to a server.
-type keptParts map[string]keptPart
+type keptParts map[partKey]keptPart
 
 // note remembers that the parts were sent, or that they were read. It returns whether
 // the last one is news for other boxes.
-func (k *keptParts) note(parts []string, read bool, now time.Time) bool {
+func (k *keptParts) note(keys []partKey, read bool, now time.Time) bool {
 	if *k == nil {
 		*k = make(keptParts)
 	}
@@ -38,7 +38,7 @@
 		k.forget(now)
 	}
 	news := false
-	for _, id := range parts {
+	for _, id := range keys {
 		old := (*k)[id]
 		wasRead := old.read && old.valid(now)
 		news = !old.valid(now) || read && !wasRead || now.Sub(old.told) > keptFor/3
@@ -48,8 +48,8 @@
 }
 
 // tell marks the parts as told to the other boxes.
-func (k keptParts) tell(parts []string, now time.Time) {
-	for _, id := range parts {
+func (k keptParts) tell(keys []partKey, now time.Time) {
+	for _, id := range keys {
 		known := k[id]
 		known.told = now
 		k[id] = known
@@ -70,10 +70,10 @@
 
 // longest returns the tokens of the longest run of parts, from the first, that the
 // server is believed to keep, and how many of them it has read for certain.
-func (k keptParts) longest(parts []Part, now time.Time) (kept, read int) {
+func (k keptParts) longest(parts []Part, keys []partKey, now time.Time) (kept, read int) {
 	allRead := true
-	for _, p := range parts {
-		known, ok := k[p.ID]
+	for i, p := range parts {
+		known, ok := k[keys[i]]
 		if !ok || !known.valid(now) {
 			return kept, read
 		}
--- a/pkg/balancer/share.go
+++ b/pkg/balancer/share.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -21,26 +23,36 @@
 	ownWord   = 2 * time.Second
 )
 
+// ServerKey is a server's ID as boxes name it to each other, in short. Two servers may
+// share one: then each counts what the other has to do.
+type ServerKey uint32
+
+// KeyOf is the key of a server's ID.
+func KeyOf(id string) ServerKey { return ServerKey(xxhash.Sum64String(id)) }
+
+// partKey is the ID of a part of a prompt, in short.
+type partKey = uint64
+
 // Load is what boxes have one server do.
 type Load struct {
 	// Unread is the length of the prompts that it has not read yet, in tokens.
-	Unread int `json:"unread,omitempty"`
+	Unread int
 	// Down is how many boxes can't reach it.
-	Down int `json:"down,omitempty"`
+	Down int
 }
 
 // Placement says that a server keeps the parts of a prompt's prefix, or is about to
 // read them.
 type Placement struct {
-	Server string   `json:"server"`
-	Parts  []string `json:"parts"`
-	Read   bool     `json:"read,omitempty"`
+	Server ServerKey
+	Parts  []uint64
+	Read   bool
 }
 
 // Report is what this box tells the others.
 type Report struct {
 	// Loads holds each server that this box has something to say of.
-	Loads map[string]Load
+	Loads map[ServerKey]Load
 	// Placements are those since the last report.
 	Placements []Placement
 }
@@ -53,23 +65,23 @@
 func (b *Balancer) Report(now time.Time) Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := Report{Loads: make(map[string]Load), Placements: b.placements}
+	r := Report{Loads: make(map[ServerKey]Load), Placements: b.placements}
 	b.placements = nil
-	for id, s := range b.servers {
+	for _, s := range b.servers {
 		l := Load{Unread: s.unread}
 		if s.health.down(now) {
 			l.Down = 1
 		}
 		s.told = s.unread
 		if l != (Load{}) {
-			r.Loads[id] = l
+			r.Loads[s.key] = l
 		}
 	}
 	return r
 }
 
 // SetOthers takes in what all other boxes together have the servers do.
-func (b *Balancer) SetOthers(loads map[string]Load, now time.Time) {
+func (b *Balancer) SetOthers(loads map[ServerKey]Load, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.others, b.othersHeard = loads, now
@@ -87,16 +99,16 @@
 }
 
 // other is what the other boxes have a server do.
-func (b *Balancer) other(id string, now time.Time) Load {
+func (b *Balancer) other(s *server, now time.Time) Load {
 	if now.Sub(b.othersHeard) > othersFor {
 		return Load{}
 	}
-	return b.others[id]
+	return b.others[s.key]
 }
 
 // down tells whether a server is to be left out on the word of others.
-func (b *Balancer) down(id string, s *server, now time.Time) bool {
-	return b.other(id, now).Down >= downLeast && now.Sub(s.health.reached) > ownWord
+func (b *Balancer) down(s *server, now time.Time) bool {
+	return b.other(s, now).Down >= downLeast && now.Sub(s.health.reached) > ownWord
 }
 
 // tellLoad passes on a change of a server's load that is large enough, and each return
@@ -109,13 +121,13 @@
 }
 
 // tellPlacement passes on where a prompt's prefix is now.
-func (b *Balancer) tellPlacement(id string, s *server, parts []Part, read bool, now time.Time) {
-	ids := idsOf(parts)
-	if !s.kept.note(ids, read, now) || tokens(parts) < placementLeast || len(b.placements) >= placementsMost {
+func (b *Balancer) tellPlacement(s *server, parts []Part, read bool, now time.Time) {
+	keys := keysOf(parts)
+	if !s.kept.note(keys, read, now) || tokens(parts) < placementLeast || len(b.placements) >= placementsMost {
 		return
 	}
-	s.kept.tell(ids, now)
-	b.placements = append(b.placements, Placement{Server: id, Parts: ids, Read: read})
+	s.kept.tell(keys, now)
+	b.placements = append(b.placements, Placement{Server: s.key, Parts: keys, Read: read})
 	b.changed()
 }
 
@@ -125,12 +137,12 @@
 	}
 }
 
-func idsOf(parts []Part) []string {
-	ids := make([]string, len(parts))
+func keysOf(parts []Part) []partKey {
+	keys := make([]partKey, len(parts))
 	for i, p := range parts {
-		ids[i] = p.ID
+		keys[i] = xxhash.Sum64String(p.ID)
 	}
-	return ids
+	return keys
 }
 
 func tokens(parts []Part) int {
--- a/pkg/datagram/port.go
+++ b/pkg/datagram/port.go
@@ -3,7 +3,6 @@
 package datagram
 
 import (
-	"encoding/json"
 	"errors"
 	"net"
 	"net/netip"
@@ -11,6 +10,9 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+
+	"headhill.example/headhill/pkg/datagram/datagrampb"
 )
 
 // SizeMost bounds a datagram, in bytes. Longer ones are not sent.
@@ -21,14 +23,7 @@
 	// Box is the name of the sender.
 	Box      string
 	Received time.Time
-	Body     json.RawMessage
-}
-
-// envelope is what stands on the wire. The kind names the duty that a message is for.
-type envelope struct {
-	Box  string          `json:"box"`
-	Kind string          `json:"kind"`
-	Body json.RawMessage `json:"body"`
+	Body     []byte
 }
 
 // Deps are what a Port is built on.
@@ -62,11 +57,11 @@
 func (p *Port) OnStranger(f func()) { p.stranger = f }
 
 // Send sends a message to some boxes. It returns false if the message is too long.
-func (p *Port) Send(kind string, body any, to ...*net.UDPAddr) bool {
+func (p *Port) Send(kind string, body []byte, to ...*net.UDPAddr) bool {
 	if len(to) == 0 {
 		return true
 	}
-	data, err := p.encode(kind, body)
+	data, err := proto.Marshal(&datagrampb.Envelope{Box: p.Box, Kind: kind, Body: body})
 	if err != nil || len(data) > SizeMost {
 		return false
 	}
@@ -77,14 +72,6 @@
 	return true
 }
 
-func (p *Port) encode(kind string, body any) ([]byte, error) {
-	raw, err := json.Marshal(body)
-	if err != nil {
-		return nil, err
-	}
-	return json.Marshal(envelope{Box: p.Box, Kind: kind, Body: raw})
-}
-
 // Listen hands messages to their handlers until the connection is closed.
 func (p *Port) Listen() {
 	buffer := make([]byte, SizeMost)
@@ -102,12 +89,12 @@
 
 // receive hands one datagram to its handler.
 func (p *Port) receive(data []byte, from net.Addr) {
-	var e envelope
-	err := json.Unmarshal(data, &e)
-	handler, handled := p.handlers[e.Kind]
+	var e datagrampb.Envelope
+	err := proto.Unmarshal(data, &e)
+	handler, handled := p.handlers[e.GetKind()]
 	known := p.knows(from)
 	if err == nil && handled && known {
-		handler(Message{Box: e.Box, Received: time.Now(), Body: e.Body})
+		handler(Message{Box: e.GetBox(), Received: time.Now(), Body: e.GetBody()})
 		return
 	}
 	if err == nil && handled {
--- a/pkg/datagram/port_test.go
+++ b/pkg/datagram/port_test.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/netip"
-	"strings"
 	"testing"
 	"time"
 
@@ -40,7 +39,7 @@
 	to.OnStranger(func() { strangers <- struct{}{} })
 	go to.Listen()
 
-	require.True(t, from.Send(kindWord, "hello", toAddress))
+	require.True(t, from.Send(kindWord, []byte("hello"), toAddress))
 	select {
 	case <-strangers:
 	case <-time.After(10 * time.Second):
@@ -49,11 +48,11 @@
 	assert.Empty(t, got, "a stranger is not believed")
 
 	known = append(known, fromAddress.AddrPort())
-	require.True(t, from.Send(kindWord, "hello", toAddress))
+	require.True(t, from.Send(kindWord, []byte("hello"), toAddress))
 	select {
 	case m := <-got:
 		assert.Equal(t, "sender", m.Box)
-		assert.JSONEq(t, `"hello"`, string(m.Body))
+		assert.Equal(t, "hello", string(m.Body))
 	case <-time.After(10 * time.Second):
 		t.Fatal("the message arrives")
 	}
@@ -62,13 +61,13 @@
 func TestLongMessagesAreNotSent(t *testing.T) {
 	var known []netip.AddrPort
 	p, address := listen(t, "box", &known)
-	assert.False(t, p.Send(kindWord, strings.Repeat("x", SizeMost), address))
-	assert.True(t, p.Send(kindWord, "short"), "nobody to tell is no failure")
+	assert.False(t, p.Send(kindWord, make([]byte, SizeMost), address))
+	assert.True(t, p.Send(kindWord, nil), "nobody to tell is no failure")
 }
 
 func FuzzReceive(f *testing.F) {
-	f.Add([]byte(`{"box":"b","kind":"word","body":{"x":1}}`))
-	f.Add([]byte(`{"kind":"other"}`))
+	f.Add([]byte("\n\x01b\x12\x04word\x1a\x01x"))
+	f.Add([]byte("\x12\x05other"))
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		p := NewPort(Deps{Logger: log.NewNopLogger(), Known: func(netip.AddrPort) bool { return true }})
 		p.Handle(kindWord, func(Message) {})
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -10,9 +9,11 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
 
 	"headhill.example/headhill/pkg/balancer"
 	"headhill.example/headhill/pkg/datagram"
+	"headhill.example/headhill/pkg/loadshare/loadpb"
 	"headhill.example/headhill/pkg/roster"
 )
 
@@ -36,7 +37,7 @@
 
 	silence silence
 	// round numbers the rounds that this box sends.
-	round  uint64
+	round  uint32
 	rounds rounds
 	// boxes are the reports of this hall's boxes, halls the summaries of others'.
 	boxes loadTable
@@ -44,7 +45,7 @@
 	// placements wait to be passed on to this hall, and to other halls.
 	toHall, toHalls []balancer.Placement
 	// told is what this box reported last.
-	told map[string]balancer.Load
+	told loads
 	// known is worked out from entries.
 	entries []roster.Entry
 	known   []member
@@ -60,8 +61,8 @@
 	kind       string
 	from       string
 	received   time.Time
-	loads      *loadsMessage
-	placements *placementsMessage
+	loads      *loadpb.Loads
+	placements *loadpb.Placements
 }
 
 // inboxMost bounds the messages that wait; more are dropped.
@@ -70,18 +71,18 @@
 // New returns a sharer that hears the port's messages from now on.
 func New(d Deps) *Sharer {
 	s := &Sharer{
-		Deps: d, changed: make(chan struct{}, 1), inbox: make(chan message, inboxMost), round: rand.Uint64() >> 1,
+		Deps: d, changed: make(chan struct{}, 1), inbox: make(chan message, inboxMost), round: rand.Uint32(),
 		silence: newSilence(), boxes: make(loadTable), halls: make(loadTable), rounds: make(rounds),
 	}
 	for _, kind := range []string{kindReport, kindSummary} {
 		d.Port.Handle(kind, func(m datagram.Message) {
-			body := new(loadsMessage)
+			body := &loadpb.Loads{}
 			s.receive(m, body, message{kind: kind, loads: body})
 		})
 	}
 	for _, kind := range []string{kindPlaced, kindPassed} {
 		d.Port.Handle(kind, func(m datagram.Message) {
-			body := new(placementsMessage)
+			body := &loadpb.Placements{}
 			s.receive(m, body, message{kind: kind, placements: body})
 		})
 	}
@@ -95,8 +96,8 @@
 }
 
 // receive decodes a message and hands it to the sharer's goroutine.
-func (s *Sharer) receive(m datagram.Message, body any, in message) {
-	if err := json.Unmarshal(m.Body, body); err != nil {
+func (s *Sharer) receive(m datagram.Message, body proto.Message, in message) {
+	if err := proto.Unmarshal(m.Body, body); err != nil {
 		_ = level.Debug(s.Logger).Log("msg", "load message dropped", "from", m.Box, "err", err)
 		return
 	}
@@ -155,17 +156,17 @@
 		s.place(in)
 		return
 	}
-	loads, whole := s.rounds.add(in.from, *in.loads)
+	all, whole := s.rounds.add(in.from, in.loads)
 	switch {
 	case !whole:
 	case in.kind == kindReport:
-		s.boxes[in.from] = toldLoads{loads: loads, heard: in.received}
+		s.boxes[in.from] = toldLoads{loads: all, heard: in.received}
 		s.dirty = true
-	case in.loads.Hall == s.Hall:
+	case in.loads.GetHall() == s.Hall:
 		s.silence.heard(in.from)
-		s.setOthers(loads, in.received)
+		s.setOthers(all, in.received)
 	default:
-		s.halls[in.loads.Hall] = toldLoads{loads: loads, heard: in.received}
+		s.halls[in.loads.GetHall()] = toldLoads{loads: all, heard: in.received}
 		s.dirty = true
 	}
 }
@@ -173,7 +174,7 @@
 // place takes placements in. A relay passes on to its hall what it hears from there
 // or from another hall, and to other halls what it hears from its own.
 func (s *Sharer) place(in message) {
-	list := in.placements.Placements
+	list := placementsOf(in.placements.GetPlacements())
 	if in.from != s.Box {
 		s.Balancer.NotePlacements(list, in.received)
 	}
@@ -181,7 +182,7 @@
 	if own {
 		s.toHalls = append(s.toHalls, list...)
 	}
-	if own || in.placements.Hall != s.Hall {
+	if own || in.placements.GetHall() != s.Hall {
 		s.toHall = append(s.toHall, list...)
 		s.dirty = true
 	}
@@ -262,23 +263,31 @@
 }
 
 // sendLoads sends a round of loads.
-func (s *Sharer) sendLoads(kind string, loads map[string]balancer.Load, to []*net.UDPAddr) {
+func (s *Sharer) sendLoads(kind string, all loads, to []*net.UDPAddr) {
 	s.round++
-	for _, m := range split(s.Hall, s.round, loads) {
-		s.Port.Send(kind, m, to...)
+	for _, m := range split(s.Hall, s.round, all) {
+		s.send(kind, m, to)
 	}
 }
 
 // sendPlacements sends placements.
 func (s *Sharer) sendPlacements(kind string, list []balancer.Placement, to []*net.UDPAddr) {
 	for chunk := range slices.Chunk(list, placementsMost) {
-		s.Port.Send(kind, placementsMessage{Hall: s.Hall, Placements: chunk}, to...)
+		s.send(kind, placementsMessage(s.Hall, chunk), to)
 	}
 }
 
+func (s *Sharer) send(kind string, m proto.Message, to []*net.UDPAddr) {
+	body, err := proto.Marshal(m)
+	if err != nil {
+		return
+	}
+	s.Port.Send(kind, body, to...)
+}
+
 // setOthers hands the balancer what all boxes do, less what this one has told of
 // itself.
-func (s *Sharer) setOthers(total map[string]balancer.Load, now time.Time) {
+func (s *Sharer) setOthers(total loads, now time.Time) {
 	s.Balancer.SetOthers(without(total, s.told), now)
 }
 
--- /dev/null
+++ b/pkg/loadshare/sharer_test.go
@@ -0,0 +1,236 @@
+package loadshare
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"headhill.example/headhill/pkg/balancer"
+	"headhill.example/headhill/pkg/datagram"
+	"headhill.example/headhill/pkg/loadshare/loadpb"
+	"headhill.example/headhill/pkg/roster"
+	"headhill.example/headhill/pkg/routing"
+)
+
+const (
+	soon  = 10 * time.Second
+	check = 5 * time.Millisecond
+)
+
+// fleet is some boxes that share their loads, by number.
+type fleet struct {
+	boxes []*box
+}
+
+type box struct {
+	balancer *balancer.Balancer
+	conn     *net.UDPConn
+	cancel   context.CancelFunc
+}
+
+// withFleet runs boxes that stand in halls by turns.
+func withFleet(t *testing.T, count, halls int, f func(*fleet)) {
+	var entries []roster.Entry
+	x := &fleet{}
+	known := make(map[netip.AddrPort]bool)
+	for i := range count {
+		conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		require.NoError(t, err)
+		known[conn.LocalAddr().(*net.UDPAddr).AddrPort()] = true
+		entries = append(entries, roster.Entry{Box: fmt.Sprintf("box-%02d", i), Hall: fmt.Sprintf("hall-%d", i%halls), Peer: conn.LocalAddr().String()})
+		x.boxes = append(x.boxes, &box{conn: conn, balancer: balancer.New(log.NewNopLogger())})
+	}
+	var wg sync.WaitGroup
+	for i, b := range x.boxes {
+		port := datagram.NewPort(datagram.Deps{
+			Box: entries[i].Box, Conn: b.conn, Logger: log.NewNopLogger(),
+			Known: func(a netip.AddrPort) bool { return known[a] },
+		})
+		s := New(Deps{
+			Box: entries[i].Box, Hall: entries[i].Hall, Port: port, Balancer: b.balancer, Logger: log.NewNopLogger(),
+			Entries: func() []roster.Entry { return entries },
+		})
+		var ctx context.Context
+		ctx, b.cancel = context.WithCancel(context.Background())
+		wg.Go(port.Listen)
+		wg.Go(func() { s.Run(ctx) })
+	}
+	f(x)
+	for _, b := range x.boxes {
+		b.stop()
+	}
+	wg.Wait()
+}
+
+func (b *box) stop() {
+	b.cancel()
+	b.conn.Close()
+}
+
+// prompt asks for a server of the model for a prompt with a shared prefix.
+func prompt(servers int, prefix string) balancer.Query {
+	q := balancer.Query{
+		Engine: true, Tokens: 9000, Hall: "hall-0",
+		Parts: []balancer.Part{{ID: prefix, Tokens: 8000}, {ID: "own", Tokens: 1000}},
+	}
+	for i := range servers {
+		id := fmt.Sprintf("i-%d", i)
+		q.Candidates = append(q.Candidates, routing.Server{ID: id, Hall: "hall-0", Address: id})
+	}
+	return q
+}
+
+// others is what a box believes that the others have the only server do.
+func (b *box) others() int {
+	l, _ := b.balancer.Pick(prompt(1, "probe"), time.Now())
+	defer l.Done(balancer.ResultAbandoned, time.Now())
+	return l.Inputs.Others
+}
+
+func TestAllBoxesKnowAllLoads(t *testing.T) {
+	withFleet(t, 12, 3, func(x *fleet) {
+		lease, _ := x.boxes[4].balancer.Pick(prompt(1, "part"), time.Now())
+		for i, b := range x.boxes {
+			if i != 4 {
+				require.Eventually(t, func() bool { return b.others() >= 9000 }, soon, check, "box %d", i)
+			}
+		}
+		lease.Done(balancer.ResultDone, time.Now())
+		for i, b := range x.boxes {
+			require.Eventually(t, func() bool { return b.others() == 0 }, soon, 10*check, "box %d hears of the end", i)
+		}
+	})
+}
+
+func TestAllBoxesKnowWherePromptsAre(t *testing.T) {
+	withFleet(t, 12, 3, func(x *fleet) {
+		for i := range 200 {
+			name := fmt.Sprintf("part-%d", i)
+			lease, _ := x.boxes[i%12].balancer.Pick(prompt(9, name), time.Now())
+			lease.Begun(time.Now())
+			lease.Done(balancer.ResultDone, time.Now())
+		}
+		for i, b := range x.boxes {
+			require.Eventually(t, func() bool {
+				for j := range 200 {
+					l, _ := b.balancer.Pick(prompt(9, fmt.Sprintf("part-%d", j)), time.Now())
+					l.Done(balancer.ResultAbandoned, time.Now())
+					if l.Inputs.Kept != 8000 || l.Inputs.Home {
+						return false
+					}
+				}
+				return true
+			}, soon, 10*check, "box %d", i)
+		}
+	})
+}
+
+// The relays of a hall may be lost: others take their place.
+func TestRelaysAreReplaced(t *testing.T) {
+	withFleet(t, 6, 1, func(x *fleet) {
+		var entries []roster.Entry
+		for i := range x.boxes {
+			entries = append(entries, roster.Entry{Box: fmt.Sprintf("box-%02d", i), Hall: "hall-0", Peer: x.boxes[i].conn.LocalAddr().String()})
+		}
+		lost := make(map[string]bool)
+		for _, m := range newSilence().relays(membersOf(entries), "hall-0", time.Now()) {
+			lost[m.box] = true
+		}
+		require.Len(t, lost, relaysPerHall)
+		var left []*box
+		for i, b := range x.boxes {
+			if lost[entries[i].Box] {
+				b.stop()
+				continue
+			}
+			left = append(left, b)
+		}
+		done := make(chan struct{})
+		defer close(done)
+		go func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(50 * time.Millisecond):
+					l, _ := left[0].balancer.Pick(prompt(1, "part"), time.Now())
+					time.Sleep(50 * time.Millisecond)
+					l.Done(balancer.ResultDone, time.Now())
+				}
+			}
+		}()
+		require.Eventually(t, func() bool { return left[3].others() > 0 }, 2*soon, check)
+	})
+}
+
+func TestRoundsCountOnceWhole(t *testing.T) {
+	all := make(loads)
+	for i := range 2*loadsMost + 1 {
+		all[balancer.ServerKey(i)] = balancer.Load{Unread: i + 1}
+	}
+	all[0] = balancer.Load{Unread: 1, Down: 3}
+	parts := split("hall", 7, all)
+	require.Len(t, parts, 3)
+	r := make(rounds)
+	_, whole := r.add("box", parts[2])
+	assert.False(t, whole)
+	_, whole = r.add("box", parts[0])
+	assert.False(t, whole)
+	_, whole = r.add("other", parts[1])
+	assert.False(t, whole, "another sender's round")
+	got, whole := r.add("box", parts[1])
+	assert.True(t, whole)
+	assert.Equal(t, all, got)
+	for _, m := range []*loadpb.Loads{{Part: 3, Parts: 3}, {}, {Parts: 1, Servers: []uint32{1}}, {Parts: 1, Down: []uint32{1}}} {
+		_, whole = r.add("box", m)
+		assert.False(t, whole, "%v", m)
+	}
+	assert.Len(t, split("hall", 8, nil), 1, "that nothing runs is told too")
+}
+
+func TestSumsHoldEachBoxOnce(t *testing.T) {
+	now := time.Now()
+	table := loadTable{
+		"a":   {loads: loads{1: {Unread: 3, Down: 1}}, heard: now},
+		"b":   {loads: loads{1: {Unread: 4}, 2: {Unread: 5}}, heard: now},
+		"old": {loads: loads{1: {Unread: 100}}, heard: now.Add(-believed - time.Second)},
+	}
+	total := table.sum(now)
+	assert.Equal(t, loads{1: {Unread: 7, Down: 1}, 2: {Unread: 5}}, total)
+	assert.Equal(t, loads{1: {Unread: 3, Down: 1}}, without(total, table["b"].loads))
+	assert.Equal(t, loads{2: {Unread: 5}}, without(total, loads{1: {Unread: 8, Down: 2}}), "a younger word than the total holds")
+	table.forget(now)
+	assert.Len(t, table, 2)
+}
+
+func FuzzMessages(f *testing.F) {
+	for _, m := range split("hall", 1, loads{1: {Unread: 5}, 2: {Down: 2}}) {
+		body, _ := proto.Marshal(m)
+		f.Add(body)
+	}
+	body, _ := proto.Marshal(placementsMessage("hall", []balancer.Placement{{Server: 1, Parts: []uint64{2}, Read: true}}))
+	f.Add(body)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		s := &Sharer{
+			Deps:    Deps{Box: "box", Hall: "hall", Balancer: balancer.New(log.NewNopLogger())},
+			silence: newSilence(), boxes: make(loadTable), halls: make(loadTable), rounds: make(rounds),
+		}
+		m, p := &loadpb.Loads{}, &loadpb.Placements{}
+		if proto.Unmarshal(data, m) == nil {
+			s.take(message{kind: kindReport, from: "other", loads: m})
+			s.take(message{kind: kindSummary, from: "other", loads: m})
+		}
+		if proto.Unmarshal(data, p) == nil {
+			s.take(message{kind: kindPlaced, from: "other", placements: p})
+		}
+	})
+}
