--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -33,6 +33,9 @@
 	Avoid []string
 	// Engine marks model engines.
 	Engine bool
+	// Service and Class name what the request is for; requests of a class are alike.
+	Service string
+	Class   string
 	// Repeatable requests survive a failure of their server.
 	Repeatable bool
 }
@@ -62,6 +65,8 @@
 	othersHeard time.Time
 	// placements wait to be told.
 	placements []Placement
+	// lanes are those of services with engines.
+	lanes map[ServiceKey]*lanes
 }
 
 type server struct {
@@ -78,7 +83,7 @@
 
 // New returns a balancer that knows nothing yet.
 func New(logger log.Logger) *Balancer {
-	return &Balancer{logger: logger, servers: make(map[ServerKey]*server)}
+	return &Balancer{logger: logger, servers: make(map[ServerKey]*server), lanes: make(map[ServiceKey]*lanes)}
 }
 
 // Inputs are what a choice rested on, for the logs.
@@ -95,6 +100,10 @@
 	Home   bool
 	// Kept is what the server is believed to keep of the prompt, in tokens.
 	Kept int
+	// Short tells that prompts of this class are short, Lane how many servers are
+	// set apart for those.
+	Short bool
+	Lane  int
 	// Moved is what it can take from another server, in tokens.
 	Moved int
 	// Failures is the share of recent calls that failed.
@@ -129,19 +138,31 @@
 	s := chosen.state
 	l := &Lease{Server: chosen.Server, Source: chosen.source, balancer: b, state: s, Inputs: Inputs{
 		Candidates: len(q.Candidates), Running: s.running, Unread: s.unread, Others: b.other(s, now).Unread,
-		Prefix: q.prefix(), Home: chosen.home, Kept: chosen.kept, Moved: chosen.moved, Failures: chosen.failures,
+		Prefix: q.prefix(), Home: chosen.home, Short: chosen.short, Lane: chosen.lane, Kept: chosen.kept, Moved: chosen.moved, Failures: chosen.failures,
 	}}
 	s.running++
 	if q.Engine {
 		l.shared = q.shared()
 		l.unread = chosen.unread(q)
 		s.unread += l.unread
+		b.lane(q.Service).note(chosen.short, l.unread, now)
 		b.tellLoad(s)
 		b.tellPlacement(s, l.shared, false, now)
 	}
 	return l, true
 }
 
+// lane returns what is known of the prompts of a service.
+func (b *Balancer) lane(service string) *lanes {
+	key := ServiceKeyOf(service)
+	l, ok := b.lanes[key]
+	if !ok {
+		l = &lanes{}
+		b.lanes[key] = l
+	}
+	return l
+}
+
 func (b *Balancer) server(key ServerKey, now time.Time) *server {
 	s, ok := b.servers[key]
 	if !ok {
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -206,7 +206,7 @@
 func tellEachOther(one, two *Balancer, now time.Time) {
 	for _, b := range [][2]*Balancer{{one, two}, {two, one}} {
 		r := b[0].Report(now)
-		b[1].SetOthers(r.Loads, now)
+		b[1].SetOthers(r.Loads, r.Demands, now)
 		b[1].NotePlacements(r.Placements, now)
 	}
 }
@@ -229,7 +229,7 @@
 	long.Begun(now)
 	tellEachOther(one, two, now)
 	assert.Zero(t, two.other(two.servers[KeyOf(long.Server.ID)], now), "the end is told as well")
-	two.SetOthers(map[ServerKey]Load{KeyOf(long.Server.ID): {Unread: 9000}}, now)
+	two.SetOthers(map[ServerKey]Load{KeyOf(long.Server.ID): {Unread: 9000}}, nil, now)
 	assert.Equal(t, 9000, two.other(two.servers[KeyOf(long.Server.ID)], now).Unread)
 	assert.Zero(t, two.other(two.servers[KeyOf(long.Server.ID)], now.Add(othersFor+time.Millisecond)), "others that fall silent are forgotten")
 }
@@ -241,7 +241,7 @@
 	one, two := New(log.NewNopLogger()), New(log.NewNopLogger())
 	q := query(9, "part")
 	home, _ := one.Pick(q, now)
-	one.SetOthers(map[ServerKey]Load{KeyOf(home.Server.ID): {Unread: 500000}}, now)
+	one.SetOthers(map[ServerKey]Load{KeyOf(home.Server.ID): {Unread: 500000}}, nil, now)
 	away, _ := one.Pick(q, now)
 	require.NotEqual(t, home.Server.ID, away.Server.ID)
 	assert.Empty(t, away.Source, "the home has not read it yet")
@@ -252,7 +252,7 @@
 	l, _ := two.Pick(q, now)
 	assert.Equal(t, away.Server.ID, l.Server.ID, "not the home, which does not keep it")
 	now = now.Add(assignedFor + time.Millisecond)
-	two.SetOthers(map[ServerKey]Load{KeyOf(away.Server.ID): {Unread: 500000}}, now)
+	two.SetOthers(map[ServerKey]Load{KeyOf(away.Server.ID): {Unread: 500000}}, nil, now)
 	l, _ = two.Pick(q, now)
 	assert.NotEqual(t, away.Server.ID, l.Server.ID)
 	assert.Equal(t, away.Server.Address, l.Source)
@@ -300,9 +300,9 @@
 		l.Done(ResultAbandoned, now)
 		return l.Server.ID
 	}
-	b.SetOthers(map[ServerKey]Load{KeyOf("i-0"): {Down: downLeast - 1}}, now)
+	b.SetOthers(map[ServerKey]Load{KeyOf("i-0"): {Down: downLeast - 1}}, nil, now)
 	assert.Eventually(t, func() bool { return pick() == "i-0" }, 10*time.Second, time.Microsecond, "one box may be cut off itself")
-	b.SetOthers(map[ServerKey]Load{KeyOf("i-0"): {Down: downLeast}}, now)
+	b.SetOthers(map[ServerKey]Load{KeyOf("i-0"): {Down: downLeast}}, nil, now)
 	for range 20 {
 		assert.Equal(t, "i-1", pick())
 	}
@@ -322,7 +322,7 @@
 		loads[KeyOf(s.ID)] = Load{Unread: 30000}
 	}
 	loads[KeyOf(home.Server.ID)] = Load{Unread: 60000}
-	b.SetOthers(loads, now)
+	b.SetOthers(loads, nil, now)
 	l, _ := b.Pick(q, now)
 	assert.Equal(t, home.Server.ID, l.Server.ID)
 }
--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -20,6 +20,9 @@
 	// busyTokens is the mean of unread tokens a server at which reading again costs
 	// once more: the busier all are, the more requests it delays.
 	busyTokens = 3000.0
+	// coldFactor is what a token of a prefix that nobody is known to keep costs away
+	// from its home, where other boxes look for it.
+	coldFactor = 0.5
 	// moveFactor is what a token costs that is taken from another server.
 	moveFactor = 0.3
 	// runningCost is what one running request costs those beside it.
@@ -41,6 +44,8 @@
 	routing.Server
 	state *server
 	home  bool
+	short bool
+	lane  int
 	// kept is what the server keeps or is about to read, read what it has read.
 	kept int
 	read int
@@ -65,6 +70,7 @@
 	p := b.placing(q, choices, now)
 	for i := range choices {
 		p.price(&choices[i])
+		p.priceLane(&choices[i], i)
 	}
 	if !q.Repeatable {
 		choices = sound(choices)
@@ -110,10 +116,20 @@
 	home string
 	// source has read more of the prefix than any other candidate.
 	source choice
+	// short tells that the request's prompts are short. Its lane is from begin to end,
+	// lane is the number of servers for short ones.
+	short            bool
+	lane, begin, end int
 }
 
 func (b *Balancer) placing(q Query, choices []choice, now time.Time) placing {
-	p := placing{balancer: b, query: q, now: now, shared: tokens(q.shared())}
+	p := placing{balancer: b, query: q, now: now, shared: tokens(q.shared()), end: len(choices)}
+	if q.Engine {
+		l := b.lane(q.Service)
+		p.short = l.short(q.Class, q.Tokens)
+		p.lane = l.size(len(choices), now)
+		p.begin, p.end = laneOf(choices, p.lane, p.short)
+	}
 	known := 0
 	unread := 0
 	for _, c := range choices {
@@ -125,7 +141,7 @@
 	}
 	p.missCost = missFactor + float64(unread)/float64(len(choices))/busyTokens
 	if known == 0 {
-		p.home = homeOf(q, choices)
+		p.home = homeOf(q, choices[p.begin:p.end])
 	}
 	return p
 }
@@ -147,9 +163,25 @@
 		c.cost += moveFactor * float64(moved)
 		missing -= moved
 	}
+	if p.home != "" {
+		c.cost += coldFactor * float64(missing)
+		return
+	}
 	c.cost += p.missCost * float64(missing)
 }
 
+// priceLane adds what a server of the other lane costs.
+func (p *placing) priceLane(c *choice, place int) {
+	c.short, c.lane = p.short, p.lane
+	switch {
+	case place >= p.begin && place < p.end:
+	case p.short:
+		c.cost += shortAwayCost
+	default:
+		c.cost += longAwayCost
+	}
+}
+
 // sound leaves out the servers that fail clearly more often than the best one. A
 // server that fails at once looks idle, so that its cost alone would draw requests.
 func sound(list []choice) []choice {
--- /dev/null
+++ b/pkg/balancer/lanes.go
@@ -0,0 +1,118 @@
+package balancer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// While an engine reads a long prompt, the tokens of all that runs beside it come
+// slowly. So requests of classes with short prompts get servers of their own, a lane,
+// as many as their share of all reading asks for. Lanes are preferences: a server of
+// the other lane is taken when it costs less all the same.
+const (
+	// shortShare is the part of the mean prompt of a service up to which the mean
+	// prompt of a class is short.
+	shortShare = 0.25
+	// laneHeadroom is how many servers the short lane gets beyond its share.
+	laneHeadroom = 1.5
+	// laneMost bounds the short lane's part of the servers.
+	laneMost = 0.6
+	// shortAwayCost is what a short prompt costs in the long lane, longAwayCost what a
+	// long one costs in the short lane.
+	shortAwayCost = 6000.0
+	longAwayCost  = 20000.0
+	// demandTime is the time over which demand is averaged.
+	demandTime = 2 * time.Second
+	// meanWeight is the weight of a new prompt in the mean of its class.
+	meanWeight = 0.05
+)
+
+// Demand is what the requests of a service have its servers read, in tokens a second.
+type Demand struct {
+	Short float64
+	Long  float64
+}
+
+// ServiceKey is a service's name as boxes name it to each other, in short.
+type ServiceKey uint32
+
+// ServiceKeyOf is the key of a service.
+func ServiceKeyOf(name string) ServiceKey { return ServiceKey(xxhash.Sum64String(name)) }
+
+// lanes is what is known of the prompts of one service.
+type lanes struct {
+	mean    float64
+	classes map[string]float64
+	// own is this box's demand up to a time, others that of the other boxes.
+	own    Demand
+	since  time.Time
+	others Demand
+}
+
+// short tells whether the prompts of a class are short, and takes one more in.
+func (l *lanes) short(class string, tokens int) bool {
+	if l.classes == nil {
+		l.classes = make(map[string]float64)
+	}
+	if _, known := l.classes[class]; !known {
+		l.classes[class] = float64(tokens)
+	}
+	if l.mean == 0 {
+		l.mean = float64(tokens)
+	}
+	l.classes[class] += meanWeight * (float64(tokens) - l.classes[class])
+	l.mean += meanWeight * (float64(tokens) - l.mean)
+	return l.classes[class] < shortShare*l.mean
+}
+
+// note counts tokens that a server is to read.
+func (l *lanes) note(short bool, tokens int, now time.Time) {
+	l.decay(now)
+	rate := float64(tokens) / demandTime.Seconds()
+	if short {
+		l.own.Short += rate
+		return
+	}
+	l.own.Long += rate
+}
+
+func (l *lanes) decay(now time.Time) {
+	if !l.since.IsZero() {
+		f := math.Exp(-now.Sub(l.since).Seconds() / demandTime.Seconds())
+		l.own.Short *= f
+		l.own.Long *= f
+	}
+	l.since = now
+}
+
+// size is how many of some servers belong to the short lane; none if it would be less
+// than half a server.
+func (l *lanes) size(servers int, now time.Time) int {
+	l.decay(now)
+	short, long := l.own.Short+l.others.Short, l.own.Long+l.others.Long
+	if short+long == 0 {
+		return 0
+	}
+	share := min(laneHeadroom*short/(short+long), laneMost)
+	return int(math.Round(share * float64(servers)))
+}
+
+// laneOf orders choices so that those of the short lane come first, and returns where
+// the lane of a request begins and ends. Boxes that find the same servers usable agree
+// on the order.
+func laneOf(choices []choice, size int, short bool) (begin, end int) {
+	slices.SortFunc(choices, func(a, b choice) int {
+		return cmp.Or(cmp.Compare(a.state.key, b.state.key), cmp.Compare(a.ID, b.ID))
+	})
+	switch {
+	case size == 0:
+		return 0, len(choices)
+	case short:
+		return 0, size
+	}
+	return size, len(choices)
+}
--- a/pkg/balancer/share.go
+++ b/pkg/balancer/share.go
@@ -55,6 +55,8 @@
 	Loads map[ServerKey]Load
 	// Placements are those since the last report.
 	Placements []Placement
+	// Demands are by service.
+	Demands map[ServiceKey]Demand
 }
 
 // OnChange sets who is told that there is something to report. It must not block, nor
@@ -65,7 +67,11 @@
 func (b *Balancer) Report(now time.Time) Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := Report{Loads: make(map[ServerKey]Load), Placements: b.placements}
+	r := Report{Loads: make(map[ServerKey]Load), Placements: b.placements, Demands: make(map[ServiceKey]Demand)}
+	for key, l := range b.lanes {
+		l.decay(now)
+		r.Demands[key] = l.own
+	}
 	b.placements = nil
 	for _, s := range b.servers {
 		l := Load{Unread: s.unread}
@@ -81,10 +87,15 @@
 }
 
 // SetOthers takes in what all other boxes together have the servers do.
-func (b *Balancer) SetOthers(loads map[ServerKey]Load, now time.Time) {
+func (b *Balancer) SetOthers(loads map[ServerKey]Load, demands map[ServiceKey]Demand, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.others, b.othersHeard = loads, now
+	for key, d := range demands {
+		if l, ok := b.lanes[key]; ok {
+			l.others = d
+		}
+	}
 }
 
 // NotePlacements takes in where other boxes have sent prompts.
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -158,6 +158,8 @@
 		Bytes:      len(x.body),
 		Avoid:      x.tried(),
 		Engine:     x.service.Engine,
+		Service:    x.service.Name,
+		Class:      x.route.Name,
 		Repeatable: x.route.Repeatable() && len(x.servers)+1 < x.route.MaxAttempts,
 	}
 }
--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -34,13 +34,27 @@
 	placementsMost = 50
 )
 
-// loads are what boxes have servers do.
-type loads = map[balancer.ServerKey]balancer.Load
+// Loads and demands of some boxes.
+type (
+	loads   = map[balancer.ServerKey]balancer.Load
+	demands = map[balancer.ServiceKey]balancer.Demand
+)
+
+// work is what some boxes have the servers do.
+type work struct {
+	loads   loads
+	demands demands
+}
+
+func newWork() work { return work{loads: make(loads), demands: make(demands)} }
 
 // split cuts a round of loads into messages.
-func split(hall string, round uint32, all loads) []*loadpb.Loads {
+func split(hall string, round uint32, all work) []*loadpb.Loads {
 	list := []*loadpb.Loads{{Hall: hall, Round: round}}
-	for key, l := range all {
+	for key, d := range all.demands {
+		list[0].Demands = append(list[0].Demands, &loadpb.Demand{Service: uint32(key), Short: uint32(d.Short), Long: uint32(d.Long)})
+	}
+	for key, l := range all.loads {
 		m := list[len(list)-1]
 		if len(m.Servers)+len(m.Down) >= loadsMost {
 			m = &loadpb.Loads{Hall: hall, Round: round}
@@ -60,7 +74,11 @@
 }
 
 // read adds a message's loads to those of its round.
-func read(m *loadpb.Loads, to loads) {
+func read(m *loadpb.Loads, w work) {
+	to := w.loads
+	for _, d := range m.GetDemands() {
+		w.demands[balancer.ServiceKey(d.GetService())] = balancer.Demand{Short: float64(d.GetShort()), Long: float64(d.GetLong())}
+	}
 	for i, key := range m.GetServers() {
 		l := to[balancer.ServerKey(key)]
 		l.Unread = bounded(m.GetUnread()[i])
@@ -100,52 +118,52 @@
 type pendingRound struct {
 	round uint32
 	parts map[uint32]bool
-	loads loads
+	work  work
 }
 
 // partsMost bounds the parts of a round that is believed.
 const partsMost = 1000
 
 // add takes a part in. It returns the whole round with its last part.
-func (r rounds) add(sender string, m *loadpb.Loads) (loads, bool) {
+func (r rounds) add(sender string, m *loadpb.Loads) (work, bool) {
 	if m.GetParts() > partsMost || m.GetPart() >= m.GetParts() || len(m.GetServers()) != len(m.GetUnread()) || len(m.GetDown()) != len(m.GetBoxes()) {
-		return nil, false
+		return work{}, false
 	}
 	p := r[sender]
 	if p == nil || p.round != m.GetRound() {
-		p = &pendingRound{round: m.GetRound(), parts: make(map[uint32]bool), loads: make(loads)}
+		p = &pendingRound{round: m.GetRound(), parts: make(map[uint32]bool), work: newWork()}
 		r[sender] = p
 	}
 	p.parts[m.GetPart()] = true
-	read(m, p.loads)
+	read(m, p.work)
 	if len(p.parts) < int(m.GetParts()) {
-		return nil, false
+		return work{}, false
 	}
 	delete(r, sender)
-	return p.loads, true
+	return p.work, true
 }
 
-// loadTable holds the loads that some senders have told last.
-type loadTable map[string]toldLoads
+// workTable holds what some senders have told last.
+type workTable map[string]toldWork
 
-type toldLoads struct {
-	loads loads
+type toldWork struct {
+	work
 	heard time.Time
 }
 
 // sum adds up what all senders have told.
-func (t loadTable) sum(now time.Time) loads {
-	total := make(loads)
+func (t workTable) sum(now time.Time) work {
+	total := newWork()
 	for _, told := range t {
 		if now.Sub(told.heard) <= believed {
-			add(total, told.loads)
+			total.add(told.work)
 		}
 	}
 	return total
 }
 
 // forget drops senders that have fallen silent.
-func (t loadTable) forget(now time.Time) {
+func (t workTable) forget(now time.Time) {
 	for sender, told := range t {
 		if now.Sub(told.heard) > believed {
 			delete(t, sender)
@@ -153,29 +171,41 @@
 	}
 }
 
-// add adds loads to a total.
-func add(total, more loads) {
-	for id, l := range more {
-		sum := total[id]
+// add adds other work to this.
+func (w work) add(more work) {
+	for key, l := range more.loads {
+		sum := w.loads[key]
 		sum.Unread += l.Unread
 		sum.Down += l.Down
-		total[id] = sum
+		w.loads[key] = sum
+	}
+	for key, d := range more.demands {
+		sum := w.demands[key]
+		sum.Short += d.Short
+		sum.Long += d.Long
+		w.demands[key] = sum
 	}
 }
 
-// without is a total less the loads of one sender. The total may hold an older word of
+// without is a total less the work of one sender. The total may hold an older word of
 // that sender.
-func without(total, told loads) loads {
-	rest := maps.Clone(total)
-	for id, l := range told {
-		sum := rest[id]
+func (w work) without(told work) work {
+	rest := work{loads: maps.Clone(w.loads), demands: maps.Clone(w.demands)}
+	for key, l := range told.loads {
+		sum := rest.loads[key]
 		sum.Unread = max(0, sum.Unread-l.Unread)
 		sum.Down = max(0, sum.Down-l.Down)
 		if sum == (balancer.Load{}) {
-			delete(rest, id)
+			delete(rest.loads, key)
 			continue
 		}
-		rest[id] = sum
+		rest.loads[key] = sum
+	}
+	for key, d := range told.demands {
+		sum := rest.demands[key]
+		sum.Short = max(0, sum.Short-d.Short)
+		sum.Long = max(0, sum.Long-d.Long)
+		rest.demands[key] = sum
 	}
 	return rest
 }
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -40,12 +40,12 @@
 	round  uint32
 	rounds rounds
 	// boxes are the reports of this hall's boxes, halls the summaries of others'.
-	boxes loadTable
-	halls loadTable
+	boxes workTable
+	halls workTable
 	// placements wait to be passed on to this hall, and to other halls.
 	toHall, toHalls []balancer.Placement
 	// told is what this box reported last.
-	told loads
+	told work
 	// known is worked out from entries.
 	entries []roster.Entry
 	known   []member
@@ -72,7 +72,7 @@
 func New(d Deps) *Sharer {
 	s := &Sharer{
 		Deps: d, changed: make(chan struct{}, 1), inbox: make(chan message, inboxMost), round: rand.Uint32(),
-		silence: newSilence(), boxes: make(loadTable), halls: make(loadTable), rounds: make(rounds),
+		silence: newSilence(), boxes: make(workTable), halls: make(workTable), rounds: make(rounds),
 	}
 	for _, kind := range []string{kindReport, kindSummary} {
 		d.Port.Handle(kind, func(m datagram.Message) {
@@ -160,13 +160,13 @@
 	switch {
 	case !whole:
 	case in.kind == kindReport:
-		s.boxes[in.from] = toldLoads{loads: all, heard: in.received}
+		s.boxes[in.from] = toldWork{work: all, heard: in.received}
 		s.dirty = true
 	case in.loads.GetHall() == s.Hall:
 		s.silence.heard(in.from)
 		s.setOthers(all, in.received)
 	default:
-		s.halls[in.loads.GetHall()] = toldLoads{loads: all, heard: in.received}
+		s.halls[in.loads.GetHall()] = toldWork{work: all, heard: in.received}
 		s.dirty = true
 	}
 }
@@ -195,26 +195,26 @@
 	if empty && s.idle {
 		return
 	}
-	s.idle, s.told = empty, r.Loads
+	s.idle, s.told = empty, work{loads: r.Loads, demands: r.Demands}
 	relays := s.silence.relays(s.members(), s.Hall, now)
 	var others []*net.UDPAddr
 	for _, m := range relays {
 		if m.box == s.Box {
-			s.relayOwn(r, now)
+			s.relayOwn(r.Placements, now)
 			continue
 		}
 		s.silence.told(m.box, now)
 		others = append(others, m.address)
 	}
-	s.sendLoads(kindReport, r.Loads, others)
+	s.sendWork(kindReport, s.told, others)
 	s.sendPlacements(kindPlaced, r.Placements, others)
 }
 
 // relayOwn takes this box's own report in where it is a relay itself.
-func (s *Sharer) relayOwn(r balancer.Report, now time.Time) {
-	s.boxes[s.Box] = toldLoads{loads: r.Loads, heard: now}
-	s.toHalls = append(s.toHalls, r.Placements...)
-	s.toHall = append(s.toHall, r.Placements...)
+func (s *Sharer) relayOwn(placements []balancer.Placement, now time.Time) {
+	s.boxes[s.Box] = toldWork{work: s.told, heard: now}
+	s.toHalls = append(s.toHalls, placements...)
+	s.toHall = append(s.toHall, placements...)
 	s.dirty = true
 }
 
@@ -225,11 +225,11 @@
 	members := s.members()
 	own := s.boxes.sum(now)
 	if len(s.boxes) > 0 {
-		s.sendLoads(kindSummary, own, s.otherRelays(members, now))
+		s.sendWork(kindSummary, own, s.otherRelays(members, now))
 	}
-	add(own, s.halls.sum(now))
+	own.add(s.halls.sum(now))
 	s.setOthers(own, now)
-	s.sendLoads(kindSummary, own, s.sameHall(members))
+	s.sendWork(kindSummary, own, s.sameHall(members))
 	s.sendPlacements(kindPassed, s.toHalls, s.otherRelays(members, now))
 	s.sendPlacements(kindPassed, s.toHall, s.sameHall(members))
 	s.toHall, s.toHalls = nil, nil
@@ -262,8 +262,8 @@
 	return list
 }
 
-// sendLoads sends a round of loads.
-func (s *Sharer) sendLoads(kind string, all loads, to []*net.UDPAddr) {
+// sendWork sends a round of loads.
+func (s *Sharer) sendWork(kind string, all work, to []*net.UDPAddr) {
 	s.round++
 	for _, m := range split(s.Hall, s.round, all) {
 		s.send(kind, m, to)
@@ -287,8 +287,9 @@
 
 // setOthers hands the balancer what all boxes do, less what this one has told of
 // itself.
-func (s *Sharer) setOthers(total loads, now time.Time) {
-	s.Balancer.SetOthers(without(total, s.told), now)
+func (s *Sharer) setOthers(total work, now time.Time) {
+	others := total.without(s.told)
+	s.Balancer.SetOthers(others.loads, others.demands, now)
 }
 
 // members are the boxes of the roster, worked out anew when that has changed.
--- a/pkg/loadshare/sharer_test.go
+++ b/pkg/loadshare/sharer_test.go
@@ -178,7 +178,7 @@
 		all[balancer.ServerKey(i)] = balancer.Load{Unread: i + 1}
 	}
 	all[0] = balancer.Load{Unread: 1, Down: 3}
-	parts := split("hall", 7, all)
+	parts := split("hall", 7, work{loads: all, demands: demands{9: {Short: 5, Long: 6}}})
 	require.Len(t, parts, 3)
 	r := make(rounds)
 	_, whole := r.add("box", parts[2])
@@ -189,31 +189,32 @@
 	assert.False(t, whole, "another sender's round")
 	got, whole := r.add("box", parts[1])
 	assert.True(t, whole)
-	assert.Equal(t, all, got)
+	assert.Equal(t, work{loads: all, demands: demands{9: {Short: 5, Long: 6}}}, got)
 	for _, m := range []*loadpb.Loads{{Part: 3, Parts: 3}, {}, {Parts: 1, Servers: []uint32{1}}, {Parts: 1, Down: []uint32{1}}} {
 		_, whole = r.add("box", m)
 		assert.False(t, whole, "%v", m)
 	}
-	assert.Len(t, split("hall", 8, nil), 1, "that nothing runs is told too")
+	assert.Len(t, split("hall", 8, work{}), 1, "that nothing runs is told too")
 }
 
 func TestSumsHoldEachBoxOnce(t *testing.T) {
 	now := time.Now()
-	table := loadTable{
-		"a":   {loads: loads{1: {Unread: 3, Down: 1}}, heard: now},
-		"b":   {loads: loads{1: {Unread: 4}, 2: {Unread: 5}}, heard: now},
-		"old": {loads: loads{1: {Unread: 100}}, heard: now.Add(-believed - time.Second)},
+	table := workTable{
+		"a":   {work: work{loads: loads{1: {Unread: 3, Down: 1}}, demands: demands{9: {Short: 1, Long: 2}}}, heard: now},
+		"b":   {work: work{loads: loads{1: {Unread: 4}, 2: {Unread: 5}}, demands: demands{9: {Short: 10}}}, heard: now},
+		"old": {work: work{loads: loads{1: {Unread: 100}}}, heard: now.Add(-believed - time.Second)},
 	}
 	total := table.sum(now)
-	assert.Equal(t, loads{1: {Unread: 7, Down: 1}, 2: {Unread: 5}}, total)
-	assert.Equal(t, loads{1: {Unread: 3, Down: 1}}, without(total, table["b"].loads))
-	assert.Equal(t, loads{2: {Unread: 5}}, without(total, loads{1: {Unread: 8, Down: 2}}), "a younger word than the total holds")
+	assert.Equal(t, work{loads: loads{1: {Unread: 7, Down: 1}, 2: {Unread: 5}}, demands: demands{9: {Short: 11, Long: 2}}}, total)
+	assert.Equal(t, work{loads: loads{1: {Unread: 3, Down: 1}}, demands: demands{9: {Short: 1, Long: 2}}}, total.without(table["b"].work))
+	younger := work{loads: loads{1: {Unread: 8, Down: 2}}}
+	assert.Equal(t, loads{2: {Unread: 5}}, total.without(younger).loads, "the total holds an older word")
 	table.forget(now)
 	assert.Len(t, table, 2)
 }
 
 func FuzzMessages(f *testing.F) {
-	for _, m := range split("hall", 1, loads{1: {Unread: 5}, 2: {Down: 2}}) {
+	for _, m := range split("hall", 1, work{loads: loads{1: {Unread: 5}, 2: {Down: 2}}, demands: demands{3: {Short: 1}}}) {
 		body, _ := proto.Marshal(m)
 		f.Add(body)
 	}
@@ -222,7 +223,7 @@
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		s := &Sharer{
 			Deps:    Deps{Box: "box", Hall: "hall", Balancer: balancer.New(log.NewNopLogger())},
-			silence: newSilence(), boxes: make(loadTable), halls: make(loadTable), rounds: make(rounds),
+			silence: newSilence(), boxes: make(workTable), halls: make(workTable), rounds: make(rounds),
 		}
 		m, p := &loadpb.Loads{}, &loadpb.Placements{}
 		if proto.Unmarshal(data, m) == nil {
