--- a/pkg/balancer/lanes.go
+++ b/pkg/balancer/lanes.go
@@ -18,7 +18,7 @@
 	// prompt of a class is short.
 	shortShare = 0.25
 	// laneHeadroom is how many servers the short lane gets beyond its share.
-	laneHeadroom = 1.5
+	laneHeadroom = 2.0
 	// laneMost bounds the short lane's part of the servers.
 	laneMost = 0.6
 	// shortAwayCost is what a short prompt costs in the long lane, longAwayCost what a
