directory: changes of the table are told as deltas, also those found by a check

Now a delta between two versions goes by datagram; it is applied only on the very version that it begins at, and only if the result's digest is the sender's.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -15,6 +15,7 @@
 
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/routing"
 )
 
 // Timing says how often the store is checked.
@@ -61,8 +62,10 @@
 type message struct {
 	Check *checkMessage `json:"check,omitempty"`
 	Delta *deltaMessage `json:"delta,omitempty"`
-	// TableChanged is the revision of a table that a reader has just seen.
-	TableChanged uint64 `json:"table_changed,omitempty"`
+	// TableChanged is the revision of a table that a box has just seen, Table what has
+	// changed in it.
+	TableChanged uint64         `json:"table_changed,omitempty"`
+	Table        *routing.Delta `json:"table,omitempty"`
 
 	received time.Time
 }
@@ -122,7 +125,7 @@
 	if m.Delta != nil {
 		c.Directory.Apply(directory.Delta{From: m.Delta.From, To: m.Delta.To, Events: m.Delta.Events})
 	}
-	c.Directory.Noticed(directory.Notice{TableChanged: m.TableChanged})
+	c.Directory.Noticed(directory.Notice{TableChanged: m.TableChanged, Table: m.Table})
 	if m.Check == nil {
 		return false
 	}
@@ -155,21 +158,23 @@
 }
 
 func (c *Checker) tellNotice(n directory.Notice) {
-	m := message{TableChanged: n.TableChanged}
+	m := message{TableChanged: n.TableChanged, Table: n.Table}
 	if n.Delta != nil {
 		m.Delta = &deltaMessage{From: n.Delta.From, To: n.Delta.To, Events: n.Delta.Events}
 	}
 	c.tell(m)
 }
 
-// tell sends a message to all other boxes. One that is lost, or too long for a
-// datagram, makes its receiver ask for itself.
+// tell sends a message to all other boxes. One that is lost makes its receiver ask for
+// itself, and so does a change that is too long for a datagram.
 func (c *Checker) tell(m message) {
 	body, err := json.Marshal(m)
-	if err != nil {
+	if err == nil && c.Port.Send(kind, body, c.Peers()...) {
 		return
 	}
-	c.Port.Send(kind, body, c.Peers()...)
+	if m.Table != nil {
+		c.tell(message{TableChanged: m.TableChanged})
+	}
 }
 
 // receive takes a datagram in. While the checker is busy more are dropped.
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -66,6 +66,8 @@
 	table, list follower
 	onNotice    func(Notice)
 	applying    sync.Mutex
+	// verifying counts the checks of the source that are under way.
+	verifying atomic.Int32
 
 	mu      sync.Mutex
 	servers map[string]Server
@@ -87,6 +89,8 @@
 	// not wait.
 	cancel  context.CancelCauseFunc
 	hurried bool
+	// historyLost says that the whole has to be read again.
+	historyLost bool
 }
 
 // New returns an empty directory.
@@ -151,21 +155,26 @@
 	return b
 }
 
-// setServers replaces the whole list.
-func (d *Directory) setServers(list []routing.Server, at time.Time) {
+// setServers replaces the whole list and returns what has changed.
+func (d *Directory) setServers(list []routing.Server, at time.Time) []ServerEvent {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var events []ServerEvent
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
-		d.setServer(s)
+		if d.setServer(s) {
+			events = append(events, ServerEvent{Server: s})
+		}
 	}
 	for id, s := range d.servers {
 		if !listed[id] && s.Removed.IsZero() {
 			d.removeServer(id, at)
+			events = append(events, ServerEvent{Server: routing.Server{ID: id}, Removed: true})
 		}
 	}
 	d.publishServers(at)
+	return events
 }
 
 // changeServers takes changes of the list in.
@@ -188,13 +197,15 @@
 	d.publishServers(at)
 }
 
-func (d *Directory) setServer(s routing.Server) {
+// setServer takes one server in. It returns whether that changes anything.
+func (d *Directory) setServer(s routing.Server) bool {
 	old, known := d.servers[s.ID]
 	if known && old.Removed.IsZero() && old.Server == s {
-		return
+		return false
 	}
 	_ = level.Info(d.logger).Log("msg", "server listed", "server", s.ID, "service", s.Service, "address", s.Address, "leaving", s.Leaving, "known", known)
 	d.servers[s.ID] = Server{Server: s}
+	return true
 }
 
 func (d *Directory) removeServer(id string, at time.Time) {
--- a/pkg/directory/follow.go
+++ b/pkg/directory/follow.go
@@ -67,7 +67,9 @@
 	if err != nil {
 		return known{}, err
 	}
+	before := p.directory.View().Table
 	p.directory.setTable(read.Table, asked)
+	p.directory.tellTable(before, read, briefly)
 	return known{revision: read.Revision, changed: read.Changed}, nil
 }
 
@@ -76,10 +78,9 @@
 	if err != nil {
 		return known{}, err
 	}
+	before := p.directory.View().Table
 	p.directory.setTable(read.Table, time.Now())
-	if read.Table != nil && wait > briefly {
-		p.directory.tell(Notice{TableChanged: read.Changed})
-	}
+	p.directory.tellTable(before, read, wait)
 	return known{revision: read.Revision, changed: read.Changed}, nil
 }
 
@@ -104,7 +105,11 @@
 		servers = append(servers, page.Servers...)
 		from = page.Next
 	}
-	p.directory.setServers(servers, asked)
+	before := p.directory.list.known().revision
+	events := p.directory.setServers(servers, asked)
+	if before > 0 {
+		p.directory.tellServers(Delta{From: before, To: revision, Events: events}, briefly)
+	}
 	// A list does not show what was removed before, nor when.
 	return known{revision: revision, changed: revision}, nil
 }
@@ -137,11 +142,7 @@
 	}
 	delta := Delta{From: after, To: changes.Revision, Events: changes.Events}
 	p.directory.Apply(delta)
-	// Only a watch that waits is ahead of the others: those that ask briefly were
-	// told by somebody.
-	if len(delta.Events) > 0 && wait > briefly {
-		p.directory.tell(Notice{Delta: &delta})
-	}
+	p.directory.tellServers(delta, wait)
 	return p.directory.list.known(), nil
 }
 
@@ -170,7 +171,7 @@
 // history is lost.
 func (f *follower) run(ctx context.Context, t Timing, p part, reader func() bool) {
 	for ctx.Err() == nil {
-		if f.knows() && !f.mustAsk(reader) {
+		if f.watchable() && !f.mustAsk(reader) {
 			f.rest(ctx)
 			continue
 		}
@@ -213,12 +214,13 @@
 }
 
 func (f *follower) ask(ctx context.Context, t Timing, p part) error {
-	if f.knows() {
+	if f.watchable() {
 		return f.watchOnce(ctx, t, p)
 	}
 	k, err := p.read(ctx, time.Now())
 	if err == nil {
 		f.advance(k)
+		f.wasRead()
 	}
 	return err
 }
--- a/pkg/directory/share.go
+++ b/pkg/directory/share.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"headhill.example/headhill/pkg/routing"
 )
 
 // Check is what is known of the source at a moment: its revision, and at which
@@ -22,9 +24,11 @@
 }
 
 // Verify brings both parts up to a revision that the source had when it was asked.
-// It returns what other boxes may rely on; false if the source did not answer in
-// time.
+// What it finds changed is told to the other boxes. It returns what they may rely on;
+// false if the source did not answer in time.
 func (d *Directory) Verify(ctx context.Context, revision uint64, asked time.Time, t Timing) (Check, bool) {
+	d.verifying.Add(1)
+	defer d.verifying.Add(-1)
 	for _, f := range []*follower{&d.table, &d.list} {
 		if f.known().revision < revision {
 			f.hurry()
@@ -71,46 +75,98 @@
 	d.list.advance(k)
 }
 
-// Notice is what a reader has just seen: a change of the table, or of the list.
+// Notice is what a box has seen before the others: a change of the table, or of the
+// list.
 type Notice struct {
 	// TableChanged is the revision of the new table, zero for none.
 	TableChanged uint64
-	Delta        *Delta
+	// Table leads to the new table from the one before; nil if there was none.
+	Table *routing.Delta
+	Delta *Delta
 }
 
 // OnNotice sets who is told of changes that this box sees first.
 func (d *Directory) OnNotice(f func(Notice)) { d.onNotice = f }
 
-func (d *Directory) tell(n Notice) {
-	if d.onNotice != nil {
-		d.onNotice(n)
+// tellTable tells of a new table if this box is ahead of the others.
+func (d *Directory) tellTable(before *routing.Table, read TableRead, wait time.Duration) {
+	if read.Table == nil || !d.ahead(wait) {
+		return
+	}
+	n := Notice{TableChanged: read.Changed}
+	if before != nil && before.Version < read.Table.Version {
+		delta := routing.Diff(before, read.Table)
+		n.Table = &delta
+	}
+	d.onNotice(n)
+}
+
+// tellServers tells of a change of the list if this box is ahead of the others.
+func (d *Directory) tellServers(delta Delta, wait time.Duration) {
+	if len(delta.Events) > 0 && d.ahead(wait) {
+		d.onNotice(Notice{Delta: &delta})
 	}
 }
 
-// Noticed takes in what a reader has seen.
+// ahead tells whether what is read now is news for the others: it is for a watch that
+// waits, and while this box checks the source for all. Who asks briefly otherwise was
+// told by somebody.
+func (d *Directory) ahead(wait time.Duration) bool {
+	return d.onNotice != nil && (wait > briefly || d.verifying.Load() > 0)
+}
+
+// Noticed takes in what another box has seen.
 func (d *Directory) Noticed(n Notice) {
 	if n.Delta != nil {
 		d.Apply(*n.Delta)
 	}
+	if n.Table != nil {
+		d.applyTable(*n.Table, n.TableChanged)
+	}
 	if n.TableChanged > 0 {
 		d.table.heardOf(0, n.TableChanged)
 	}
 }
 
+// applyTable takes in a new table that follows on the one in force.
+func (d *Directory) applyTable(delta routing.Delta, changed uint64) {
+	before := d.View().Table
+	if before == nil || changed <= d.table.known().revision {
+		return
+	}
+	next, ok := before.Apply(delta)
+	if !ok {
+		return
+	}
+	d.setTable(next, time.Now())
+	d.table.advance(known{revision: changed, changed: changed})
+}
+
 func (f *follower) known() known {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.state
 }
 
-// knows tells whether the whole has been read.
-func (f *follower) knows() bool { return f.known().revision > 0 }
+// watchable tells whether changes since what is known can be asked for.
+func (f *follower) watchable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.revision > 0 && !f.historyLost
+}
 
 // forget makes the whole be read again.
 func (f *follower) forget() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.state.revision = 0
+	f.historyLost = true
+}
+
+// wasRead says that the whole has been read.
+func (f *follower) wasRead() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.historyLost = false
 }
 
 func (f *follower) advance(k known) {
--- /dev/null
+++ b/pkg/routing/delta.go
@@ -0,0 +1,120 @@
+package routing
+
+import (
+	"encoding/json"
+	"reflect"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Delta is what has changed between two versions of the configuration.
+type Delta struct {
+	From, To uint64
+	// Digest is that of the content of version To.
+	Digest        uint64
+	Limits        Limits
+	Routes        Changes[Route]
+	Services      Changes[Service]
+	Organisations Changes[Organisation]
+}
+
+// Changes are those of a list of named things.
+type Changes[T any] struct {
+	Set  []T      `json:",omitempty"`
+	Gone []string `json:",omitempty"`
+}
+
+func routeName(r Route) string               { return r.Name }
+func serviceName(s Service) string           { return s.Name }
+func organisationName(o Organisation) string { return o.Name }
+
+// Diff returns what leads from one table to another.
+func Diff(from, to *Table) Delta {
+	a, b := from.content, to.content
+	return Delta{
+		From: a.Version, To: b.Version, Digest: to.digest(), Limits: b.Limits,
+		Routes:        diff(a.Routes, b.Routes, routeName),
+		Services:      diff(a.Services, b.Services, serviceName),
+		Organisations: diff(a.Organisations, b.Organisations, organisationName),
+	}
+}
+
+// Apply returns the table that a delta leads to. It returns false if the delta does
+// not begin at this table, or if the result is not what its sender had.
+func (t *Table) Apply(d Delta) (*Table, bool) {
+	if d.From != t.Version || d.To <= d.From {
+		return nil, false
+	}
+	next := NewTable(Content{
+		Version: d.To, Limits: d.Limits,
+		Routes:        d.Routes.apply(t.content.Routes, routeName),
+		Services:      d.Services.apply(t.content.Services, serviceName),
+		Organisations: d.Organisations.apply(t.content.Organisations, organisationName),
+	})
+	return next, next.digest() == d.Digest
+}
+
+func diff[T any](from, to []T, name func(T) string) Changes[T] {
+	old := make(map[string]T, len(from))
+	for _, x := range from {
+		old[name(x)] = x
+	}
+	var c Changes[T]
+	for _, x := range to {
+		before, known := old[name(x)]
+		delete(old, name(x))
+		if !known || !reflect.DeepEqual(before, x) {
+			c.Set = append(c.Set, x)
+		}
+	}
+	for gone := range old {
+		c.Gone = append(c.Gone, gone)
+	}
+	return c
+}
+
+func (c Changes[T]) apply(list []T, name func(T) string) []T {
+	set := make(map[string]T, len(c.Set))
+	for _, x := range c.Set {
+		set[name(x)] = x
+	}
+	next := make([]T, 0, len(list)+len(c.Set))
+	for _, x := range list {
+		changed, ok := set[name(x)]
+		delete(set, name(x))
+		switch {
+		case ok:
+			next = append(next, changed)
+		case !slices.Contains(c.Gone, name(x)):
+			next = append(next, x)
+		}
+	}
+	for _, x := range c.Set {
+		if _, added := set[name(x)]; added {
+			next = append(next, x)
+		}
+	}
+	return next
+}
+
+// digest tells contents apart, whatever the order of their parts.
+func (t *Table) digest() uint64 {
+	sum := hashOf(t.content.Limits)
+	for _, x := range t.content.Routes {
+		sum += hashOf(x)
+	}
+	for _, x := range t.content.Services {
+		sum += hashOf(x)
+	}
+	for _, x := range t.content.Organisations {
+		sum += hashOf(x)
+	}
+	return sum
+}
+
+func hashOf(x any) uint64 {
+	// Plain structs always encode.
+	data, _ := json.Marshal(x)
+	return xxhash.Sum64(data)
+}
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -136,6 +136,7 @@
 	Version uint64
 	Limits  Limits
 
+	content  Content
 	routes   map[string][]*Route
 	services map[string]*Service
 	keys     map[string]*Organisation
@@ -153,6 +154,7 @@
 	t := &Table{
 		Version:  c.Version,
 		Limits:   c.Limits,
+		content:  c,
 		routes:   make(map[string][]*Route),
 		services: make(map[string]*Service, len(c.Services)),
 		keys:     make(map[string]*Organisation),
