--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -24,7 +24,7 @@
 	// from its home, where other boxes look for it.
 	coldFactor = 0.5
 	// moveFactor is what a token costs that is taken from another server.
-	moveFactor = 0.3
+	moveFactor = 3.0
 	// runningCost is what one running request costs those beside it.
 	runningCost = 300.0
 	// byteCost is what one byte sent to another hall costs.
