--- /dev/null
+++ b/pkg/balancer/lanes_test.go
@@ -0,0 +1,110 @@
+package balancer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// classQuery is a request of a class whose prompt has one part of its own.
+func classQuery(class string, tokens int) Query {
+	return Query{
+		Candidates: servers(20), Hall: "hall-0", Engine: true, Service: "models", Class: class,
+		Tokens: tokens, Parts: []Part{{ID: "own", Tokens: tokens}},
+	}
+}
+
+// Streams of short prompts keep away from servers that read long ones, also before
+// those have begun.
+func TestShortPromptsHaveServersOfTheirOwn(t *testing.T) {
+	now := time.Now()
+	b := New(log.NewNopLogger())
+	used := map[string]map[string]bool{"short": {}, "long": {}}
+	for i := range 400 {
+		class, tokens := "long", 12000
+		if i%4 == 0 {
+			class, tokens = "short", 1000
+		}
+		l, ok := b.Pick(classQuery(class, tokens), now)
+		require.True(t, ok)
+		if i >= 100 {
+			used[class][l.Server.ID] = true
+		}
+		now = now.Add(100 * time.Millisecond)
+		l.Begun(now)
+		l.Done(ResultDone, now)
+	}
+	assert.NotEmpty(t, used["short"])
+	for id := range used["short"] {
+		assert.False(t, used["long"][id], "server %s reads both", id)
+	}
+}
+
+// With one class alone there is nothing to be kept apart.
+func TestOneClassUsesAllServers(t *testing.T) {
+	now := time.Now()
+	b := New(log.NewNopLogger())
+	used := make(map[string]bool)
+	for range 400 {
+		l, _ := b.Pick(classQuery("only", 3000), now)
+		used[l.Server.ID] = true
+		now = now.Add(time.Millisecond)
+	}
+	assert.Len(t, used, 20)
+}
+
+func TestLaneGrowsWithItsDemand(t *testing.T) {
+	now := time.Now()
+	var l lanes
+	assert.Zero(t, l.size(20, now), "nothing is known")
+	l.note(false, 9000, now)
+	assert.Zero(t, l.size(20, now))
+	l.note(true, 1000, now)
+	assert.Equal(t, int(laneHeadroom*2), l.size(20, now))
+	assert.Zero(t, l.size(2, now), "less than half a server")
+	l.others = Demand{Short: 1e6}
+	assert.Equal(t, int(laneMost*20), l.size(20, now))
+	assert.InDelta(t, 0.1, l.own.Short/(l.own.Short+l.own.Long), 0.001)
+	l.others = Demand{}
+	l.decay(now.Add(20 * demandTime))
+	assert.Less(t, l.own.Long, 1.0, "demand is forgotten")
+}
+
+// Boxes agree on the lane though their candidates come in another order.
+func TestBoxesAgreeOnTheLane(t *testing.T) {
+	b := New(log.NewNopLogger())
+	lane := func(reverse bool) map[string]bool {
+		var choices []choice
+		for i := range 20 {
+			if reverse {
+				i = 19 - i
+			}
+			c := choice{Server: servers(20)[i]}
+			c.state = b.server(KeyOf(c.ID), time.Now())
+			choices = append(choices, c)
+		}
+		begin, end := laneOf(choices, 5, true)
+		ids := make(map[string]bool)
+		for _, c := range choices[begin:end] {
+			ids[c.ID] = true
+		}
+		return ids
+	}
+	assert.Equal(t, lane(false), lane(true))
+	assert.Len(t, lane(false), 5)
+}
+
+func TestShortClassesAreTold(t *testing.T) {
+	var l lanes
+	for i := range 200 {
+		l.short("long", 10000+i)
+		l.short("short", 1000)
+	}
+	assert.True(t, l.short("short", 5000), "one long prompt does not make a class long")
+	assert.False(t, l.short("long", 100))
+	assert.False(t, l.short(fmt.Sprint("new"), 8000))
+}
