--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -19,6 +19,9 @@
 	routing.Server
 	// Removed is when the list lost the server; zero while it is listed.
 	Removed time.Time
+	// Lapsed is until when a server that the list lost in an outage of the source is
+	// used as if it were listed; zero for others.
+	Lapsed time.Time
 }
 
 // View is one consistent state of the belief. It is immutable.
@@ -39,14 +42,14 @@
 func (v *View) ServersAge(now time.Time) time.Duration { return now.Sub(v.ServersRead) }
 
 // Candidates returns the servers of a service that may get new work: the listed
-// ones that are not leaving, or, if there is none, those that the list lost less
-// than grace ago.
+// ones that are not leaving, with those that lapsed in an outage and may be back in a
+// moment; or, if there is none, those that the list lost less than grace ago.
 func (v *View) Candidates(service string, now time.Time, grace time.Duration) []routing.Server {
 	var listed, lost []routing.Server
 	for _, s := range v.servers[service] {
 		switch {
 		case s.Leaving:
-		case s.Removed.IsZero():
+		case s.Removed.IsZero(), now.Before(s.Lapsed):
 			listed = append(listed, s.Server)
 		case now.Sub(s.Removed) < grace:
 			lost = append(lost, s.Server)
@@ -71,8 +74,19 @@
 
 	mu      sync.Mutex
 	servers map[string]Server
+	// returned is when the source was last back after an outage.
+	returned time.Time
 }
 
+const (
+	// outageLeast is how old the list must have grown for its source to have been
+	// away: checks come more often than that.
+	outageLeast = 2500 * time.Millisecond
+	// lapsedFor is how long after its return entries that lapsed meanwhile may still
+	// be missing. One that is missing after that is gone.
+	lapsedFor = 2 * time.Second
+)
+
 // follower follows one part of the belief.
 type follower struct {
 	name   string
@@ -159,6 +173,7 @@
 func (d *Directory) setServers(list []routing.Server, at time.Time) []ServerEvent {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.noteReturn(at)
 	var events []ServerEvent
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
@@ -181,6 +196,7 @@
 func (d *Directory) changeServers(events []ServerEvent, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.noteReturn(at)
 	for _, e := range events {
 		if e.Removed {
 			d.removeServer(e.Server.ID, at)
@@ -197,6 +213,14 @@
 	d.publishServers(at)
 }
 
+// noteReturn notes that the source has answered after an outage.
+func (d *Directory) noteReturn(now time.Time) {
+	read := d.view.Load().ServersRead
+	if !read.IsZero() && now.Sub(read) > outageLeast {
+		d.returned = now
+	}
+}
+
 // setServer takes one server in. It returns whether that changes anything.
 func (d *Directory) setServer(s routing.Server) bool {
 	old, known := d.servers[s.ID]
@@ -214,8 +238,11 @@
 		return
 	}
 	s.Removed = at
+	if until := d.returned.Add(lapsedFor); at.Before(until) {
+		s.Lapsed = until
+	}
 	d.servers[id] = s
-	_ = level.Info(d.logger).Log("msg", "server left the list", "server", id, "service", s.Service, "leaving", s.Leaving)
+	_ = level.Info(d.logger).Log("msg", "server left the list", "server", id, "service", s.Service, "leaving", s.Leaving, "lapsed", !s.Lapsed.IsZero())
 }
 
 // removedKept is how long a removed server is remembered.
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -216,3 +216,33 @@
 	d.Heard(Check{Asked: before, Revision: 7, TableChanged: 5, ServersChanged: 5})
 	assert.Equal(t, asked, d.View().TableRead, "an older check makes nothing older")
 }
+
+// Entries lapse while the source is away, though their servers are alive: those are
+// back soon after, and used meanwhile. One that stays away is gone.
+func TestEntriesThatLapsedInAnOutageAreUsedForAMoment(t *testing.T) {
+	now := time.Now()
+	list := []routing.Server{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "leaving", Service: "s", Leaving: true}}
+	candidates := func(d *Directory, at time.Time) (ids []string) {
+		for _, s := range d.View().Candidates("s", at, 0) {
+			ids = append(ids, s.ID)
+		}
+		return ids
+	}
+	for name, c := range map[string]struct {
+		away time.Duration
+		want []string
+	}{
+		"in an outage": {outageLeast + time.Second, []string{"a", "b"}},
+		"otherwise":    {time.Second, []string{"a"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := New(log.NewNopLogger())
+			d.setServers(list, now)
+			back := now.Add(c.away)
+			gone := []ServerEvent{{Server: routing.Server{ID: "b"}, Removed: true}, {Server: routing.Server{ID: "leaving"}, Removed: true}}
+			d.changeServers(gone, back)
+			assert.Equal(t, c.want, candidates(d, back.Add(lapsedFor-time.Millisecond)))
+			assert.Equal(t, []string{"a"}, candidates(d, back.Add(lapsedFor)))
+		})
+	}
+}
