--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -21,9 +21,11 @@
 
 const (
 	// reportPause is how long changes are gathered before they are reported,
-	// summaryPause the least time between two summaries.
+	// summaryPause the least time between two summaries to the relay's hall, hallsPause
+	// that to other halls, where bytes cost more.
 	reportPause  = 20 * time.Millisecond
 	summaryPause = 80 * time.Millisecond
+	hallsPause   = 200 * time.Millisecond
 	// refresh is how often loads are told again though nothing has changed, as
 	// datagrams are lost.
 	refresh = time.Second
--- a/pkg/loadshare/relays.go
+++ b/pkg/loadshare/relays.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	// relaysPerHall is how many boxes of a hall add its reports up, so that the loss
-	// of one is not felt.
-	relaysPerHall = 2
+	// relaysPerHall is how many boxes of a hall add its reports up. Two cost four times
+	// the datagrams between halls, and a lost one is soon replaced.
+	relaysPerHall = 1
 	// silentAfter is how long a relay may say nothing to a box that reports to it,
 	// silentFor how long another one takes its place.
-	silentAfter = 3 * refresh
+	silentAfter = 800 * time.Millisecond
 	silentFor   = 10 * time.Second
 )
 
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -49,8 +49,10 @@
 	// known is worked out from entries.
 	entries []roster.Entry
 	known   []member
-	// summarised is when the last summary was sent.
+	// summarised and hallsTold are when the last summary was sent to this hall, and to
+	// other halls.
 	summarised time.Time
+	hallsTold  time.Time
 	// dirty says that a summary is due, idle that the last report held nothing.
 	dirty bool
 	idle  bool
@@ -223,16 +225,22 @@
 func (s *Sharer) summarise(now time.Time) {
 	s.dirty, s.summarised = false, now
 	members := s.members()
-	own := s.boxes.sum(now)
-	if len(s.boxes) > 0 {
-		s.sendWork(kindSummary, own, s.otherRelays(members, now))
+	all := s.boxes.sum(now)
+	if len(s.boxes) > 0 && now.Sub(s.hallsTold) >= hallsPause {
+		s.hallsTold = now
+		s.tell(all, s.toHalls, s.otherRelays(members, now))
+		s.toHalls = nil
 	}
-	own.add(s.halls.sum(now))
-	s.setOthers(own, now)
-	s.sendWork(kindSummary, own, s.sameHall(members))
-	s.sendPlacements(kindPassed, s.toHalls, s.otherRelays(members, now))
-	s.sendPlacements(kindPassed, s.toHall, s.sameHall(members))
-	s.toHall, s.toHalls = nil, nil
+	all.add(s.halls.sum(now))
+	s.setOthers(all, now)
+	s.tell(all, s.toHall, s.sameHall(members))
+	s.toHall = nil
+}
+
+// tell sends a summary and placements.
+func (s *Sharer) tell(all work, placements []balancer.Placement, to []*net.UDPAddr) {
+	s.sendWork(kindSummary, all, to)
+	s.sendPlacements(kindPassed, placements, to)
 }
 
 // sameHall are the other boxes of this hall.
