--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -21,11 +21,9 @@
 
 const (
 	// reportPause is how long changes are gathered before they are reported,
-	// summaryPause the least time between two summaries to the relay's hall, hallsPause
-	// that to other halls, where bytes cost more.
+	// summaryPause the least time between two summaries.
 	reportPause  = 20 * time.Millisecond
 	summaryPause = 80 * time.Millisecond
-	hallsPause   = 200 * time.Millisecond
 	// refresh is how often loads are told again though nothing has changed, as
 	// datagrams are lost.
 	refresh = time.Second
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -49,10 +49,8 @@
 	// known is worked out from entries.
 	entries []roster.Entry
 	known   []member
-	// summarised and hallsTold are when the last summary was sent to this hall, and to
-	// other halls.
+	// summarised is when the last summary was sent.
 	summarised time.Time
-	hallsTold  time.Time
 	// dirty says that a summary is due, idle that the last report held nothing.
 	dirty bool
 	idle  bool
@@ -226,15 +224,13 @@
 	s.dirty, s.summarised = false, now
 	members := s.members()
 	all := s.boxes.sum(now)
-	if len(s.boxes) > 0 && now.Sub(s.hallsTold) >= hallsPause {
-		s.hallsTold = now
+	if len(s.boxes) > 0 {
 		s.tell(all, s.toHalls, s.otherRelays(members, now))
-		s.toHalls = nil
 	}
 	all.add(s.halls.sum(now))
 	s.setOthers(all, now)
 	s.tell(all, s.toHall, s.sameHall(members))
-	s.toHall = nil
+	s.toHall, s.toHalls = nil, nil
 }
 
 // tell sends a summary and placements.
