--- a/cmd/headhill/cmds/route.go
+++ b/cmd/headhill/cmds/route.go
@@ -67,11 +67,11 @@
 func adapter() routerd.Adapter {
 	return routerd.Adapter{
 		Protocol: platform.Protocol{},
-		Source: func(address func() string) directory.Source {
-			return platform.NewSource(platform.NewStore(address))
+		Source: func(access routerd.StoreAccess) directory.Source {
+			return platform.NewSource(platform.NewStore(access))
 		},
-		Roster: func(address func() string) roster.Store {
-			return platform.NewRoster(platform.NewStore(address))
+		Roster: func(access routerd.StoreAccess) roster.Store {
+			return platform.NewRoster(platform.NewStore(access))
 		},
 	}
 }
--- a/pkg/box/box.go
+++ b/pkg/box/box.go
@@ -109,7 +109,7 @@
 
 func (b *Box) assemble(logs *logflags.Logs) {
 	s := b.settings
-	b.platform = objectstore.NewClient(s.Platform.URL, s.Platform.Token, objectstore.FleetBudget.Share(1))
+	b.platform = objectstore.NewClient(s.Platform.URL, s.Platform.Token, s.Platform.Rates)
 	b.store = config.NewStore(b.platform, s.Platform.Prefix, logs.For(logflags.Config))
 	b.tracker = membership.NewTracker(objectstore.Box{
 		ID: s.Box.ID, Hall: s.Box.Hall, Region: s.Box.Region,
--- /dev/null
+++ b/pkg/callrate/limiter_test.go
@@ -0,0 +1,58 @@
+package callrate
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Boxes that all call as fast as they can stay within the budget of the fleet.
+func TestFleetStaysWithinItsBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const boxes, seconds = 20, 30
+		fleet := Budget{Reads: 400, Writes: 100}
+		limiters := make([]*Limiter, boxes)
+		ctx, cancel := context.WithTimeout(context.Background(), seconds*time.Second)
+		defer cancel()
+		for i := range limiters {
+			l := New(fleet)
+			l.SetBudget(fleet.Share(boxes))
+			limiters[i] = l
+			for _, write := range []bool{false, true} {
+				go func() {
+					for l.Wait(ctx, write) == nil {
+					}
+				}()
+			}
+		}
+		<-ctx.Done()
+		synctest.Wait()
+		var reads, writes uint64
+		for _, l := range limiters {
+			reads += l.Calls().Reads
+			writes += l.Calls().Writes
+		}
+		// Each box may begin with a burst, and has one call of each kind waiting.
+		burst := boxes * (float64(burst(fleet.Share(boxes).Reads)) + 1)
+		assert.LessOrEqual(t, float64(reads), fleet.Reads*seconds+burst)
+		assert.LessOrEqual(t, float64(writes), fleet.Writes*seconds+burst)
+		assert.Greater(t, float64(reads), 0.9*fleet.Reads*seconds)
+	})
+}
+
+func TestBoxKeepsALittleInAHugeFleet(t *testing.T) {
+	share := Default.Share(1e6)
+	assert.Equal(t, Budget{Reads: readsLeast, Writes: writesLeast}, share)
+	assert.Equal(t, Default, Default.Share(0))
+	l := New(share)
+	for range burstLeast {
+		require.NoError(t, l.Wait(context.Background(), false), "enough to start with")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	assert.Error(t, l.Wait(ctx, false))
+}
--- a/pkg/claims/claims_test.go
+++ b/pkg/claims/claims_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"headhill.example/headhill/pkg/callrate"
 	"headhill.example/headhill/pkg/objectstore"
 	standin "headhill.example/headhill/pkg/standin/objectstore"
 )
@@ -151,7 +152,7 @@
 	ctx := t.Context()
 	p := standin.New()
 	tr := &holding{next: p.Transport()}
-	frozen := NewHome(objectstore.NewClientOver(tr, "http://platform", "", objectstore.FleetBudget), "p", 0, log.NewNopLogger())
+	frozen := NewHome(objectstore.NewClientOver(tr, "http://platform", "", callrate.Default), "p", 0, log.NewNopLogger())
 	other := NewHome(p.Client(), "p", 0, log.NewNopLogger())
 	tr.hold = func() {
 		r, err := other.Claim(ctx, key(1), "other")
--- a/pkg/objectstore/client.go
+++ b/pkg/objectstore/client.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
+	"headhill.example/headhill/pkg/callrate"
 )
 
 const (
@@ -25,71 +25,37 @@
 	watchGrace = 3 * time.Second
 )
 
-// Budget is a box's share of the fleet's rates at the platform, per second.
-type Budget struct {
-	Reads  float64
-	Writes float64
-}
-
-// FleetBudget is what the platform takes from all boxes together.
-var FleetBudget = Budget{Reads: 2000, Writes: 100}
-
-// Share divides the fleet's budget among n boxes. A box keeps a little even in
-// a huge fleet, so that it can make progress.
-func (b Budget) Share(n int) Budget {
-	n = max(1, n)
-	return Budget{Reads: max(b.Reads/float64(n), 0.5), Writes: max(b.Writes/float64(n), 0.2)}
-}
-
-// Calls counts the calls made since start.
-type Calls struct {
-	Reads, Writes uint64
-}
-
 // Client speaks the platform's HTTP protocol.
 type Client struct {
-	base   string
-	token  string
-	http   *http.Client
-	reads  *rate.Limiter
-	writes *rate.Limiter
-
-	readCalls, writeCalls atomic.Uint64
+	base    string
+	token   string
+	http    *http.Client
+	limiter *callrate.Limiter
 }
 
 // NewClient returns a client for the platform at base, a URL. The token
 // authenticates the box; it may be empty.
-func NewClient(base, token string, budget Budget) *Client {
+func NewClient(base, token string, budget callrate.Budget) *Client {
 	t := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
 	return NewClientOver(t, base, token, budget)
 }
 
 // NewClientOver is NewClient over a transport of the caller's. The transport must
 // tell httptrace when it has a connection, and must not repeat requests.
-func NewClientOver(t http.RoundTripper, base, token string, budget Budget) *Client {
-	c := &Client{
-		base:  strings.TrimSuffix(base, "/"),
-		token: token,
-		http:  &http.Client{Transport: t},
+func NewClientOver(t http.RoundTripper, base, token string, budget callrate.Budget) *Client {
+	return &Client{
+		base:    strings.TrimSuffix(base, "/"),
+		token:   token,
+		http:    &http.Client{Transport: t},
+		limiter: callrate.New(budget),
 	}
-	c.reads = rate.NewLimiter(rate.Limit(budget.Reads), burst(budget.Reads))
-	c.writes = rate.NewLimiter(rate.Limit(budget.Writes), burst(budget.Writes))
-	return c
 }
 
-// burst lets a starting box read its configuration in one go.
-func burst(perSecond float64) int { return max(10, int(perSecond)) }
-
 // SetBudget changes the client's rates, as when the roster's size changes.
-func (c *Client) SetBudget(b Budget) {
-	c.reads.SetLimit(rate.Limit(b.Reads))
-	c.writes.SetLimit(rate.Limit(b.Writes))
-}
+func (c *Client) SetBudget(b callrate.Budget) { c.limiter.SetBudget(b) }
 
 // Calls returns the number of calls made so far.
-func (c *Client) Calls() Calls {
-	return Calls{Reads: c.readCalls.Load(), Writes: c.writeCalls.Load()}
-}
+func (c *Client) Calls() callrate.Calls { return c.limiter.Calls() }
 
 // Close drops idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
@@ -116,7 +82,7 @@
 // do makes a call. For a write, an error after the request may have gone out is
 // an UnknownError.
 func (c *Client) do(ctx context.Context, cl call) (answer, error) {
-	if err := c.admit(ctx, cl.write); err != nil {
+	if err := c.limiter.Wait(ctx, cl.write); err != nil {
 		return answer{}, &UnavailableError{Op: cl.op, Cause: err}
 	}
 	ctx, cancel := context.WithTimeout(ctx, cl.timeout)
@@ -139,15 +105,6 @@
 	return answer{}, &UnavailableError{Op: cl.op, Cause: err}
 }
 
-func (c *Client) admit(ctx context.Context, write bool) error {
-	if write {
-		c.writeCalls.Add(1)
-		return c.writes.Wait(ctx)
-	}
-	c.readCalls.Add(1)
-	return c.reads.Wait(ctx)
-}
-
 func (c *Client) request(ctx context.Context, cl call) (*http.Request, error) {
 	// A plain reader without GetBody: the transport must not repeat a write.
 	var body io.Reader
--- a/pkg/objlog/log_test.go
+++ b/pkg/objlog/log_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"headhill.example/headhill/pkg/callrate"
 	"headhill.example/headhill/pkg/objectstore"
 	standin "headhill.example/headhill/pkg/standin/objectstore"
 )
@@ -196,7 +197,7 @@
 
 func gated(p *standin.Server) (*gate, *client) {
 	g := &gate{next: p.Transport()}
-	return g, newClient(objectstore.NewClientOver(g, "http://platform", "", objectstore.FleetBudget))
+	return g, newClient(objectstore.NewClientOver(g, "http://platform", "", callrate.Default))
 }
 
 func TestPausedWriterLosesItsPlace(t *testing.T) {
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -18,6 +18,7 @@
 
 	"headhill.example/headhill/pkg/announce"
 	"headhill.example/headhill/pkg/balancer"
+	"headhill.example/headhill/pkg/callrate"
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/gateway"
@@ -53,14 +54,21 @@
 	fleetLeast = 16
 )
 
+// StoreAccess says how the store may be called.
+type StoreAccess struct {
+	// Address is where the store is at the time of a call.
+	Address func() string
+	// Admit returns when a call may be made, or with an error if ctx ends before that.
+	Admit func(ctx context.Context, write bool) error
+}
+
 // Adapter is what the daemon needs of the platform that it runs on.
 type Adapter struct {
 	Protocol gateway.Protocol
-	// Source returns where routes and servers come from, at the address that the
-	// function gives at the time of a call.
-	Source func(address func() string) directory.Source
+	// Source returns where routes and servers come from.
+	Source func(StoreAccess) directory.Source
 	// Roster returns where boxes enter themselves.
-	Roster func(address func() string) roster.Store
+	Roster func(StoreAccess) roster.Store
 }
 
 // Daemon is one routing box.
@@ -76,6 +84,7 @@
 	sharer    *loadshare.Sharer
 	upstream  *upstream.Client
 	budget    *retry.Budget
+	rates     *callrate.Limiter
 	gateway   *gateway.Gateway
 	metrics   *telemetry.Metrics
 
@@ -105,10 +114,11 @@
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.directory = directory.New(logs.For(logflags.Directory))
-	address := func() string { return d.settings.Load().Store }
-	d.source = a.Source(address)
+	d.rates = callrate.New(s.Rates)
+	access := StoreAccess{Address: func() string { return d.settings.Load().Store }, Admit: d.rates.Wait}
+	d.source = a.Source(access)
 	self := roster.Entry{Box: s.Box.ID, Hall: s.Box.Hall, Peer: d.peerPort.LocalAddr().String()}
-	d.roster = roster.New(a.Roster(address), self, storeAnswer, logs.For(logflags.Directory))
+	d.roster = roster.New(a.Roster(access), self, storeAnswer, logs.For(logflags.Directory))
 	balance := balancer.New(logs.For(logflags.Balancer))
 	peerLogger := logs.For(logflags.Peer)
 	d.peers = datagram.NewPort(datagram.Deps{Box: s.Box.ID, Conn: d.peerPort, Known: d.roster.Known, Logger: peerLogger})
@@ -148,7 +158,7 @@
 	if err != nil {
 		return directory.Check{}, false
 	}
-	d.budget.SetLimits(d.retryLimits())
+	d.setShares()
 	return d.directory.Verify(ctx, revision, asked, d.timing())
 }
 
@@ -187,6 +197,12 @@
 	storeAnswer = 700 * time.Millisecond
 )
 
+// setShares gives this box its parts of what the fleet may do.
+func (d *Daemon) setShares() {
+	d.budget.SetLimits(d.retryLimits())
+	d.rates.SetBudget(d.settings.Load().Rates.Share(d.roster.Count()))
+}
+
 // retryLimits gives this box its part of the fleet's slack.
 func (d *Daemon) retryLimits() retry.Limits {
 	b := d.settings.Load().Bounds
@@ -285,6 +301,6 @@
 	old := *d.settings.Load()
 	s.Box, s.Listen, s.Limits = old.Box, old.Listen, old.Limits
 	d.settings.Store(&s)
-	d.budget.SetLimits(d.retryLimits())
+	d.setShares()
 	_ = level.Info(d.logger).Log("msg", "settings reloaded", "store", s.Store, "grace", s.Bounds.Grace, "retry_ratio", s.Bounds.RetryRatio, "retry_slack", s.Bounds.RetrySlack)
 }
--- a/pkg/routerd/settings.go
+++ b/pkg/routerd/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"headhill.example/headhill/pkg/callrate"
 	"headhill.example/headhill/pkg/inifile"
 	"headhill.example/headhill/pkg/logflags"
 )
@@ -12,7 +13,9 @@
 	Box    BoxSettings
 	Listen ListenSettings
 	// Store is the address of the store that holds routes and servers.
-	Store  string
+	Store string
+	// Rates are the calls a second that the store takes from all boxes together.
+	Rates  callrate.Budget
 	Limits LimitSettings
 	Bounds BoundSettings
 	Log    logflags.Settings
@@ -54,6 +57,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Listen: ListenSettings{Caller: "127.0.0.1:8080", Ready: "127.0.0.1:8081", Metrics: "127.0.0.1:8082", Peer: "127.0.0.1:8083"},
+		Rates:  callrate.Default,
 		Limits: LimitSettings{MemoryMB: 512, Descriptors: 4096},
 		Bounds: BoundSettings{
 			Drain: 2 * time.Second, Apply: 2 * time.Second, Grace: 8 * time.Second,
@@ -77,7 +81,7 @@
 	s := DefaultSettings()
 	readBox(f.Section("box"), &s.Box)
 	readListen(f.Section("listen"), &s.Listen)
-	readStore(f.Section("store"), &s.Store)
+	readStore(f.Section("store"), &s)
 	readLimits(f.Section("limits"), &s.Limits)
 	readBounds(f.Section("bounds"), &s.Bounds)
 	s.Log.Read(f.Section("log"))
@@ -101,9 +105,10 @@
 	s.Done()
 }
 
-func readStore(s *inifile.Section, address *string) {
+func readStore(s *inifile.Section, to *Settings) {
 	s.Require("address", "write the store's IP and port, as 192.0.2.1:7000")
-	s.AddrPort("address", address, false)
+	s.AddrPort("address", &to.Store, false)
+	callrate.ReadSettings(s, &to.Rates)
 	s.Done()
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -8,6 +8,7 @@
 	"regexp"
 	"time"
 
+	"headhill.example/headhill/pkg/callrate"
 	"headhill.example/headhill/pkg/inifile"
 	"headhill.example/headhill/pkg/logflags"
 )
@@ -52,6 +53,8 @@
 	Token string
 	// Prefix stands before every key headhill uses.
 	Prefix string
+	// Rates are the calls a second that the platform takes from all boxes together.
+	Rates callrate.Budget
 }
 
 // Peers says how boxes talk to each other.
@@ -88,7 +91,7 @@
 func Default() Settings {
 	return Settings{
 		Listen:   Listen{Caller: "127.0.0.1:8080", Peer: "127.0.0.1:8081", Admin: "127.0.0.1:8082"},
-		Platform: Platform{Prefix: "headhill"},
+		Platform: Platform{Prefix: "headhill", Rates: callrate.Default},
 		Peers:    Peers{Mode: PeersTLS},
 		Limits: Limits{
 			Body:          4 << 20,
@@ -159,6 +162,7 @@
 	s.String("url", &p.URL)
 	s.String("token-file", &p.TokenFile)
 	s.String("prefix", &p.Prefix)
+	callrate.ReadSettings(s, &p.Rates)
 	if p.URL != "" && !urlForm.MatchString(p.URL) {
 		s.Problem("url", p.URL, "write an http or https URL, as http://192.0.2.1:7000")
 	}
--- a/pkg/standin/objectstore/platform.go
+++ b/pkg/standin/objectstore/platform.go
@@ -16,6 +16,7 @@
 	"github.com/julienschmidt/httprouter"
 	"golang.org/x/time/rate"
 
+	"headhill.example/headhill/pkg/callrate"
 	"headhill.example/headhill/pkg/objectstore"
 )
 
@@ -52,7 +53,7 @@
 	reads   *rate.Limiter
 	writes  *rate.Limiter
 
-	calls  objectstore.Calls
+	calls  callrate.Calls
 	denied int
 	router *httprouter.Router
 }
@@ -69,8 +70,8 @@
 		objects: make(map[string]stored),
 		changed: make(chan struct{}),
 		boxes:   make(map[string]objectstore.Box),
-		reads:   rate.NewLimiter(rate.Limit(objectstore.FleetBudget.Reads), int(objectstore.FleetBudget.Reads)),
-		writes:  rate.NewLimiter(rate.Limit(objectstore.FleetBudget.Writes), int(objectstore.FleetBudget.Writes)),
+		reads:   rate.NewLimiter(rate.Limit(callrate.Default.Reads), int(callrate.Default.Reads)),
+		writes:  rate.NewLimiter(rate.Limit(callrate.Default.Writes), int(callrate.Default.Writes)),
 	}
 	r := httprouter.New()
 	r.GET("/v1/objects", s.guard(s.reads, s.list))
@@ -126,7 +127,7 @@
 }
 
 // Calls returns the number of calls taken and the number denied by the rates.
-func (s *Server) Calls() (taken objectstore.Calls, denied int) {
+func (s *Server) Calls() (taken callrate.Calls, denied int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.calls, s.denied
--- a/pkg/standin/objectstore/transport.go
+++ b/pkg/standin/objectstore/transport.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"net/http/httptrace"
 
+	"headhill.example/headhill/pkg/callrate"
 	"headhill.example/headhill/pkg/objectstore"
 )
 
@@ -18,7 +19,7 @@
 
 // Client returns a client that reaches the stand-in without a socket.
 func (s *Server) Client() *objectstore.Client {
-	return objectstore.NewClientOver(s.Transport(), "http://platform", "", objectstore.FleetBudget)
+	return objectstore.NewClientOver(s.Transport(), "http://platform", "", callrate.Default)
 }
 
 type transport Server
