roster: boxes that are gone for good are taken out by others

Cause: only a planned stop took an entry out. Now a box that has said nothing for 30 s is pinged, and taken out after a minute of silence, by a box that hears most others; one that lives after all enters itself again.

--- a/pkg/datagram/port.go
+++ b/pkg/datagram/port.go
@@ -20,8 +20,9 @@
 
 // Message is one message as it arrived.
 type Message struct {
-	// Box is the name of the sender.
+	// Box is the name of the sender, From its address.
 	Box      string
+	From     *net.UDPAddr
 	Received time.Time
 	Body     []byte
 }
@@ -42,11 +43,12 @@
 	Deps
 	handlers map[string]func(Message)
 	stranger func()
+	heard    func(box string)
 }
 
 // NewPort returns a port on an open connection.
 func NewPort(d Deps) *Port {
-	return &Port{Deps: d, handlers: make(map[string]func(Message)), stranger: func() {}}
+	return &Port{Deps: d, handlers: make(map[string]func(Message)), stranger: func() {}, heard: func(string) {}}
 }
 
 // Handle sets who takes the messages of a kind. The handler must not block.
@@ -56,6 +58,9 @@
 // not block.
 func (p *Port) OnStranger(f func()) { p.stranger = f }
 
+// OnHeard sets who is told of each message of a known box. It must not block.
+func (p *Port) OnHeard(f func(box string)) { p.heard = f }
+
 // Send sends a message to some boxes. It returns false if the message is too long.
 func (p *Port) Send(kind string, body []byte, to ...*net.UDPAddr) bool {
 	if len(to) == 0 {
@@ -92,9 +97,10 @@
 	var e datagrampb.Envelope
 	err := proto.Unmarshal(data, &e)
 	handler, handled := p.handlers[e.GetKind()]
-	known := p.knows(from)
+	sender, known := p.knows(from)
 	if err == nil && handled && known {
-		handler(Message{Box: e.GetBox(), Received: time.Now(), Body: e.GetBody()})
+		p.heard(e.GetBox())
+		handler(Message{Box: e.GetBox(), From: sender, Received: time.Now(), Body: e.GetBody()})
 		return
 	}
 	if err == nil && handled {
@@ -103,7 +109,11 @@
 	_ = level.Debug(p.Logger).Log("msg", "datagram dropped", "from", from, "bytes", len(data), "known", known, "handled", handled, "err", err)
 }
 
-func (p *Port) knows(from net.Addr) bool {
+// knows returns the address of a known box.
+func (p *Port) knows(from net.Addr) (*net.UDPAddr, bool) {
 	a, ok := from.(*net.UDPAddr)
-	return ok && p.Known(netip.AddrPortFrom(a.AddrPort().Addr().Unmap(), a.AddrPort().Port()))
+	if !ok {
+		return nil, false
+	}
+	return a, p.Known(netip.AddrPortFrom(a.AddrPort().Addr().Unmap(), a.AddrPort().Port()))
 }
--- a/pkg/datagram/port_test.go
+++ b/pkg/datagram/port_test.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"net/netip"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,24 +15,35 @@
 
 const kindWord = "word"
 
-// listen opens a port that believes the addresses of a list.
-func listen(t *testing.T, box string, known *[]netip.AddrPort) (*Port, *net.UDPAddr) {
+// knownAddresses are those that ports believe.
+type knownAddresses struct {
+	mu   sync.Mutex
+	list []netip.AddrPort
+}
+
+func (k *knownAddresses) add(a netip.AddrPort) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.list = append(k.list, a)
+}
+
+func (k *knownAddresses) has(a netip.AddrPort) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Contains(k.list, a)
+}
+
+// listen opens a port that believes some addresses.
+func listen(t *testing.T, box string, known *knownAddresses) (*Port, *net.UDPAddr) {
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
 	t.Cleanup(func() { conn.Close() })
-	p := NewPort(Deps{Box: box, Conn: conn, Logger: log.NewNopLogger(), Known: func(a netip.AddrPort) bool {
-		for _, k := range *known {
-			if a == k {
-				return true
-			}
-		}
-		return false
-	}})
+	p := NewPort(Deps{Box: box, Conn: conn, Logger: log.NewNopLogger(), Known: known.has})
 	return p, conn.LocalAddr().(*net.UDPAddr)
 }
 
 func TestMessagesOfKnownBoxesArrive(t *testing.T) {
-	var known []netip.AddrPort
+	var known knownAddresses
 	from, fromAddress := listen(t, "sender", &known)
 	to, toAddress := listen(t, "receiver", &known)
 	got := make(chan Message, 10)
@@ -47,7 +60,7 @@
 	}
 	assert.Empty(t, got, "a stranger is not believed")
 
-	known = append(known, fromAddress.AddrPort())
+	known.add(fromAddress.AddrPort())
 	require.True(t, from.Send(kindWord, []byte("hello"), toAddress))
 	select {
 	case m := <-got:
@@ -59,7 +72,7 @@
 }
 
 func TestLongMessagesAreNotSent(t *testing.T) {
-	var known []netip.AddrPort
+	var known knownAddresses
 	p, address := listen(t, "box", &known)
 	assert.False(t, p.Send(kindWord, make([]byte, SizeMost), address))
 	assert.True(t, p.Send(kindWord, nil), "nobody to tell is no failure")
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -28,6 +28,15 @@
 	Incarnation uint64
 }
 
+// address is where the box hears from others, nil if it can't be read.
+func (e Entry) address() *net.UDPAddr {
+	a, err := net.ResolveUDPAddr("udp", e.Peer)
+	if err != nil {
+		return nil
+	}
+	return a
+}
+
 // Store keeps the entries.
 type Store interface {
 	// Enter writes an entry over any older one of the same box.
@@ -122,7 +131,10 @@
 // enter writes this box's entry once. While it can't, the others do not know this
 // box, and it checks the store for itself.
 func (r *Roster) enter(ctx context.Context) {
-	if r.entered {
+	r.mu.Lock()
+	entered := r.entered
+	r.mu.Unlock()
+	if entered {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.answer)
@@ -131,24 +143,30 @@
 		_ = level.Info(r.logger).Log("msg", "not entered in the roster", "box", r.self.Box, "err", err, "outcome", "tried again with the next check")
 		return
 	}
+	r.mu.Lock()
 	r.entered = true
+	r.mu.Unlock()
 }
 
 func (r *Roster) set(entries []Entry) {
 	peers := make([]*net.UDPAddr, 0, len(entries))
 	known := make(map[netip.AddrPort]bool, len(entries))
 	for _, e := range behind(entries, r.self.Box) {
-		a, err := net.ResolveUDPAddr("udp", e.Peer)
-		if e.Box != r.self.Box && err == nil {
+		a := e.address()
+		if e.Box != r.self.Box && a != nil {
 			peers = append(peers, a)
 			known[netip.AddrPortFrom(a.AddrPort().Addr().Unmap(), a.AddrPort().Port())] = true
 		}
 	}
-	if !slices.ContainsFunc(entries, func(e Entry) bool { return e.Box == r.self.Box }) {
+	own := slices.ContainsFunc(entries, func(e Entry) bool { return e.Box == r.self.Box })
+	if !own {
 		entries = append(entries, r.self)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	// Others take a box out that they do not hear any more. One that is alive after
+	// all enters itself again.
+	r.entered = r.entered && own
 	if len(entries) != len(r.entries) {
 		_ = level.Info(r.logger).Log("msg", "boxes counted", "count", len(entries), "before", len(r.entries))
 	}
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -82,6 +82,7 @@
 	peers     *datagram.Port
 	checker   *announce.Checker
 	sharer    *loadshare.Sharer
+	sweeper   *roster.Sweeper
 	upstream  *upstream.Client
 	budget    *retry.Budget
 	rates     *callrate.Limiter
@@ -125,6 +126,7 @@
 	d.checker = announce.New(announce.Deps{
 		Port: d.peers, Timing: d.checkTiming, Check: d.checkStore, Peers: d.roster.Peers, Directory: d.directory,
 	})
+	d.sweeper = roster.NewSweeper(d.roster, d.peers, peerLogger)
 	d.sharer = loadshare.New(loadshare.Deps{
 		Box: s.Box.ID, Hall: s.Box.Hall, Port: d.peers, Balancer: balance, Entries: d.roster.Entries, Logger: peerLogger,
 	})
@@ -159,6 +161,7 @@
 		return directory.Check{}, false
 	}
 	d.setShares()
+	d.sweeper.Sweep(ctx)
 	return d.directory.Verify(ctx, revision, asked, d.timing())
 }
 
