--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -60,6 +60,9 @@
 // Gateway answers callers.
 type Gateway struct {
 	Deps
+	// ending ends when all requests have to be given up.
+	ending  context.Context
+	giveUp  context.CancelFunc
 	running atomic.Int64
 	held    atomic.Int64
 	outages outages
@@ -67,7 +70,14 @@
 }
 
 // New returns a gateway.
-func New(d Deps) *Gateway { return &Gateway{Deps: d, started: time.Now()} }
+func New(d Deps) *Gateway {
+	g := &Gateway{Deps: d, started: time.Now()}
+	g.ending, g.giveUp = context.WithCancel(context.Background())
+	return g
+}
+
+// GiveUp ends all requests in progress, each with an answer, as the box ends.
+func (g *Gateway) GiveUp() { g.giveUp() }
 
 // Running returns the number of requests in progress.
 func (g *Gateway) Running() int { return int(g.running.Load()) }
@@ -136,11 +146,18 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(x.request.Context(), x.deadline, errTimeout)
 	defer cancel()
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	defer context.AfterFunc(x.gateway.ending, func() { giveUp(errEnding) })()
 	x.gateway.Budget.Request(x.service.Name, x.arrival)
 	return x.run(ctx)
 }
 
-var errTimeout = errors.New("the time of the request is over")
+// Why the box gives a request up.
+var (
+	errTimeout = errors.New("the time of the request is over")
+	errEnding  = errors.New("the box ends and can't wait any longer")
+)
 
 func (x *exchange) readCall() (err error) {
 	x.call, err = x.gateway.Protocol.ReadCall(x.request)
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -88,18 +88,18 @@
 	return !f.arrived || x.gateway.Budget.Spend(x.service.Name, time.Now())
 }
 
-// over ends a request whose time is over or whose caller is gone.
+// over ends a request whose time is over, whose caller is gone, or whose box ends.
 func (x *exchange) over(ctx context.Context, f *failure) error {
-	if !errors.Is(context.Cause(ctx), errTimeout) {
-		return &callerGoneError{Cause: context.Cause(ctx)}
-	}
-	if x.begun {
-		return &brokenOffError{Cause: errTimeout}
-	}
-	if !x.mayHaveRun {
-		return &RefusedError{Reason: "no server took the request in its time", After: jitter(refusedAfter)}
+	cause := context.Cause(ctx)
+	switch {
+	case !errors.Is(cause, errTimeout) && !errors.Is(cause, errEnding):
+		return &callerGoneError{Cause: cause}
+	case x.begun:
+		return &brokenOffError{Cause: cause}
+	case x.mayHaveRun:
+		return &UnknownError{Timeout: errors.Is(cause, errTimeout), Cause: f.cause}
 	}
-	return &UnknownError{Timeout: true, Cause: f.cause}
+	return &RefusedError{Reason: "no server took the request: " + cause.Error(), After: jitter(refusedAfter)}
 }
 
 // giveUp is the final answer after a failure.
--- a/pkg/routerd/stop.go
+++ b/pkg/routerd/stop.go
@@ -34,6 +34,7 @@
 	_ = level.Info(d.logger).Log("msg", "stopping", "in_progress", d.gateway.Running())
 	d.waitUntilIdle(begun.Add(min(noticeTime, time.Until(end))), end)
 	left := d.gateway.Running()
+	d.gateway.GiveUp()
 	ctx, cancel := context.WithTimeout(context.Background(), killMargin/3)
 	defer cancel()
 	_ = d.callers.Shutdown(ctx)
@@ -43,7 +44,7 @@
 	_ = d.ready.Close()
 	_ = d.metricsServer.Close()
 	_ = d.peerPort.Close()
-	_ = level.Info(d.logger).Log("msg", "stopped", "cut_off", left, "after", time.Since(begun))
+	_ = level.Info(d.logger).Log("msg", "stopped", "given_up", left, "after", time.Since(begun))
 }
 
 // waitUntilIdle waits until no request is in progress, at least until the earliest
