directory: pages of the list after the first may be stale, what is newer is read as changes

Ruled out: processor (a start takes 0.1 s), the roster (6 pages). Where history is gone the pages are read anew, none of them stale. Red without: TestStalePagesAreBroughtUpToDate, TestBoxThatStartsKnowsWhatStalePagesLack.

--- a/pkg/directory/follow.go
+++ b/pkg/directory/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -90,37 +91,85 @@
 	timing    Timing
 }
 
+// read reads all pages. While many boxes start at once they ask for far more pages than
+// the source gives in a second, so the pages after the first may be stale; what has
+// changed since the oldest of them is read afterwards.
 func (p *serversPart) read(ctx context.Context, asked time.Time) (known, error) {
-	var servers []routing.Server
-	revision := uint64(0)
-	for from, first := "", true; first || from != ""; first = false {
-		page, err := p.page(ctx, from)
+	list, err := p.pages(ctx, true)
+	if err == nil && list.stale {
+		err = p.renew(ctx, &list)
+	}
+	if errors.Is(err, ErrHistoryLost) {
+		// What has changed since the stale pages can't be had.
+		list, err = p.pages(ctx, false)
+	}
+	if err != nil {
+		return known{}, err
+	}
+	before := p.directory.list.known().revision
+	events := p.directory.setServers(list.servers, asked)
+	if before > 0 {
+		p.directory.tellServers(Delta{From: before, To: list.revision, Events: events}, briefly)
+	}
+	// A list does not show what was removed before, nor when.
+	return known{revision: list.revision, changed: list.revision}, nil
+}
+
+// pagedList is a list as its pages gave it, all of them no older than a revision.
+type pagedList struct {
+	servers  []routing.Server
+	revision uint64
+	stale    bool
+}
+
+// pages reads all pages, those after the first stale where that is allowed.
+func (p *serversPart) pages(ctx context.Context, stale bool) (pagedList, error) {
+	first, err := p.page(ctx, "", false)
+	if err != nil {
+		return pagedList{}, err
+	}
+	// What changes while the other pages are read comes with a watch.
+	list := pagedList{servers: first.Servers, revision: first.Revision}
+	for from := first.Next; from != ""; {
+		page, err := p.page(ctx, from, stale)
 		if err != nil {
-			return known{}, err
+			return pagedList{}, err
 		}
-		if first {
-			// What changes while the other pages are read comes with a watch.
-			revision = page.Revision
+		list.stale = stale
+		list.servers = append(list.servers, page.Servers...)
+		if stale {
+			list.revision = min(list.revision, page.Revision)
 		}
-		servers = append(servers, page.Servers...)
 		from = page.Next
 	}
-	before := p.directory.list.known().revision
-	events := p.directory.setServers(servers, asked)
-	if before > 0 {
-		p.directory.tellServers(Delta{From: before, To: revision, Events: events}, briefly)
+	return list, nil
+}
+
+// renew brings a list up to the source's revision of now.
+func (p *serversPart) renew(ctx context.Context, list *pagedList) error {
+	ctx, cancel := context.WithTimeout(ctx, p.directory.list.patience(p.timing))
+	defer cancel()
+	changes, err := p.source.WatchServers(ctx, list.revision, briefly)
+	if err != nil {
+		return err
 	}
-	// A list does not show what was removed before, nor when.
-	return known{revision: revision, changed: revision}, nil
+	for _, e := range changes.Events {
+		list.servers = slices.DeleteFunc(list.servers, func(s routing.Server) bool { return s.ID == e.Server.ID })
+		if !e.Removed {
+			list.servers = append(list.servers, e.Server)
+		}
+	}
+	list.revision = changes.Revision
+	return nil
 }
 
 // pageTries bounds how often a page is asked for. To begin the whole list anew for
 // one page that was refused would never end while many boxes start at once.
 const pageTries = 12
 
-func (p *serversPart) page(ctx context.Context, from string) (page ServersPage, err error) {
+func (p *serversPart) page(ctx context.Context, from string, stale bool) (page ServersPage, err error) {
 	for try := range pageTries {
-		page, err = p.pageOnce(ctx, from, p.directory.list.patience(p.timing))
+		page, err = p.pageOnce(ctx, from, stale, p.directory.list.patience(p.timing))
 		if err == nil || ctx.Err() != nil {
 			return page, err
 		}
@@ -130,10 +179,10 @@
 	return page, err
 }
 
-func (p *serversPart) pageOnce(ctx context.Context, from string, patience time.Duration) (ServersPage, error) {
+func (p *serversPart) pageOnce(ctx context.Context, from string, stale bool, patience time.Duration) (ServersPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	return p.source.ReadServers(ctx, from)
+	return p.source.ReadServers(ctx, from, stale)
 }
 
 func (p *serversPart) watch(ctx context.Context, after uint64, wait time.Duration) (known, error) {
--- a/pkg/directory/source.go
+++ b/pkg/directory/source.go
@@ -48,7 +48,8 @@
 	ReadTable(ctx context.Context) (TableRead, error)
 	WatchTable(ctx context.Context, after uint64, wait time.Duration) (TableRead, error)
 	// ReadServers reads the page of the list that begins at a place; "" is the
-	// beginning.
-	ReadServers(ctx context.Context, from string) (ServersPage, error)
+	// beginning. A stale page may be older than the source, but it is cheap and bound
+	// by no rate.
+	ReadServers(ctx context.Context, from string, stale bool) (ServersPage, error)
 	WatchServers(ctx context.Context, after uint64, wait time.Duration) (ServerChanges, error)
 }
