--- a/pkg/balancer/lanes_test.go
+++ b/pkg/balancer/lanes_test.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -106,5 +105,5 @@
 	}
 	assert.True(t, l.short("short", 5000), "one long prompt does not make a class long")
 	assert.False(t, l.short("long", 100))
-	assert.False(t, l.short(fmt.Sprint("new"), 8000))
+	assert.False(t, l.short("new", 8000))
 }
