--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -131,29 +131,29 @@
 func (b *Balancer) Pick(q Query, now time.Time) (*Lease, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	chosen, ok := b.choose(q, now)
+	chosen, p, ok := b.choose(q, now)
 	if !ok {
 		return nil, false
 	}
 	s := chosen.state
-	l := &Lease{Server: chosen.Server, Source: chosen.source, balancer: b, state: s, Inputs: Inputs{
+	l := &Lease{Server: *chosen.Server, Source: chosen.source, balancer: b, state: s, Inputs: Inputs{
 		Candidates: len(q.Candidates), Running: s.running, Unread: s.unread, Others: b.other(s, now).Unread,
-		Prefix: q.prefix(), Home: chosen.home, Short: chosen.short, Lane: chosen.lane, Kept: chosen.kept, Moved: chosen.moved, Failures: chosen.failures,
+		Prefix: q.prefix(), Home: chosen.home, Short: p.lane.short, Lane: p.lane.size, Kept: chosen.kept, Moved: chosen.moved, Failures: chosen.failures,
 	}}
 	s.running++
 	if q.Engine {
 		l.shared = q.shared()
-		l.unread = chosen.unread(q)
+		l.unread = chosen.ownUnread(q)
 		s.unread += l.unread
-		b.lane(q.Service).note(chosen.short, l.unread, now)
+		b.lanesOf(q.Service).note(p.lane.short, l.unread, now)
 		b.tellLoad(s)
 		b.tellPlacement(s, l.shared, false, now)
 	}
 	return l, true
 }
 
-// lane returns what is known of the prompts of a service.
-func (b *Balancer) lane(service string) *lanes {
+// lanesOf returns what is known of the prompts of a service.
+func (b *Balancer) lanesOf(service string) *lanes {
 	key := ServiceKeyOf(service)
 	l, ok := b.lanes[key]
 	if !ok {
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -262,33 +262,26 @@
 // When a home can't be reached, all boxes go to the same next one.
 func TestNextHomeIsTheSameForAll(t *testing.T) {
 	now := time.Now()
-	one, two := New(log.NewNopLogger()), New(log.NewNopLogger())
-	for i := range 20 {
+	for i := range 50 {
 		q := query(9, fmt.Sprintf("part-%d", i))
-		for _, b := range []*Balancer{one, two} {
+		var first, next []string
+		for range 2 {
+			b := New(log.NewNopLogger())
 			home, _ := b.Pick(q, now)
 			home.Done(ResultUnreached, now)
+			first = append(first, home.Server.ID)
+			// What was sent there does not count as kept any more.
+			later := now.Add(assignedFor + time.Millisecond)
+			b.server(KeyOf(home.Server.ID), later).health.aside = later.Add(time.Second)
+			l, _ := b.Pick(q, later)
+			next = append(next, l.Server.ID)
 		}
-		now = now.Add(assignedFor + time.Millisecond)
-		for _, b := range []*Balancer{one, two} {
-			b.server(KeyOf(homeOf(q, choicesOf(q))), now).health.aside = now.Add(time.Second)
-		}
-		a, _ := one.Pick(q, now)
-		b, _ := two.Pick(q, now)
-		assert.Equal(t, a.Server.ID, b.Server.ID)
-		a.Done(ResultDone, now)
-		b.Done(ResultDone, now)
+		assert.Equal(t, first[0], first[1])
+		assert.Equal(t, next[0], next[1])
+		assert.NotEqual(t, first[0], next[0])
 	}
 }
 
-func choicesOf(q Query) []choice {
-	list := make([]choice, len(q.Candidates))
-	for i, c := range q.Candidates {
-		list[i].Server = c
-	}
-	return list
-}
-
 // A server that several boxes can't reach is left out, unless this box has just
 // reached it itself.
 func TestServerThatOthersCallDown(t *testing.T) {
--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -1,10 +1,9 @@
 package balancer
 
 import (
-	"cmp"
+	"encoding/binary"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,15 +40,15 @@
 // choice is a candidate, what it is believed to keep of the prompt, and what it
 // costs to choose it.
 type choice struct {
-	routing.Server
+	*routing.Server
 	state *server
 	home  bool
-	short bool
-	lane  int
 	// kept is what the server keeps or is about to read, read what it has read.
 	kept int
 	read int
-	cost float64
+	// unread is what others and this box have it read before.
+	unread int
+	cost   float64
 	// failures is the share of recent calls that failed.
 	failures float64
 	// source is the address of a server that has read more of the prompt, moved how
@@ -58,40 +57,57 @@
 	moved  int
 }
 
-// unread is how much of the prompt the server has to read.
-func (c *choice) unread(q Query) int { return max(0, q.Tokens-c.kept-c.moved) }
+// ownUnread is how much of the prompt the server has to read.
+func (c *choice) ownUnread(q Query) int { return max(0, q.Tokens-c.kept-c.moved) }
 
-// choose picks the candidate with the least cost. It returns false if none is left.
-func (b *Balancer) choose(q Query, now time.Time) (choice, bool) {
+// choose picks the candidate with the least cost, by chance among equals. It returns
+// false if none is left.
+func (b *Balancer) choose(q Query, now time.Time) (choice, placing, bool) {
 	choices := b.usable(q, now)
 	if len(choices) == 0 {
-		return choice{}, false
+		return choice{}, placing{}, false
 	}
 	p := b.placing(q, choices, now)
+	mostFailures := leastFailures(choices) + failureMost
+	var best *choice
+	equals := 0
 	for i := range choices {
-		p.price(&choices[i])
-		p.priceLane(&choices[i], i)
-	}
-	if !q.Repeatable {
-		choices = sound(choices)
+		c := &choices[i]
+		// A server that fails at once looks idle, so that its cost alone would draw
+		// requests, also those that can't be repeated.
+		if !q.Repeatable && c.failures > mostFailures {
+			continue
+		}
+		p.price(c)
+		switch {
+		case best == nil || c.cost < best.cost:
+			best, equals = c, 1
+		case c.cost == best.cost:
+			if equals++; rand.IntN(equals) == 0 {
+				best = c
+			}
+		}
 	}
-	return cheapest(choices), true
+	return *best, p, true
 }
 
 // usable are the candidates not tried before and not put aside; if all are put aside,
 // all of them.
 func (b *Balancer) usable(q Query, now time.Time) []choice {
-	var fit, aside []choice
+	fit := make([]choice, 0, len(q.Candidates))
+	var aside []choice
 	shared := q.shared()
 	keys := keysOf(shared)
-	for _, c := range q.Candidates {
+	for i := range q.Candidates {
+		c := &q.Candidates[i]
 		if slices.Contains(q.Avoid, c.ID) {
 			continue
 		}
 		s := b.server(KeyOf(c.ID), now)
-		x := choice{Server: c, state: s, failures: s.health.failureShare(now)}
+		other := b.other(s, now)
+		x := choice{Server: c, state: s, failures: s.health.failureShare(now), unread: s.unread + other.Unread}
 		x.kept, x.read = s.kept.longest(shared, keys, now)
-		if now.Before(s.health.aside) || b.down(s, now) {
+		if now.Before(s.health.aside) || other.Down >= downLeast && now.Sub(s.health.reached) > ownWord {
 			aside = append(aside, x)
 			continue
 		}
@@ -105,112 +121,92 @@
 
 // placing is what the costs of one request's candidates have in common.
 type placing struct {
-	balancer *Balancer
-	query    Query
-	now      time.Time
+	query Query
 	// shared is the length of the prefix, in tokens.
 	shared   int
 	missCost float64
 	// home is where all boxes send a prefix of which this one has not heard where it is
-	// kept.
-	home string
+	// kept; nil if it has, and without a prefix.
+	home *server
 	// source has read more of the prefix than any other candidate.
 	source choice
-	// short tells that the request's prompts are short. Its lane is from begin to end,
-	// lane is the number of servers for short ones.
-	short            bool
-	lane, begin, end int
+	lane   lane
 }
 
 func (b *Balancer) placing(q Query, choices []choice, now time.Time) placing {
-	p := placing{balancer: b, query: q, now: now, shared: tokens(q.shared()), end: len(choices)}
-	if q.Engine {
-		l := b.lane(q.Service)
-		p.short = l.short(q.Class, q.Tokens)
-		p.lane = l.size(len(choices), now)
-		p.begin, p.end = laneOf(choices, p.lane, p.short)
-	}
+	p := placing{query: q, shared: tokens(q.shared())}
 	known := 0
 	unread := 0
-	for _, c := range choices {
+	for i := range choices {
+		c := &choices[i]
 		known = max(known, c.kept)
-		unread += c.state.unread + b.other(c.state, now).Unread
-		if c.read > p.source.read || c.read == p.source.read && c.Hall == q.Hall {
-			p.source = c
+		unread += c.unread
+		if p.source.Server == nil || c.read > p.source.read || c.read == p.source.read && c.Hall == q.Hall {
+			p.source = *c
 		}
 	}
+	if q.Engine {
+		p.lane = b.lanesOf(q.Service).laneOf(q, choices, now)
+	}
 	p.missCost = missFactor + float64(unread)/float64(len(choices))/busyTokens
-	if known == 0 {
-		p.home = homeOf(q, choices[p.begin:p.end])
+	if known == 0 && p.shared > 0 {
+		p.home = homeOf(q, choices, p.lane)
 	}
 	return p
 }
 
 // price works out the cost of a candidate.
 func (p *placing) price(c *choice) {
-	c.home = c.ID == p.home
-	c.cost = float64(c.state.unread+p.balancer.other(c.state, p.now).Unread) + runningCost*float64(c.state.running)
-	c.cost += failureCost * c.failures
+	c.home = c.state == p.home
+	c.cost = float64(c.unread) + runningCost*float64(c.state.running) + failureCost*c.failures + p.lane.cost(c.state.key)
 	if c.Hall != p.query.Hall {
 		c.cost += byteCost * float64(p.query.Bytes+answerBytes)
 	}
 	missing := p.shared - c.kept
-	if c.home {
-		missing = 0
-	}
 	if moved := p.source.read - c.kept; moved > 0 {
 		c.source, c.moved = p.source.Address, moved
 		c.cost += moveFactor * float64(moved)
 		missing -= moved
 	}
-	if p.home != "" {
+	switch {
+	case p.home == nil:
+		c.cost += p.missCost * float64(missing)
+	case !c.home:
 		c.cost += coldFactor * float64(missing)
-		return
 	}
-	c.cost += p.missCost * float64(missing)
 }
 
-// priceLane adds what a server of the other lane costs.
-func (p *placing) priceLane(c *choice, place int) {
-	c.short, c.lane = p.short, p.lane
-	switch {
-	case place >= p.begin && place < p.end:
-	case p.short:
-		c.cost += shortAwayCost
-	default:
-		c.cost += longAwayCost
+// leastFailures is the share of failures of the best candidate.
+func leastFailures(choices []choice) float64 {
+	least := choices[0].failures
+	for i := range choices {
+		least = min(least, choices[i].failures)
 	}
+	return least
 }
 
-// sound leaves out the servers that fail clearly more often than the best one. A
-// server that fails at once looks idle, so that its cost alone would draw requests.
-func sound(list []choice) []choice {
-	best := slices.MinFunc(list, func(a, b choice) int { return cmp.Compare(a.failures, b.failures) })
-	return slices.DeleteFunc(list, func(c choice) bool { return c.failures > best.failures+failureMost })
-}
-
-// cheapest picks the least cost, by chance among equals.
-func cheapest(list []choice) choice {
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return slices.MinFunc(list, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
-}
-
-// homeOf is the first candidate in the rendezvous order of the prompt's prefix, ""
-// if it has none. Every box that finds the same servers usable finds the same one.
-func homeOf(q Query, choices []choice) string {
-	prefix := q.prefix()
-	if prefix == "" {
-		return ""
-	}
-	home, best := "", uint64(0)
-	for _, c := range choices {
-		if score := rendezvous(prefix, c.ID); home == "" || score > best {
-			home, best = c.ID, score
+// homeOf is the first candidate of the request's lane in the rendezvous order of the
+// prompt's prefix. Every box that finds the same servers usable finds the same one.
+func homeOf(q Query, choices []choice, l lane) *server {
+	prefix := xxhash.Sum64String(q.prefix())
+	var home *server
+	best := uint64(0)
+	for i := range choices {
+		state := choices[i].state
+		if !l.has(state.key) {
+			continue
+		}
+		if score := rendezvous(prefix, state.key); home == nil || score > best {
+			home, best = state, score
 		}
 	}
 	return home
 }
 
-func rendezvous(prefix, id string) uint64 {
-	return xxhash.Sum64String(strconv.Itoa(len(prefix)) + prefix + id)
+// rendezvous is the rank of a server for a prefix.
+func rendezvous(prefix uint64, key ServerKey) uint64 {
+	var buffer [12]byte
+	binary.LittleEndian.PutUint64(buffer[:8], prefix)
+	binary.LittleEndian.PutUint32(buffer[8:], uint32(key))
+	return xxhash.Sum64(buffer[:])
 }
--- a/pkg/balancer/health.go
+++ b/pkg/balancer/health.go
@@ -106,6 +106,9 @@
 // failureShare is the share of recent calls that failed, drawn towards none while
 // there are few.
 func (h *health) failureShare(now time.Time) float64 {
+	if h.failures == 0 {
+		return 0
+	}
 	h.decay(now)
 	return h.failures / (h.calls + priorCalls)
 }
--- a/pkg/balancer/lanes.go
+++ b/pkg/balancer/lanes.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -101,18 +100,43 @@
 	return int(math.Round(share * float64(servers)))
 }
 
-// laneOf orders choices so that those of the short lane come first, and returns where
-// the lane of a request begins and ends. Boxes that find the same servers usable agree
-// on the order.
-func laneOf(choices []choice, size int, short bool) (begin, end int) {
-	slices.SortFunc(choices, func(a, b choice) int {
-		return cmp.Or(cmp.Compare(a.state.key, b.state.key), cmp.Compare(a.ID, b.ID))
-	})
+// lane is the lane of one request.
+type lane struct {
+	// short tells that the request's class has short prompts.
+	short bool
+	// size is how many servers the short lane has, most the greatest key among them.
+	size int
+	most ServerKey
+}
+
+// laneOf works out the lane of a request. The short lane has the servers with the least
+// keys, so boxes that find the same servers usable agree on it.
+func (l *lanes) laneOf(q Query, choices []choice, now time.Time) lane {
+	r := lane{short: l.short(q.Class, q.Tokens), size: l.size(len(choices), now)}
+	if r.size == 0 {
+		return r
+	}
+	keys := make([]ServerKey, len(choices))
+	for i := range choices {
+		keys[i] = choices[i].state.key
+	}
+	slices.Sort(keys)
+	r.most = keys[r.size-1]
+	return r
+}
+
+// has tells whether a server belongs to the request's lane.
+func (l lane) has(key ServerKey) bool {
+	return l.size == 0 || l.short == (key <= l.most)
+}
+
+// cost is what a server costs for its lane.
+func (l lane) cost(key ServerKey) float64 {
 	switch {
-	case size == 0:
-		return 0, len(choices)
-	case short:
-		return 0, size
+	case l.has(key):
+		return 0
+	case l.short:
+		return shortAwayCost
 	}
-	return size, len(choices)
+	return longAwayCost
 }
--- a/pkg/balancer/lanes_test.go
+++ b/pkg/balancer/lanes_test.go
@@ -75,26 +75,28 @@
 
 // Boxes agree on the lane though their candidates come in another order.
 func TestBoxesAgreeOnTheLane(t *testing.T) {
-	b := New(log.NewNopLogger())
-	lane := func(reverse bool) map[string]bool {
+	b, now := New(log.NewNopLogger()), time.Now()
+	list := servers(20)
+	inLane := func(reverse bool) map[string]bool {
 		var choices []choice
-		for i := range 20 {
+		for i := range list {
 			if reverse {
-				i = 19 - i
+				i = len(list) - 1 - i
 			}
-			c := choice{Server: servers(20)[i]}
-			c.state = b.server(KeyOf(c.ID), time.Now())
-			choices = append(choices, c)
+			choices = append(choices, choice{Server: &list[i], state: b.server(KeyOf(list[i].ID), now)})
 		}
-		begin, end := laneOf(choices, 5, true)
+		l := lanes{others: Demand{Short: 1, Long: 9}}
+		r := l.laneOf(Query{Class: "any", Tokens: 1000}, choices, now)
 		ids := make(map[string]bool)
-		for _, c := range choices[begin:end] {
-			ids[c.ID] = true
+		for _, c := range choices {
+			if c.state.key <= r.most {
+				ids[c.ID] = true
+			}
 		}
 		return ids
 	}
-	assert.Equal(t, lane(false), lane(true))
-	assert.Len(t, lane(false), 5)
+	assert.Equal(t, inLane(false), inLane(true))
+	assert.Len(t, inLane(false), int(laneHeadroom*2))
 }
 
 func TestShortClassesAreTold(t *testing.T) {
--- a/pkg/balancer/share.go
+++ b/pkg/balancer/share.go
@@ -117,11 +117,6 @@
 	return b.others[s.key]
 }
 
-// down tells whether a server is to be left out on the word of others.
-func (b *Balancer) down(s *server, now time.Time) bool {
-	return b.other(s, now).Down >= downLeast && now.Sub(s.health.reached) > ownWord
-}
-
 // tellLoad passes on a change of a server's load that is large enough, and each return
 // to nothing.
 func (b *Balancer) tellLoad(s *server) {
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -32,7 +32,7 @@
 	TableRead   time.Time
 	ServersRead time.Time
 
-	servers map[string][]Server // by service
+	pools map[string]*pool // by service
 }
 
 // TableAge is the time since the source last confirmed the table.
@@ -44,13 +44,19 @@
 // Candidates returns the servers of a service that may get new work: the listed
 // ones that are not leaving, with those that lapsed in an outage and may be back in a
 // moment; or, if there is none, those that the list lost less than grace ago.
+//
+// The caller must not change the list.
 func (v *View) Candidates(service string, now time.Time, grace time.Duration) []routing.Server {
-	var listed, lost []routing.Server
-	for _, s := range v.servers[service] {
+	p := v.pools[service]
+	if p == nil {
+		return nil
+	}
+	listed := p.ready
+	var lost []routing.Server
+	for _, s := range p.lost {
 		switch {
-		case s.Leaving:
-		case s.Removed.IsZero(), now.Before(s.Lapsed):
-			listed = append(listed, s.Server)
+		case now.Before(s.Lapsed):
+			listed = append(slices.Clip(listed), s.Server)
 		case now.Sub(s.Removed) < grace:
 			lost = append(lost, s.Server)
 		}
@@ -61,6 +67,13 @@
 	return lost
 }
 
+// pool is the servers of a service that are not leaving.
+type pool struct {
+	// ready are listed, lost are not any more.
+	ready []routing.Server
+	lost  []Server
+}
+
 // Directory keeps the belief.
 type Directory struct {
 	logger log.Logger
@@ -247,22 +260,37 @@
 	_ = level.Info(d.logger).Log("msg", "server left the list", "server", id, "service", s.Service, "leaving", s.Leaving, "lapsed", !s.Lapsed.IsZero())
 }
 
+func (p *pool) add(s Server) {
+	switch {
+	case s.Leaving:
+	case s.Removed.IsZero():
+		p.ready = append(p.ready, s.Server)
+	default:
+		p.lost = append(p.lost, s)
+	}
+}
+
 // removedKept is how long a removed server is remembered.
 const removedKept = time.Minute
 
 func (d *Directory) publishServers(at time.Time) {
 	v := *d.view.Load()
 	v.ServersRead = at
-	v.servers = make(map[string][]Server)
+	v.pools = make(map[string]*pool)
 	for id, s := range d.servers {
 		if !s.Removed.IsZero() && at.Sub(s.Removed) > removedKept {
 			delete(d.servers, id)
 			continue
 		}
-		v.servers[s.Service] = append(v.servers[s.Service], s)
+		p := v.pools[s.Service]
+		if p == nil {
+			p = &pool{}
+			v.pools[s.Service] = p
+		}
+		p.add(s)
 	}
-	for _, list := range v.servers {
-		slices.SortFunc(list, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
+	for _, p := range v.pools {
+		slices.SortFunc(p.ready, func(a, b routing.Server) int { return strings.Compare(a.ID, b.ID) })
 	}
 	d.view.Store(&v)
 }
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -141,12 +141,12 @@
 }
 
 func (d *Directory) listed() map[string]routing.Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	m := make(map[string]routing.Server)
-	for _, list := range d.View().servers {
-		for _, s := range list {
-			if s.Removed.IsZero() {
-				m[s.ID] = s.Server
-			}
+	for id, s := range d.servers {
+		if s.Removed.IsZero() {
+			m[id] = s.Server
 		}
 	}
 	return m
