objlog: a conflict is our own write only if the whole batch stands at its place

A box whose claim home does not answer claims by itself for the same attempt. If the home has recorded that claim, the box's append conflicts; settle looked for the first record of the batch only, found the home's, and took the whole batch as written. Attempts that were in the batch too were told Granted without a record, and so was another one later. Ruled out: the store's rates that changed today (the same with the old ones by reading), the caller's client (each arrival has an attempt of its own), a server's double answer. Red without it: TestRecordOfAnotherWriterIsNotTakenForOurs, TestClaimThatAnotherHomeRecordedDoesNotStandForItsBatch.

--- a/pkg/claims/claims_test.go
+++ b/pkg/claims/claims_test.go
@@ -164,6 +164,34 @@
 	require.Equal(t, Taken, r.State)
 }
 
+// A box whose home did not answer claims by itself, for the same attempt. The home may
+// have recorded that claim all the same: the other claims of the box's batch are not
+// recorded by that.
+func TestClaimThatAnotherHomeRecordedDoesNotStandForItsBatch(t *testing.T) {
+	ctx := t.Context()
+	p := standin.New()
+	home, stale, third := NewHome(p.Client(), "p", 0, log.NewNopLogger()), NewHome(p.Client(), "p", 0, log.NewNopLogger()), NewHome(p.Client(), "p", 0, log.NewNopLogger())
+	_, err := stale.Claim(ctx, key(9), "loads the log")
+	require.NoError(t, err)
+	r, err := home.Claim(ctx, key(1), "first")
+	require.NoError(t, err)
+	require.Equal(t, Granted, r.State)
+
+	claim := func(k Key, attempt string) *operation {
+		return &operation{ctx: ctx, rec: record{Op: opClaim, Key: k, Attempt: attempt, At: time.Now()}, done: make(chan operationResult, 1)}
+	}
+	batch := []*operation{claim(key(1), "first"), claim(key(2), "second")}
+	require.NoError(t, stale.append(batch))
+	for _, op := range batch {
+		got := <-op.done
+		require.NoError(t, got.err)
+		require.Equal(t, Granted, got.State)
+	}
+	r, err = third.Claim(ctx, key(2), "third")
+	require.NoError(t, err)
+	require.Equal(t, Taken, r.State, "the second attempt has it and may run")
+}
+
 // During an outage the first caller waits for the platform at most appendTimeout,
 // the following ones get their final answer at once.
 func TestOutageIsAnsweredAtOnce(t *testing.T) {
--- a/pkg/objlog/log.go
+++ b/pkg/objlog/log.go
@@ -168,7 +168,7 @@
 	}
 	v, err := l.writeUntilDefinite(ctx, value)
 	if objectstore.IsConflict(err) {
-		return l.settle(ctx, s.Number, records)
+		return l.settle(ctx, s.Number, expect, records)
 	}
 	if err != nil {
 		return err
@@ -207,12 +207,14 @@
 	return json.Marshal(s)
 }
 
-// settle looks whether a conflict was our own earlier write.
-func (l *Log) settle(ctx context.Context, number int, records []Record) error {
+// settle looks whether a conflict was our own earlier write. It was if all records stand
+// where it would have put them: some of them may have been written by others, who act
+// for the same attempts.
+func (l *Log) settle(ctx context.Context, number int, expect uint64, records []Record) error {
 	if err := l.refreshPast(ctx, l.version); err != nil {
 		return &objectstore.UnknownError{Op: "append", Cause: err}
 	}
-	found, err := l.find(ctx, number, records[0].ID)
+	found, err := l.find(ctx, number, expect, records)
 	if err != nil {
 		return &objectstore.UnknownError{Op: "append", Cause: err}
 	}
@@ -248,10 +250,10 @@
 	return pause
 }
 
-// find tells whether a record stands in segment number.
-func (l *Log) find(ctx context.Context, number int, id string) (bool, error) {
+// find tells whether records stand in segment number from an index on.
+func (l *Log) find(ctx context.Context, number int, index uint64, records []Record) (bool, error) {
 	if l.open.Number == number {
-		return l.open.holds(id), nil
+		return l.open.holdsAt(index, records), nil
 	}
 	key := l.segmentKey(number)
 	o, err := l.objects.Get(ctx, key)
@@ -262,7 +264,7 @@
 	if err != nil {
 		return false, err
 	}
-	return s.holds(id), nil
+	return s.holdsAt(index, records), nil
 }
 
 const (
--- a/pkg/objlog/log_test.go
+++ b/pkg/objlog/log_test.go
@@ -302,3 +302,19 @@
 		require.GreaterOrEqual(t, s.next(), s.First)
 	})
 }
+
+// Two writers may append a record of the same ID, for the same attempt. That one of them
+// stands in the log says nothing of what the other wrote with it.
+func TestRecordOfAnotherWriterIsNotTakenForOurs(t *testing.T) {
+	ctx := t.Context()
+	p := standin.New()
+	first, second := newClient(p.Client()), newClient(p.Client())
+	require.NoError(t, first.Refresh(ctx))
+	require.NoError(t, second.Refresh(ctx))
+	next := first.Next()
+	shared, alone := Record{ID: "shared", Data: []byte("{}")}, Record{ID: "alone", Data: []byte("{}")}
+	require.NoError(t, first.Append(ctx, next, []Record{shared}))
+	err := second.Append(ctx, next, []Record{shared, alone})
+	require.True(t, IsMoved(err), "%v", err)
+	require.Equal(t, []string{"shared"}, second.memory.ids)
+}
--- a/pkg/objlog/segment.go
+++ b/pkg/objlog/segment.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -30,13 +31,13 @@
 // next is the index after the segment's last record.
 func (s *segment) next() uint64 { return s.First + uint64(len(s.Records)) }
 
-func (s *segment) holds(id string) bool {
-	for _, r := range s.Records {
-		if r.ID == id {
-			return true
-		}
+// holdsAt tells whether records stand in the segment from an index on, in their order.
+func (s *segment) holdsAt(index uint64, records []Record) bool {
+	if index < s.First || index+uint64(len(records)) > s.next() {
+		return false
 	}
-	return false
+	begin := index - s.First
+	return slices.EqualFunc(s.Records[begin:begin+uint64(len(records))], records, func(a, b Record) bool { return a.ID == b.ID })
 }
 
 // with returns the segment that an append of records leads to: s with the records
