balancer, roster, loadshare: what the read-through found twice stands once

Cause: a reading of the whole change. The keys of a prompt's prefix were hashed three times for each request, once under the lock of each step: they are worked out once and go with the lease. Loadshare read boxes' addresses itself, as the roster does: it calls Entry.Address. The one form of an address stood in datagram and roster: AddrPortOf. Two places kept placements to be passed on: passOn. balancer.Part had JSON names that nothing has used since datagrams are protobuf. Ruled out, left alone: the lists of relays for the one relay a hall has, the configuration that soak and fleet tests each write, the generated code.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -15,8 +15,8 @@
 
 // Part is one part of a prompt.
 type Part struct {
-	ID     string `json:"id"`
-	Tokens int    `json:"tokens"`
+	ID     string
+	Tokens int
 }
 
 // Query says what a server is wanted for.
@@ -120,7 +120,7 @@
 
 	balancer *Balancer
 	state    *server
-	shared   []Part
+	prefix   prefix
 	unread   int
 	begun    bool
 	done     bool
@@ -136,18 +136,17 @@
 		return nil, false
 	}
 	s := chosen.state
-	l := &Lease{Server: *chosen.Server, Source: chosen.source, balancer: b, state: s, Inputs: Inputs{
+	l := &Lease{Server: *chosen.Server, Source: chosen.source, balancer: b, state: s, prefix: p.prefix, Inputs: Inputs{
 		Candidates: len(q.Candidates), Running: s.running, Unread: s.unread, Others: b.other(s, now).Unread,
 		Prefix: q.prefix(), Home: chosen.home, Short: p.lane.short, Lane: p.lane.size, Kept: chosen.kept, Moved: chosen.moved, Failures: chosen.failures,
 	}}
 	s.running++
 	if q.Engine {
-		l.shared = q.shared()
 		l.unread = chosen.ownUnread(q)
 		s.unread += l.unread
 		b.lanesOf(q.Service).note(p.lane.short, l.unread, now)
 		b.tellLoad(s)
-		b.tellPlacement(s, l.shared, false, now)
+		b.tellPlacement(s, l.prefix, false, now)
 	}
 	return l, true
 }
@@ -192,7 +191,7 @@
 	}
 	l.begun = true
 	l.settle()
-	b.tellPlacement(l.state, l.shared, true, now)
+	b.tellPlacement(l.state, l.prefix, true, now)
 }
 
 // settle counts the prompt as read, or as given up.
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -116,10 +116,10 @@
 	var k keptParts
 	now := time.Now()
 	longest := func(parts []Part, at time.Time) int {
-		kept, _ := k.longest(parts, keysOf(parts), at)
+		kept, _ := k.longest(prefixOf(parts), at)
 		return kept
 	}
-	k.note(keysOf([]Part{{ID: "a"}, {ID: "c"}}), true, now)
+	k.note(prefixOf([]Part{{ID: "a"}, {ID: "c"}}).keys, true, now)
 	assert.Equal(t, 10, longest([]Part{{"a", 10}, {"b", 20}, {"c", 30}}, now))
 	assert.Zero(t, longest([]Part{{"a", 10}}, now.Add(keptFor+time.Second)))
 	for i := range 3 * keptMost {
@@ -133,16 +133,16 @@
 	var k keptParts
 	now := time.Now()
 	parts := []Part{{"a", 10}}
-	ids := keysOf(parts)
+	ids := prefixOf(parts).keys
 	assert.True(t, k.note(ids, false, now))
-	kept, read := k.longest(parts, ids, now)
+	kept, read := k.longest(prefixOf(parts), now)
 	assert.Equal(t, []int{10, 0}, []int{kept, read})
-	kept, _ = k.longest(parts, ids, now.Add(assignedFor+time.Millisecond))
+	kept, _ = k.longest(prefixOf(parts), now.Add(assignedFor+time.Millisecond))
 	assert.Zero(t, kept)
 	assert.True(t, k.note(ids, true, now), "that it was read is news")
 	k.tell(ids, now)
 	assert.False(t, k.note(ids, false, now.Add(time.Second)), "sent again, it still keeps it")
-	kept, read = k.longest(parts, ids, now.Add(keptFor))
+	kept, read = k.longest(prefixOf(parts), now.Add(keptFor))
 	assert.Equal(t, []int{10, 10}, []int{kept, read})
 }
 
--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -63,11 +63,12 @@
 // choose picks the candidate with the least cost, by chance among equals. It returns
 // false if none is left.
 func (b *Balancer) choose(q Query, now time.Time) (choice, placing, bool) {
-	choices := b.usable(q, now)
+	shared := prefixOf(q.shared())
+	choices := b.usable(q, shared, now)
 	if len(choices) == 0 {
 		return choice{}, placing{}, false
 	}
-	p := b.placing(q, choices, now)
+	p := b.placing(q, shared, choices, now)
 	mostFailures := leastFailures(choices) + failureMost
 	var best *choice
 	equals := 0
@@ -93,11 +94,9 @@
 
 // usable are the candidates not tried before and not put aside; if all are put aside,
 // all of them.
-func (b *Balancer) usable(q Query, now time.Time) []choice {
+func (b *Balancer) usable(q Query, shared prefix, now time.Time) []choice {
 	fit := make([]choice, 0, len(q.Candidates))
 	var aside []choice
-	shared := q.shared()
-	keys := keysOf(shared)
 	for i := range q.Candidates {
 		c := &q.Candidates[i]
 		if slices.Contains(q.Avoid, c.ID) {
@@ -106,7 +105,7 @@
 		s := b.server(KeyOf(c.ID), now)
 		other := b.other(s, now)
 		x := choice{Server: c, state: s, failures: s.health.failureShare(now), unread: s.unread + other.Unread}
-		x.kept, x.read = s.kept.longest(shared, keys, now)
+		x.kept, x.read = s.kept.longest(shared, now)
 		if now.Before(s.health.aside) || other.Down >= downLeast && now.Sub(s.health.reached) > ownWord {
 			aside = append(aside, x)
 			continue
@@ -121,9 +120,8 @@
 
 // placing is what the costs of one request's candidates have in common.
 type placing struct {
-	query Query
-	// shared is the length of the prefix, in tokens.
-	shared   int
+	query    Query
+	prefix   prefix
 	missCost float64
 	// home is where all boxes send a prefix of which this one has not heard where it is
 	// kept; nil if it has, and without a prefix.
@@ -133,8 +131,8 @@
 	lane   lane
 }
 
-func (b *Balancer) placing(q Query, choices []choice, now time.Time) placing {
-	p := placing{query: q, shared: tokens(q.shared())}
+func (b *Balancer) placing(q Query, shared prefix, choices []choice, now time.Time) placing {
+	p := placing{query: q, prefix: shared}
 	known := 0
 	unread := 0
 	for i := range choices {
@@ -149,7 +147,7 @@
 		p.lane = b.lanesOf(q.Service).laneOf(q, choices, now)
 	}
 	p.missCost = missFactor + float64(unread)/float64(len(choices))/busyTokens
-	if known == 0 && p.shared > 0 {
+	if known == 0 && p.prefix.tokens > 0 {
 		p.home = homeOf(q, choices, p.lane)
 	}
 	return p
@@ -162,7 +160,7 @@
 	if c.Hall != p.query.Hall {
 		c.cost += byteCost * float64(p.query.Bytes+answerBytes)
 	}
-	missing := p.shared - c.kept
+	missing := p.prefix.tokens - c.kept
 	if moved := p.source.read - c.kept; moved > 0 {
 		c.source, c.moved = p.source.Address, moved
 		c.cost += moveFactor * float64(moved)
--- a/pkg/balancer/kept.go
+++ b/pkg/balancer/kept.go
@@ -70,10 +70,10 @@
 
 // longest returns the tokens of the longest run of parts, from the first, that the
 // server is believed to keep, and how many of them it has read for certain.
-func (k keptParts) longest(parts []Part, keys []partKey, now time.Time) (kept, read int) {
+func (k keptParts) longest(shared prefix, now time.Time) (kept, read int) {
 	allRead := true
-	for i, p := range parts {
-		known, ok := k[keys[i]]
+	for i, p := range shared.parts {
+		known, ok := k[shared.keys[i]]
 		if !ok || !known.valid(now) {
 			return kept, read
 		}
--- a/pkg/balancer/share.go
+++ b/pkg/balancer/share.go
@@ -127,13 +127,12 @@
 }
 
 // tellPlacement passes on where a prompt's prefix is now.
-func (b *Balancer) tellPlacement(s *server, parts []Part, read bool, now time.Time) {
-	keys := keysOf(parts)
-	if !s.kept.note(keys, read, now) || tokens(parts) < placementLeast || len(b.placements) >= placementsMost {
+func (b *Balancer) tellPlacement(s *server, p prefix, read bool, now time.Time) {
+	if !s.kept.note(p.keys, read, now) || p.tokens < placementLeast || len(b.placements) >= placementsMost {
 		return
 	}
-	s.kept.tell(keys, now)
-	b.placements = append(b.placements, Placement{Server: s.key, Parts: keys, Read: read})
+	s.kept.tell(p.keys, now)
+	b.placements = append(b.placements, Placement{Server: s.key, Parts: p.keys, Read: read})
 	b.changed()
 }
 
@@ -143,18 +142,19 @@
 	}
 }
 
-func keysOf(parts []Part) []partKey {
-	keys := make([]partKey, len(parts))
-	for i, p := range parts {
-		keys[i] = xxhash.Sum64String(p.ID)
-	}
-	return keys
+// prefix is the parts of a prompt that other requests may share, with what is worked out
+// of them once for each request.
+type prefix struct {
+	parts  []Part
+	keys   []partKey
+	tokens int
 }
 
-func tokens(parts []Part) int {
-	total := 0
-	for _, p := range parts {
-		total += p.Tokens
+func prefixOf(parts []Part) prefix {
+	p := prefix{parts: parts, keys: make([]partKey, len(parts))}
+	for i, part := range parts {
+		p.keys[i] = xxhash.Sum64String(part.ID)
+		p.tokens += part.Tokens
 	}
-	return total
+	return p
 }
--- a/pkg/datagram/port.go
+++ b/pkg/datagram/port.go
@@ -115,5 +115,11 @@
 	if !ok {
 		return nil, false
 	}
-	return a, p.Known(netip.AddrPortFrom(a.AddrPort().Addr().Unmap(), a.AddrPort().Port()))
+	return a, p.Known(AddrPortOf(a))
+}
+
+// AddrPortOf is an address in the one form in which boxes are known.
+func AddrPortOf(a *net.UDPAddr) netip.AddrPort {
+	address := a.AddrPort()
+	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
 }
--- a/pkg/loadshare/relays.go
+++ b/pkg/loadshare/relays.go
@@ -32,8 +32,7 @@
 func membersOf(entries []roster.Entry) []member {
 	members := make([]member, 0, len(entries))
 	for _, e := range entries {
-		address, err := net.ResolveUDPAddr("udp", e.Peer)
-		if err == nil {
+		if address := e.Address(); address != nil {
 			members = append(members, member{box: e.Box, hall: e.Hall, address: address})
 		}
 	}
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -178,16 +178,22 @@
 	if in.from != s.Box {
 		s.Balancer.NotePlacements(list, in.received)
 	}
-	own := in.kind == kindPlaced
-	if own {
-		s.toHalls = append(s.toHalls, list...)
-	}
-	if own || in.placements.GetHall() != s.Hall {
+	switch {
+	case in.kind == kindPlaced:
+		s.passOn(list)
+	case in.placements.GetHall() != s.Hall:
 		s.toHall = append(s.toHall, list...)
 		s.dirty = true
 	}
 }
 
+// passOn keeps what this hall's boxes have placed for its boxes and for other halls.
+func (s *Sharer) passOn(list []balancer.Placement) {
+	s.toHall = append(s.toHall, list...)
+	s.toHalls = append(s.toHalls, list...)
+	s.dirty = true
+}
+
 // report tells this hall's relays what this box does. Nothing is told twice in a row.
 func (s *Sharer) report(now time.Time) {
 	r := s.Balancer.Report(now)
@@ -213,9 +219,7 @@
 // relayOwn takes this box's own report in where it is a relay itself.
 func (s *Sharer) relayOwn(placements []balancer.Placement, now time.Time) {
 	s.boxes[s.Box] = toldWork{work: s.told, heard: now}
-	s.toHalls = append(s.toHalls, placements...)
-	s.toHall = append(s.toHall, placements...)
-	s.dirty = true
+	s.passOn(placements)
 }
 
 // summarise tells the boxes of this hall what all do, and the relays of other halls
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -16,6 +16,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+
+	"headhill.example/headhill/pkg/datagram"
 )
 
 // Entry is one box.
@@ -28,8 +30,8 @@
 	Incarnation uint64
 }
 
-// address is where the box hears from others, nil if it can't be read.
-func (e Entry) address() *net.UDPAddr {
+// Address is where the box hears from others, nil if it can't be read.
+func (e Entry) Address() *net.UDPAddr {
 	a, err := net.ResolveUDPAddr("udp", e.Peer)
 	if err != nil {
 		return nil
@@ -152,10 +154,10 @@
 	peers := make([]*net.UDPAddr, 0, len(entries))
 	known := make(map[netip.AddrPort]bool, len(entries))
 	for _, e := range behind(entries, r.self.Box) {
-		a := e.address()
+		a := e.Address()
 		if e.Box != r.self.Box && a != nil {
 			peers = append(peers, a)
-			known[netip.AddrPortFrom(a.AddrPort().Addr().Unmap(), a.AddrPort().Port())] = true
+			known[datagram.AddrPortOf(a)] = true
 		}
 	}
 	own := slices.ContainsFunc(entries, func(e Entry) bool { return e.Box == r.self.Box })
--- a/pkg/roster/sweep.go
+++ b/pkg/roster/sweep.go
@@ -70,7 +70,7 @@
 func (s *Sweeper) Sweep(ctx context.Context) {
 	ask, gone := s.look(s.roster.Entries(), s.now())
 	for _, e := range ask {
-		if address := e.address(); address != nil {
+		if address := e.Address(); address != nil {
 			s.port.Send(kindPing, nil, address)
 		}
 	}
