balancer: a class is fragile by what it loses against what it causes

Now a class is told by its streams' time in pauses allowed, against its tokens to prefill, compared with the other classes; one request of each is enough. A request's log line tells its longest pause.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -36,6 +36,8 @@
 	// Service and Class name what the request is for; requests of a class are alike.
 	Service string
 	Class   string
+	// Pause is the longest pause that the request's stream may have between events.
+	Pause time.Duration
 	// Repeatable requests survive a failure of their server.
 	Repeatable bool
 }
@@ -122,8 +124,12 @@
 	state    *server
 	prefix   prefix
 	unread   int
-	begun    bool
-	done     bool
+	// service and class are set for engines.
+	service string
+	class   string
+	// begun is when the first event came.
+	begun time.Time
+	done  bool
 }
 
 // Pick chooses a server and counts the call there. It returns false if no
@@ -144,7 +150,10 @@
 	if q.Engine {
 		l.unread = chosen.ownUnread(q)
 		s.unread += l.unread
-		b.lanesOf(q.Service).note(p.lane.short, l.unread, now)
+		l.service, l.class = q.Service, q.Class
+		lanes := b.lanesOf(q.Service)
+		lanes.note(p.lane.short, l.unread, now)
+		lanes.classes.add(q.Class, l.unread, q.Pause, now)
 		b.tellLoad(s)
 		b.tellPlacement(s, l.prefix, false, now)
 	}
@@ -156,7 +165,7 @@
 	key := ServiceKeyOf(service)
 	l, ok := b.lanes[key]
 	if !ok {
-		l = &lanes{}
+		l = &lanes{classes: make(profiles)}
 		b.lanes[key] = l
 	}
 	return l
@@ -186,10 +195,10 @@
 	b := l.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if l.begun || l.done {
+	if !l.begun.IsZero() || l.done {
 		return
 	}
-	l.begun = true
+	l.begun = now
 	l.settle()
 	b.tellPlacement(l.state, l.prefix, true, now)
 }
@@ -213,6 +222,9 @@
 	l.settle()
 	s := l.state
 	s.running--
+	if l.class != "" && r == ResultDone && !l.begun.IsZero() {
+		b.lanesOf(l.service).classes.ended(l.class, now.Sub(l.begun), now)
+	}
 	aside := s.health.note(r, now)
 	if aside > 0 && s.health.unreachable {
 		b.changed()
--- a/pkg/balancer/class.go
+++ b/pkg/balancer/class.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -14,6 +15,8 @@
 	profileTime = 10 * time.Second
 	// streamingPrior is the length of a stream that is assumed until one has ended.
 	streamingPrior = time.Second
+	// pausePrior is the pause that streams may have where none is set.
+	pausePrior = time.Second
 	// streamingWeight is the weight of a new stream in the mean length of its class.
 	streamingWeight = 0.1
 	// classesMost bounds the classes that are remembered of one service.
@@ -76,14 +79,12 @@
 }
 
 // add takes in a request that starts: the tokens to prefill for it, and the pause that
-// its stream may have.
+// its stream may have, zero if none is set.
 func (s profiles) add(class string, prefill int, pause time.Duration, now time.Time) {
 	p := s.of(class, now)
 	p.seen = now
 	p.prefill += float64(prefill)
-	if pause > 0 {
-		p.exposure += p.streaming.Seconds() / pause.Seconds()
-	}
+	p.exposure += p.streaming.Seconds() / cmp.Or(pause, pausePrior).Seconds()
 }
 
 // ended takes in the length of a stream.
--- /dev/null
+++ b/pkg/balancer/class_test.go
@@ -0,0 +1,107 @@
+package balancer
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// traffic is one class of a drawn load.
+type traffic struct {
+	class string
+	// perSecond requests have prompts of tokens on average, with a long tail, and streams
+	// of a length with pauses of at most pause.
+	perSecond float64
+	tokens    float64
+	streaming time.Duration
+	pause     time.Duration
+}
+
+// play feeds the profiles with seconds of load, and returns how often each class counted
+// as fragile among the requests of the second half.
+func play(r *rand.Rand, classes []traffic, seconds float64) map[string]float64 {
+	s := make(profiles)
+	start := time.Now()
+	asked, fragile := make(map[string]float64), make(map[string]float64)
+	total := 0.0
+	for _, c := range classes {
+		total += c.perSecond
+	}
+	for at := 0.0; at < seconds; at += r.ExpFloat64() / total {
+		now := start.Add(time.Duration(at * float64(time.Second)))
+		draw := r.Float64() * total
+		for _, c := range classes {
+			if draw -= c.perSecond; draw >= 0 {
+				continue
+			}
+			if at > seconds/2 {
+				asked[c.class]++
+				if s.fragile(c.class, now) {
+					fragile[c.class]++
+				}
+			}
+			s.add(c.class, int(c.tokens*math.Exp(r.NormFloat64()-0.5)), c.pause, now)
+			s.ended(c.class, time.Duration(r.ExpFloat64()*float64(c.streaming)), now)
+			break
+		}
+	}
+	for class := range fragile {
+		fragile[class] /= asked[class]
+	}
+	return fragile
+}
+
+// Questions with short prompts and long streams are told from reports with long prompts,
+// whatever their shares of the load and though lengths vary.
+func TestFragileClassIsToldInEachMix(t *testing.T) {
+	for _, ratio := range []float64{0.2, 1, 5} {
+		t.Run(fmt.Sprint(ratio), func(t *testing.T) {
+			fragile := play(rand.New(rand.NewPCG(1, 2)), []traffic{
+				{"questions", 4 * ratio, 826, 3 * time.Second, 200 * time.Millisecond},
+				{"reports", 2, 2890, 400 * time.Millisecond, 300 * time.Millisecond},
+			}, 60)
+			assert.Equal(t, 1.0, fragile["questions"])
+			assert.Zero(t, fragile["reports"])
+		})
+	}
+}
+
+func TestClassesThatDifferByChanceAreNotFragile(t *testing.T) {
+	for seed := range uint64(20) {
+		fragile := play(rand.New(rand.NewPCG(seed, 2)), []traffic{
+			{"one", 4, 3000, time.Second, 300 * time.Millisecond},
+			{"two", 4, 3000, time.Second, 300 * time.Millisecond},
+		}, 60)
+		assert.Less(t, fragile["one"]+fragile["two"], 0.02, "seed %d", seed)
+	}
+}
+
+func TestOneClassIsNotFragile(t *testing.T) {
+	assert.Empty(t, play(rand.New(rand.NewPCG(1, 2)), []traffic{{"only", 4, 826, time.Second, 200 * time.Millisecond}}, 20))
+}
+
+// The first requests of a class tell it already.
+func TestFragileClassIsToldAtOnce(t *testing.T) {
+	now := time.Now()
+	s := make(profiles)
+	assert.False(t, s.fragile("questions", now))
+	s.add("questions", 826, 200*time.Millisecond, now)
+	s.add("reports", 9190, 300*time.Millisecond, now)
+	assert.True(t, s.fragile("questions", now))
+	assert.False(t, s.fragile("reports", now))
+}
+
+func TestProfilesAreBounded(t *testing.T) {
+	now := time.Now()
+	s := make(profiles)
+	for i := range 3 * classesMost {
+		s.add(fmt.Sprint(i), 100, time.Second, now.Add(time.Duration(i)*time.Second))
+	}
+	assert.Len(t, s, classesMost)
+	assert.Contains(t, s, fmt.Sprint(3*classesMost-1))
+	assert.NotContains(t, s, "0")
+}
--- a/pkg/balancer/lanes.go
+++ b/pkg/balancer/lanes.go
@@ -13,9 +13,6 @@
 // as many as their share of all reading asks for. Lanes are preferences: a server of
 // the other lane is taken when it costs less all the same.
 const (
-	// shortShare is the part of the mean prompt of a service up to which the mean
-	// prompt of a class is short.
-	shortShare = 0.25
 	// laneHeadroom is how many servers the short lane gets beyond its share.
 	laneHeadroom = 2.0
 	// laneMost bounds the short lane's part of the servers.
@@ -26,8 +23,6 @@
 	longAwayCost  = 20000.0
 	// demandTime is the time over which demand is averaged.
 	demandTime = 2 * time.Second
-	// meanWeight is the weight of a new prompt in the mean of its class.
-	meanWeight = 0.05
 )
 
 // Demand is what the requests of a service have its servers read, in tokens a second.
@@ -42,32 +37,15 @@
 // ServiceKeyOf is the key of a service.
 func ServiceKeyOf(name string) ServiceKey { return ServiceKey(xxhash.Sum64String(name)) }
 
-// lanes is what is known of the prompts of one service.
+// lanes is what is known of the demand for one service.
 type lanes struct {
-	mean    float64
-	classes map[string]float64
+	classes profiles
 	// own is this box's demand up to a time, others that of the other boxes.
 	own    Demand
 	since  time.Time
 	others Demand
 }
 
-// short tells whether the prompts of a class are short, and takes one more in.
-func (l *lanes) short(class string, tokens int) bool {
-	if l.classes == nil {
-		l.classes = make(map[string]float64)
-	}
-	if _, known := l.classes[class]; !known {
-		l.classes[class] = float64(tokens)
-	}
-	if l.mean == 0 {
-		l.mean = float64(tokens)
-	}
-	l.classes[class] += meanWeight * (float64(tokens) - l.classes[class])
-	l.mean += meanWeight * (float64(tokens) - l.mean)
-	return l.classes[class] < shortShare*l.mean
-}
-
 // note counts tokens that a server is to read.
 func (l *lanes) note(short bool, tokens int, now time.Time) {
 	l.decay(now)
@@ -112,7 +90,7 @@
 // laneOf works out the lane of a request. The short lane has the servers with the least
 // keys, so boxes that find the same servers usable agree on it.
 func (l *lanes) laneOf(q Query, choices []choice, now time.Time) lane {
-	r := lane{short: l.short(q.Class, q.Tokens), size: l.size(len(choices), now)}
+	r := lane{short: l.classes.fragile(q.Class, now), size: l.size(len(choices), now)}
 	if r.size == 0 {
 		return r
 	}
--- a/pkg/gateway/close.go
+++ b/pkg/gateway/close.go
@@ -100,7 +100,7 @@
 	fields := []any{
 		"msg", "request", "id", x.call.ID, "outcome", outcome, "status", x.status, "route", r.Route, "organisation", r.Organisation,
 		"servers", strings.Join(x.servers, ","), "total_ms", r.Total.Milliseconds(),
-		"first_ms", r.FirstEvent.Milliseconds(), "events", x.events, "patience_ms", x.call.Patience.Milliseconds(),
+		"first_ms", r.FirstEvent.Milliseconds(), "events", x.events, "pause_ms", x.longestPause.Milliseconds(), "patience_ms", x.call.Patience.Milliseconds(),
 	}
 	if x.view.Table != nil {
 		fields = append(fields, "version", x.view.Table.Version, "table_age_ms", x.view.TableAge(x.arrival).Milliseconds(),
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -131,11 +131,15 @@
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	// begun is set once the head of the answer went to the caller.
-	begun      bool
-	status     int
-	firstEvent time.Time
-	events     int
-	lastEvent  string
+	begun  bool
+	status int
+	// firstEvent and latestEvent are when events were passed on, longestPause is the
+	// longest time between two.
+	firstEvent   time.Time
+	latestEvent  time.Time
+	longestPause time.Duration
+	events       int
+	lastEvent    string
 }
 
 func (x *exchange) serve() error {
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -160,6 +160,7 @@
 		Engine:     x.service.Engine,
 		Service:    x.service.Name,
 		Class:      x.route.Name,
+		Pause:      x.route.BetweenTarget,
 		Repeatable: x.route.Repeatable() && len(x.servers)+1 < x.route.MaxAttempts,
 	}
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -66,11 +66,15 @@
 	x.begin(resp.Status)
 }
 
-// noteEvents remembers the last event that the caller has.
+// noteEvents remembers the last event that the caller has, and the longest pause before
+// an event.
 func (x *exchange) noteEvents(events []byte) {
+	now := time.Now()
 	if x.firstEvent.IsZero() {
-		x.firstEvent = time.Now()
+		x.firstEvent, x.latestEvent = now, now
 	}
+	x.longestPause = max(x.longestPause, now.Sub(x.latestEvent))
+	x.latestEvent = now
 	for line := range bytes.Lines(events) {
 		id, ok := bytes.CutPrefix(line, []byte("id:"))
 		if !ok {
