balancer, loadshare: running requests are shared, and loads sooner

The five engines of the lane stood at 64 of 64 places while the four others ran 0 to 8. Now loads hold the running requests and those of fragile classes; a server costs more the more of its places are taken; a relay sends its hall a summary as often as 32 KB/s allow, other halls each 40 ms; a transferred token costs 2, not 3. What changed between two summaries was told to other halls only with the next change; it is told when its time has come. An encoding error is logged. Ruled out: lanes by engine time, by speed learned on each box, refusing bulk requests at once, a random spread: see docs/measurements/inspection.md.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -74,15 +74,22 @@
 type server struct {
 	key     ServerKey
 	running int
+	// interactive is how many of the running requests are of interactive classes.
+	interactive int
 	// unread is the length of the prompts whose first event is awaited, told is
 	// what the other boxes were told of it.
 	unread  int
-	told    int
+	told    Load
 	kept    keptParts
 	health  health
 	touched time.Time
 }
 
+// load is what this box has the server do.
+func (s *server) load() Load {
+	return Load{Unread: s.unread, Running: s.running, Interactive: s.interactive}
+}
+
 // New returns a balancer that knows nothing yet.
 func New(logger log.Logger) *Balancer {
 	return &Balancer{logger: logger, servers: make(map[ServerKey]*server), lanes: make(map[ServiceKey]*lanes)}
@@ -108,6 +115,10 @@
 	Lane  int
 	// Moved is what it can take from another server, in tokens.
 	Moved int
+	// Prefill is what it has to prefill of the prompt, in tokens.
+	Prefill int
+	// OthersRunning is how many requests of other boxes run there.
+	OthersRunning int
 	// Failures is the share of recent calls that failed.
 	Failures float64
 }
@@ -125,8 +136,9 @@
 	prefix   prefix
 	unread   int
 	// service and class are set for engines.
-	service string
-	class   string
+	service     string
+	class       string
+	interactive bool
 	// begun is when the first event came.
 	begun time.Time
 	done  bool
@@ -146,11 +158,15 @@
 		Candidates: len(q.Candidates), Running: s.running, Unread: s.unread, Others: b.other(s, now).Unread,
 		Prefix: q.prefix(), Home: chosen.home, Short: p.lane.short, Lane: p.lane.size, Kept: chosen.kept, Moved: chosen.moved, Failures: chosen.failures,
 	}}
+	l.Inputs.Prefill, l.Inputs.OthersRunning = chosen.ownUnread(q), chosen.load.Running-s.running
 	s.running++
 	if q.Engine {
 		l.unread = chosen.ownUnread(q)
 		s.unread += l.unread
-		l.service, l.class = q.Service, q.Class
+		l.service, l.class, l.interactive = q.Service, q.Class, p.lane.short
+		if l.interactive {
+			s.interactive++
+		}
 		lanes := b.lanesOf(q.Service)
 		lanes.note(p.lane.short, l.unread, now)
 		lanes.classes.add(q.Class, l.unread, q.Pause, now)
@@ -222,6 +238,9 @@
 	l.settle()
 	s := l.state
 	s.running--
+	if l.interactive {
+		s.interactive--
+	}
 	if l.class != "" && r == ResultDone && !l.begun.IsZero() {
 		b.lanesOf(l.service).classes.ended(l.class, now.Sub(l.begun), now)
 	}
--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -23,9 +23,12 @@
 	// from its home, where other boxes look for it.
 	coldFactor = 0.5
 	// moveFactor is what a token costs that is taken from another server.
-	moveFactor = 3.0
-	// runningCost is what one running request costs those beside it.
-	runningCost = 300.0
+	moveFactor = 2.0
+	// occupancyCost is what a server costs whose places are all taken; less of it the
+	// fewer are, by the square.
+	occupancyCost = 8000.0
+	// queueCost is what each request costs that waits at a server for a place.
+	queueCost = 2000.0
 	// byteCost is what one byte sent to another hall costs.
 	byteCost = 0.05
 	// answerBytes is the size of an answer that is guessed.
@@ -46,9 +49,9 @@
 	// kept is what the server keeps or is about to read, read what it has read.
 	kept int
 	read int
-	// unread is what others and this box have it read before.
-	unread int
-	cost   float64
+	// load is what all boxes have the server do.
+	load Load
+	cost float64
 	// failures is the share of recent calls that failed.
 	failures float64
 	// source is the address of a server that has read more of the prompt, moved how
@@ -60,6 +63,23 @@
 // ownUnread is how much of the prompt the server has to read.
 func (c *choice) ownUnread(q Query) int { return max(0, q.Tokens-c.kept-c.moved) }
 
+// occupancy is the part of the server's places that are taken, none if it does not say how
+// many it has.
+func (c *choice) occupancy() float64 {
+	if c.Slots == 0 {
+		return 0
+	}
+	return min(1, float64(c.load.Running)/float64(c.Slots))
+}
+
+// waiting is how many requests would wait at the server for a place, this one included.
+func (c *choice) waiting() int {
+	if c.Slots == 0 {
+		return 0
+	}
+	return max(0, c.load.Running+1-c.Slots)
+}
+
 // choose picks the candidate with the least cost, by chance among equals. It returns
 // false if none is left.
 func (b *Balancer) choose(q Query, now time.Time) (choice, placing, bool) {
@@ -104,7 +124,7 @@
 		}
 		s := b.server(KeyOf(c.ID), now)
 		other := b.other(s, now)
-		x := choice{Server: c, state: s, failures: s.health.failureShare(now), unread: s.unread + other.Unread}
+		x := choice{Server: c, state: s, failures: s.health.failureShare(now), load: s.load().Plus(other)}
 		x.kept, x.read = s.kept.longest(shared, now)
 		if now.Before(s.health.aside) || other.Down >= downLeast && now.Sub(s.health.reached) > ownWord {
 			aside = append(aside, x)
@@ -138,7 +158,7 @@
 	for i := range choices {
 		c := &choices[i]
 		known = max(known, c.kept)
-		unread += c.unread
+		unread += c.load.Unread
 		if p.source.Server == nil || c.read > p.source.read || c.read == p.source.read && c.Hall == q.Hall {
 			p.source = *c
 		}
@@ -156,7 +176,7 @@
 // price works out the cost of a candidate.
 func (p *placing) price(c *choice) {
 	c.home = c.state == p.home
-	c.cost = float64(c.unread) + runningCost*float64(c.state.running) + failureCost*c.failures + p.lane.cost(c.state.key)
+	c.cost = float64(c.load.Unread) + occupancyCost*c.occupancy()*c.occupancy() + queueCost*float64(c.waiting()) + failureCost*c.failures + p.lane.cost(c.state.key)
 	if c.Hall != p.query.Hall {
 		c.cost += byteCost * float64(p.query.Bytes+answerBytes)
 	}
--- a/pkg/balancer/share.go
+++ b/pkg/balancer/share.go
@@ -9,7 +9,9 @@
 const (
 	// toldStep is the change of a server's unread prompts, in tokens, that other
 	// boxes are told of.
-	toldStep = 1000
+	toldStep = 500
+	// toldRequests is the change of its running requests.
+	toldRequests = 2
 	// othersFor is how long the other boxes' word is believed.
 	othersFor = 3 * time.Second
 	// placementLeast is the length of a shared prefix, in tokens, that other boxes
@@ -37,10 +39,31 @@
 type Load struct {
 	// Unread is the length of the prompts that it has not read yet, in tokens.
 	Unread int
+	// Running is how many requests it has, Interactive how many of them are of
+	// interactive classes.
+	Running     int
+	Interactive int
 	// Down is how many boxes can't reach it.
 	Down int
 }
 
+// Plus is the load of both.
+func (l Load) Plus(o Load) Load {
+	return Load{
+		Unread: l.Unread + o.Unread, Running: l.Running + o.Running,
+		Interactive: l.Interactive + o.Interactive, Down: l.Down + o.Down,
+	}
+}
+
+// Minus is the load without a part of it. The part may be newer than the whole, so that
+// nothing falls below zero.
+func (l Load) Minus(o Load) Load {
+	return Load{
+		Unread: max(0, l.Unread-o.Unread), Running: max(0, l.Running-o.Running),
+		Interactive: max(0, l.Interactive-o.Interactive), Down: max(0, l.Down-o.Down),
+	}
+}
+
 // Placement says that a server keeps the parts of a prompt's prefix, or is about to
 // read them.
 type Placement struct {
@@ -74,11 +97,11 @@
 	}
 	b.placements = nil
 	for _, s := range b.servers {
-		l := Load{Unread: s.unread}
+		l := s.load()
 		if s.health.down(now) {
 			l.Down = 1
 		}
-		s.told = s.unread
+		s.told = l
 		if l != (Load{}) {
 			r.Loads[s.key] = l
 		}
@@ -120,8 +143,9 @@
 // tellLoad passes on a change of a server's load that is large enough, and each return
 // to nothing.
 func (b *Balancer) tellLoad(s *server) {
-	change := max(s.unread-s.told, s.told-s.unread)
-	if change >= toldStep || s.unread == 0 && s.told > 0 {
+	tokens := max(s.unread-s.told.Unread, s.told.Unread-s.unread)
+	requests := max(s.running-s.told.Running, s.told.Running-s.running)
+	if tokens >= toldStep || requests >= toldRequests || s.unread == 0 && s.told.Unread > 0 {
 		b.changed()
 	}
 }
--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -20,10 +20,18 @@
 )
 
 const (
-	// reportPause is how long changes are gathered before they are reported,
-	// summaryPause the least time between two summaries.
-	reportPause  = 20 * time.Millisecond
-	summaryPause = 80 * time.Millisecond
+	// reportPause is how long changes are gathered before they are reported.
+	reportPause = 5 * time.Millisecond
+	// relayBudget is what a relay may send with its summaries, in bytes a second. The
+	// target allows a box 18 KB/s for control; one box of a hall is a relay.
+	relayBudget = 32 << 10
+	// summaryPauseLeast and summaryPauseMost bound the time between two summaries: a
+	// change is not older than that, also where the budget would ask for more.
+	summaryPauseLeast = 5 * time.Millisecond
+	summaryPauseMost  = 80 * time.Millisecond
+	// hallsPause is the least time between two summaries to other halls: bytes between
+	// halls are dear.
+	hallsPause = 40 * time.Millisecond
 	// refresh is how often loads are told again though nothing has changed, as
 	// datagrams are lost.
 	refresh = time.Second
@@ -34,6 +42,12 @@
 	placementsMost = 50
 )
 
+// pauseAfter is the time until the next summary, after one of so many bytes.
+func pauseAfter(bytes int) time.Duration {
+	pause := time.Duration(float64(bytes) / relayBudget * float64(time.Second))
+	return min(max(pause, summaryPauseLeast), summaryPauseMost)
+}
+
 // Loads and demands of some boxes.
 type (
 	loads   = map[balancer.ServerKey]balancer.Load
@@ -60,8 +74,9 @@
 			m = &loadpb.Loads{Hall: hall, Round: round}
 			list = append(list, m)
 		}
-		if l.Unread > 0 {
-			m.Servers, m.Unread = append(m.Servers, uint32(key)), append(m.Unread, uint32(l.Unread))
+		if l.Unread > 0 || l.Running > 0 {
+			m.Servers, m.Backlog = append(m.Servers, uint32(key)), append(m.Backlog, uint32(l.Unread))
+			m.Running, m.Interactive = append(m.Running, uint32(l.Running)), append(m.Interactive, uint32(l.Interactive))
 		}
 		if l.Down > 0 {
 			m.Down, m.Boxes = append(m.Down, uint32(key)), append(m.Boxes, uint32(l.Down))
@@ -81,7 +96,9 @@
 	}
 	for i, key := range m.GetServers() {
 		l := to[balancer.ServerKey(key)]
-		l.Unread = bounded(m.GetUnread()[i])
+		l.Unread = bounded(m.GetBacklog()[i])
+		l.Running = bounded(m.GetRunning()[i])
+		l.Interactive = bounded(m.GetInteractive()[i])
 		to[balancer.ServerKey(key)] = l
 	}
 	for i, key := range m.GetDown() {
@@ -126,7 +143,7 @@
 
 // add takes a part in. It returns the whole round with its last part.
 func (r rounds) add(sender string, m *loadpb.Loads) (work, bool) {
-	if m.GetParts() > partsMost || m.GetPart() >= m.GetParts() || len(m.GetServers()) != len(m.GetUnread()) || len(m.GetDown()) != len(m.GetBoxes()) {
+	if m.GetParts() > partsMost || m.GetPart() >= m.GetParts() || !wellFormed(m) {
 		return work{}, false
 	}
 	p := r[sender]
@@ -143,6 +160,13 @@
 	return p.work, true
 }
 
+// wellFormed tells whether the lists of a message that belong together have one length.
+func wellFormed(m *loadpb.Loads) bool {
+	servers := len(m.GetServers())
+	return len(m.GetBacklog()) == servers && len(m.GetRunning()) == servers && len(m.GetInteractive()) == servers &&
+		len(m.GetDown()) == len(m.GetBoxes())
+}
+
 // workTable holds what some senders have told last.
 type workTable map[string]toldWork
 
@@ -174,10 +198,7 @@
 // add adds other work to this.
 func (w work) add(more work) {
 	for key, l := range more.loads {
-		sum := w.loads[key]
-		sum.Unread += l.Unread
-		sum.Down += l.Down
-		w.loads[key] = sum
+		w.loads[key] = w.loads[key].Plus(l)
 	}
 	for key, d := range more.demands {
 		sum := w.demands[key]
@@ -192,9 +213,7 @@
 func (w work) without(told work) work {
 	rest := work{loads: maps.Clone(w.loads), demands: maps.Clone(w.demands)}
 	for key, l := range told.loads {
-		sum := rest.loads[key]
-		sum.Unread = max(0, sum.Unread-l.Unread)
-		sum.Down = max(0, sum.Down-l.Down)
+		sum := rest.loads[key].Minus(l)
 		if sum == (balancer.Load{}) {
 			delete(rest.loads, key)
 			continue
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -42,18 +42,17 @@
 	// boxes are the reports of this hall's boxes, halls the summaries of others'.
 	boxes workTable
 	halls workTable
-	// placements wait to be passed on to this hall, and to other halls.
-	toHall, toHalls []balancer.Placement
+	// hall are the other boxes of this hall, otherHalls the relays of other halls, as far
+	// as this box is a relay.
+	hall       audience
+	otherHalls audience
 	// told is what this box reported last.
 	told work
 	// known is worked out from entries.
 	entries []roster.Entry
 	known   []member
-	// summarised is when the last summary was sent.
-	summarised time.Time
-	// dirty says that a summary is due, idle that the last report held nothing.
-	dirty bool
-	idle  bool
+	// idle says that the last report held nothing.
+	idle bool
 }
 
 // message is one that has arrived: loads or placements are set.
@@ -119,7 +118,7 @@
 		case <-ticker.C:
 			s.boxes.forget(time.Now())
 			s.halls.forget(time.Now())
-			s.dirty = len(s.boxes) > 0
+			s.refreshSummaries()
 			s.report(time.Now())
 		case <-s.changed:
 			s.gather(ctx, reportPause)
@@ -127,8 +126,8 @@
 		case in := <-s.inbox:
 			s.take(in)
 		}
-		if s.dirty {
-			s.gather(ctx, summaryPause-time.Since(s.summarised))
+		if wait, due := s.nextSummary(time.Now()); due {
+			s.gather(ctx, wait)
 			s.summarise(time.Now())
 		}
 	}
@@ -161,13 +160,13 @@
 	case !whole:
 	case in.kind == kindReport:
 		s.boxes[in.from] = toldWork{work: all, heard: in.received}
-		s.dirty = true
+		s.hall.changed, s.otherHalls.changed = true, true
 	case in.loads.GetHall() == s.Hall:
 		s.silence.heard(in.from)
 		s.setOthers(all, in.received)
 	default:
 		s.halls[in.loads.GetHall()] = toldWork{work: all, heard: in.received}
-		s.dirty = true
+		s.hall.changed = true
 	}
 }
 
@@ -180,20 +179,13 @@
 	}
 	switch {
 	case in.kind == kindPlaced:
-		s.passOn(list)
+		s.hall.add(list)
+		s.otherHalls.add(list)
 	case in.placements.GetHall() != s.Hall:
-		s.toHall = append(s.toHall, list...)
-		s.dirty = true
+		s.hall.add(list)
 	}
 }
 
-// passOn keeps what this hall's boxes have placed for its boxes and for other halls.
-func (s *Sharer) passOn(list []balancer.Placement) {
-	s.toHall = append(s.toHall, list...)
-	s.toHalls = append(s.toHalls, list...)
-	s.dirty = true
-}
-
 // report tells this hall's relays what this box does. Nothing is told twice in a row.
 func (s *Sharer) report(now time.Time) {
 	r := s.Balancer.Report(now)
@@ -219,78 +211,37 @@
 // relayOwn takes this box's own report in where it is a relay itself.
 func (s *Sharer) relayOwn(placements []balancer.Placement, now time.Time) {
 	s.boxes[s.Box] = toldWork{work: s.told, heard: now}
-	s.passOn(placements)
-}
-
-// summarise tells the boxes of this hall what all do, and the relays of other halls
-// what this hall does.
-func (s *Sharer) summarise(now time.Time) {
-	s.dirty, s.summarised = false, now
-	members := s.members()
-	all := s.boxes.sum(now)
-	if len(s.boxes) > 0 {
-		s.tell(all, s.toHalls, s.otherRelays(members, now))
-	}
-	all.add(s.halls.sum(now))
-	s.setOthers(all, now)
-	s.tell(all, s.toHall, s.sameHall(members))
-	s.toHall, s.toHalls = nil, nil
-}
-
-// tell sends a summary and placements.
-func (s *Sharer) tell(all work, placements []balancer.Placement, to []*net.UDPAddr) {
-	s.sendWork(kindSummary, all, to)
-	s.sendPlacements(kindPassed, placements, to)
-}
-
-// sameHall are the other boxes of this hall.
-func (s *Sharer) sameHall(members []member) []*net.UDPAddr {
-	var list []*net.UDPAddr
-	for _, m := range members {
-		if m.hall == s.Hall && m.box != s.Box {
-			list = append(list, m.address)
-		}
-	}
-	return list
+	s.hall.changed, s.otherHalls.changed = true, true
+	s.hall.add(placements)
+	s.otherHalls.add(placements)
 }
 
-// otherRelays are the relays of all other halls.
-func (s *Sharer) otherRelays(members []member, now time.Time) []*net.UDPAddr {
-	var list []*net.UDPAddr
-	seen := map[string]bool{s.Hall: true}
-	for _, m := range members {
-		if seen[m.hall] {
-			continue
-		}
-		seen[m.hall] = true
-		for _, relay := range s.silence.relays(members, m.hall, now) {
-			list = append(list, relay.address)
-		}
-	}
-	return list
-}
-
-// sendWork sends a round of loads.
-func (s *Sharer) sendWork(kind string, all work, to []*net.UDPAddr) {
+// sendWork sends a round of loads. It returns the bytes sent.
+func (s *Sharer) sendWork(kind string, all work, to []*net.UDPAddr) (sent int) {
 	s.round++
 	for _, m := range split(s.Hall, s.round, all) {
-		s.send(kind, m, to)
+		sent += s.send(kind, m, to)
 	}
+	return sent
 }
 
-// sendPlacements sends placements.
-func (s *Sharer) sendPlacements(kind string, list []balancer.Placement, to []*net.UDPAddr) {
+// sendPlacements sends placements. It returns the bytes sent.
+func (s *Sharer) sendPlacements(kind string, list []balancer.Placement, to []*net.UDPAddr) (sent int) {
 	for chunk := range slices.Chunk(list, placementsMost) {
-		s.send(kind, placementsMessage(s.Hall, chunk), to)
+		sent += s.send(kind, placementsMessage(s.Hall, chunk), to)
 	}
+	return sent
 }
 
-func (s *Sharer) send(kind string, m proto.Message, to []*net.UDPAddr) {
+// send sends a message to some boxes. It returns the bytes sent.
+func (s *Sharer) send(kind string, m proto.Message, to []*net.UDPAddr) int {
 	body, err := proto.Marshal(m)
 	if err != nil {
-		return
+		_ = level.Warn(s.Logger).Log("msg", "load message not sent: it can't be encoded", "kind", kind, "err", err)
+		return 0
 	}
 	s.Port.Send(kind, body, to...)
+	return len(body) * len(to)
 }
 
 // setOthers hands the balancer what all boxes do, less what this one has told of
