balancer: a prefix that is not cached as a whole goes to its home

Cause: the parts of a prefix that many prompts share (2,520 tokens of four kinds) are soon known to be cached on some server. Now a prefix that no server is known to have as a whole goes to its home in rendezvous order, and a part of it counts what its prefill takes.

--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -366,3 +366,23 @@
 	assert.Equal(t, a, a.Plus(b).Minus(b))
 	assert.Zero(t, b.Minus(a), "a part that is newer than the whole")
 }
+
+// Prompts that share only their first part are spread by their whole prefix, also while
+// that part is cached on one server only and boxes have not heard from each other.
+func TestColdPrefixesSpreadThoughAPartIsCached(t *testing.T) {
+	now := time.Now()
+	chosen := make(map[string]int)
+	for i := range 60 {
+		b := New(log.NewNopLogger())
+		b.NotePlacements([]Placement{{Server: KeyOf("i-3"), Parts: prefixOf([]Part{{ID: "all"}}).keys, Read: true}}, now)
+		l, _ := b.Pick(Query{
+			Candidates: servers(20), Hall: "hall-9", Engine: true, Tokens: 9000,
+			Parts: []Part{{ID: "all", Tokens: 2500}, {ID: fmt.Sprint(i), Tokens: 3800}, {ID: "own", Tokens: 2700}},
+		}, now)
+		assert.True(t, l.Inputs.Home)
+		chosen[l.Server.ID]++
+	}
+	for id, n := range chosen {
+		assert.LessOrEqual(t, n, 9, "server %s; 3 would be its share", id)
+	}
+}
--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -19,9 +19,9 @@
 	// busyTokens is the mean of unread tokens a server at which reading again costs
 	// once more: the busier all are, the more requests it delays.
 	busyTokens = 3000.0
-	// coldFactor is what a token of a prefix that nobody is known to keep costs away
-	// from its home, where other boxes look for it.
-	coldFactor = 0.5
+	// coldFactor is what a token of a prefix that no server is known to have cached as a
+	// whole costs away from its home, where other boxes look for it.
+	coldFactor = 1.0
 	// moveFactor is what a token costs that is taken from another server.
 	moveFactor = 2.0
 	// occupancyCost is what a server costs whose places are all taken; less of it the
@@ -167,7 +167,7 @@
 		p.lane = b.lanesOf(q.Service).laneOf(q, choices, now)
 	}
 	p.missCost = missFactor + float64(unread)/float64(len(choices))/busyTokens
-	if known == 0 && p.prefix.tokens > 0 {
+	if known < p.prefix.tokens {
 		p.home = homeOf(q, choices, p.lane)
 	}
 	return p
@@ -186,11 +186,13 @@
 		c.cost += moveFactor * float64(moved)
 		missing -= moved
 	}
-	switch {
-	case p.home == nil:
+	if p.home == nil {
 		c.cost += p.missCost * float64(missing)
-	case !c.home:
-		c.cost += coldFactor * float64(missing)
+		return
+	}
+	c.cost += float64(missing)
+	if !c.home {
+		c.cost += coldFactor * float64(p.prefix.tokens)
 	}
 }
 
