balancer: engines' memory counts, and chance spreads what boxes can't know

What others have sent since the last summary can't be known, but its size can: their demand times the age of their loads. Now chance adds up to 1.5 times that to a server's cost, taken as the geometric mean of its share and of all of it; loads hold the tokens that requests may take in memory, and tokens beyond 0.8 of an engine's memory cost 3 each. The tests were seen red with both costs at zero.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -26,6 +26,10 @@
 	Hall string
 	// Parts are those of the prompt, in order. The last one is the request's own.
 	Parts []Part
+	// Output is the most tokens that may be generated, Memory how many tokens the memory of
+	// one engine holds, zero if that is not known.
+	Output int
+	Memory int
 	// Tokens is the length of the prompt, Bytes that of the request's body.
 	Tokens int
 	Bytes  int
@@ -76,6 +80,8 @@
 	running int
 	// interactive is how many of the running requests are of interactive classes.
 	interactive int
+	// memory is how many tokens they may take.
+	memory int
 	// unread is the length of the prompts whose first event is awaited, told is
 	// what the other boxes were told of it.
 	unread  int
@@ -87,7 +93,7 @@
 
 // load is what this box has the server do.
 func (s *server) load() Load {
-	return Load{Unread: s.unread, Running: s.running, Interactive: s.interactive}
+	return Load{Unread: s.unread, Running: s.running, Interactive: s.interactive, Memory: s.memory}
 }
 
 // New returns a balancer that knows nothing yet.
@@ -137,6 +143,7 @@
 	state    *server
 	prefix   prefix
 	unread   int
+	memory   int
 	// service and class are set for engines.
 	service     string
 	class       string
@@ -164,6 +171,8 @@
 	l.Inputs.Prefill, l.Inputs.OthersRunning = chosen.ownUnread(q), chosen.load.Running-s.running
 	s.running++
 	if q.Engine {
+		l.memory = q.Tokens + q.Output
+		s.memory += l.memory
 		l.unread = chosen.ownUnread(q)
 		s.unread += l.unread
 		l.service, l.class, l.interactive = q.Service, q.Class, p.lane.short
@@ -241,6 +250,7 @@
 	l.settle()
 	s := l.state
 	s.running--
+	s.memory -= l.memory
 	if l.interactive {
 		s.interactive--
 	}
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -228,7 +228,7 @@
 	}
 	long.Begun(now)
 	tellEachOther(one, two, now)
-	assert.Equal(t, Load{Running: 1}, two.other(two.servers[KeyOf(long.Server.ID)], now), "that it has begun is told as well")
+	assert.Equal(t, Load{Running: 1, Memory: 28000}, two.other(two.servers[KeyOf(long.Server.ID)], now), "that it has begun is told as well")
 	long.Done(ResultDone, now)
 	tellEachOther(one, two, now)
 	assert.Zero(t, two.other(two.servers[KeyOf(long.Server.ID)], now), "and its end")
@@ -362,7 +362,7 @@
 }
 
 func TestLoadsAddUp(t *testing.T) {
-	a, b := Load{Unread: 5, Running: 4, Interactive: 3, Down: 2}, Load{Unread: 1, Running: 2, Interactive: 1, Down: 1}
+	a, b := Load{Unread: 5, Running: 4, Interactive: 3, Memory: 7, Down: 2}, Load{Unread: 1, Running: 2, Interactive: 1, Memory: 2, Down: 1}
 	assert.Equal(t, a, a.Plus(b).Minus(b))
 	assert.Zero(t, b.Minus(a), "a part that is newer than the whole")
 }
@@ -386,3 +386,43 @@
 		assert.LessOrEqual(t, n, 9, "server %s; 3 would be its share", id)
 	}
 }
+
+// A long prompt does not go where it and what runs there may take more memory than there
+// is, as less urgent requests would be preempted.
+func TestEnginesMemoryCounts(t *testing.T) {
+	now := time.Now()
+	b := New(log.NewNopLogger())
+	q := Query{Candidates: withPlaces(2, 12), Hall: "hall-0", Engine: true, Tokens: 20000, Output: 500, Memory: 100000, Parts: []Part{{ID: "own", Tokens: 20000}}}
+	b.SetOthers(map[ServerKey]Load{
+		KeyOf("i-0"): {Running: 4, Memory: 75000}, KeyOf("i-1"): {Running: 6, Memory: 40000},
+	}, nil, now)
+	l, _ := b.Pick(q, now)
+	assert.Equal(t, "i-1", l.Server.ID)
+	waiting := choice{Server: &routing.Server{Slots: 10}, load: Load{Running: 20, Memory: 100000}}
+	p := placing{query: q}
+	assert.Equal(t, 0, p.memoryOver(&waiting), "what waits takes no memory")
+}
+
+// Boxes that have heard the same of the servers a while ago do not all choose the one that
+// looked best then.
+func TestBoxesWithTheSameOldLoadsSpread(t *testing.T) {
+	now := time.Now()
+	loads := make(map[ServerKey]Load)
+	for i, s := range servers(10) {
+		loads[KeyOf(s.ID)] = Load{Unread: 300 * i}
+	}
+	chosen := make(map[string]int)
+	for range 100 {
+		b := New(log.NewNopLogger())
+		q := classQuery("questions", 600)
+		q.Candidates, q.Hall = servers(10), "hall-9"
+		l, _ := b.Pick(q, now)
+		l.Done(ResultDone, now)
+		b.SetOthers(loads, map[ServiceKey]Demand{ServiceKeyOf("models"): {Long: 100000}}, now)
+		l, _ = b.Pick(q, now.Add(100*time.Millisecond))
+		chosen[l.Server.ID]++
+	}
+	for id, n := range chosen {
+		assert.Less(t, n, 40, "server %s; 10 would be its share", id)
+	}
+}
--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,10 +30,20 @@
 	occupancyCost = 8000.0
 	// queueCost is what each request costs that waits at a server for a place.
 	queueCost = 2000.0
+	// memoryShare is the part of an engine's memory that may be taken without a cost. Beyond
+	// it, running requests may be preempted and prefilled anew: memoryCost for each token.
+	memoryShare = 0.8
+	memoryCost  = 3.0
 	// byteCost is what one byte sent to another hall costs.
 	byteCost = 0.05
 	// answerBytes is the size of an answer that is guessed.
 	answerBytes = 2000
+	// spreadFactor is how many times the load that this box can't know of chance adds to a
+	// server's cost at the most.
+	spreadFactor = 1.5
+	// reportAge is how old loads are when they arrive: about half of a summary's pause, and
+	// what is gathered before a report.
+	reportAge = 50 * time.Millisecond
 	// failureCost is what a share of failures of one costs.
 	failureCost = 6000.0
 	// failureMost is how far beyond the best server's a share of failures may go for
@@ -100,6 +111,7 @@
 			continue
 		}
 		p.price(c)
+		c.cost += rand.Float64() * p.spread
 		switch {
 		case best == nil || c.cost < best.cost:
 			best, equals = c, 1
@@ -149,6 +161,9 @@
 	// source has read more of the prefix than any other candidate.
 	source choice
 	lane   lane
+	// spread is the most that chance adds to a cost, so that boxes that know the same do
+	// not all choose the same server.
+	spread float64
 }
 
 func (b *Balancer) placing(q Query, shared prefix, choices []choice, now time.Time) placing {
@@ -164,7 +179,9 @@
 		}
 	}
 	if q.Engine {
-		p.lane = b.lanesOf(q.Service).laneOf(q, choices, now)
+		lanes := b.lanesOf(q.Service)
+		p.lane = lanes.laneOf(q, choices, now)
+		p.spread = spreadFactor * b.unheard(lanes, p.lane, len(choices), now)
 	}
 	p.missCost = missFactor + float64(unread)/float64(len(choices))/busyTokens
 	if known < p.prefix.tokens {
@@ -176,7 +193,7 @@
 // price works out the cost of a candidate.
 func (p *placing) price(c *choice) {
 	c.home = c.state == p.home
-	c.cost = float64(c.load.Unread) + occupancyCost*c.occupancy()*c.occupancy() + queueCost*float64(c.waiting()) + failureCost*c.failures + p.lane.cost(c.state.key)
+	c.cost = float64(c.load.Unread) + occupancyCost*c.occupancy()*c.occupancy() + queueCost*float64(c.waiting()) + memoryCost*float64(p.memoryOver(c)) + failureCost*c.failures + p.lane.cost(c.state.key)
 	if c.Hall != p.query.Hall {
 		c.cost += byteCost * float64(p.query.Bytes+answerBytes)
 	}
@@ -196,6 +213,30 @@
 	}
 }
 
+// memoryOver is how many tokens of memory the running requests and this one may take beyond
+// what the engine can well hold. Those that wait for a place take none.
+func (p *placing) memoryOver(c *choice) int {
+	if p.query.Memory == 0 {
+		return 0
+	}
+	taken := c.load.Memory
+	if c.Slots > 0 && c.load.Running > c.Slots {
+		taken = taken * c.Slots / c.load.Running
+	}
+	return max(0, taken+p.query.Tokens+p.query.Output-int(memoryShare*float64(p.query.Memory)))
+}
+
+// unheard is how many tokens the other boxes may have sent to one server of a lane since
+// their loads were heard: between its share, if they spread, and all, if they all chose it,
+// the geometric mean.
+func (b *Balancer) unheard(l *lanes, in lane, servers int, now time.Time) float64 {
+	if b.othersHeard.IsZero() {
+		return 0
+	}
+	age := min(now.Sub(b.othersHeard), othersFor) + reportAge
+	return l.others.of(in.short) * age.Seconds() / math.Sqrt(float64(in.servers(servers)))
+}
+
 // leastFailures is the share of failures of the best candidate.
 func leastFailures(choices []choice) float64 {
 	least := choices[0].failures
--- a/pkg/balancer/lanes.go
+++ b/pkg/balancer/lanes.go
@@ -31,6 +31,14 @@
 	Long  float64
 }
 
+// of is the demand in one lane.
+func (d Demand) of(short bool) float64 {
+	if short {
+		return d.Short
+	}
+	return d.Long
+}
+
 // ServiceKey is a service's name as boxes name it to each other, in short.
 type ServiceKey uint32
 
@@ -108,6 +116,17 @@
 	return l.size == 0 || l.short == (key <= l.most)
 }
 
+// servers is how many of some servers belong to the request's lane.
+func (l lane) servers(all int) int {
+	switch {
+	case l.size == 0:
+		return all
+	case l.short:
+		return l.size
+	}
+	return max(1, all-l.size)
+}
+
 // cost is what a server costs for its lane.
 func (l lane) cost(key ServerKey) float64 {
 	switch {
--- a/pkg/balancer/share.go
+++ b/pkg/balancer/share.go
@@ -43,6 +43,9 @@
 	// interactive classes.
 	Running     int
 	Interactive int
+	// Memory is how many tokens the running requests may take at the most, their prompts'
+	// included.
+	Memory int
 	// Down is how many boxes can't reach it.
 	Down int
 }
@@ -51,7 +54,7 @@
 func (l Load) Plus(o Load) Load {
 	return Load{
 		Unread: l.Unread + o.Unread, Running: l.Running + o.Running,
-		Interactive: l.Interactive + o.Interactive, Down: l.Down + o.Down,
+		Interactive: l.Interactive + o.Interactive, Memory: l.Memory + o.Memory, Down: l.Down + o.Down,
 	}
 }
 
@@ -60,7 +63,7 @@
 func (l Load) Minus(o Load) Load {
 	return Load{
 		Unread: max(0, l.Unread-o.Unread), Running: max(0, l.Running-o.Running),
-		Interactive: max(0, l.Interactive-o.Interactive), Down: max(0, l.Down-o.Down),
+		Interactive: max(0, l.Interactive-o.Interactive), Memory: max(0, l.Memory-o.Memory), Down: max(0, l.Down-o.Down),
 	}
 }
 
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -155,6 +155,8 @@
 		Hall:       x.gateway.Hall,
 		Parts:      x.call.Parts,
 		Tokens:     x.call.PromptTokens,
+		Output:     x.call.OutputTokens,
+		Memory:     x.service.MemoryTokens,
 		Bytes:      len(x.body),
 		Avoid:      x.tried(),
 		Engine:     x.service.Engine,
--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -77,6 +77,7 @@
 		if l.Unread > 0 || l.Running > 0 {
 			m.Servers, m.Backlog = append(m.Servers, uint32(key)), append(m.Backlog, uint32(l.Unread))
 			m.Running, m.Interactive = append(m.Running, uint32(l.Running)), append(m.Interactive, uint32(l.Interactive))
+			m.Memory = append(m.Memory, uint32(l.Memory))
 		}
 		if l.Down > 0 {
 			m.Down, m.Boxes = append(m.Down, uint32(key)), append(m.Boxes, uint32(l.Down))
@@ -99,6 +100,7 @@
 		l.Unread = bounded(m.GetBacklog()[i])
 		l.Running = bounded(m.GetRunning()[i])
 		l.Interactive = bounded(m.GetInteractive()[i])
+		l.Memory = bounded(m.GetMemory()[i])
 		to[balancer.ServerKey(key)] = l
 	}
 	for i, key := range m.GetDown() {
@@ -164,7 +166,7 @@
 func wellFormed(m *loadpb.Loads) bool {
 	servers := len(m.GetServers())
 	return len(m.GetBacklog()) == servers && len(m.GetRunning()) == servers && len(m.GetInteractive()) == servers &&
-		len(m.GetDown()) == len(m.GetBoxes())
+		len(m.GetMemory()) == servers && len(m.GetDown()) == len(m.GetBoxes())
 }
 
 // workTable holds what some senders have told last.
