--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -69,7 +69,7 @@
 	// others is what the other boxes have servers do, heard at a time.
 	others      map[ServerKey]Load
 	othersHeard time.Time
-	// placements wait to be told.
+	// placements wait to be published.
 	placements []Placement
 	// lanes are those of services with engines.
 	lanes map[ServiceKey]*lanes
@@ -82,18 +82,18 @@
 	interactive int
 	// memory is how many tokens they may take.
 	memory int
-	// unread is the length of the prompts whose first event is awaited, told is
-	// what the other boxes were told of it.
-	unread  int
-	told    Load
-	kept    keptParts
-	health  health
-	touched time.Time
+	// backlog is the length of the prompts whose first event is awaited, reported is
+	// what was last reported to the other boxes.
+	backlog  int
+	reported Load
+	cached   cachedParts
+	health   health
+	touched  time.Time
 }
 
 // load is what this box has the server do.
 func (s *server) load() Load {
-	return Load{Unread: s.unread, Running: s.running, Interactive: s.interactive, Memory: s.memory}
+	return Load{Backlog: s.backlog, Running: s.running, Interactive: s.interactive, Memory: s.memory}
 }
 
 // New returns a balancer that knows nothing yet.
@@ -105,22 +105,22 @@
 type Inputs struct {
 	// Candidates is how many servers there were to choose from.
 	Candidates int
-	// Running and Unread are this box's own, Others what other boxes have told.
+	// Running and Backlog are this box's own, Others what other boxes have reported.
 	Running int
-	Unread  int
+	Backlog int
 	Others  int
 	// Prefix names the longest part of the prompt that others may share, and Home
 	// tells whether the server is the one where all boxes send it.
 	Prefix string
 	Home   bool
-	// Kept is what the server is believed to keep of the prompt, in tokens.
-	Kept int
-	// Short tells that prompts of this class are short, Lane how many servers are
+	// Cached is what the server is believed to keep of the prompt, in tokens.
+	Cached int
+	// Interactive tells that the class counts as interactive, Lane how many servers are
 	// set apart for those.
-	Short bool
-	Lane  int
-	// Moved is what it can take from another server, in tokens.
-	Moved int
+	Interactive bool
+	Lane        int
+	// Transferred is what it can take from another server, in tokens.
+	Transferred int
 	// Prefill is what it has to prefill of the prompt, in tokens.
 	Prefill int
 	// OthersRunning is how many requests of other boxes run there.
@@ -142,7 +142,7 @@
 	balancer *Balancer
 	state    *server
 	prefix   prefix
-	unread   int
+	backlog  int
 	memory   int
 	// service and class are set for engines.
 	service     string
@@ -164,26 +164,26 @@
 	}
 	s := chosen.state
 	l := &Lease{Server: *chosen.Server, Source: chosen.source, balancer: b, state: s, prefix: p.prefix, Inputs: Inputs{
-		Candidates: len(q.Candidates), Running: s.running, Unread: s.unread, Others: b.other(s, now).Unread,
-		Prefix: q.prefix(), Home: chosen.home, Short: p.lane.short, Lane: p.lane.size, Kept: chosen.kept, Moved: chosen.moved, Failures: chosen.failures,
+		Candidates: len(q.Candidates), Running: s.running, Backlog: s.backlog, Others: b.other(s, now).Backlog,
+		Prefix: q.prefix(), Home: chosen.home, Interactive: p.lane.interactive, Lane: p.lane.size, Cached: chosen.cached, Transferred: chosen.transferred, Failures: chosen.failures,
 	}}
 	l.Inputs.LoadAge = now.Sub(b.othersHeard)
-	l.Inputs.Prefill, l.Inputs.OthersRunning = chosen.ownUnread(q), chosen.load.Running-s.running
+	l.Inputs.Prefill, l.Inputs.OthersRunning = chosen.toPrefill(q), chosen.load.Running-s.running
 	s.running++
 	if q.Engine {
 		l.memory = q.Tokens + q.Output
 		s.memory += l.memory
-		l.unread = chosen.ownUnread(q)
-		s.unread += l.unread
-		l.service, l.class, l.interactive = q.Service, q.Class, p.lane.short
+		l.backlog = chosen.toPrefill(q)
+		s.backlog += l.backlog
+		l.service, l.class, l.interactive = q.Service, q.Class, p.lane.interactive
 		if l.interactive {
 			s.interactive++
 		}
 		lanes := b.lanesOf(q.Service)
-		lanes.note(p.lane.short, l.unread, now)
-		lanes.classes.add(q.Class, l.unread, q.Pause, now)
-		b.tellLoad(s)
-		b.tellPlacement(s, l.prefix, false, now)
+		lanes.note(p.lane.interactive, l.backlog, now)
+		lanes.classes.add(q.Class, l.backlog, q.Pause, now)
+		b.publishLoad(s)
+		b.publishPlacement(s, l.prefix, false, now)
 	}
 	return l, true
 }
@@ -218,7 +218,7 @@
 	}
 }
 
-// Begun says that the server has read the prompt.
+// Begun says that the server has prefilled the prompt.
 func (l *Lease) Begun(now time.Time) {
 	b := l.balancer
 	b.mu.Lock()
@@ -228,14 +228,14 @@
 	}
 	l.begun = now
 	l.settle()
-	b.tellPlacement(l.state, l.prefix, true, now)
+	b.publishPlacement(l.state, l.prefix, true, now)
 }
 
-// settle counts the prompt as read, or as given up.
+// settle counts the prompt as prefilled, or as given up.
 func (l *Lease) settle() {
-	l.state.unread -= l.unread
-	l.unread = 0
-	l.balancer.tellLoad(l.state)
+	l.state.backlog -= l.backlog
+	l.backlog = 0
+	l.balancer.publishLoad(l.state)
 }
 
 // Done ends the call.
@@ -257,13 +257,13 @@
 	if l.class != "" && r == ResultDone && !l.begun.IsZero() {
 		b.lanesOf(l.service).classes.ended(l.class, now.Sub(l.begun), now)
 	}
-	aside := s.health.note(r, now)
-	if aside > 0 && s.health.unreachable {
+	ejected := s.health.note(r, now)
+	if ejected > 0 && s.health.unreachable {
 		b.changed()
 	}
-	if aside > 0 {
-		_ = level.Info(b.logger).Log("msg", "server put aside", "server", l.Server.ID, "address", l.Server.Address,
-			"result", r, "in_a_row", s.health.inARow, "failures", s.health.failures, "for", aside)
+	if ejected > 0 {
+		_ = level.Info(b.logger).Log("msg", "server ejected", "server", l.Server.ID, "address", l.Server.Address,
+			"result", r, "in_a_row", s.health.inARow, "failures", s.health.failures, "for", ejected)
 	}
 }
 
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -60,7 +60,7 @@
 	}
 }
 
-func TestServerIsPutAside(t *testing.T) {
+func TestServerIsEjected(t *testing.T) {
 	now := time.Now()
 	for name, c := range map[string]struct {
 		result Result
@@ -112,38 +112,38 @@
 	assert.False(t, ok)
 }
 
-func TestKeptPartsCountFromTheFirst(t *testing.T) {
-	var k keptParts
+func TestCachedPartsCountFromTheFirst(t *testing.T) {
+	var k cachedParts
 	now := time.Now()
 	longest := func(parts []Part, at time.Time) int {
-		kept, _ := k.longest(prefixOf(parts), at)
-		return kept
+		cached, _ := k.longest(prefixOf(parts), at)
+		return cached
 	}
 	k.note(prefixOf([]Part{{ID: "a"}, {ID: "c"}}).keys, true, now)
 	assert.Equal(t, 10, longest([]Part{{"a", 10}, {"b", 20}, {"c", 30}}, now))
-	assert.Zero(t, longest([]Part{{"a", 10}}, now.Add(keptFor+time.Second)))
-	for i := range 3 * keptMost {
+	assert.Zero(t, longest([]Part{{"a", 10}}, now.Add(cachedFor+time.Second)))
+	for i := range 3 * cachedMost {
 		k.note([]partKey{uint64(i)}, true, now)
 	}
-	assert.LessOrEqual(t, len(k), keptMost+1)
+	assert.LessOrEqual(t, len(k), cachedMost+1)
 }
 
-// What was sent to a server counts as kept there, but not as read: it may still fail.
+// What was sent to a server counts as cached there, but not as read: it may still fail.
 func TestSentPartsAreNotReadYet(t *testing.T) {
-	var k keptParts
+	var k cachedParts
 	now := time.Now()
 	parts := []Part{{"a", 10}}
 	ids := prefixOf(parts).keys
 	assert.True(t, k.note(ids, false, now))
-	kept, read := k.longest(prefixOf(parts), now)
-	assert.Equal(t, []int{10, 0}, []int{kept, read})
-	kept, _ = k.longest(prefixOf(parts), now.Add(assignedFor+time.Millisecond))
-	assert.Zero(t, kept)
+	cached, prefilled := k.longest(prefixOf(parts), now)
+	assert.Equal(t, []int{10, 0}, []int{cached, prefilled})
+	cached, _ = k.longest(prefixOf(parts), now.Add(assignedFor+time.Millisecond))
+	assert.Zero(t, cached)
 	assert.True(t, k.note(ids, true, now), "that it was read is news")
-	k.tell(ids, now)
+	k.markPublished(ids, now)
 	assert.False(t, k.note(ids, false, now.Add(time.Second)), "sent again, it still keeps it")
-	kept, read = k.longest(prefixOf(parts), now.Add(keptFor))
-	assert.Equal(t, []int{10, 10}, []int{kept, read})
+	cached, prefilled = k.longest(prefixOf(parts), now.Add(cachedFor))
+	assert.Equal(t, []int{10, 10}, []int{cached, prefilled})
 }
 
 // Whatever happens, what was counted in is counted out.
@@ -172,8 +172,8 @@
 			l.Done(ResultDone, now)
 		}
 		for id, s := range b.servers {
-			if s.running != 0 || s.unread != 0 {
-				t.Fatalf("%d: %d running, %d unread", id, s.running, s.unread)
+			if s.running != 0 || s.backlog != 0 {
+				t.Fatalf("%d: %d running, %d backlog", id, s.running, s.backlog)
 			}
 		}
 	})
@@ -232,8 +232,8 @@
 	long.Done(ResultDone, now)
 	tellEachOther(one, two, now)
 	assert.Zero(t, two.other(two.servers[KeyOf(long.Server.ID)], now), "and its end")
-	two.SetOthers(map[ServerKey]Load{KeyOf(long.Server.ID): {Unread: 9000}}, nil, now)
-	assert.Equal(t, 9000, two.other(two.servers[KeyOf(long.Server.ID)], now).Unread)
+	two.SetOthers(map[ServerKey]Load{KeyOf(long.Server.ID): {Backlog: 9000}}, nil, now)
+	assert.Equal(t, 9000, two.other(two.servers[KeyOf(long.Server.ID)], now).Backlog)
 	assert.Zero(t, two.other(two.servers[KeyOf(long.Server.ID)], now.Add(othersFor+time.Millisecond)), "others that fall silent are forgotten")
 }
 
@@ -244,7 +244,7 @@
 	one, two := New(log.NewNopLogger()), New(log.NewNopLogger())
 	q := query(9, "part")
 	home, _ := one.Pick(q, now)
-	one.SetOthers(map[ServerKey]Load{KeyOf(home.Server.ID): {Unread: 500000}}, nil, now)
+	one.SetOthers(map[ServerKey]Load{KeyOf(home.Server.ID): {Backlog: 500000}}, nil, now)
 	away, _ := one.Pick(q, now)
 	require.NotEqual(t, home.Server.ID, away.Server.ID)
 	assert.Empty(t, away.Source, "the home has not read it yet")
@@ -255,11 +255,11 @@
 	l, _ := two.Pick(q, now)
 	assert.Equal(t, away.Server.ID, l.Server.ID, "not the home, which does not keep it")
 	now = now.Add(assignedFor + time.Millisecond)
-	two.SetOthers(map[ServerKey]Load{KeyOf(away.Server.ID): {Unread: 500000}}, nil, now)
+	two.SetOthers(map[ServerKey]Load{KeyOf(away.Server.ID): {Backlog: 500000}}, nil, now)
 	l, _ = two.Pick(q, now)
 	assert.NotEqual(t, away.Server.ID, l.Server.ID)
 	assert.Equal(t, away.Server.Address, l.Source)
-	assert.Equal(t, 8000, l.Inputs.Moved)
+	assert.Equal(t, 8000, l.Inputs.Transferred)
 }
 
 // When a home can't be reached, all boxes go to the same next one.
@@ -273,9 +273,9 @@
 			home, _ := b.Pick(q, now)
 			home.Done(ResultUnreached, now)
 			first = append(first, home.Server.ID)
-			// What was sent there does not count as kept any more.
+			// What was sent there does not count as cached any more.
 			later := now.Add(assignedFor + time.Millisecond)
-			b.server(KeyOf(home.Server.ID), later).health.aside = later.Add(time.Second)
+			b.server(KeyOf(home.Server.ID), later).health.ejected = later.Add(time.Second)
 			l, _ := b.Pick(q, later)
 			next = append(next, l.Server.ID)
 		}
@@ -315,9 +315,9 @@
 	home, _ := b.Pick(q, now)
 	loads := make(map[ServerKey]Load)
 	for _, s := range servers(3) {
-		loads[KeyOf(s.ID)] = Load{Unread: 30000}
+		loads[KeyOf(s.ID)] = Load{Backlog: 30000}
 	}
-	loads[KeyOf(home.Server.ID)] = Load{Unread: 60000}
+	loads[KeyOf(home.Server.ID)] = Load{Backlog: 60000}
 	b.SetOthers(loads, nil, now)
 	l, _ := b.Pick(q, now)
 	assert.Equal(t, home.Server.ID, l.Server.ID)
@@ -362,7 +362,7 @@
 }
 
 func TestLoadsAddUp(t *testing.T) {
-	a, b := Load{Unread: 5, Running: 4, Interactive: 3, Memory: 7, Down: 2}, Load{Unread: 1, Running: 2, Interactive: 1, Memory: 2, Down: 1}
+	a, b := Load{Backlog: 5, Running: 4, Interactive: 3, Memory: 7, Down: 2}, Load{Backlog: 1, Running: 2, Interactive: 1, Memory: 2, Down: 1}
 	assert.Equal(t, a, a.Plus(b).Minus(b))
 	assert.Zero(t, b.Minus(a), "a part that is newer than the whole")
 }
@@ -374,7 +374,7 @@
 	chosen := make(map[string]int)
 	for i := range 60 {
 		b := New(log.NewNopLogger())
-		b.NotePlacements([]Placement{{Server: KeyOf("i-3"), Parts: prefixOf([]Part{{ID: "all"}}).keys, Read: true}}, now)
+		b.NotePlacements([]Placement{{Server: KeyOf("i-3"), Parts: prefixOf([]Part{{ID: "all"}}).keys, Prefilled: true}}, now)
 		l, _ := b.Pick(Query{
 			Candidates: servers(20), Hall: "hall-9", Engine: true, Tokens: 9000,
 			Parts: []Part{{ID: "all", Tokens: 2500}, {ID: fmt.Sprint(i), Tokens: 3800}, {ID: "own", Tokens: 2700}},
@@ -409,7 +409,7 @@
 	now := time.Now()
 	loads := make(map[ServerKey]Load)
 	for i, s := range servers(10) {
-		loads[KeyOf(s.ID)] = Load{Unread: 300 * i}
+		loads[KeyOf(s.ID)] = Load{Backlog: 300 * i}
 	}
 	chosen := make(map[string]int)
 	for range 100 {
@@ -418,7 +418,7 @@
 		q.Candidates, q.Hall = servers(10), "hall-9"
 		l, _ := b.Pick(q, now)
 		l.Done(ResultDone, now)
-		b.SetOthers(loads, map[ServiceKey]Demand{ServiceKeyOf("models"): {Long: 100000}}, now)
+		b.SetOthers(loads, map[ServiceKey]Demand{ServiceKeyOf("models"): {Bulk: 100000}}, now)
 		l, _ = b.Pick(q, now.Add(100*time.Millisecond))
 		chosen[l.Server.ID]++
 	}
--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -12,19 +12,19 @@
 	"headhill.example/headhill/pkg/routing"
 )
 
-// Costs are counted in tokens of a prompt that an engine has to read.
+// Costs are counted in tokens of a prompt that an engine has to prefill.
 const (
-	// missFactor is what a shared part that has to be read again costs beside the
-	// time of reading it: the reading also delays what runs there.
+	// missFactor is what a shared part that has to be prefilled again costs beside the
+	// time that it takes: a prefill also delays what runs there.
 	missFactor = 3.0
-	// busyTokens is the mean of unread tokens a server at which reading again costs
+	// busyTokens is the mean backlog of a server, in tokens, at which a repeated prefill costs
 	// once more: the busier all are, the more requests it delays.
 	busyTokens = 3000.0
 	// coldFactor is what a token of a prefix that no server is known to have cached as a
 	// whole costs away from its home, where other boxes look for it.
 	coldFactor = 1.0
-	// moveFactor is what a token costs that is taken from another server.
-	moveFactor = 2.0
+	// transferFactor is what a token costs that is taken from another server.
+	transferFactor = 2.0
 	// occupancyCost is what a server costs whose places are all taken; less of it the
 	// fewer are, by the square.
 	occupancyCost = 8000.0
@@ -51,28 +51,29 @@
 	failureMost = 0.1
 )
 
-// choice is a candidate, what it is believed to keep of the prompt, and what it
+// choice is a candidate, what it is believed to have cached of the prompt, and what it
 // costs to choose it.
 type choice struct {
 	*routing.Server
 	state *server
 	home  bool
-	// kept is what the server keeps or is about to read, read what it has read.
-	kept int
-	read int
+	// cached is what the server has cached or is about to prefill, prefilled what it has for
+	// certain.
+	cached    int
+	prefilled int
 	// load is what all boxes have the server do.
 	load Load
 	cost float64
 	// failures is the share of recent calls that failed.
 	failures float64
-	// source is the address of a server that has read more of the prompt, moved how
+	// source is the address of a server that has prefilled more of the prompt, transferred how
 	// much more that is.
-	source string
-	moved  int
+	source      string
+	transferred int
 }
 
-// ownUnread is how much of the prompt the server has to read.
-func (c *choice) ownUnread(q Query) int { return max(0, q.Tokens-c.kept-c.moved) }
+// toPrefill is how much of the prompt the server has to prefill.
+func (c *choice) toPrefill(q Query) int { return max(0, q.Tokens-c.cached-c.transferred) }
 
 // occupancy is the part of the server's places that are taken, none if it does not say how
 // many it has.
@@ -124,11 +125,11 @@
 	return *best, p, true
 }
 
-// usable are the candidates not tried before and not put aside; if all are put aside,
+// usable are the candidates not tried before and not ejected; if all are ejected,
 // all of them.
 func (b *Balancer) usable(q Query, shared prefix, now time.Time) []choice {
 	fit := make([]choice, 0, len(q.Candidates))
-	var aside []choice
+	var ejected []choice
 	for i := range q.Candidates {
 		c := &q.Candidates[i]
 		if slices.Contains(q.Avoid, c.ID) {
@@ -137,15 +138,15 @@
 		s := b.server(KeyOf(c.ID), now)
 		other := b.other(s, now)
 		x := choice{Server: c, state: s, failures: s.health.failureShare(now), load: s.load().Plus(other)}
-		x.kept, x.read = s.kept.longest(shared, now)
-		if now.Before(s.health.aside) || other.Down >= downLeast && now.Sub(s.health.reached) > ownWord {
-			aside = append(aside, x)
+		x.cached, x.prefilled = s.cached.longest(shared, now)
+		if now.Before(s.health.ejected) || other.Down >= downLeast && now.Sub(s.health.reached) > ownWord {
+			ejected = append(ejected, x)
 			continue
 		}
 		fit = append(fit, x)
 	}
 	if len(fit) == 0 {
-		return aside
+		return ejected
 	}
 	return fit
 }
@@ -156,9 +157,9 @@
 	prefix   prefix
 	missCost float64
 	// home is where all boxes send a prefix of which this one has not heard where it is
-	// kept; nil if it has, and without a prefix.
+	// cached; nil if it has, and without a prefix.
 	home *server
-	// source has read more of the prefix than any other candidate.
+	// source has prefilled more of the prefix than any other candidate.
 	source choice
 	lane   lane
 	// spread is the most that chance adds to a cost, so that boxes that know the same do
@@ -169,12 +170,12 @@
 func (b *Balancer) placing(q Query, shared prefix, choices []choice, now time.Time) placing {
 	p := placing{query: q, prefix: shared}
 	known := 0
-	unread := 0
+	backlog := 0
 	for i := range choices {
 		c := &choices[i]
-		known = max(known, c.kept)
-		unread += c.load.Unread
-		if p.source.Server == nil || c.read > p.source.read || c.read == p.source.read && c.Hall == q.Hall {
+		known = max(known, c.cached)
+		backlog += c.load.Backlog
+		if p.source.Server == nil || c.prefilled > p.source.prefilled || c.prefilled == p.source.prefilled && c.Hall == q.Hall {
 			p.source = *c
 		}
 	}
@@ -183,7 +184,7 @@
 		p.lane = lanes.laneOf(q, choices, now)
 		p.spread = spreadFactor * b.unheard(lanes, p.lane, len(choices), now)
 	}
-	p.missCost = missFactor + float64(unread)/float64(len(choices))/busyTokens
+	p.missCost = missFactor + float64(backlog)/float64(len(choices))/busyTokens
 	if known < p.prefix.tokens {
 		p.home = homeOf(q, choices, p.lane)
 	}
@@ -193,15 +194,15 @@
 // price works out the cost of a candidate.
 func (p *placing) price(c *choice) {
 	c.home = c.state == p.home
-	c.cost = float64(c.load.Unread) + occupancyCost*c.occupancy()*c.occupancy() + queueCost*float64(c.waiting()) + memoryCost*float64(p.memoryOver(c)) + failureCost*c.failures + p.lane.cost(c.state.key)
+	c.cost = float64(c.load.Backlog) + occupancyCost*c.occupancy()*c.occupancy() + queueCost*float64(c.waiting()) + memoryCost*float64(p.memoryOver(c)) + failureCost*c.failures + p.lane.cost(c.state.key)
 	if c.Hall != p.query.Hall {
 		c.cost += byteCost * float64(p.query.Bytes+answerBytes)
 	}
-	missing := p.prefix.tokens - c.kept
-	if moved := p.source.read - c.kept; moved > 0 {
-		c.source, c.moved = p.source.Address, moved
-		c.cost += moveFactor * float64(moved)
-		missing -= moved
+	missing := p.prefix.tokens - c.cached
+	if transferred := p.source.prefilled - c.cached; transferred > 0 {
+		c.source, c.transferred = p.source.Address, transferred
+		c.cost += transferFactor * float64(transferred)
+		missing -= transferred
 	}
 	if p.home == nil {
 		c.cost += p.missCost * float64(missing)
@@ -234,7 +235,7 @@
 		return 0
 	}
 	age := min(now.Sub(b.othersHeard), othersFor) + reportAge
-	return l.others.of(in.short) * age.Seconds() / math.Sqrt(float64(in.servers(servers)))
+	return l.others.of(in.interactive) * age.Seconds() / math.Sqrt(float64(in.servers(servers)))
 }
 
 // leastFailures is the share of failures of the best candidate.
--- a/pkg/balancer/class.go
+++ b/pkg/balancer/class.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// fragileRatio is how many times more a class must lose by the prefills of the
-	// others than the others lose by its own to count as fragile. Classes that differ
-	// only by chance stay well below it (TestClassesThatDifferByChanceAreNotFragile).
-	fragileRatio = 4.0
+	// interactiveRatio is how many times more a class must lose by the prefills of the
+	// others than the others lose by its own to count as interactive. Classes that differ
+	// only by chance stay well below it (TestClassesThatDifferByChanceAreNotInteractive).
+	interactiveRatio = 4.0
 	// profileTime is the time over which the profile of a class is averaged.
 	profileTime = 10 * time.Second
 	// streamingPrior is the length of a stream that is assumed until one has ended.
@@ -93,9 +93,9 @@
 	p.streaming += time.Duration(streamingWeight * float64(length-p.streaming))
 }
 
-// fragile tells whether a class loses far more by the prefills of the other classes than
+// interactive tells whether a class loses far more by the prefills of the other classes than
 // they lose by its own. A service with one class has none.
-func (s profiles) fragile(class string, now time.Time) bool {
+func (s profiles) interactive(class string, now time.Time) bool {
 	p := s.of(class, now)
 	var others profile
 	for name, o := range s {
@@ -106,5 +106,5 @@
 		others.prefill += o.prefill
 		others.exposure += o.exposure
 	}
-	return p.exposure*others.prefill > fragileRatio*others.exposure*p.prefill
+	return p.exposure*others.prefill > interactiveRatio*others.exposure*p.prefill
 }
--- a/pkg/balancer/class_test.go
+++ b/pkg/balancer/class_test.go
@@ -22,11 +22,11 @@
 }
 
 // play feeds the profiles with seconds of load, and returns how often each class counted
-// as fragile among the requests of the second half.
+// as interactive among the requests of the second half.
 func play(r *rand.Rand, classes []traffic, seconds float64) map[string]float64 {
 	s := make(profiles)
 	start := time.Now()
-	asked, fragile := make(map[string]float64), make(map[string]float64)
+	asked, interactive := make(map[string]float64), make(map[string]float64)
 	total := 0.0
 	for _, c := range classes {
 		total += c.perSecond
@@ -40,8 +40,8 @@
 			}
 			if at > seconds/2 {
 				asked[c.class]++
-				if s.fragile(c.class, now) {
-					fragile[c.class]++
+				if s.interactive(c.class, now) {
+					interactive[c.class]++
 				}
 			}
 			s.add(c.class, int(c.tokens*math.Exp(r.NormFloat64()-0.5)), c.pause, now)
@@ -49,50 +49,50 @@
 			break
 		}
 	}
-	for class := range fragile {
-		fragile[class] /= asked[class]
+	for class := range interactive {
+		interactive[class] /= asked[class]
 	}
-	return fragile
+	return interactive
 }
 
 // Questions with short prompts and long streams are told from reports with long prompts,
 // whatever their shares of the load and though lengths vary.
-func TestFragileClassIsToldInEachMix(t *testing.T) {
+func TestInteractiveClassIsToldInEachMix(t *testing.T) {
 	for _, ratio := range []float64{0.2, 1, 5} {
 		t.Run(fmt.Sprint(ratio), func(t *testing.T) {
-			fragile := play(rand.New(rand.NewPCG(1, 2)), []traffic{
+			interactive := play(rand.New(rand.NewPCG(1, 2)), []traffic{
 				{"questions", 4 * ratio, 826, 3 * time.Second, 200 * time.Millisecond},
 				{"reports", 2, 2890, 400 * time.Millisecond, 300 * time.Millisecond},
 			}, 60)
-			assert.Equal(t, 1.0, fragile["questions"])
-			assert.Zero(t, fragile["reports"])
+			assert.Equal(t, 1.0, interactive["questions"])
+			assert.Zero(t, interactive["reports"])
 		})
 	}
 }
 
-func TestClassesThatDifferByChanceAreNotFragile(t *testing.T) {
+func TestClassesThatDifferByChanceAreNotInteractive(t *testing.T) {
 	for seed := range uint64(20) {
-		fragile := play(rand.New(rand.NewPCG(seed, 2)), []traffic{
+		interactive := play(rand.New(rand.NewPCG(seed, 2)), []traffic{
 			{"one", 4, 3000, time.Second, 300 * time.Millisecond},
 			{"two", 4, 3000, time.Second, 300 * time.Millisecond},
 		}, 60)
-		assert.Less(t, fragile["one"]+fragile["two"], 0.02, "seed %d", seed)
+		assert.Less(t, interactive["one"]+interactive["two"], 0.02, "seed %d", seed)
 	}
 }
 
-func TestOneClassIsNotFragile(t *testing.T) {
+func TestOneClassIsNotInteractive(t *testing.T) {
 	assert.Empty(t, play(rand.New(rand.NewPCG(1, 2)), []traffic{{"only", 4, 826, time.Second, 200 * time.Millisecond}}, 20))
 }
 
 // The first requests of a class tell it already.
-func TestFragileClassIsToldAtOnce(t *testing.T) {
+func TestInteractiveClassIsToldAtOnce(t *testing.T) {
 	now := time.Now()
 	s := make(profiles)
-	assert.False(t, s.fragile("questions", now))
+	assert.False(t, s.interactive("questions", now))
 	s.add("questions", 826, 200*time.Millisecond, now)
 	s.add("reports", 9190, 300*time.Millisecond, now)
-	assert.True(t, s.fragile("questions", now))
-	assert.False(t, s.fragile("reports", now))
+	assert.True(t, s.interactive("questions", now))
+	assert.False(t, s.interactive("reports", now))
 }
 
 func TestProfilesAreBounded(t *testing.T) {
--- a/pkg/balancer/doc.go
+++ b/pkg/balancer/doc.go
@@ -1,4 +1,4 @@
-// Package balancer picks the backend server of a request from what this box has
-// seen itself: its own calls in progress, how they ended, and which server read
-// which prompt before.
+// Package balancer picks the backend server of a request. It rests on this box's own calls
+// and how they ended, on the loads that other boxes report, and on which server has cached
+// which part of a prompt. It has no network access: package loadshare exchanges the reports.
 package balancer
--- a/pkg/balancer/health.go
+++ b/pkg/balancer/health.go
@@ -27,17 +27,17 @@
 const (
 	// failureHalfLife is the time after which a failure counts half.
 	failureHalfLife = 3 * time.Second
-	// asideFirst is how long an unreached server gets nothing; each further
-	// failure in a row doubles it up to asideMost.
-	asideFirst   = 500 * time.Millisecond
-	asideMost    = 4 * time.Second
-	asideRefused = 150 * time.Millisecond
-	// asideReplaced lasts until the list has lost the server, which is gone.
-	asideReplaced = time.Minute
+	// ejectFirst is how long an unreached server gets nothing; each further
+	// failure in a row doubles it up to ejectMost.
+	ejectFirst   = 500 * time.Millisecond
+	ejectMost    = 4 * time.Second
+	ejectRefused = 150 * time.Millisecond
+	// ejectReplaced lasts until the list has lost the server, which is gone.
+	ejectReplaced = time.Minute
 	// priorCalls are counted as calls that went well, so that one failure among
 	// few calls says little.
 	priorCalls = 4
-	// brokenInARow is how many failures in a row put a server aside.
+	// brokenInARow is how many failures in a row put a server ejected.
 	brokenInARow = 3
 )
 
@@ -47,17 +47,17 @@
 	calls    float64
 	counted  time.Time
 	inARow   int
-	aside    time.Time
+	ejected  time.Time
 	// reached is when the server last answered well; unreachable says that it was
-	// put aside because it can't be reached.
+	// ejected because it can't be reached.
 	reached     time.Time
 	unreachable bool
 }
 
-// down tells whether the server is put aside because it can't be reached.
-func (h *health) down(now time.Time) bool { return h.unreachable && now.Before(h.aside) }
+// down tells whether the server is ejected because it can't be reached.
+func (h *health) down(now time.Time) bool { return h.unreachable && now.Before(h.ejected) }
 
-// note takes the end of a call in. It returns how long the server is put aside.
+// note takes the end of a call in. It returns how long the server is ejected.
 func (h *health) note(r Result, now time.Time) time.Duration {
 	h.decay(now)
 	switch r {
@@ -66,15 +66,15 @@
 	case ResultDone:
 		h.calls++
 		h.inARow = 0
-		h.aside = time.Time{}
+		h.ejected = time.Time{}
 		h.reached = now
 		h.unreachable = false
 		return 0
 	case ResultRefused:
-		return h.putAside(asideRefused, now)
+		return h.eject(ejectRefused, now)
 	case ResultReplaced:
 		h.unreachable = true
-		return h.putAside(asideReplaced, now)
+		return h.eject(ejectReplaced, now)
 	}
 	h.calls++
 	h.failures++
@@ -83,13 +83,13 @@
 		return 0
 	}
 	h.unreachable = r == ResultUnreached
-	d := asideFirst << min(h.inARow-1, 8)
-	return h.putAside(min(d, asideMost), now)
+	d := ejectFirst << min(h.inARow-1, 8)
+	return h.eject(min(d, ejectMost), now)
 }
 
-func (h *health) putAside(d time.Duration, now time.Time) time.Duration {
-	if until := now.Add(d); until.After(h.aside) {
-		h.aside = until
+func (h *health) eject(d time.Duration, now time.Time) time.Duration {
+	if until := now.Add(d); until.After(h.ejected) {
+		h.ejected = until
 	}
 	return d
 }
--- a/pkg/balancer/lanes.go
+++ b/pkg/balancer/lanes.go
@@ -8,35 +8,36 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// While an engine reads a long prompt, the tokens of all that runs beside it come
-// slowly. So requests of classes with short prompts get servers of their own, a lane,
-// as many as their share of all reading asks for. Lanes are preferences: a server of
-// the other lane is taken when it costs less all the same.
+// While an engine prefills a long prompt, the tokens of all that runs beside it come slowly.
+// So requests of interactive classes get servers of their own, a lane, as many as their share
+// of all prefills asks for; the rest is the bulk lane. Lanes are preferences: a server of the
+// other lane is taken when it costs less all the same.
 const (
-	// laneHeadroom is how many servers the short lane gets beyond its share.
+	// laneHeadroom is how many servers the interactive lane gets beyond its share.
 	laneHeadroom = 2.0
-	// laneMost bounds the short lane's part of the servers.
+	// laneMost bounds the interactive lane's part of the servers.
 	laneMost = 0.6
-	// shortAwayCost is what a short prompt costs in the long lane, longAwayCost what a
-	// long one costs in the short lane.
-	shortAwayCost = 6000.0
-	longAwayCost  = 20000.0
+	// interactiveAwayCost is what an interactive request costs in the bulk lane,
+	// bulkAwayCost what another costs in the interactive lane, in tokens to prefill; both were
+	// chosen by rounds on the bench (docs/measurements/platform.md).
+	interactiveAwayCost = 6000.0
+	bulkAwayCost        = 20000.0
 	// demandTime is the time over which demand is averaged.
 	demandTime = 2 * time.Second
 )
 
-// Demand is what the requests of a service have its servers read, in tokens a second.
+// Demand is what the requests of a service have its servers prefill, in tokens a second.
 type Demand struct {
-	Short float64
-	Long  float64
+	Interactive float64
+	Bulk        float64
 }
 
 // of is the demand in one lane.
-func (d Demand) of(short bool) float64 {
-	if short {
-		return d.Short
+func (d Demand) of(interactive bool) float64 {
+	if interactive {
+		return d.Interactive
 	}
-	return d.Long
+	return d.Bulk
 }
 
 // ServiceKey is a service's name as boxes name it to each other, in short.
@@ -54,51 +55,51 @@
 	others Demand
 }
 
-// note counts tokens that a server is to read.
-func (l *lanes) note(short bool, tokens int, now time.Time) {
+// note counts tokens that a server is to prefill.
+func (l *lanes) note(interactive bool, tokens int, now time.Time) {
 	l.decay(now)
 	rate := float64(tokens) / demandTime.Seconds()
-	if short {
-		l.own.Short += rate
+	if interactive {
+		l.own.Interactive += rate
 		return
 	}
-	l.own.Long += rate
+	l.own.Bulk += rate
 }
 
 func (l *lanes) decay(now time.Time) {
 	if !l.since.IsZero() {
 		f := math.Exp(-now.Sub(l.since).Seconds() / demandTime.Seconds())
-		l.own.Short *= f
-		l.own.Long *= f
+		l.own.Interactive *= f
+		l.own.Bulk *= f
 	}
 	l.since = now
 }
 
-// size is how many of some servers belong to the short lane; none if it would be less
+// size is how many of some servers belong to the interactive lane; none if it would be less
 // than half a server.
 func (l *lanes) size(servers int, now time.Time) int {
 	l.decay(now)
-	short, long := l.own.Short+l.others.Short, l.own.Long+l.others.Long
-	if short+long == 0 {
+	interactive, bulk := l.own.Interactive+l.others.Interactive, l.own.Bulk+l.others.Bulk
+	if interactive+bulk == 0 {
 		return 0
 	}
-	share := min(laneHeadroom*short/(short+long), laneMost)
+	share := min(laneHeadroom*interactive/(interactive+bulk), laneMost)
 	return int(math.Round(share * float64(servers)))
 }
 
 // lane is the lane of one request.
 type lane struct {
-	// short tells that the request's class has short prompts.
-	short bool
-	// size is how many servers the short lane has, most the greatest key among them.
+	// interactive tells that the request is of an interactive class.
+	interactive bool
+	// size is how many servers the interactive lane has, most the greatest key among them.
 	size int
 	most ServerKey
 }
 
-// laneOf works out the lane of a request. The short lane has the servers with the least
+// laneOf works out the lane of a request. The interactive lane has the servers with the least
 // keys, so boxes that find the same servers usable agree on it.
 func (l *lanes) laneOf(q Query, choices []choice, now time.Time) lane {
-	r := lane{short: l.classes.fragile(q.Class, now), size: l.size(len(choices), now)}
+	r := lane{interactive: l.classes.interactive(q.Class, now), size: l.size(len(choices), now)}
 	if r.size == 0 {
 		return r
 	}
@@ -113,7 +114,7 @@
 
 // has tells whether a server belongs to the request's lane.
 func (l lane) has(key ServerKey) bool {
-	return l.size == 0 || l.short == (key <= l.most)
+	return l.size == 0 || l.interactive == (key <= l.most)
 }
 
 // servers is how many of some servers belong to the request's lane.
@@ -121,7 +122,7 @@
 	switch {
 	case l.size == 0:
 		return all
-	case l.short:
+	case l.interactive:
 		return l.size
 	}
 	return max(1, all-l.size)
@@ -132,8 +133,8 @@
 	switch {
 	case l.has(key):
 		return 0
-	case l.short:
-		return shortAwayCost
+	case l.interactive:
+		return interactiveAwayCost
 	}
-	return longAwayCost
+	return bulkAwayCost
 }
--- a/pkg/balancer/lanes_test.go
+++ b/pkg/balancer/lanes_test.go
@@ -22,11 +22,11 @@
 func TestShortPromptsHaveServersOfTheirOwn(t *testing.T) {
 	now := time.Now()
 	b := New(log.NewNopLogger())
-	used := map[string]map[string]bool{"short": {}, "long": {}}
+	used := map[string]map[string]bool{"interactive": {}, "long": {}}
 	for i := range 400 {
 		class, tokens := "long", 12000
 		if i%4 == 0 {
-			class, tokens = "short", 1000
+			class, tokens = "interactive", 1000
 		}
 		l, ok := b.Pick(classQuery(class, tokens), now)
 		require.True(t, ok)
@@ -37,13 +37,13 @@
 		l.Begun(now)
 		l.Done(ResultDone, now)
 	}
-	assert.NotEmpty(t, used["short"])
-	for id := range used["short"] {
+	assert.NotEmpty(t, used["interactive"])
+	for id := range used["interactive"] {
 		assert.False(t, used["long"][id], "server %s reads both", id)
 	}
 }
 
-// With one class alone there is nothing to be kept apart.
+// With one class alone there is nothing to be cached apart.
 func TestOneClassUsesAllServers(t *testing.T) {
 	now := time.Now()
 	b := New(log.NewNopLogger())
@@ -65,12 +65,12 @@
 	l.note(true, 1000, now)
 	assert.Equal(t, int(laneHeadroom*2), l.size(20, now))
 	assert.Zero(t, l.size(2, now), "less than half a server")
-	l.others = Demand{Short: 1e6}
+	l.others = Demand{Interactive: 1e6}
 	assert.Equal(t, int(laneMost*20), l.size(20, now))
-	assert.InDelta(t, 0.1, l.own.Short/(l.own.Short+l.own.Long), 0.001)
+	assert.InDelta(t, 0.1, l.own.Interactive/(l.own.Interactive+l.own.Bulk), 0.001)
 	l.others = Demand{}
 	l.decay(now.Add(20 * demandTime))
-	assert.Less(t, l.own.Long, 1.0, "demand is forgotten")
+	assert.Less(t, l.own.Bulk, 1.0, "demand is forgotten")
 }
 
 // Boxes agree on the lane though their candidates come in another order.
@@ -85,7 +85,7 @@
 			}
 			choices = append(choices, choice{Server: &list[i], state: b.server(KeyOf(list[i].ID), now)})
 		}
-		l := lanes{classes: make(profiles), others: Demand{Short: 1, Long: 9}}
+		l := lanes{classes: make(profiles), others: Demand{Interactive: 1, Bulk: 9}}
 		r := l.laneOf(Query{Class: "any", Tokens: 1000}, choices, now)
 		ids := make(map[string]bool)
 		for _, c := range choices {
--- a/pkg/balancer/share.go
+++ b/pkg/balancer/share.go
@@ -7,17 +7,18 @@
 )
 
 const (
-	// toldStep is the change of a server's unread prompts, in tokens, that other
-	// boxes are told of.
-	toldStep = 500
-	// toldRequests is the change of its running requests.
-	toldRequests = 2
+	// reportStep is the change of a server's prefill backlog, in tokens, that is
+	// reported to other boxes.
+	reportStep = 500
+	// reportRequests is the change of its running requests.
+	reportRequests = 2
 	// othersFor is how long the other boxes' word is believed.
 	othersFor = 3 * time.Second
-	// placementLeast is the length of a shared prefix, in tokens, that other boxes
-	// are told of: shorter ones are read anew at less than the telling costs.
+	// placementLeast is the length of a shared prefix, in tokens, that is
+	// published to other boxes: shorter ones are prefilled anew at less than the publishing
+	// costs.
 	placementLeast = 1000
-	// placementsMost bounds the placements that wait to be told.
+	// placementsMost bounds the placements that wait to be published.
 	placementsMost = 256
 	// downLeast is how many other boxes must call a server down to be believed, and
 	// ownWord how long this box's own success there counts for more.
@@ -37,8 +38,8 @@
 
 // Load is what boxes have one server do.
 type Load struct {
-	// Unread is the length of the prompts that it has not read yet, in tokens.
-	Unread int
+	// Backlog is the length of the prompts that it has not prefilled yet, in tokens.
+	Backlog int
 	// Running is how many requests it has, Interactive how many of them are of
 	// interactive classes.
 	Running     int
@@ -53,7 +54,7 @@
 // Plus is the load of both.
 func (l Load) Plus(o Load) Load {
 	return Load{
-		Unread: l.Unread + o.Unread, Running: l.Running + o.Running,
+		Backlog: l.Backlog + o.Backlog, Running: l.Running + o.Running,
 		Interactive: l.Interactive + o.Interactive, Memory: l.Memory + o.Memory, Down: l.Down + o.Down,
 	}
 }
@@ -62,20 +63,20 @@
 // nothing falls below zero.
 func (l Load) Minus(o Load) Load {
 	return Load{
-		Unread: max(0, l.Unread-o.Unread), Running: max(0, l.Running-o.Running),
+		Backlog: max(0, l.Backlog-o.Backlog), Running: max(0, l.Running-o.Running),
 		Interactive: max(0, l.Interactive-o.Interactive), Memory: max(0, l.Memory-o.Memory), Down: max(0, l.Down-o.Down),
 	}
 }
 
-// Placement says that a server keeps the parts of a prompt's prefix, or is about to
-// read them.
+// Placement says that a server has cached the parts of a prompt's prefix, or is about to
+// prefill them.
 type Placement struct {
-	Server ServerKey
-	Parts  []uint64
-	Read   bool
+	Server    ServerKey
+	Parts     []uint64
+	Prefilled bool
 }
 
-// Report is what this box tells the others.
+// Report is what this box reports to the others.
 type Report struct {
 	// Loads holds each server that this box has something to say of.
 	Loads map[ServerKey]Load
@@ -85,7 +86,7 @@
 	Demands map[ServiceKey]Demand
 }
 
-// OnChange sets who is told that there is something to report. It must not block, nor
+// OnChange sets who learns that there is something to report. It must not block, nor
 // call the balancer.
 func (b *Balancer) OnChange(f func()) { b.onChange = f }
 
@@ -104,7 +105,7 @@
 		if s.health.down(now) {
 			l.Down = 1
 		}
-		s.told = l
+		s.reported = l
 		if l != (Load{}) {
 			r.Loads[s.key] = l
 		}
@@ -130,8 +131,8 @@
 	defer b.mu.Unlock()
 	for _, p := range list {
 		s := b.server(p.Server, now)
-		s.kept.note(p.Parts, p.Read, now)
-		s.kept.tell(p.Parts, now)
+		s.cached.note(p.Parts, p.Prefilled, now)
+		s.cached.markPublished(p.Parts, now)
 	}
 }
 
@@ -143,23 +144,23 @@
 	return b.others[s.key]
 }
 
-// tellLoad passes on a change of a server's load that is large enough, and each return
+// publishLoad passes on a change of a server's load that is large enough, and each return
 // to nothing.
-func (b *Balancer) tellLoad(s *server) {
-	tokens := max(s.unread-s.told.Unread, s.told.Unread-s.unread)
-	requests := max(s.running-s.told.Running, s.told.Running-s.running)
-	if tokens >= toldStep || requests >= toldRequests || s.unread == 0 && s.told.Unread > 0 {
+func (b *Balancer) publishLoad(s *server) {
+	tokens := max(s.backlog-s.reported.Backlog, s.reported.Backlog-s.backlog)
+	requests := max(s.running-s.reported.Running, s.reported.Running-s.running)
+	if tokens >= reportStep || requests >= reportRequests || s.backlog == 0 && s.reported.Backlog > 0 {
 		b.changed()
 	}
 }
 
-// tellPlacement passes on where a prompt's prefix is now.
-func (b *Balancer) tellPlacement(s *server, p prefix, read bool, now time.Time) {
-	if !s.kept.note(p.keys, read, now) || p.tokens < placementLeast || len(b.placements) >= placementsMost {
+// publishPlacement passes on where a prompt's prefix is now.
+func (b *Balancer) publishPlacement(s *server, p prefix, prefilled bool, now time.Time) {
+	if !s.cached.note(p.keys, prefilled, now) || p.tokens < placementLeast || len(b.placements) >= placementsMost {
 		return
 	}
-	s.kept.tell(p.keys, now)
-	b.placements = append(b.placements, Placement{Server: s.key, Parts: p.keys, Read: read})
+	s.cached.markPublished(p.keys, now)
+	b.placements = append(b.placements, Placement{Server: s.key, Parts: p.keys, Prefilled: prefilled})
 	b.changed()
 }
 
--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -66,7 +66,7 @@
 func split(hall string, round uint32, all work) []*loadpb.Loads {
 	list := []*loadpb.Loads{{Hall: hall, Round: round}}
 	for key, d := range all.demands {
-		list[0].Demands = append(list[0].Demands, &loadpb.Demand{Service: uint32(key), Short: uint32(d.Short), Long: uint32(d.Long)})
+		list[0].Demands = append(list[0].Demands, &loadpb.Demand{Service: uint32(key), Interactive: uint32(d.Interactive), Bulk: uint32(d.Bulk)})
 	}
 	for key, l := range all.loads {
 		m := list[len(list)-1]
@@ -74,8 +74,8 @@
 			m = &loadpb.Loads{Hall: hall, Round: round}
 			list = append(list, m)
 		}
-		if l.Unread > 0 || l.Running > 0 {
-			m.Servers, m.Backlog = append(m.Servers, uint32(key)), append(m.Backlog, uint32(l.Unread))
+		if l.Backlog > 0 || l.Running > 0 {
+			m.Servers, m.Backlog = append(m.Servers, uint32(key)), append(m.Backlog, uint32(l.Backlog))
 			m.Running, m.Interactive = append(m.Running, uint32(l.Running)), append(m.Interactive, uint32(l.Interactive))
 			m.Memory = append(m.Memory, uint32(l.Memory))
 		}
@@ -93,11 +93,11 @@
 func read(m *loadpb.Loads, w work) {
 	to := w.loads
 	for _, d := range m.GetDemands() {
-		w.demands[balancer.ServiceKey(d.GetService())] = balancer.Demand{Short: float64(d.GetShort()), Long: float64(d.GetLong())}
+		w.demands[balancer.ServiceKey(d.GetService())] = balancer.Demand{Interactive: float64(d.GetInteractive()), Bulk: float64(d.GetBulk())}
 	}
 	for i, key := range m.GetServers() {
 		l := to[balancer.ServerKey(key)]
-		l.Unread = bounded(m.GetBacklog()[i])
+		l.Backlog = bounded(m.GetBacklog()[i])
 		l.Running = bounded(m.GetRunning()[i])
 		l.Interactive = bounded(m.GetInteractive()[i])
 		l.Memory = bounded(m.GetMemory()[i])
@@ -118,7 +118,7 @@
 func placementsOf(list []*loadpb.Placement) []balancer.Placement {
 	placements := make([]balancer.Placement, len(list))
 	for i, p := range list {
-		placements[i] = balancer.Placement{Server: balancer.ServerKey(p.GetServer()), Parts: p.GetParts(), Read: p.GetRead()}
+		placements[i] = balancer.Placement{Server: balancer.ServerKey(p.GetServer()), Parts: p.GetParts(), Prefilled: p.GetPrefilled()}
 	}
 	return placements
 }
@@ -126,7 +126,7 @@
 func placementsMessage(hall string, list []balancer.Placement) *loadpb.Placements {
 	m := &loadpb.Placements{Hall: hall}
 	for _, p := range list {
-		m.Placements = append(m.Placements, &loadpb.Placement{Server: uint32(p.Server), Read: p.Read, Parts: p.Parts})
+		m.Placements = append(m.Placements, &loadpb.Placement{Server: uint32(p.Server), Prefilled: p.Prefilled, Parts: p.Parts})
 	}
 	return m
 }
@@ -170,9 +170,9 @@
 }
 
 // workTable holds what some senders have told last.
-type workTable map[string]toldWork
+type workTable map[string]reportedWork
 
-type toldWork struct {
+type reportedWork struct {
 	work
 	heard time.Time
 }
@@ -180,9 +180,9 @@
 // sum adds up what all senders have told.
 func (t workTable) sum(now time.Time) work {
 	total := newWork()
-	for _, told := range t {
-		if now.Sub(told.heard) <= believed {
-			total.add(told.work)
+	for _, w := range t {
+		if now.Sub(w.heard) <= believed {
+			total.add(w.work)
 		}
 	}
 	return total
@@ -190,8 +190,8 @@
 
 // forget drops senders that have fallen silent.
 func (t workTable) forget(now time.Time) {
-	for sender, told := range t {
-		if now.Sub(told.heard) > believed {
+	for sender, w := range t {
+		if now.Sub(w.heard) > believed {
 			delete(t, sender)
 		}
 	}
@@ -204,17 +204,17 @@
 	}
 	for key, d := range more.demands {
 		sum := w.demands[key]
-		sum.Short += d.Short
-		sum.Long += d.Long
+		sum.Interactive += d.Interactive
+		sum.Bulk += d.Bulk
 		w.demands[key] = sum
 	}
 }
 
 // without is a total less the work of one sender. The total may hold an older word of
 // that sender.
-func (w work) without(told work) work {
+func (w work) without(part work) work {
 	rest := work{loads: maps.Clone(w.loads), demands: maps.Clone(w.demands)}
-	for key, l := range told.loads {
+	for key, l := range part.loads {
 		sum := rest.loads[key].Minus(l)
 		if sum == (balancer.Load{}) {
 			delete(rest.loads, key)
@@ -222,10 +222,10 @@
 		}
 		rest.loads[key] = sum
 	}
-	for key, d := range told.demands {
+	for key, d := range part.demands {
 		sum := rest.demands[key]
-		sum.Short = max(0, sum.Short-d.Short)
-		sum.Long = max(0, sum.Long-d.Long)
+		sum.Interactive = max(0, sum.Interactive-d.Interactive)
+		sum.Bulk = max(0, sum.Bulk-d.Bulk)
 		rest.demands[key] = sum
 	}
 	return rest
--- a/pkg/loadshare/relays.go
+++ b/pkg/loadshare/relays.go
@@ -63,7 +63,7 @@
 }
 
 // told notes that a relay was told something.
-func (s silence) told(box string, now time.Time) {
+func (s silence) reported(box string, now time.Time) {
 	since, waiting := s.since[box]
 	switch {
 	case !waiting:
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -47,7 +47,7 @@
 	hall       audience
 	otherHalls audience
 	// told is what this box reported last.
-	told work
+	reported work
 	// known is worked out from entries.
 	entries []roster.Entry
 	known   []member
@@ -159,13 +159,13 @@
 	switch {
 	case !whole:
 	case in.kind == kindReport:
-		s.boxes[in.from] = toldWork{work: all, heard: in.received}
+		s.boxes[in.from] = reportedWork{work: all, heard: in.received}
 		s.hall.changed, s.otherHalls.changed = true, true
 	case in.loads.GetHall() == s.Hall:
 		s.silence.heard(in.from)
 		s.setOthers(all, in.received)
 	default:
-		s.halls[in.loads.GetHall()] = toldWork{work: all, heard: in.received}
+		s.halls[in.loads.GetHall()] = reportedWork{work: all, heard: in.received}
 		s.hall.changed = true
 	}
 }
@@ -193,7 +193,7 @@
 	if empty && s.idle {
 		return
 	}
-	s.idle, s.told = empty, work{loads: r.Loads, demands: r.Demands}
+	s.idle, s.reported = empty, work{loads: r.Loads, demands: r.Demands}
 	relays := s.silence.relays(s.members(), s.Hall, now)
 	var others []*net.UDPAddr
 	for _, m := range relays {
@@ -201,16 +201,16 @@
 			s.relayOwn(r.Placements, now)
 			continue
 		}
-		s.silence.told(m.box, now)
+		s.silence.reported(m.box, now)
 		others = append(others, m.address)
 	}
-	s.sendWork(kindReport, s.told, others)
+	s.sendWork(kindReport, s.reported, others)
 	s.sendPlacements(kindPlaced, r.Placements, others)
 }
 
 // relayOwn takes this box's own report in where it is a relay itself.
 func (s *Sharer) relayOwn(placements []balancer.Placement, now time.Time) {
-	s.boxes[s.Box] = toldWork{work: s.told, heard: now}
+	s.boxes[s.Box] = reportedWork{work: s.reported, heard: now}
 	s.hall.changed, s.otherHalls.changed = true, true
 	s.hall.add(placements)
 	s.otherHalls.add(placements)
@@ -247,7 +247,7 @@
 // setOthers hands the balancer what all boxes do, less what this one has told of
 // itself.
 func (s *Sharer) setOthers(total work, now time.Time) {
-	others := total.without(s.told)
+	others := total.without(s.reported)
 	s.Balancer.SetOthers(others.loads, others.demands, now)
 }
 
--- a/pkg/loadshare/sharer_test.go
+++ b/pkg/loadshare/sharer_test.go
@@ -125,7 +125,7 @@
 				for j := range 200 {
 					l, _ := b.balancer.Pick(prompt(9, fmt.Sprintf("part-%d", j)), time.Now())
 					l.Done(balancer.ResultAbandoned, time.Now())
-					if l.Inputs.Kept != 8000 || l.Inputs.Home {
+					if l.Inputs.Cached != 8000 || l.Inputs.Home {
 						return false
 					}
 				}
@@ -194,10 +194,10 @@
 func TestRoundsCountOnceWhole(t *testing.T) {
 	all := make(loads)
 	for i := range 2*loadsMost + 1 {
-		all[balancer.ServerKey(i)] = balancer.Load{Unread: i + 1}
+		all[balancer.ServerKey(i)] = balancer.Load{Backlog: i + 1}
 	}
-	all[0] = balancer.Load{Unread: 1, Down: 3}
-	parts := split("hall", 7, work{loads: all, demands: demands{9: {Short: 5, Long: 6}}})
+	all[0] = balancer.Load{Backlog: 1, Down: 3}
+	parts := split("hall", 7, work{loads: all, demands: demands{9: {Interactive: 5, Bulk: 6}}})
 	require.Len(t, parts, 3)
 	r := make(rounds)
 	_, whole := r.add("box", parts[2])
@@ -208,7 +208,7 @@
 	assert.False(t, whole, "another sender's round")
 	got, whole := r.add("box", parts[1])
 	assert.True(t, whole)
-	assert.Equal(t, work{loads: all, demands: demands{9: {Short: 5, Long: 6}}}, got)
+	assert.Equal(t, work{loads: all, demands: demands{9: {Interactive: 5, Bulk: 6}}}, got)
 	for _, m := range []*loadpb.Loads{{Part: 3, Parts: 3}, {}, {Parts: 1, Servers: []uint32{1}}, {Parts: 1, Down: []uint32{1}}} {
 		_, whole = r.add("box", m)
 		assert.False(t, whole, "%v", m)
@@ -219,25 +219,25 @@
 func TestSumsHoldEachBoxOnce(t *testing.T) {
 	now := time.Now()
 	table := workTable{
-		"a":   {work: work{loads: loads{1: {Unread: 3, Down: 1}}, demands: demands{9: {Short: 1, Long: 2}}}, heard: now},
-		"b":   {work: work{loads: loads{1: {Unread: 4}, 2: {Unread: 5}}, demands: demands{9: {Short: 10}}}, heard: now},
-		"old": {work: work{loads: loads{1: {Unread: 100}}}, heard: now.Add(-believed - time.Second)},
+		"a":   {work: work{loads: loads{1: {Backlog: 3, Down: 1}}, demands: demands{9: {Interactive: 1, Bulk: 2}}}, heard: now},
+		"b":   {work: work{loads: loads{1: {Backlog: 4}, 2: {Backlog: 5}}, demands: demands{9: {Interactive: 10}}}, heard: now},
+		"old": {work: work{loads: loads{1: {Backlog: 100}}}, heard: now.Add(-believed - time.Second)},
 	}
 	total := table.sum(now)
-	assert.Equal(t, work{loads: loads{1: {Unread: 7, Down: 1}, 2: {Unread: 5}}, demands: demands{9: {Short: 11, Long: 2}}}, total)
-	assert.Equal(t, work{loads: loads{1: {Unread: 3, Down: 1}}, demands: demands{9: {Short: 1, Long: 2}}}, total.without(table["b"].work))
-	younger := work{loads: loads{1: {Unread: 8, Down: 2}}}
-	assert.Equal(t, loads{2: {Unread: 5}}, total.without(younger).loads, "the total holds an older word")
+	assert.Equal(t, work{loads: loads{1: {Backlog: 7, Down: 1}, 2: {Backlog: 5}}, demands: demands{9: {Interactive: 11, Bulk: 2}}}, total)
+	assert.Equal(t, work{loads: loads{1: {Backlog: 3, Down: 1}}, demands: demands{9: {Interactive: 1, Bulk: 2}}}, total.without(table["b"].work))
+	younger := work{loads: loads{1: {Backlog: 8, Down: 2}}}
+	assert.Equal(t, loads{2: {Backlog: 5}}, total.without(younger).loads, "the total holds an older word")
 	table.forget(now)
 	assert.Len(t, table, 2)
 }
 
 func FuzzMessages(f *testing.F) {
-	for _, m := range split("hall", 1, work{loads: loads{1: {Unread: 5}, 2: {Down: 2}}, demands: demands{3: {Short: 1}}}) {
+	for _, m := range split("hall", 1, work{loads: loads{1: {Backlog: 5}, 2: {Down: 2}}, demands: demands{3: {Interactive: 1}}}) {
 		body, _ := proto.Marshal(m)
 		f.Add(body)
 	}
-	body, _ := proto.Marshal(placementsMessage("hall", []balancer.Placement{{Server: 1, Parts: []uint64{2}, Read: true}}))
+	body, _ := proto.Marshal(placementsMessage("hall", []balancer.Placement{{Server: 1, Parts: []uint64{2}, Prefilled: true}}))
 	f.Add(body)
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		s := &Sharer{
--- a/pkg/loadshare/summary.go
+++ b/pkg/loadshare/summary.go
@@ -60,7 +60,7 @@
 	all := s.boxes.sum(now)
 	if s.otherHalls.due(now) {
 		if len(s.boxes) > 0 {
-			s.tell(all, s.otherHalls.placements, s.otherRelays(members, now))
+			s.publish(all, s.otherHalls.placements, s.otherRelays(members, now))
 		}
 		s.otherHalls.done(hallsPause, now)
 	}
@@ -69,12 +69,12 @@
 	}
 	all.add(s.halls.sum(now))
 	s.setOthers(all, now)
-	sent := s.tell(all, s.hall.placements, s.sameHall(members))
+	sent := s.publish(all, s.hall.placements, s.sameHall(members))
 	s.hall.done(pauseAfter(sent), now)
 }
 
 // tell sends a summary and placements. It returns the bytes sent.
-func (s *Sharer) tell(all work, placements []balancer.Placement, to []*net.UDPAddr) int {
+func (s *Sharer) publish(all work, placements []balancer.Placement, to []*net.UDPAddr) int {
 	return s.sendWork(kindSummary, all, to) + s.sendPlacements(kindPassed, placements, to)
 }
 
