loadshare: a relay's last changes go out without a further event; balancer: leases apart

Cause: a relay looked whether a summary was due only after a message, a report or the refresh of each second. What changed within the pause after a summary waited for one of these: with nothing else going on up to 200 placements reached other halls a second late. Now a timer runs until the next summary is due. Beside it: a request's end is counted before it is reported; lease.go and query.go hold what balancer.go had; the age of loads is logged as negative if none were heard. Ruled out: loss of datagrams (200 of 200 arrive once the timer is there). TestAllBoxesKnowWherePromptsAre asked what a box chooses, which has chance in it now and took 7 to 36 s; it asks what each box knows, of all prompts at once. TestLastChangesReach- AllBoxes has no refresh to help; it was seen red without the timer.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -5,59 +5,11 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
-
-	"headhill.example/headhill/pkg/routing"
 )
 
 // forgetAfter is how long a server that gets no calls is remembered.
 const forgetAfter = time.Minute
 
-// Part is one part of a prompt.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
-// Query says what a server is wanted for.
-type Query struct {
-	Candidates []routing.Server
-	// Hall is where the box stands.
-	Hall string
-	// Parts are those of the prompt, in order. The last one is the request's own.
-	Parts []Part
-	// Output is the most tokens that may be generated, Memory how many tokens the memory of
-	// one engine holds, zero if that is not known.
-	Output int
-	Memory int
-	// Tokens is the length of the prompt, Bytes that of the request's body.
-	Tokens int
-	Bytes  int
-	// Avoid lists servers that were tried before.
-	Avoid []string
-	// Engine marks model engines.
-	Engine bool
-	// Service and Class name what the request is for; requests of a class are alike.
-	Service string
-	Class   string
-	// Pause is the longest pause that the request's stream may have between events.
-	Pause time.Duration
-	// Repeatable requests survive a failure of their server.
-	Repeatable bool
-}
-
-// shared are the parts that other requests may have in common with this one.
-func (q *Query) shared() []Part { return q.Parts[:max(0, len(q.Parts)-1)] }
-
-// prefix names the longest shared part, "" if there is none.
-func (q *Query) prefix() string {
-	shared := q.shared()
-	if len(shared) == 0 {
-		return ""
-	}
-	return shared[len(shared)-1].ID
-}
-
 // Balancer keeps this box's view of the servers.
 type Balancer struct {
 	logger log.Logger
@@ -75,6 +27,7 @@
 	lanes map[ServiceKey]*lanes
 }
 
+// server is what is known of one server.
 type server struct {
 	key     ServerKey
 	running int
@@ -101,58 +54,6 @@
 	return &Balancer{logger: logger, servers: make(map[ServerKey]*server), lanes: make(map[ServiceKey]*lanes)}
 }
 
-// Inputs are what a choice rested on, for the logs.
-type Inputs struct {
-	// Candidates is how many servers there were to choose from.
-	Candidates int
-	// Running and Backlog are this box's own, Others what other boxes have reported.
-	Running int
-	Backlog int
-	Others  int
-	// Prefix names the longest part of the prompt that others may share, and Home
-	// tells whether the server is the one where all boxes send it.
-	Prefix string
-	Home   bool
-	// Cached is what the server is believed to keep of the prompt, in tokens.
-	Cached int
-	// Interactive tells that the class counts as interactive, Lane how many servers are
-	// set apart for those.
-	Interactive bool
-	Lane        int
-	// Transferred is what it can take from another server, in tokens.
-	Transferred int
-	// Prefill is what it has to prefill of the prompt, in tokens.
-	Prefill int
-	// OthersRunning is how many requests of other boxes run there.
-	OthersRunning int
-	// LoadAge is how old the other boxes' loads are.
-	LoadAge time.Duration
-	// Failures is the share of recent calls that failed.
-	Failures float64
-}
-
-// Lease is one call in progress at a server.
-type Lease struct {
-	Server routing.Server
-	// Source is the address of a server from which the chosen one can take what it
-	// lacks of the prompt, "" for none.
-	Source string
-	Inputs Inputs
-
-	balancer *Balancer
-	state    *server
-	prefix   prefix
-	backlog  int
-	memory   int
-	// service and class are set for engines.
-	service     string
-	class       string
-	interactive bool
-	// begun is when the first event came.
-	begun time.Time
-	done  bool
-}
-
 // Pick chooses a server and counts the call there. It returns false if no
 // candidate is left.
 func (b *Balancer) Pick(q Query, now time.Time) (*Lease, bool) {
@@ -162,32 +63,36 @@
 	if !ok {
 		return nil, false
 	}
-	s := chosen.state
-	l := &Lease{Server: *chosen.Server, Source: chosen.source, balancer: b, state: s, prefix: p.prefix, Inputs: Inputs{
-		Candidates: len(q.Candidates), Running: s.running, Backlog: s.backlog, Others: b.other(s, now).Backlog,
-		Prefix: q.prefix(), Home: chosen.home, Interactive: p.lane.interactive, Lane: p.lane.size, Cached: chosen.cached, Transferred: chosen.transferred, Failures: chosen.failures,
-	}}
-	l.Inputs.LoadAge = now.Sub(b.othersHeard)
-	l.Inputs.Prefill, l.Inputs.OthersRunning = chosen.toPrefill(q), chosen.load.Running-s.running
-	s.running++
+	l := &Lease{
+		Server: *chosen.Server, Source: chosen.source, Inputs: b.inputs(q, &chosen, &p, now),
+		balancer: b, state: chosen.state, prefix: p.prefix,
+	}
+	l.state.running++
 	if q.Engine {
-		l.memory = q.Tokens + q.Output
-		s.memory += l.memory
-		l.backlog = chosen.toPrefill(q)
-		s.backlog += l.backlog
-		l.service, l.class, l.interactive = q.Service, q.Class, p.lane.interactive
-		if l.interactive {
-			s.interactive++
-		}
-		lanes := b.lanesOf(q.Service)
-		lanes.note(p.lane.interactive, l.backlog, now)
-		lanes.classes.add(q.Class, l.backlog, q.Pause, now)
-		b.publishLoad(s)
-		b.publishPlacement(s, l.prefix, false, now)
+		l.occupy(q, &chosen, &p, now)
 	}
 	return l, true
 }
 
+// inputs are what a choice rested on.
+func (b *Balancer) inputs(q Query, c *choice, p *placing, now time.Time) Inputs {
+	s := c.state
+	return Inputs{
+		Candidates: len(q.Candidates), Running: s.running, Backlog: s.backlog,
+		OthersRunning: c.load.Running - s.running, OthersBacklog: c.load.Backlog - s.backlog, LoadAge: b.loadAge(now),
+		Prefix: q.prefix(), Home: c.home, Cached: c.cached, Transferred: c.transferred, Prefill: c.toPrefill(q),
+		Interactive: p.lane.interactive, Lane: p.lane.size, Failures: c.failures,
+	}
+}
+
+// loadAge is how old the other boxes' loads are, negative if none were heard.
+func (b *Balancer) loadAge(now time.Time) time.Duration {
+	if b.othersHeard.IsZero() {
+		return -time.Millisecond
+	}
+	return now.Sub(b.othersHeard)
+}
+
 // lanesOf returns what is known of the prompts of a service.
 func (b *Balancer) lanesOf(service string) *lanes {
 	key := ServiceKeyOf(service)
@@ -199,6 +104,7 @@
 	return l
 }
 
+// server returns what is known of a server.
 func (b *Balancer) server(key ServerKey, now time.Time) *server {
 	s, ok := b.servers[key]
 	if !ok {
@@ -210,6 +116,7 @@
 	return s
 }
 
+// forget drops servers that have had no calls for long.
 func (b *Balancer) forget(now time.Time) {
 	for key, s := range b.servers {
 		if s.running == 0 && now.Sub(s.touched) > forgetAfter {
@@ -217,57 +124,3 @@
 		}
 	}
 }
-
-// Begun says that the server has prefilled the prompt.
-func (l *Lease) Begun(now time.Time) {
-	b := l.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !l.begun.IsZero() || l.done {
-		return
-	}
-	l.begun = now
-	l.settle()
-	b.publishPlacement(l.state, l.prefix, true, now)
-}
-
-// settle counts the prompt as prefilled, or as given up.
-func (l *Lease) settle() {
-	l.state.backlog -= l.backlog
-	l.backlog = 0
-	l.balancer.publishLoad(l.state)
-}
-
-// Done ends the call.
-func (l *Lease) Done(r Result, now time.Time) {
-	b := l.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if l.done {
-		return
-	}
-	l.done = true
-	l.settle()
-	s := l.state
-	s.running--
-	s.memory -= l.memory
-	if l.interactive {
-		s.interactive--
-	}
-	if l.class != "" && r == ResultDone && !l.begun.IsZero() {
-		b.lanesOf(l.service).classes.ended(l.class, now.Sub(l.begun), now)
-	}
-	ejected := s.health.note(r, now)
-	if ejected > 0 && s.health.unreachable {
-		b.changed()
-	}
-	if ejected > 0 {
-		_ = level.Info(b.logger).Log("msg", "server ejected", "server", l.Server.ID, "address", l.Server.Address,
-			"result", r, "in_a_row", s.health.inARow, "failures", s.health.failures, "for", ejected)
-	}
-}
-
-// String implements fmt.Stringer.
-func (r Result) String() string {
-	return [...]string{"done", "failed", "unreached", "refused", "replaced", "abandoned"}[r]
-}
--- a/pkg/balancer/bench_test.go
+++ b/pkg/balancer/bench_test.go
@@ -10,7 +10,7 @@
 
 // BenchmarkPick is the choice of one server among those of a service.
 func BenchmarkPick(b *testing.B) {
-	for _, n := range []int{9, 90, 2400} {
+	for _, n := range []int{9, 90, 2400, 7200} {
 		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
 			balance, now := New(log.NewNopLogger()), time.Now()
 			q := query(n, "part")
--- a/pkg/balancer/health.go
+++ b/pkg/balancer/health.go
@@ -24,11 +24,17 @@
 	ResultAbandoned
 )
 
+// String implements fmt.Stringer.
+func (r Result) String() string {
+	return [...]string{"done", "failed", "unreached", "refused", "replaced", "abandoned"}[r]
+}
+
 const (
 	// failureHalfLife is the time after which a failure counts half.
 	failureHalfLife = 3 * time.Second
 	// ejectFirst is how long an unreached server gets nothing; each further
-	// failure in a row doubles it up to ejectMost.
+	// failure in a row doubles it up to ejectMost. A server that refused a call is full
+	// and soon has room: it gets nothing for ejectRefused.
 	ejectFirst   = 500 * time.Millisecond
 	ejectMost    = 4 * time.Second
 	ejectRefused = 150 * time.Millisecond
@@ -37,7 +43,7 @@
 	// priorCalls are counted as calls that went well, so that one failure among
 	// few calls says little.
 	priorCalls = 4
-	// brokenInARow is how many failures in a row put a server ejected.
+	// brokenInARow is how many failures in a row eject a server.
 	brokenInARow = 3
 )
 
@@ -47,7 +53,8 @@
 	calls    float64
 	counted  time.Time
 	inARow   int
-	ejected  time.Time
+	// ejected is until when the server gets nothing.
+	ejected time.Time
 	// reached is when the server last answered well; unreachable says that it was
 	// ejected because it can't be reached.
 	reached     time.Time
--- /dev/null
+++ b/pkg/balancer/lease.go
@@ -0,0 +1,127 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"headhill.example/headhill/pkg/routing"
+)
+
+// Inputs are what a choice rested on, for the logs.
+type Inputs struct {
+	// Candidates is how many servers there were to choose from.
+	Candidates int
+	// Running is how many requests of this box ran at the server, Backlog the tokens that
+	// it had to prefill for them; OthersRunning and OthersBacklog are those of the other
+	// boxes, LoadAge how old their word is, negative if none was heard.
+	Running       int
+	Backlog       int
+	OthersRunning int
+	OthersBacklog int
+	LoadAge       time.Duration
+	// Prefix names the longest part of the prompt that others may share, and Home
+	// tells whether the server is the one where all boxes send it.
+	Prefix string
+	Home   bool
+	// Cached is what the server is believed to have cached of the prompt, in tokens,
+	// Transferred what it can take from another server, Prefill what is left.
+	Cached      int
+	Transferred int
+	Prefill     int
+	// Interactive tells that the class counts as interactive, Lane how many servers are
+	// set apart for those.
+	Interactive bool
+	Lane        int
+	// Failures is the share of recent calls that failed.
+	Failures float64
+}
+
+// Lease is one call in progress at a server.
+type Lease struct {
+	Server routing.Server
+	// Source is the address of a server from which the chosen one can take what it
+	// lacks of the prompt, "" for none.
+	Source string
+	Inputs Inputs
+
+	balancer *Balancer
+	state    *server
+	prefix   prefix
+	backlog  int
+	memory   int
+	// service and class are set for engines.
+	service     string
+	class       string
+	interactive bool
+	// begun is when the first event came.
+	begun time.Time
+	done  bool
+}
+
+// occupy counts what the call takes of an engine.
+func (l *Lease) occupy(q Query, c *choice, p *placing, now time.Time) {
+	s, b := l.state, l.balancer
+	l.service, l.class, l.interactive = q.Service, q.Class, p.lane.interactive
+	l.memory = q.Tokens + q.Output
+	l.backlog = c.toPrefill(q)
+	s.memory += l.memory
+	s.backlog += l.backlog
+	if l.interactive {
+		s.interactive++
+	}
+	lanes := b.lanesOf(q.Service)
+	lanes.note(l.interactive, l.backlog, now)
+	lanes.classes.add(q.Class, l.backlog, q.Pause, now)
+	b.publishLoad(s)
+	b.publishPlacement(s, l.prefix, false, now)
+}
+
+// Begun says that the server has prefilled the prompt.
+func (l *Lease) Begun(now time.Time) {
+	b := l.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !l.begun.IsZero() || l.done {
+		return
+	}
+	l.begun = now
+	l.settle()
+	b.publishPlacement(l.state, l.prefix, true, now)
+}
+
+// settle counts the prompt as prefilled, or as given up.
+func (l *Lease) settle() {
+	l.state.backlog -= l.backlog
+	l.backlog = 0
+	l.balancer.publishLoad(l.state)
+}
+
+// Done ends the call.
+func (l *Lease) Done(r Result, now time.Time) {
+	b := l.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.done {
+		return
+	}
+	l.done = true
+	s := l.state
+	s.running--
+	s.memory -= l.memory
+	if l.interactive {
+		s.interactive--
+	}
+	l.settle()
+	if l.class != "" && r == ResultDone && !l.begun.IsZero() {
+		b.lanesOf(l.service).classes.ended(l.class, now.Sub(l.begun), now)
+	}
+	ejected := s.health.note(r, now)
+	if ejected > 0 && s.health.unreachable {
+		b.changed()
+	}
+	if ejected > 0 {
+		_ = level.Info(b.logger).Log("msg", "server ejected", "server", l.Server.ID, "address", l.Server.Address,
+			"result", r, "in_a_row", s.health.inARow, "failures", s.health.failures, "for", ejected)
+	}
+}
--- /dev/null
+++ b/pkg/balancer/query.go
@@ -0,0 +1,52 @@
+package balancer
+
+import (
+	"time"
+
+	"headhill.example/headhill/pkg/routing"
+)
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Query says what a server is wanted for.
+type Query struct {
+	Candidates []routing.Server
+	// Hall is where the box stands.
+	Hall string
+	// Parts are those of the prompt, in order. The last one is the request's own.
+	Parts []Part
+	// Output is the most tokens that may be generated, Memory how many tokens the memory of
+	// one engine holds, zero if that is not known.
+	Output int
+	Memory int
+	// Tokens is the length of the prompt, Bytes that of the request's body.
+	Tokens int
+	Bytes  int
+	// Avoid lists servers that were tried before.
+	Avoid []string
+	// Engine marks model engines.
+	Engine bool
+	// Service and Class name what the request is for; requests of a class are alike.
+	Service string
+	Class   string
+	// Pause is the longest pause that the request's stream may have between events.
+	Pause time.Duration
+	// Repeatable requests survive a failure of their server.
+	Repeatable bool
+}
+
+// shared are the parts that other requests may have in common with this one.
+func (q *Query) shared() []Part { return q.Parts[:max(0, len(q.Parts)-1)] }
+
+// prefix names the longest shared part, "" if there is none.
+func (q *Query) prefix() string {
+	shared := q.shared()
+	if len(shared) == 0 {
+		return ""
+	}
+	return shared[len(shared)-1].ID
+}
--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -32,9 +32,9 @@
 	// hallsPause is the least time between two summaries to other halls: bytes between
 	// halls are dear.
 	hallsPause = 40 * time.Millisecond
-	// refresh is how often loads are told again though nothing has changed, as
+	// refreshDefault is how often loads are sent again though nothing has changed, as
 	// datagrams are lost.
-	refresh = time.Second
+	refreshDefault = time.Second
 	// believed is how long a box's word is taken.
 	believed = 3 * time.Second
 	// loadsMost and placementsMost bound what one datagram holds.
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -1,6 +1,7 @@
 package loadshare
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -26,6 +27,9 @@
 	// Entries lists the boxes, this one included.
 	Entries func() []roster.Entry
 	Logger  log.Logger
+	// Refresh is how often loads are sent again though nothing has changed; zero stands for
+	// refreshDefault.
+	Refresh time.Duration
 }
 
 // Sharer reports this box's loads and, where it is a relay, adds up those of others.
@@ -109,9 +113,15 @@
 
 // Run shares loads until ctx ends.
 func (s *Sharer) Run(ctx context.Context) {
-	ticker := time.NewTicker(refresh)
+	ticker := time.NewTicker(cmp.Or(s.Refresh, refreshDefault))
 	defer ticker.Stop()
+	summary := time.NewTimer(0)
+	defer summary.Stop()
 	for {
+		summary.Stop()
+		if wait, due := s.nextSummary(time.Now()); due {
+			summary.Reset(wait)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -125,9 +135,7 @@
 			s.report(time.Now())
 		case in := <-s.inbox:
 			s.take(in)
-		}
-		if wait, due := s.nextSummary(time.Now()); due {
-			s.gather(ctx, wait)
+		case <-summary.C:
 			s.summarise(time.Now())
 		}
 	}
--- a/pkg/loadshare/sharer_test.go
+++ b/pkg/loadshare/sharer_test.go
@@ -25,6 +25,8 @@
 const (
 	soon  = 10 * time.Second
 	check = 5 * time.Millisecond
+	// settled is many times what a change takes to all boxes.
+	settled = 2 * time.Second
 )
 
 // fleet is some boxes that share their loads, by number.
@@ -39,7 +41,7 @@
 }
 
 // withFleet runs boxes that stand in halls by turns.
-func withFleet(t *testing.T, count, halls int, f func(*fleet)) {
+func withFleet(t *testing.T, count, halls int, f func(*fleet), change ...func(*Deps)) {
 	var entries []roster.Entry
 	x := &fleet{}
 	known := make(map[netip.AddrPort]bool)
@@ -56,10 +58,14 @@
 			Box: entries[i].Box, Conn: b.conn, Logger: log.NewNopLogger(),
 			Known: func(a netip.AddrPort) bool { return known[a] },
 		})
-		s := New(Deps{
+		deps := Deps{
 			Box: entries[i].Box, Hall: entries[i].Hall, Port: port, Balancer: b.balancer, Logger: log.NewNopLogger(),
 			Entries: func() []roster.Entry { return entries },
-		})
+		}
+		for _, c := range change {
+			c(&deps)
+		}
+		s := New(deps)
 		var ctx context.Context
 		ctx, b.cancel = context.WithCancel(context.Background())
 		wg.Go(port.Listen)
@@ -94,7 +100,7 @@
 func (b *box) others() int {
 	l, _ := b.balancer.Pick(prompt(1, "probe"), time.Now())
 	defer l.Done(balancer.ResultAbandoned, time.Now())
-	return l.Inputs.Others
+	return l.Inputs.OthersBacklog
 }
 
 func TestAllBoxesKnowAllLoads(t *testing.T) {
@@ -123,9 +129,7 @@
 		for i, b := range x.boxes {
 			require.Eventually(t, func() bool {
 				for j := range 200 {
-					l, _ := b.balancer.Pick(prompt(9, fmt.Sprintf("part-%d", j)), time.Now())
-					l.Done(balancer.ResultAbandoned, time.Now())
-					if l.Inputs.Cached != 8000 || l.Inputs.Home {
+					if !b.knows(fmt.Sprintf("part-%d", j)) {
 						return false
 					}
 				}
@@ -135,6 +139,34 @@
 	})
 }
 
+// knows tells whether a box knows a server that has cached a prefix. It sends nothing there.
+func (b *box) knows(prefix string) bool {
+	q := prompt(9, prefix)
+	q.Engine = false
+	l, _ := b.balancer.Pick(q, time.Now())
+	l.Done(balancer.ResultAbandoned, time.Now())
+	return l.Inputs.Cached == 8000 && !l.Inputs.Home
+}
+
+// What happens just after a summary reaches all boxes, also those of other halls, though
+// nothing happens after it and nothing is sent again.
+func TestLastChangesReachAllBoxes(t *testing.T) {
+	withFleet(t, 12, 3, func(x *fleet) {
+		for i := range 200 {
+			lease, _ := x.boxes[i%12].balancer.Pick(prompt(9, fmt.Sprintf("part-%d", i)), time.Now())
+			lease.Begun(time.Now())
+			lease.Done(balancer.ResultDone, time.Now())
+		}
+		// A look makes a box report, so that there is one only, long after all has arrived.
+		time.Sleep(settled)
+		for i, b := range x.boxes {
+			for j := range 200 {
+				require.True(t, b.knows(fmt.Sprintf("part-%d", j)), "box %d, part %d", i, j)
+			}
+		}
+	}, func(d *Deps) { d.Refresh = time.Hour })
+}
+
 // Boxes with the fastest links relay, whatever their names.
 func TestBoxesWithFastLinksRelay(t *testing.T) {
 	var entries []roster.Entry
