--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -10,11 +10,11 @@
 
 // Kinds of datagrams.
 const (
-	// kindReport tells a relay what a box has servers do, kindSummary tells others
+	// kindReport carries what a box has servers do to a relay, kindSummary to others
 	// what a relay has added up.
 	kindReport  = "load-report"
 	kindSummary = "load-summary"
-	// kindPlaced tells a relay, and kindPassed is told by a relay, where prompts went.
+	// kindPlaced carries to a relay, and kindPassed from one, where prompts went.
 	kindPlaced = "placements"
 	kindPassed = "placements-passed"
 )
@@ -169,7 +169,7 @@
 		len(m.GetMemory()) == servers && len(m.GetDown()) == len(m.GetBoxes())
 }
 
-// workTable holds what some senders have told last.
+// workTable holds what some senders have reported last.
 type workTable map[string]reportedWork
 
 type reportedWork struct {
@@ -177,7 +177,7 @@
 	heard time.Time
 }
 
-// sum adds up what all senders have told.
+// sum adds up what all senders have reported.
 func (t workTable) sum(now time.Time) work {
 	total := newWork()
 	for _, w := range t {
--- a/pkg/loadshare/relays.go
+++ b/pkg/loadshare/relays.go
@@ -46,7 +46,7 @@
 
 // silence tracks which relays do not answer.
 type silence struct {
-	// since is when a relay was first told without an answer, until how long it is
+	// since is when a relay was first sent a report without an answer, until how long it is
 	// passed over.
 	since map[string]time.Time
 	until map[string]time.Time
@@ -56,13 +56,13 @@
 	return silence{since: make(map[string]time.Time), until: make(map[string]time.Time)}
 }
 
-// heard notes that a relay has told something.
+// heard notes that a relay has sent a summary.
 func (s silence) heard(box string) {
 	delete(s.since, box)
 	delete(s.until, box)
 }
 
-// told notes that a relay was told something.
+// reported notes that a relay was sent a report.
 func (s silence) reported(box string, now time.Time) {
 	since, waiting := s.since[box]
 	switch {
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -50,7 +50,7 @@
 	// as this box is a relay.
 	hall       audience
 	otherHalls audience
-	// told is what this box reported last.
+	// reported is what this box reported last.
 	reported work
 	// known is worked out from entries.
 	entries []roster.Entry
@@ -194,7 +194,7 @@
 	}
 }
 
-// report tells this hall's relays what this box does. Nothing is told twice in a row.
+// report sends this hall's relays what this box does. That it does nothing is sent once.
 func (s *Sharer) report(now time.Time) {
 	r := s.Balancer.Report(now)
 	empty := len(r.Loads) == 0 && len(r.Placements) == 0
@@ -252,7 +252,7 @@
 	return len(body) * len(to)
 }
 
-// setOthers hands the balancer what all boxes do, less what this one has told of
+// setOthers hands the balancer what all boxes do, less what this one has reported of
 // itself.
 func (s *Sharer) setOthers(total work, now time.Time) {
 	others := total.without(s.reported)
--- a/pkg/loadshare/summary.go
+++ b/pkg/loadshare/summary.go
@@ -53,7 +53,7 @@
 	return s.otherHalls.wait(now), s.otherHalls.changed
 }
 
-// summarise tells the boxes of this hall what all do, and the relays of other halls
+// summarise sends the boxes of this hall what all do, and the relays of other halls
 // what this hall does.
 func (s *Sharer) summarise(now time.Time) {
 	members := s.members()
@@ -73,7 +73,7 @@
 	s.hall.done(pauseAfter(sent), now)
 }
 
-// tell sends a summary and placements. It returns the bytes sent.
+// publish sends a summary and placements. It returns the bytes sent.
 func (s *Sharer) publish(all work, placements []balancer.Placement, to []*net.UDPAddr) int {
 	return s.sendWork(kindSummary, all, to) + s.sendPlacements(kindPassed, placements, to)
 }
