directory: the whole is read where watches of it do not begin

Ruled out: a silent store. Only watches count for which a check has told a newer revision; in an outage none is told. Also ruled out: reading the whole after any two failures, which would make each reader read it after each outage.

--- a/pkg/directory/follow.go
+++ b/pkg/directory/follow.go
@@ -85,7 +85,7 @@
 func (f *follower) mustAsk(reader func() bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.revision < f.wanted || f.failures > 0 || !f.there() || reader()
+	return f.open.wanted > 0 || f.failures > 0 || !f.there() || reader()
 }
 
 // rest waits until something is to be done.
@@ -103,8 +103,9 @@
 func (f *follower) ask(ctx context.Context, t Timing, p part) error {
 	target := f.target()
 	var err error
-	if f.watchable() && !p.readsWhole(target) {
+	if f.watchable() && !f.watchesFail() && !p.readsWhole(target) {
 		err = f.watchOnce(ctx, t, p)
+		f.notBegun(target, err)
 	} else {
 		err = f.readOnce(ctx, p)
 	}
@@ -156,7 +157,7 @@
 func (f *follower) beginWatch(ctx context.Context, t Timing) (context.Context, time.Duration, func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.state.revision < f.wanted || f.failures > 0 {
+	if f.open.wanted > 0 || f.failures > 0 {
 		ctx, end := stall.WithLimits(ctx, t.limits(briefly+t.Answer))
 		return ctx, briefly, end
 	}
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"github.com/go-kit/log"
@@ -27,11 +28,12 @@
 
 	mu    sync.Mutex
 	state known
-	// wanted is a revision that the source is known to have reached; missing one at
-	// which this part is known to have changed. The source is asked until both are met.
-	wanted   uint64
-	missing  uint64
+	// open is what this part has yet to reach. The source is asked until it is met.
+	open     target
 	failures int
+	// unbegun counts the watches in a row whose answer did not begin in time, though the
+	// source is known to have what they ask for.
+	unbegun int
 	// misses counts the answers that did not come, over all time.
 	misses int
 	// waiting is the watch that waits for the next change, nil if none does.
@@ -42,10 +44,33 @@
 
 // target is what a follower has to reach.
 type target struct {
-	// wanted and missing are revisions, zero for none.
+	// wanted is a revision that the source is known to have reached; missing one at
+	// which the part is known to have changed. Zero stands for none.
 	wanted, missing uint64
 }
 
+// beyond leaves out what a revision has reached.
+func (t target) beyond(revision uint64) target {
+	if t.wanted <= revision {
+		t.wanted = 0
+	}
+	if t.missing <= revision {
+		t.missing = 0
+	}
+	return t
+}
+
+// without leaves out what was asked for.
+func (t target) without(asked target) target {
+	if t.wanted == asked.wanted {
+		t.wanted = 0
+	}
+	if t.missing == asked.missing {
+		t.missing = 0
+	}
+	return t
+}
+
 // waitingWatch is a watch that waits for the next change.
 type waitingWatch struct {
 	ctx    context.Context
@@ -69,7 +94,7 @@
 	lacks := f.state.revision < revision
 	var waiting *waitingWatch
 	if lacks {
-		f.wanted = max(f.wanted, revision)
+		f.open.wanted = max(f.open.wanted, revision)
 		waiting = f.waiting
 	}
 	f.mu.Unlock()
@@ -89,9 +114,9 @@
 	lacks := f.state.revision < changed
 	switch {
 	case lacks:
-		f.missing = max(f.missing, changed)
+		f.open.missing = max(f.open.missing, changed)
 	case f.state.revision > 0:
-		f.state.revision = max(f.state.revision, revision)
+		f.raise(known{revision: revision})
 	}
 	f.mu.Unlock()
 	if lacks {
@@ -103,27 +128,16 @@
 func (f *follower) target() target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var t target
-	if f.state.revision < f.wanted {
-		t.wanted = f.wanted
-	}
-	if f.state.revision < f.missing {
-		t.missing = f.missing
-	}
-	return t
+	return f.open
 }
 
 // met notes that the source has answered. A revision that it does not know was never its
 // own, and is not asked for again; what was heard of meanwhile is.
-func (f *follower) met(t target) {
+func (f *follower) met(asked target) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.wanted == t.wanted {
-		f.wanted = 0
-	}
-	if f.missing == t.missing {
-		f.missing = 0
-	}
+	f.open = f.open.without(asked)
+	f.unbegun = 0
 }
 
 func (f *follower) endWaiting(w *waitingWatch) {
@@ -164,8 +178,37 @@
 func (f *follower) advance(k known) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.raise(k)
+}
+
+// raise takes in up to where the part is known. The caller holds mu.
+func (f *follower) raise(k known) {
 	f.state.revision = max(f.state.revision, k.revision)
 	f.state.changed = max(f.state.changed, k.changed)
+	f.open = f.open.beyond(f.state.revision)
+}
+
+// unbegunMost is how many watches in a row may fail to begin before the whole is read in
+// their place: a source that is slow to gather many changes may have the whole at hand.
+const unbegunMost = 2
+
+// notBegun counts a watch that failed. One counts whose answer did not begin though there
+// is something to tell: a silent source is not meant.
+func (f *follower) notBegun(asked target, err error) {
+	var stalled *stall.Error
+	if asked.wanted == 0 || !errors.As(err, &stalled) || stalled.Begun {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unbegun++
+}
+
+// watchesFail tells whether the whole is to be read, as watches do not begin.
+func (f *follower) watchesFail() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.unbegun >= unbegunMost
 }
 
 // covers tells whether a delta adds to what is known, without a gap.
--- a/pkg/directory/parts.go
+++ b/pkg/directory/parts.go
@@ -65,11 +65,10 @@
 
 // take takes an answer in and tells the other boxes of it.
 func (p *tablePart) take(read TableRead, at time.Time, wait time.Duration) known {
-	before := p.directory.View().Table
 	if read.Table != nil {
 		p.bytes = read.Bytes
 	}
-	p.directory.readTable(read, at)
+	before := p.directory.readTable(read, at)
 	p.directory.tellTable(before, read, wait)
 	return known{revision: read.Revision, changed: read.Changed}
 }
--- a/pkg/directory/share_test.go
+++ b/pkg/directory/share_test.go
@@ -33,7 +33,7 @@
 func (f *follower) isHurried() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.revision < f.wanted
+	return f.open.wanted > 0
 }
 
 // A box that checks the source tells the others what has changed, so that they need
--- a/pkg/directory/tabledeltas.go
+++ b/pkg/directory/tabledeltas.go
@@ -33,12 +33,15 @@
 	d.followDeltas()
 }
 
-// readTable takes in a table that was read, and then what has been told of newer ones.
-func (d *Directory) readTable(read TableRead, at time.Time) {
+// readTable takes in a table that was read, and then what has been told of newer ones. It
+// returns the table that was in force before.
+func (d *Directory) readTable(read TableRead, at time.Time) *routing.Table {
 	d.applying.Lock()
 	defer d.applying.Unlock()
+	before := d.View().Table
 	d.setTable(read.Table, at)
 	d.followDeltas()
+	return before
 }
 
 // followDeltas applies the deltas that lead on from the table in force, and drops those
