routerd: a planned stop closes only connections that rest

SetKeepAlivesEnabled(false) and Shutdown close a connection that is still noted as idle, also while the request that was read on it is about to be served: it is sent on, and its caller gets the end of the connection in place of an answer. Ruled out: the gateway and the proxy of the soak: a server with an empty handler and a connection whose read calls SetKeepAlivesEnabled shows it each time.

--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -91,6 +91,7 @@
 	metrics   *telemetry.Metrics
 
 	callers, ready, metricsServer      *http.Server
+	connections                        *connections
 	callerPort, readyPort, metricsPort net.Listener
 	peerPort                           net.PacketConn
 
@@ -256,6 +257,7 @@
 		Handler: d.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerMost,
 		DisableGeneralOptionsHandler: true,
 	}
+	d.connections = newConnections(d.callers)
 	questions := httprouter.New()
 	questions.GET(readiness.Path, readiness.Handle(d.Ready))
 	d.ready = &http.Server{Handler: questions, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -290,7 +292,8 @@
 }
 
 func (d *Daemon) report(port string, err error) {
-	if d.ctx.Err() == nil && !errors.Is(err, http.ErrServerClosed) {
+	stopping := d.stop.Load() != nil && errors.Is(err, net.ErrClosed)
+	if d.ctx.Err() == nil && !stopping && !errors.Is(err, http.ErrServerClosed) {
 		_ = level.Error(d.logger).Log("msg", "port closed", "port", port, "err", err)
 	}
 }
--- a/pkg/routerd/stop.go
+++ b/pkg/routerd/stop.go
@@ -30,14 +30,15 @@
 	d.stop.Store(&gateway.Stop{Refuse: begun.Add(streamTime), End: end})
 	// Kept connections are closed as soon as they rest, so that their callers go
 	// elsewhere with the next request.
-	d.callers.SetKeepAlivesEnabled(false)
+	d.connections.closeResting()
 	_ = level.Info(d.logger).Log("msg", "stopping", "in_progress", d.gateway.Running())
 	d.waitUntilIdle(begun.Add(min(noticeTime, time.Until(end))), end)
 	left := d.gateway.Running()
 	d.gateway.GiveUp()
 	ctx, cancel := context.WithTimeout(context.Background(), killMargin/3)
 	defer cancel()
-	_ = d.callers.Shutdown(ctx)
+	_ = d.callerPort.Close()
+	d.connections.closeAll(ctx)
 	d.roster.Leave(ctx)
 	d.cancel()
 	_ = d.callers.Close()
