--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -22,8 +22,8 @@
 
 // Timing says how often the store is checked.
 type Timing struct {
-	// Every is the least time between checks, Spread what is added by chance so
-	// that mostly one box asks.
+	// Every is the least time between checks, Spread what is added so that mostly one box
+	// asks.
 	Every  time.Duration
 	Spread time.Duration
 }
@@ -34,8 +34,14 @@
 	Timing func() Timing
 	// Check asks the store. It returns false if there was no answer.
 	Check func(context.Context) (directory.Check, bool)
+	// Look looks who else is there, which costs less than a check. It returns whether that
+	// made any box known.
+	Look func(context.Context) bool
 	// Peers are the addresses of the other boxes.
-	Peers     func() []*net.UDPAddr
+	Peers func() []*net.UDPAddr
+	// Rank is this box's place in the order in which boxes check, on which those that know
+	// the same others agree; zero for the first.
+	Rank      func() int
 	Directory *directory.Directory
 }
 
@@ -55,7 +61,7 @@
 	c := &Checker{Deps: d, heard: make(chan message, 64), unknown: make(chan struct{}, 1)}
 	d.Directory.OnNotice(c.tellNotice)
 	d.Port.Handle(kind, c.receive)
-	d.Port.OnStranger(c.lookWhoIsThere)
+	d.Port.OnStranger(c.LookWhoIsThere)
 	return c
 }
 
@@ -92,8 +98,7 @@
 	// flight is how long a datagram is assumed to be on its way at the most.
 	flight  = 50 * time.Millisecond
 	ageMost = 10 * time.Second
-	// unknownPause is the least time between checks that are made because of
-	// boxes that are not known yet.
+	// unknownPause is the least time between two looks for boxes that are not known yet.
 	unknownPause = 2 * time.Second
 )
 
@@ -101,7 +106,8 @@
 func (c *Checker) Run(ctx context.Context) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	t := turns{timer: time.NewTimer(0), ended: make(chan struct{}, 1)}
+	t := turns{timer: time.NewTimer(c.next()), ended: make(chan struct{}, 1)}
+	grown := make(chan struct{}, 1)
 	defer t.timer.Stop()
 	for {
 		select {
@@ -112,9 +118,12 @@
 				t.timer.Reset(c.next())
 			}
 		case <-c.unknown:
-			if time.Since(t.checked) >= unknownPause {
-				t.timer.Reset(rand.N(unknownPause / 2))
+			if t.beginLook() {
+				wg.Go(func() { c.look(ctx, grown) })
 			}
+		case <-grown:
+			// Who was not known until now is checking the store.
+			t.timer.Reset(c.next())
 		case <-t.timer.C:
 			if t.begin() {
 				wg.Go(func() {
@@ -132,11 +141,20 @@
 // turns says when this box checks the store. One check is under way at a time.
 type turns struct {
 	timer *time.Timer
-	// checking says that a check is under way, ended is told when it is over; checked is
-	// when the last one began.
+	// checking says that a check is under way, ended is told when it is over.
 	checking bool
 	ended    chan struct{}
-	checked  time.Time
+	// looked is when this box last looked who else is there.
+	looked time.Time
+}
+
+// beginLook begins a look. It returns false if the last one was just now.
+func (t *turns) beginLook() bool {
+	if time.Since(t.looked) < unknownPause {
+		return false
+	}
+	t.looked = time.Now()
+	return true
 }
 
 // begin begins a check. It returns false if one is under way: the next comes after it.
@@ -145,7 +163,6 @@
 		return false
 	}
 	t.checking = true
-	t.checked = time.Now()
 	return true
 }
 
@@ -173,24 +190,68 @@
 	return n
 }
 
+// lookSpread is the time over which the looks of many boxes are spread that have heard of the
+// same one.
+const lookSpread = 200 * time.Millisecond
+
+// look looks who else is there, and tells whether any box is known now that was not.
+func (c *Checker) look(ctx context.Context, grown chan<- struct{}) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(rand.N(lookSpread)):
+	}
+	if !c.Look(ctx) {
+		return
+	}
+	select {
+	case grown <- struct{}{}:
+	default:
+	}
+}
+
 func (c *Checker) checkOnce(ctx context.Context) {
 	check, ok := c.Check(ctx)
 	if !ok {
 		return
 	}
+	c.tellCheck(check)
+	// Whoever loses what is told asks for itself: of hundreds there would always be some.
+	select {
+	case <-ctx.Done():
+	case <-time.After(repeatAfter):
+		c.tellCheck(check)
+	}
+}
+
+// repeatAfter is when a check is told once more.
+const repeatAfter = 30 * time.Millisecond
+
+func (c *Checker) tellCheck(check directory.Check) {
 	c.tell(message{Check: &checkMessage{
 		AgeMillis: time.Since(check.Asked).Milliseconds(), Revision: check.Revision,
 		TableChanged: check.TableChanged, ServersChanged: check.ServersChanged,
 	}})
 }
 
-// next is the time until this box asks if it hears of no other check. The more
-// boxes there are, the more of them draw a time near the end: a handful ask early
-// and spare the rest.
+const (
+	// firstBoxes is how many boxes have a turn of their own to check, one after the other:
+	// the first one checks for all, the next one if it is not heard.
+	firstBoxes = 4
+	// firstShare is the part of the spread in which those have their turns.
+	firstShare = 0.5
+)
+
+// next is the time until this box asks if it hears of no other check. After the first boxes
+// the others draw: the more there are, the more of them draw a time near the end, so that a
+// handful ask early and spare the rest.
 func (c *Checker) next() time.Duration {
 	t := c.Timing()
+	if rank := c.Rank(); rank < firstBoxes {
+		return t.Every + time.Duration(float64(t.Spread)*firstShare*float64(rank)/firstBoxes)
+	}
 	n := float64(len(c.Peers()) + 1)
-	return t.Every + time.Duration(float64(t.Spread)*math.Pow(rand.Float64(), 1/n))
+	return t.Every + time.Duration(float64(t.Spread)*(firstShare+(1-firstShare)*math.Pow(rand.Float64(), 1/n)))
 }
 
 func (c *Checker) tellNotice(n directory.Notice) {
@@ -236,8 +297,8 @@
 	}
 }
 
-// lookWhoIsThere makes this box read the roster again.
-func (c *Checker) lookWhoIsThere() {
+// LookWhoIsThere makes this box look again which boxes there are, soon.
+func (c *Checker) LookWhoIsThere() {
 	select {
 	case c.unknown <- struct{}{}:
 	default:
--- a/pkg/directory/follow.go
+++ b/pkg/directory/follow.go
@@ -35,13 +35,28 @@
 	return stall.Limits{First: first, Silence: t.Answer, Most: t.AnswerMost}
 }
 
+// Following is what a directory follows.
+type Following struct {
+	Source Source
+	// Neighbours are asked before the source by boxes that are no readers.
+	Neighbours Neighbours
+	Timing     Timing
+	// Reader tells whether this box reads the source for others.
+	Reader func() bool
+}
+
 // Follow keeps the belief up to date until ctx ends. Only a reader watches the
 // source all the time; other boxes are told of changes, and ask when they are told
 // of a revision that they lack.
-func (d *Directory) Follow(ctx context.Context, source Source, t Timing, reader func() bool) {
+func (d *Directory) Follow(ctx context.Context, f Following) {
+	t := f.Timing
 	var wg conc.WaitGroup
-	wg.Go(func() { d.table.run(ctx, t, &tablePart{directory: d, source: source, timing: t}, reader) })
-	wg.Go(func() { d.list.run(ctx, t, &serversPart{directory: d, source: source, timing: t}, reader) })
+	wg.Go(func() {
+		d.table.run(ctx, t, &tablePart{directory: d, source: f.Source, neighbours: f.Neighbours, timing: t}, f.Reader)
+	})
+	wg.Go(func() {
+		d.list.run(ctx, t, &serversPart{directory: d, source: f.Source, neighbours: f.Neighbours, timing: t}, f.Reader)
+	})
 	wg.Wait()
 }
 
@@ -59,7 +74,7 @@
 			f.rest(ctx)
 			continue
 		}
-		err := f.ask(ctx, t, p)
+		err := f.ask(ctx, t, p, reader)
 		interrupted := errors.Is(err, errInterrupted)
 		if interrupted {
 			f.logInterrupted(err)
@@ -99,9 +114,12 @@
 	}
 }
 
-// ask asks the source once.
-func (f *follower) ask(ctx context.Context, t Timing, p part) error {
+// ask asks other boxes or the source once.
+func (f *follower) ask(ctx context.Context, t Timing, p part, reader func() bool) error {
 	target := f.target()
+	if f.asksNeighbours(target, reader) && f.askNeighbours(ctx, p, target) {
+		return nil
+	}
 	var err error
 	if f.watchable() && !f.watchesFail() && !p.readsWhole(target) {
 		err = f.watchOnce(ctx, t, p)
--- /dev/null
+++ b/pkg/directory/neighbours.go
@@ -0,0 +1,150 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"headhill.example/headhill/pkg/routing"
+)
+
+// ErrNoNeighbour says that no other box is known that may have what this one lacks.
+var ErrNoNeighbour = errors.New("no other box is known to ask: the source is asked")
+
+// ErrBehind says that a box does not know as much as was asked for.
+var ErrBehind = errors.New("the other box is behind: the next one or the source is asked")
+
+// TableCopy is the table as one box knows it.
+type TableCopy struct {
+	Table *routing.Table
+	// Revision and Changed are up to where the table is known, and where it changed last.
+	Revision, Changed uint64
+	// Read is when the source confirmed it.
+	Read time.Time
+}
+
+// ListCopy is the list of servers as one box knows it.
+type ListCopy struct {
+	Servers           []routing.Server
+	Revision, Changed uint64
+	Read              time.Time
+}
+
+// Neighbours are the other boxes that this one asks for what it lacks, which spares the
+// source the question.
+type Neighbours interface {
+	// Table asks for a table known at a revision at least. The table in force, which may be
+	// nil, need not be sent again.
+	Table(ctx context.Context, inForce *routing.Table, least uint64) (TableCopy, error)
+	// Servers asks for the list known at a revision at least.
+	Servers(ctx context.Context, least uint64) (ListCopy, error)
+}
+
+// asksNeighbours tells whether other boxes are asked before the source: by a box that reads
+// for nobody, while it has nothing yet or where it was told that something has changed.
+func (f *follower) asksNeighbours(asked target, reader func() bool) bool {
+	return (asked.missing > 0 || !f.there()) && !reader()
+}
+
+// askNeighbours asks other boxes once. It returns false where the source has to be asked.
+func (f *follower) askNeighbours(ctx context.Context, p part, asked target) bool {
+	begun := time.Now()
+	k, err := p.fetch(ctx, asked.missing)
+	if err != nil {
+		_ = level.Info(f.logger).Log("msg", "not had from another box", "part", f.name, "revision", f.known().revision, "wanted", asked.missing, "after", time.Since(begun), "err", err, "outcome", "the source is asked")
+		return false
+	}
+	f.advance(k)
+	f.wasRead()
+	f.met(asked)
+	_ = level.Info(f.logger).Log("msg", "had from another box", "part", f.name, "revision", k.revision, "wanted", asked.missing, "after", time.Since(begun))
+	return true
+}
+
+// fetch implements part.
+func (p *tablePart) fetch(ctx context.Context, least uint64) (known, error) {
+	c, err := p.neighbours.Table(ctx, p.directory.View().Table, least)
+	if err != nil {
+		return known{}, err
+	}
+	p.directory.readTable(TableRead{Table: c.Table, Revision: c.Revision, Changed: c.Changed}, c.Read)
+	return known{revision: c.Revision, changed: c.Changed}, nil
+}
+
+// fetch implements part.
+func (p *serversPart) fetch(ctx context.Context, least uint64) (known, error) {
+	c, err := p.neighbours.Servers(ctx, least)
+	if err != nil {
+		return known{}, err
+	}
+	p.directory.takeList(c.Servers, c.Revision, c.Read)
+	return known{revision: c.Revision, changed: c.Changed}, nil
+}
+
+// takeList takes a whole list in, known at a revision, and returns what it changes. Changes
+// may have come while it was on its way: an older list must not undo them.
+func (d *Directory) takeList(list []routing.Server, revision uint64, at time.Time) []ServerEvent {
+	d.applying.Lock()
+	defer d.applying.Unlock()
+	if k := d.list.known(); k.revision > revision {
+		_ = level.Info(d.logger).Log("msg", "list refused", "revision", revision, "known", k.revision, "reason", "a lower revision than the one that is known")
+		return nil
+	}
+	events := d.setServers(list, at)
+	d.list.advance(known{revision: revision})
+	return events
+}
+
+// copyStep is how often a copy that is not there yet is looked for.
+const copyStep = 5 * time.Millisecond
+
+// TableCopy returns this box's table once it is known at a revision; ErrBehind if it is not
+// when ctx ends.
+func (d *Directory) TableCopy(ctx context.Context, least uint64) (TableCopy, error) {
+	if err := d.table.await(ctx, least); err != nil {
+		return TableCopy{}, err
+	}
+	// The table is taken after what is known of it: it may be newer, and is never older.
+	k := d.table.known()
+	v := d.View()
+	return TableCopy{Table: v.Table, Revision: k.revision, Changed: k.changed, Read: v.TableRead}, nil
+}
+
+// ListCopy returns this box's list once it is known at a revision; ErrBehind if it is not
+// when ctx ends.
+func (d *Directory) ListCopy(ctx context.Context, least uint64) (ListCopy, error) {
+	if err := d.list.await(ctx, least); err != nil {
+		return ListCopy{}, err
+	}
+	d.applying.Lock()
+	defer d.applying.Unlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	k := d.list.known()
+	c := ListCopy{Revision: k.revision, Changed: k.changed, Read: d.view.Load().ServersRead}
+	for _, id := range slices.Sorted(maps.Keys(d.servers)) {
+		if s := d.servers[id]; s.Removed.IsZero() {
+			c.Servers = append(c.Servers, s.Server)
+		}
+	}
+	return c, nil
+}
+
+// await waits until the part is there and known at a revision. Whoever asks for one knows
+// that the part has changed there.
+func (f *follower) await(ctx context.Context, least uint64) error {
+	if least > 0 {
+		f.heardOf(0, least)
+	}
+	for !f.there() || f.known().revision < max(least, 1) {
+		if ctx.Err() != nil {
+			return ErrBehind
+		}
+		pause(ctx, copyStep)
+	}
+	return nil
+}
--- a/pkg/directory/parts.go
+++ b/pkg/directory/parts.go
@@ -19,14 +19,20 @@
 	read(ctx context.Context, asked time.Time) (known, error)
 	// watch takes in what has changed after a revision.
 	watch(ctx context.Context, after uint64, wait time.Duration) (known, error)
+	// fetch takes in the whole from another box that knows it at a revision.
+	fetch(ctx context.Context, least uint64) (known, error)
 }
 
 type tablePart struct {
-	directory *Directory
-	source    Source
-	timing    Timing
+	directory  *Directory
+	source     Source
+	neighbours Neighbours
+	timing     Timing
 	// bytes is how long the last answer that held a table was.
 	bytes int
+	// watched is the wait of a watch whose answer can't be had: what is read in its place
+	// is as much news for the others.
+	watched time.Duration
 }
 
 const (
@@ -52,11 +58,16 @@
 	if err != nil {
 		return known{}, err
 	}
-	return p.take(read, asked, briefly), nil
+	wait := max(briefly, p.watched)
+	p.watched = 0
+	return p.take(read, asked, wait), nil
 }
 
 func (p *tablePart) watch(ctx context.Context, after uint64, wait time.Duration) (known, error) {
 	read, err := p.source.WatchTable(ctx, after, wait, p.historyMost())
+	if needsWhole(err) {
+		p.watched = wait
+	}
 	if err != nil {
 		return known{}, err
 	}
@@ -74,9 +85,10 @@
 }
 
 type serversPart struct {
-	directory *Directory
-	source    Source
-	timing    Timing
+	directory  *Directory
+	source     Source
+	neighbours Neighbours
+	timing     Timing
 }
 
 // readsWhole is false: changes are short, and the list is long.
@@ -98,7 +110,7 @@
 		return known{}, err
 	}
 	before := p.directory.list.known().revision
-	events := p.directory.setServers(list.servers, asked)
+	events := p.directory.takeList(list.servers, list.revision, asked)
 	if before > 0 {
 		p.directory.tellServers(Delta{From: before, To: list.revision, Events: events}, briefly)
 	}
--- a/pkg/loadshare/relays.go
+++ b/pkg/loadshare/relays.go
@@ -1,13 +1,9 @@
 package loadshare
 
 import (
-	"cmp"
 	"net"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"headhill.example/headhill/pkg/roster"
 )
 
@@ -29,18 +25,14 @@
 	address *net.UDPAddr
 }
 
-// membersOf reads the roster's entries, in an order that all boxes agree on: those with the
-// fastest links come first, as a relay sends much more than others.
+// membersOf reads the roster's entries, in the order in which boxes relay.
 func membersOf(entries []roster.Entry) []member {
 	members := make([]member, 0, len(entries))
-	for _, e := range entries {
+	for _, e := range roster.Ordered(entries) {
 		if address := e.Address(); address != nil {
 			members = append(members, member{box: e.Box, hall: e.Hall, link: e.LinkMbps, address: address})
 		}
 	}
-	slices.SortFunc(members, func(a, b member) int {
-		return cmp.Or(cmp.Compare(b.link, a.link), cmp.Compare(xxhash.Sum64String(a.box), xxhash.Sum64String(b.box)), cmp.Compare(a.box, b.box))
-	})
 	return members
 }
 
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -1,6 +1,7 @@
 // Package roster tells which boxes there are. Each box writes one entry into the
 // store when it starts, and takes it out at a planned stop. Reading the entries also
-// tells the store's revision.
+// tells the store's revision. Boxes that see the same entries agree on who reads the
+// store for all, and on who passes what it holds on to whom.
 package roster
 
 import (
@@ -12,7 +13,6 @@
 	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -47,8 +47,9 @@
 	Enter(ctx context.Context, e Entry) error
 	// Leave takes an entry out if it is still this incarnation's.
 	Leave(ctx context.Context, e Entry) error
-	// Boxes lists the entries and the store's revision at that moment.
-	Boxes(ctx context.Context) (entries []Entry, revision uint64, err error)
+	// Boxes lists the entries and the store's revision at that moment. A stale list may be
+	// seconds old, but it is cheap and bound by no rate.
+	Boxes(ctx context.Context, stale bool) (entries []Entry, revision uint64, err error)
 }
 
 // Roster is what this box knows of the others.
@@ -60,9 +61,18 @@
 
 	mu      sync.Mutex
 	entries []Entry
-	peers   []*net.UDPAddr
-	known   map[netip.AddrPort]bool
-	entered bool
+	// revision is that of the store at which the entries were read, fresh tells whether any
+	// reading was not stale.
+	revision uint64
+	fresh    bool
+	peers    []*net.UDPAddr
+	// providers are the boxes that this one asks for what it lacks, rank is its place in
+	// the order in which boxes read for others.
+	providers []Entry
+	rank      int
+	known     map[netip.AddrPort]bool
+	hosts     map[netip.Addr]bool
+	entered   bool
 }
 
 // New returns a roster of one box, this one. The limits bound each call to the store.
@@ -100,43 +110,60 @@
 	return r.known[a]
 }
 
-// readers is how many boxes watch the store for the others.
-const readers = 2
+// KnownHost tells whether another box has an IP.
+func (r *Roster) KnownHost(ip netip.Addr) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hosts[ip.Unmap()]
+}
 
-// Reader tells whether this box is one of the few that watch the store for all: those
-// with the fastest links, as what they read is news for the others. Boxes that see the
-// same entries agree on who they are.
+// Reader tells whether this box is one of the few that watch the store for all. A box that
+// has just started and sees no other is none yet: the others may not have entered.
 func (r *Roster) Reader() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := 0
-	for _, e := range r.entries {
-		if e.Box != r.self.Box && readsBefore(e, r.self) {
-			before++
-		}
+	if !r.fresh && len(r.entries) == 1 {
+		return false
 	}
-	return before < readers
+	return r.rank < readers
 }
 
-// readsBefore orders boxes by how soon they should read for others.
-func readsBefore(a, b Entry) bool {
-	if a.LinkMbps != b.LinkMbps {
-		return a.LinkMbps > b.LinkMbps
-	}
-	return xxhash.Sum64String(a.Box) < xxhash.Sum64String(b.Box)
+// Rank is this box's place in the order in which boxes read for others; zero for the first.
+func (r *Roster) Rank() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rank
+}
+
+// Providers are the boxes that this one asks for what it lacks, in order; none for a
+// reader. Callers must not change the list.
+func (r *Roster) Providers() []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.providers
 }
 
 // Read enters this box if it is not entered yet, reads the others, and returns the
 // store's revision.
-func (r *Roster) Read(ctx context.Context) (uint64, error) {
+func (r *Roster) Read(ctx context.Context) (uint64, error) { return r.read(ctx, false) }
+
+// Look enters this box if it is not entered yet, and reads the others as they were some
+// seconds ago at most, which costs little. It returns whether that made any box known.
+func (r *Roster) Look(ctx context.Context) (bool, error) {
+	before := r.Count()
+	_, err := r.read(ctx, true)
+	return r.Count() > before, err
+}
+
+func (r *Roster) read(ctx context.Context, stale bool) (uint64, error) {
 	r.enter(ctx)
 	ctx, cancel := stall.WithLimits(ctx, r.limits)
 	defer cancel()
-	entries, revision, err := r.store.Boxes(ctx)
+	entries, revision, err := r.store.Boxes(ctx, stale)
 	if err != nil {
 		return 0, err
 	}
-	r.set(entries)
+	r.set(entries, revision, stale)
 	return revision, nil
 }
 
@@ -160,29 +187,47 @@
 	r.mu.Unlock()
 }
 
-func (r *Roster) set(entries []Entry) {
-	peers := make([]*net.UDPAddr, 0, len(entries))
-	known := make(map[netip.AddrPort]bool, len(entries))
-	for _, e := range behind(entries, r.self.Box) {
-		a := e.Address()
-		if e.Box != r.self.Box && a != nil {
-			peers = append(peers, a)
-			known[datagram.AddrPortOf(a)] = true
-		}
-	}
+// set takes a reading in. One that is older than what is known is dropped.
+func (r *Roster) set(entries []Entry, revision uint64, stale bool) {
 	own := slices.ContainsFunc(entries, func(e Entry) bool { return e.Box == r.self.Box })
 	if !own {
 		entries = append(entries, r.self)
 	}
+	peers, known, hosts := addressesOf(behind(entries, r.self.Box), r.self.Box)
+	providers := ProvidersOf(entries, r.self)
+	rank := slices.IndexFunc(Ordered(entries), func(e Entry) bool { return e.Box == r.self.Box })
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if revision < r.revision || stale && revision == r.revision {
+		return
+	}
 	// Others take a box out that they do not hear any more. One that is alive after
-	// all enters itself again.
-	r.entered = r.entered && own
+	// all enters itself again. A stale reading may be older than the entry.
+	r.entered = r.entered && (own || stale)
 	if len(entries) != len(r.entries) {
-		_ = level.Info(r.logger).Log("msg", "boxes counted", "count", len(entries), "before", len(r.entries))
+		_ = level.Info(r.logger).Log("msg", "boxes counted", "count", len(entries), "before", len(r.entries), "revision", revision, "stale", stale)
+	}
+	r.entries, r.revision, r.fresh = entries, revision, r.fresh || !stale
+	r.peers, r.known, r.hosts = peers, known, hosts
+	r.providers, r.rank = providers, rank
+}
+
+// addressesOf returns where the boxes other than this one are, in order and as sets.
+func addressesOf(entries []Entry, self string) (peers []*net.UDPAddr, known map[netip.AddrPort]bool, hosts map[netip.Addr]bool) {
+	peers = make([]*net.UDPAddr, 0, len(entries))
+	known = make(map[netip.AddrPort]bool, len(entries))
+	hosts = make(map[netip.Addr]bool, len(entries))
+	for _, e := range entries {
+		a := e.Address()
+		if e.Box == self || a == nil {
+			continue
+		}
+		peers = append(peers, a)
+		address := datagram.AddrPortOf(a)
+		known[address] = true
+		hosts[address.Addr()] = true
 	}
-	r.entries, r.peers, r.known = entries, peers, known
+	return peers, known, hosts
 }
 
 // behind orders entries by name, those behind a name first.
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -18,7 +18,6 @@
 
 	"headhill.example/headhill/pkg/announce"
 	"headhill.example/headhill/pkg/balancer"
-	"headhill.example/headhill/pkg/callrate"
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/gateway"
@@ -27,6 +26,7 @@
 	"headhill.example/headhill/pkg/readiness"
 	"headhill.example/headhill/pkg/retry"
 	"headhill.example/headhill/pkg/roster"
+	"headhill.example/headhill/pkg/snapshot"
 	"headhill.example/headhill/pkg/stall"
 	"headhill.example/headhill/pkg/telemetry"
 	"headhill.example/headhill/pkg/upstream"
@@ -55,14 +55,6 @@
 	fleetLeast = 16
 )
 
-// StoreAccess says how the store may be called.
-type StoreAccess struct {
-	// Address is where the store is at the time of a call.
-	Address func() string
-	// Admit returns when a call may be made, or with an error if ctx ends before that.
-	Admit func(ctx context.Context, write bool) error
-}
-
 // Adapter is what the daemon needs of the platform that it runs on.
 type Adapter struct {
 	Protocol gateway.Protocol
@@ -84,16 +76,17 @@
 	checker   *announce.Checker
 	sharer    *loadshare.Sharer
 	sweeper   *roster.Sweeper
+	snapshots *snapshot.Client
 	upstream  *upstream.Client
 	budget    *retry.Budget
-	rates     *callrate.Limiter
+	calls     *storeCalls
 	gateway   *gateway.Gateway
 	metrics   *telemetry.Metrics
 
-	callers, ready, metricsServer      *http.Server
-	connections                        *connections
-	callerPort, readyPort, metricsPort net.Listener
-	peerPort                           net.PacketConn
+	callers, ready, metricsServer, snapshotServer    *http.Server
+	connections                                      *connections
+	callerPort, readyPort, metricsPort, snapshotPort net.Listener
+	peerPort                                         net.PacketConn
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -117,11 +110,11 @@
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.directory = directory.New(logs.For(logflags.Directory))
-	if err := metrics.AddGauges(beliefGauges(d.directory)...); err != nil {
+	d.calls = newStoreCalls(s.Rates)
+	if err := metrics.AddGauges(append(beliefGauges(d.directory), d.calls.gauge())...); err != nil {
 		return nil, oops.In("telemetry").Wrap(err)
 	}
-	d.rates = callrate.New(s.Rates)
-	access := StoreAccess{Address: func() string { return d.settings.Load().Store }, Admit: d.rates.Wait}
+	access := StoreAccess{Address: func() string { return d.settings.Load().Store }, Admit: d.calls.admit}
 	d.source = a.Source(access)
 	self := roster.Entry{Box: s.Box.ID, Hall: s.Box.Hall, Peer: d.peerPort.LocalAddr().String(), LinkMbps: s.Limits.LinkMbps}
 	d.roster = roster.New(a.Roster(access), self, storeLimits, logs.For(logflags.Directory))
@@ -129,8 +122,9 @@
 	peerLogger := logs.For(logflags.Peer)
 	d.peers = datagram.NewPort(datagram.Deps{Box: s.Box.ID, Conn: d.peerPort, Known: d.roster.Known, Logger: peerLogger})
 	d.checker = announce.New(announce.Deps{
-		Port: d.peers, Timing: d.checkTiming, Check: d.checkStore, Peers: d.roster.Peers, Directory: d.directory,
+		Port: d.peers, Timing: d.checkTiming, Check: d.checkStore, Look: d.look, Peers: d.roster.Peers, Rank: d.roster.Rank, Directory: d.directory,
 	})
+	d.snapshots = snapshot.NewClient(snapshot.ClientDeps{Providers: d.providers, Wait: d.snapshotWait})
 	d.sweeper = roster.NewSweeper(d.roster, d.peers, peerLogger)
 	d.sharer = loadshare.New(loadshare.Deps{
 		Box: s.Box.ID, Hall: s.Box.Hall, Port: d.peers, Balancer: balance, Entries: d.roster.Entries, Logger: peerLogger,
@@ -148,6 +142,7 @@
 		},
 	})
 	d.serveHTTP()
+	d.serveSnapshots(logs.For(logflags.Peer))
 	return d, nil
 }
 
@@ -213,7 +208,7 @@
 // setShares gives this box its parts of what the fleet may do.
 func (d *Daemon) setShares() {
 	d.budget.SetLimits(d.retryLimits())
-	d.rates.SetBudget(d.settings.Load().Rates.Share(d.roster.Count()))
+	d.calls.rates.SetBudget(d.settings.Load().Rates.Share(d.roster.Count()))
 }
 
 // retryLimits gives this box its part of the fleet's slack.
@@ -235,17 +230,15 @@
 		}
 		*p.to = listener
 	}
-	conn, err := net.ListenPacket("udp", l.Peer)
-	if err != nil {
+	if err := d.openPeer(l.Peer); err != nil {
 		d.closePorts()
-		return oops.In("routerd").With("key", "peer").Wrapf(err, "port [listen] peer = %s can't be opened: free it or name another", l.Peer)
+		return oops.In("routerd").With("key", "peer").Wrapf(err, "port [listen] peer = %s can't be opened by UDP and TCP: free it or name another", l.Peer)
 	}
-	d.peerPort = conn
 	return nil
 }
 
 func (d *Daemon) closePorts() {
-	for _, l := range []net.Listener{d.callerPort, d.readyPort, d.metricsPort} {
+	for _, l := range []net.Listener{d.callerPort, d.readyPort, d.metricsPort, d.snapshotPort} {
 		if l != nil {
 			l.Close()
 		}
@@ -270,7 +263,7 @@
 func (d *Daemon) Start() {
 	s := d.settings.Load()
 	for _, f := range []func(){
-		func() { d.directory.Follow(d.ctx, d.source, d.timing(), d.roster.Reader) },
+		d.follow,
 		func() { d.checker.Run(d.ctx) },
 		func() { d.sharer.Run(d.ctx) },
 		d.peers.Listen,
@@ -280,6 +273,7 @@
 		},
 		func() { d.report("ready", d.ready.Serve(d.readyPort)) },
 		func() { d.report("metrics", d.metricsServer.Serve(d.metricsPort)) },
+		func() { d.report("peer", d.snapshotServer.Serve(d.snapshotPort)) },
 	} {
 		d.wg.Go(f)
 	}
--- /dev/null
+++ b/pkg/routerd/join.go
@@ -0,0 +1,123 @@
+package routerd
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"golang.org/x/net/netutil"
+
+	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/snapshot"
+)
+
+const (
+	// joinSpread bounds the time, drawn by each box, for which one that sees no other waits
+	// for others: where all start at once, a few of them read the store for the rest.
+	joinSpread = time.Second
+	// joinPause is how often such a box looks.
+	joinPause = 150 * time.Millisecond
+	// snapshotShare is the part of the time that a change may take to be in force for which
+	// a box waits for another one to have it. Three such waits leave time to ask the store.
+	snapshotShare = 0.15
+	// snapshotsAtOnce bounds the connections on which other boxes ask this one: a hall asks
+	// one box, or a few.
+	snapshotsAtOnce = 512
+	// peerTries is how often a port is tried that is free for both protocols, where any
+	// port will do.
+	peerTries = 8
+)
+
+// openPeer opens the port at which other boxes are heard, for datagrams and for questions.
+func (d *Daemon) openPeer(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return err
+	}
+	for range peerTries {
+		if d.snapshotPort, err = net.Listen("tcp", net.JoinHostPort(host, port)); err != nil {
+			return err
+		}
+		if d.peerPort, err = net.ListenPacket("udp", d.snapshotPort.Addr().String()); err == nil {
+			return nil
+		}
+		_ = d.snapshotPort.Close()
+		if port != "0" {
+			return err
+		}
+	}
+	return err
+}
+
+// serveSnapshots lets other boxes ask for what this one knows.
+func (d *Daemon) serveSnapshots(logger log.Logger) {
+	server := snapshot.NewServer(snapshot.ServerDeps{
+		Directory: d.directory, KnownHost: d.roster.KnownHost, OnStranger: d.checker.LookWhoIsThere, Logger: logger,
+	})
+	d.snapshotPort = netutil.LimitListener(d.snapshotPort, snapshotsAtOnce)
+	d.snapshotServer = &http.Server{Handler: server.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
+// follow joins the other boxes, and then keeps the belief up to date until the box ends.
+func (d *Daemon) follow() {
+	d.join(d.ctx)
+	d.directory.Follow(d.ctx, directory.Following{
+		Source: d.source, Neighbours: d.snapshots, Timing: d.timing(), Reader: d.roster.Reader,
+	})
+}
+
+// join enters this box in the roster and looks who else is there.
+func (d *Daemon) join(ctx context.Context) {
+	begun := time.Now()
+	wait := rand.N(joinSpread)
+	for d.roster.Count() == 1 && ctx.Err() == nil {
+		if _, err := d.roster.Look(ctx); err != nil {
+			_ = level.Info(d.logger).Log("msg", "others not seen", "err", err, "outcome", "the store is asked")
+			return
+		}
+		if d.roster.Count() > 1 || time.Since(begun) >= wait {
+			break
+		}
+		pause(ctx, joinPause)
+	}
+	_ = level.Info(d.logger).Log("msg", "joined", "boxes", d.roster.Count(), "providers", len(d.roster.Providers()), "reader", d.roster.Reader(), "after", time.Since(begun))
+}
+
+// pause waits for a time, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// look looks who else is there. It returns whether that made any box known.
+func (d *Daemon) look(ctx context.Context) bool {
+	grown, err := d.roster.Look(ctx)
+	if err != nil {
+		_ = level.Info(d.logger).Log("msg", "others not seen", "err", err, "outcome", "looked for again when one is heard")
+		return false
+	}
+	d.setShares()
+	return grown
+}
+
+// providers are the addresses of the boxes that this one asks for what it lacks.
+func (d *Daemon) providers() []string {
+	entries := d.roster.Providers()
+	addresses := make([]string, 0, len(entries))
+	for _, e := range entries {
+		addresses = append(addresses, e.Peer)
+	}
+	return addresses
+}
+
+func (d *Daemon) snapshotWait() time.Duration {
+	return time.Duration(snapshotShare * float64(d.settings.Load().Bounds.Apply))
+}
--- a/pkg/routerd/stop.go
+++ b/pkg/routerd/stop.go
@@ -44,6 +44,7 @@
 	_ = d.callers.Close()
 	_ = d.ready.Close()
 	_ = d.metricsServer.Close()
+	_ = d.snapshotServer.Close()
 	_ = d.peerPort.Close()
 	_ = level.Info(d.logger).Log("msg", "stopped", "given_up", left, "after", time.Since(begun))
 }
@@ -65,6 +66,7 @@
 	_ = d.callers.Close()
 	_ = d.ready.Close()
 	_ = d.metricsServer.Close()
+	_ = d.snapshotServer.Close()
 	_ = d.peerPort.Close()
 	d.wg.Wait()
 	_ = d.metrics.Close()
--- /dev/null
+++ b/pkg/routerd/storecalls.go
@@ -0,0 +1,77 @@
+package routerd
+
+import (
+	"context"
+	"maps"
+	"sync"
+
+	"headhill.example/headhill/pkg/callrate"
+	"headhill.example/headhill/pkg/telemetry"
+)
+
+// CallKind is a kind of calls to the store.
+type CallKind string
+
+// Kinds of calls.
+const (
+	CallRead  CallKind = "read"
+	CallWatch CallKind = "watch"
+	CallWrite CallKind = "write"
+	// CallStale reads what may be seconds old. It costs little and is bound by no rate.
+	CallStale CallKind = "stale read"
+)
+
+// StoreCall says what a call to the store is for.
+type StoreCall struct {
+	// Object is what it is about.
+	Object string
+	Kind   CallKind
+}
+
+// String implements fmt.Stringer.
+func (c StoreCall) String() string { return c.Object + " " + string(c.Kind) }
+
+// StoreAccess says how the store may be called.
+type StoreAccess struct {
+	// Address is where the store is at the time of a call.
+	Address func() string
+	// Admit returns when a call may be made, or with an error if ctx ends before that.
+	Admit func(ctx context.Context, call StoreCall) error
+}
+
+// storeCalls keeps this box's calls within its share of the store's rates, and counts them.
+type storeCalls struct {
+	rates *callrate.Limiter
+
+	mu     sync.Mutex
+	counts map[string]int64
+}
+
+func newStoreCalls(rates callrate.Budget) *storeCalls {
+	return &storeCalls{rates: callrate.New(rates), counts: make(map[string]int64)}
+}
+
+// admit counts a call and waits until it may be made.
+func (s *storeCalls) admit(ctx context.Context, call StoreCall) error {
+	s.mu.Lock()
+	s.counts[call.String()]++
+	s.mu.Unlock()
+	if call.Kind == CallStale {
+		return nil
+	}
+	return s.rates.Wait(ctx, call.Kind == CallWrite)
+}
+
+func (s *storeCalls) byCall() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.counts)
+}
+
+// gauge shows the calls by what they were for.
+func (s *storeCalls) gauge() telemetry.Gauge {
+	return telemetry.Gauge{
+		Name: "headhill_store_calls", Help: "Calls to the store since the start, by what they were for.",
+		Attribute: "call", Observe: s.byCall,
+	}
+}
--- /dev/null
+++ b/pkg/snapshot/client.go
@@ -0,0 +1,192 @@
+package snapshot
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/stall"
+)
+
+const (
+	// dialTimeout is how long a connection to another box may take to come up: one that
+	// has lost power says nothing.
+	dialTimeout = 300 * time.Millisecond
+	// silenceMost is how long an answer may stand still, and how long it may take to begin,
+	// the connection included,
+	// beyond the wait that was asked for.
+	silenceMost = 300 * time.Millisecond
+	// answerMost bounds a whole answer: what trickles is left for the next box.
+	answerMost = 10 * time.Second
+	// waitsMost is for how many waits boxes are asked, before the source is.
+	waitsMost = 3
+	// passedOver is how long a box that gave no answer is asked after the others.
+	passedOver = 5 * time.Second
+)
+
+// Client asks other boxes. It implements directory.Neighbours.
+type Client struct {
+	http      *http.Client
+	providers func() []string
+	wait      func() time.Duration
+
+	mu sync.Mutex
+	// silent are the addresses of boxes that gave no answer, and when.
+	silent map[string]time.Time
+}
+
+// ClientDeps are what a Client is built on.
+type ClientDeps struct {
+	// Providers are the addresses of the boxes to ask, in order.
+	Providers func() []string
+	// Wait is how long each of them may take to know what is asked for.
+	Wait func() time.Duration
+}
+
+// NewClient returns a client.
+func NewClient(d ClientDeps) *Client {
+	t := &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableCompression: true,
+		// Questions are rare: a kept connection to each box would cost more than it saves.
+		DisableKeepAlives: true,
+	}
+	return &Client{http: &http.Client{Transport: t}, providers: d.Providers, wait: d.Wait, silent: make(map[string]time.Time)}
+}
+
+// Table implements directory.Neighbours.
+func (c *Client) Table(ctx context.Context, inForce *routing.Table, least uint64) (directory.TableCopy, error) {
+	if inForce == nil {
+		inForce = emptyTable
+	}
+	return ask(ctx, c, func(ctx context.Context, address string) (directory.TableCopy, error) {
+		var delta routing.Delta
+		k, has, err := c.fetch(ctx, address, pathTable, question{least: least, inForce: inForce.Version}, &delta)
+		if err != nil {
+			return directory.TableCopy{}, err
+		}
+		table := inForce
+		if has {
+			table, err = applied(inForce, delta, address)
+		}
+		return directory.TableCopy{Table: table, Revision: k.revision, Changed: k.changed, Read: time.Now().Add(-k.age)}, err
+	})
+}
+
+// applied returns the table that a delta leads to, which begins at the one in force or at
+// nothing.
+func applied(inForce *routing.Table, delta routing.Delta, address string) (*routing.Table, error) {
+	from := inForce
+	if delta.From == emptyTable.Version {
+		from = emptyTable
+	}
+	table, ok := from.Apply(delta)
+	if !ok {
+		return nil, &DamagedError{Address: address, Reason: "it leads to another table than its sender has"}
+	}
+	return table, nil
+}
+
+// Servers implements directory.Neighbours.
+func (c *Client) Servers(ctx context.Context, least uint64) (directory.ListCopy, error) {
+	return ask(ctx, c, func(ctx context.Context, address string) (directory.ListCopy, error) {
+		var servers []routing.Server
+		k, has, err := c.fetch(ctx, address, pathServers, question{least: least}, &servers)
+		if err == nil && !has {
+			err = &DamagedError{Address: address, Reason: "it holds no list"}
+		}
+		return directory.ListCopy{Servers: servers, Revision: k.revision, Changed: k.changed, Read: time.Now().Add(-k.age)}, err
+	})
+}
+
+// ask asks one box after the other until one answers, for some waits at the most.
+func ask[T any](ctx context.Context, c *Client, one func(context.Context, string) (T, error)) (T, error) {
+	var none T
+	var failures []error
+	end := time.Now().Add(waitsMost * c.wait())
+	for _, address := range c.inOrder() {
+		got, err := one(ctx, address)
+		c.note(address, err)
+		if err == nil {
+			return got, nil
+		}
+		if failures = append(failures, err); time.Now().After(end) {
+			break
+		}
+	}
+	if len(failures) == 0 {
+		return none, directory.ErrNoNeighbour
+	}
+	return none, errors.Join(failures...)
+}
+
+// inOrder are the boxes to ask, those last that have just given no answer.
+func (c *Client) inOrder() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var answering, silent []string
+	for _, address := range c.providers() {
+		if since, failed := c.silent[address]; failed && time.Since(since) < passedOver {
+			silent = append(silent, address)
+			continue
+		}
+		answering = append(answering, address)
+	}
+	return append(answering, silent...)
+}
+
+// note notes whether a box has answered. One that says that it can't serve has.
+func (c *Client) note(address string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var status *StatusError
+	if err == nil || errors.As(err, &status) {
+		delete(c.silent, address)
+		return
+	}
+	c.silent[address] = time.Now()
+}
+
+// fetch asks one box for a part. It returns false where the box has what the asker has.
+func (c *Client) fetch(ctx context.Context, address, path string, q question, to any) (known, bool, error) {
+	wait := min(c.wait(), waitMost)
+	ctx, cancel := stall.WithLimits(ctx, stall.Limits{First: wait + silenceMost, Silence: silenceMost, Most: answerMost})
+	defer cancel()
+	values := url.Values{
+		keyLeast:   {strconv.FormatUint(q.least, 10)},
+		keyInForce: {strconv.FormatUint(q.inForce, 10)},
+		keyWait:    {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path+"?"+values.Encode(), nil)
+	if err != nil {
+		return known{}, false, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return known{}, false, errors.Join(err, context.Cause(ctx))
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return known{}, false, &StatusError{Address: address, Status: resp.StatusCode}
+	}
+	k, ok := readKnown(resp.Header)
+	if !ok || k.revision < q.least {
+		return known{}, false, &DamagedError{Address: address, Reason: "it does not say up to where it is known, or not as far as was asked"}
+	}
+	if resp.StatusCode == http.StatusNoContent {
+		return k, false, nil
+	}
+	body := stall.Reader(ctx, io.LimitReader(resp.Body, bodyMost))
+	if err := decode(body, to); err != nil {
+		return known{}, false, errors.Join(&DamagedError{Address: address, Reason: "its body is no part"}, err, context.Cause(ctx))
+	}
+	return k, true, nil
+}
--- /dev/null
+++ b/pkg/snapshot/doc.go
@@ -0,0 +1,87 @@
+// Package snapshot serves what a box knows of the routing table and of the backend servers
+// to other boxes, and fetches it from them, over HTTP. A large change so leaves the store a
+// few times only, however many boxes there are. An answer is encoded once for all who ask
+// for the same.
+package snapshot
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Paths of the two parts.
+const (
+	pathTable   = "/table"
+	pathServers = "/servers"
+)
+
+// Query keys.
+const (
+	// keyLeast is the revision at which the part has to be known at the least.
+	keyLeast = "least"
+	// keyInForce is the version of the table that the asker has; zero for none.
+	keyInForce = "in-force"
+	// keyWait is how many milliseconds the asker would wait for a revision that this box
+	// does not know yet.
+	keyWait = "wait-ms"
+)
+
+// Headers that say up to where what is sent is known, and how old that is. Boxes need not
+// agree on the time of day.
+const (
+	headerRevision = "Belief-Revision"
+	headerChanged  = "Belief-Changed"
+	headerAge      = "Belief-Age-Ms"
+)
+
+const (
+	// waitMost bounds how long a box is made to wait for what this one does not know yet.
+	waitMost = time.Second
+	// bodyMost bounds a part, in bytes before compression: tables of some megabytes and
+	// lists of some thousand servers are expected.
+	bodyMost = 64 << 20
+)
+
+// StatusError is an answer of another box that is no success.
+type StatusError struct {
+	Address string
+	Status  int
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("box at %s answered %d: the next one or the source is asked", e.Address, e.Status)
+}
+
+// DamagedError is an answer that is not what its sender has.
+type DamagedError struct {
+	Address string
+	Reason  string
+}
+
+func (e *DamagedError) Error() string {
+	return fmt.Sprintf("answer of the box at %s can't be used, %s: the next one or the source is asked", e.Address, e.Reason)
+}
+
+// known is up to where a part is known.
+type known struct {
+	revision, changed uint64
+	age               time.Duration
+}
+
+func (k known) write(h http.Header) {
+	h.Set(headerRevision, strconv.FormatUint(k.revision, 10))
+	h.Set(headerChanged, strconv.FormatUint(k.changed, 10))
+	h.Set(headerAge, strconv.FormatInt(k.age.Milliseconds(), 10))
+}
+
+// readKnown reads the headers of an answer. It returns false where one is missing or makes
+// no sense.
+func readKnown(h http.Header) (known, bool) {
+	revision, err1 := strconv.ParseUint(h.Get(headerRevision), 10, 64)
+	changed, err2 := strconv.ParseUint(h.Get(headerChanged), 10, 64)
+	age, err3 := strconv.ParseUint(h.Get(headerAge), 10, 32)
+	ok := err1 == nil && err2 == nil && err3 == nil && changed <= revision
+	return known{revision: revision, changed: changed, age: time.Duration(age) * time.Millisecond}, ok
+}
--- /dev/null
+++ b/pkg/snapshot/encode.go
@@ -0,0 +1,104 @@
+package snapshot
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+	"slices"
+	"sync"
+
+	"headhill.example/headhill/pkg/routing"
+)
+
+// emptyTable is what a box has that has no table yet.
+var emptyTable = routing.NewTable(routing.Content{})
+
+// tablesKept is how many earlier tables are kept to tell their holders only what has
+// changed since.
+const tablesKept = 4
+
+// tableEncoder encodes what leads to the table in force, once for each version from which
+// it is asked for.
+type tableEncoder struct {
+	mu     sync.Mutex
+	table  *routing.Table
+	before []*routing.Table
+	bodies map[uint64][]byte
+}
+
+// body returns the encoded delta from a version to a table; from nothing where that version
+// is not known any more.
+func (e *tableEncoder) body(table *routing.Table, inForce uint64) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.take(table)
+	from := emptyTable
+	if i := slices.IndexFunc(e.before, func(t *routing.Table) bool { return t.Version == inForce }); i >= 0 {
+		from = e.before[i]
+	}
+	if body, ok := e.bodies[from.Version]; ok {
+		return body, nil
+	}
+	body, err := encode(routing.Diff(from, table))
+	if err == nil {
+		e.bodies[from.Version] = body
+	}
+	return body, err
+}
+
+// take notes the table in force.
+func (e *tableEncoder) take(table *routing.Table) {
+	if e.table == table {
+		return
+	}
+	if e.table != nil {
+		e.before = append(e.before, e.table)
+		e.before = e.before[max(0, len(e.before)-tablesKept):]
+	}
+	e.table, e.bodies = table, make(map[uint64][]byte)
+}
+
+// listEncoder encodes the list of servers once for each revision at which it changed.
+type listEncoder struct {
+	mu       sync.Mutex
+	revision uint64
+	encoded  []byte
+}
+
+func (e *listEncoder) body(servers []routing.Server, revision uint64) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.encoded != nil && e.revision == revision {
+		return e.encoded, nil
+	}
+	body, err := encode(servers)
+	if err == nil {
+		e.encoded, e.revision = body, revision
+	}
+	return body, err
+}
+
+// encode writes a value as JSON, compressed: names of routes and servers have much in
+// common, and links between boxes are slow.
+func encode(value any) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		return nil, err
+	}
+	err = w.Close()
+	return b.Bytes(), err
+}
+
+// decode reads what encode wrote.
+func decode(r io.Reader, value any) error {
+	z, err := gzip.NewReader(r)
+	if err != nil {
+		return err
+	}
+	return json.NewDecoder(io.LimitReader(z, bodyMost)).Decode(value)
+}
--- /dev/null
+++ b/pkg/snapshot/server.go
@@ -0,0 +1,138 @@
+package snapshot
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/julienschmidt/httprouter"
+
+	"headhill.example/headhill/pkg/directory"
+)
+
+// Server serves what this box knows.
+type Server struct {
+	directory *directory.Directory
+	known     func(netip.Addr) bool
+	stranger  func()
+	logger    log.Logger
+	table     tableEncoder
+	list      listEncoder
+}
+
+// ServerDeps are what a Server is built on.
+type ServerDeps struct {
+	Directory *directory.Directory
+	// KnownHost tells whether an IP is that of another box: nobody else is told anything.
+	KnownHost func(netip.Addr) bool
+	// OnStranger is told that somebody else has asked, who may be a box that has just been
+	// added. It must not block.
+	OnStranger func()
+	Logger     log.Logger
+}
+
+// NewServer returns a server.
+func NewServer(d ServerDeps) *Server {
+	return &Server{directory: d.Directory, known: d.KnownHost, stranger: d.OnStranger, logger: d.Logger}
+}
+
+// Handler returns the server's handler.
+func (s *Server) Handler() http.Handler {
+	routes := httprouter.New()
+	routes.GET(pathTable, s.forBoxes(s.serveTable))
+	routes.GET(pathServers, s.forBoxes(s.serveList))
+	return routes
+}
+
+// question is what another box asks.
+type question struct {
+	least, inForce uint64
+	wait           time.Duration
+}
+
+func readQuestion(r *http.Request) (question, error) {
+	values := r.URL.Query()
+	least, err1 := strconv.ParseUint(values.Get(keyLeast), 10, 64)
+	inForce, err2 := strconv.ParseUint(values.Get(keyInForce), 10, 64)
+	wait, err3 := strconv.ParseUint(values.Get(keyWait), 10, 32)
+	return question{
+		least: least, inForce: inForce, wait: min(time.Duration(wait)*time.Millisecond, waitMost),
+	}, errors.Join(err1, err2, err3)
+}
+
+// answer is a part as it is sent.
+type answer struct {
+	known
+	// body is nil where the asker has it already.
+	body []byte
+}
+
+// forBoxes answers questions of other boxes.
+func (s *Server) forBoxes(serve func(context.Context, question) (answer, error)) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		if !s.isBox(r.RemoteAddr) {
+			s.stranger()
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+		q, err := readQuestion(r)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), q.wait)
+		defer cancel()
+		a, err := serve(ctx, q)
+		if err != nil {
+			_ = level.Debug(s.logger).Log("msg", "snapshot not served", "path", r.URL.Path, "to", r.RemoteAddr, "least", q.least, "err", err)
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		a.write(w.Header())
+		if a.body == nil {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+		_, err = w.Write(a.body)
+		_ = level.Debug(s.logger).Log("msg", "snapshot served", "path", r.URL.Path, "to", r.RemoteAddr, "least", q.least, "revision", a.revision, "bytes", len(a.body), "err", err)
+	}
+}
+
+func (s *Server) isBox(remote string) bool {
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return false
+	}
+	ip, err := netip.ParseAddr(host)
+	return err == nil && s.known(ip)
+}
+
+func (s *Server) serveTable(ctx context.Context, q question) (answer, error) {
+	c, err := s.directory.TableCopy(ctx, q.least)
+	if err != nil {
+		return answer{}, err
+	}
+	a := answer{known: known{revision: c.Revision, changed: c.Changed, age: time.Since(c.Read)}}
+	if q.inForce == c.Table.Version {
+		return a, nil
+	}
+	a.body, err = s.table.body(c.Table, q.inForce)
+	return a, err
+}
+
+func (s *Server) serveList(ctx context.Context, q question) (answer, error) {
+	c, err := s.directory.ListCopy(ctx, q.least)
+	if err != nil {
+		return answer{}, err
+	}
+	a := answer{known: known{revision: c.Revision, changed: c.Changed, age: time.Since(c.Read)}}
+	a.body, err = s.list.body(c.Servers, c.Revision)
+	return a, err
+}
--- /dev/null
+++ b/pkg/snapshot/snapshot_test.go
@@ -0,0 +1,261 @@
+package snapshot
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/routing"
+)
+
+func tableOf(version uint64, routes int) *routing.Table {
+	c := routing.Content{Version: version, Limits: routing.Limits{BodyBytes: 5}}
+	for i := range routes {
+		c.Routes = append(c.Routes, routing.Route{
+			Name: fmt.Sprintf("route-%d", i), Host: "host.example", Prefix: fmt.Sprintf("/%016x/", rand.Uint64()),
+			Timeout: 10 * time.Second, FirstTarget: time.Second, Priority: 2, MaxAttempts: 2,
+			Targets: []routing.Target{{Service: "calls", Weight: 1}},
+		})
+	}
+	c.Organisations = []routing.Organisation{{Name: "alpha", Keys: []string{"key"}}}
+	return routing.NewTable(c)
+}
+
+func listOf(servers int) []routing.Server {
+	var list []routing.Server
+	for i := range servers {
+		list = append(list, routing.Server{ID: fmt.Sprintf("i-%04d", i), Service: "calls", Address: fmt.Sprintf("192.0.2.1:%d", i), Leaving: i%3 == 0})
+	}
+	return list
+}
+
+// source is what a box that serves others has read of the store.
+type source struct {
+	table    *routing.Table
+	servers  []routing.Server
+	revision uint64
+}
+
+func (s *source) ReadTable(context.Context) (directory.TableRead, error) {
+	return directory.TableRead{Table: s.table, Revision: s.revision, Changed: s.revision}, nil
+}
+
+func (s *source) WatchTable(ctx context.Context, _ uint64, _ time.Duration, _ int) (directory.TableRead, error) {
+	<-ctx.Done()
+	return directory.TableRead{}, ctx.Err()
+}
+
+func (s *source) ReadServers(context.Context, string, bool) (directory.ServersPage, error) {
+	return directory.ServersPage{Servers: s.servers, Revision: s.revision}, nil
+}
+
+func (s *source) WatchServers(ctx context.Context, _ uint64, _ time.Duration) (directory.ServerChanges, error) {
+	<-ctx.Done()
+	return directory.ServerChanges{}, ctx.Err()
+}
+
+// follow runs a directory with a source until the test ends.
+func follow(t *testing.T, s directory.Source, n directory.Neighbours) *directory.Directory {
+	d := directory.New(log.NewNopLogger())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		d.Follow(ctx, directory.Following{
+			Source: s, Neighbours: n, Reader: func() bool { return false },
+			Timing: directory.Timing{Wait: time.Second, Answer: time.Second, Lag: time.Second, Backoff: time.Millisecond, BackoffMost: 10 * time.Millisecond},
+		})
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return d
+}
+
+// box serves what a directory knows. It counts who was not known.
+type box struct {
+	address   string
+	strangers atomic.Int32
+	known     atomic.Bool
+}
+
+func serve(t *testing.T, d *directory.Directory) *box {
+	b := &box{}
+	b.known.Store(true)
+	s := NewServer(ServerDeps{
+		Directory: d, Logger: log.NewNopLogger(), OnStranger: func() { b.strangers.Add(1) },
+		KnownHost: func(ip netip.Addr) bool { return b.known.Load() && ip.IsLoopback() },
+	})
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.Close)
+	b.address = strings.TrimPrefix(server.URL, "http://")
+	return b
+}
+
+func client(wait time.Duration, addresses ...string) *Client {
+	return NewClient(ClientDeps{Providers: func() []string { return addresses }, Wait: func() time.Duration { return wait }})
+}
+
+func loaded(t *testing.T, s *source) *directory.Directory {
+	d := follow(t, s, client(0))
+	require.Eventually(t, d.Loaded, 10*time.Second, time.Millisecond)
+	return d
+}
+
+func TestBoxHasWhatAnotherHas(t *testing.T) {
+	s := &source{table: tableOf(7, 300), servers: listOf(400), revision: 9}
+	first := loaded(t, s)
+	// The second asks the first, the third the second: none of them asks the source.
+	second := follow(t, nil, client(time.Second, serve(t, first).address))
+	third := follow(t, nil, client(time.Second, serve(t, second).address))
+	require.Eventually(t, third.Loaded, 10*time.Second, time.Millisecond)
+	table, err := third.TableCopy(t.Context(), 9)
+	require.NoError(t, err)
+	assert.Equal(t, uint64(7), table.Table.Version)
+	_, found := table.Table.Organisation("key")
+	assert.True(t, found)
+	assert.Equal(t, uint64(9), table.Revision)
+	list, err := third.ListCopy(t.Context(), 9)
+	require.NoError(t, err)
+	assert.Equal(t, s.servers, list.Servers)
+	assert.WithinDuration(t, first.View().TableRead, table.Read, 5*time.Second)
+}
+
+// A box that has an earlier version is told only what has changed since.
+func TestChangesAreSentWhereTheyAreKnown(t *testing.T) {
+	var e tableEncoder
+	old, next := tableOf(1, 2000), tableOf(2, 1)
+	whole, err := e.body(old, 0)
+	require.NoError(t, err)
+	again, err := e.body(old, 0)
+	require.NoError(t, err)
+	assert.Same(t, &whole[0], &again[0], "encoded once")
+	delta, err := e.body(next, 1)
+	require.NoError(t, err)
+	var d routing.Delta
+	require.NoError(t, decode(strings.NewReader(string(delta)), &d))
+	assert.Equal(t, uint64(1), d.From)
+	got, err := applied(old, d, "box")
+	require.NoError(t, err)
+	assert.Equal(t, uint64(2), got.Version)
+	unknown, err := e.body(next, 99)
+	require.NoError(t, err)
+	d = routing.Delta{}
+	require.NoError(t, decode(strings.NewReader(string(unknown)), &d))
+	assert.Zero(t, d.From, "from nothing")
+	_, err = applied(old, d, "box")
+	assert.NoError(t, err)
+	d.Digest++
+	_, err = applied(old, d, "box")
+	var damaged *DamagedError
+	assert.ErrorAs(t, err, &damaged)
+}
+
+// Who is no box is told nothing, and may be one that has just been added.
+func TestStrangersAreToldNothing(t *testing.T) {
+	b := serve(t, loaded(t, &source{table: tableOf(7, 3), servers: listOf(1), revision: 9}))
+	b.known.Store(false)
+	_, err := client(time.Second, b.address).Table(t.Context(), nil, 0)
+	var status *StatusError
+	require.ErrorAs(t, err, &status)
+	assert.Equal(t, http.StatusForbidden, status.Status)
+	assert.Equal(t, int32(1), b.strangers.Load())
+}
+
+// Boxes that are gone, silent, behind or damaged are passed over.
+func TestNextBoxIsAsked(t *testing.T) {
+	good := serve(t, loaded(t, &source{table: tableOf(7, 3), servers: listOf(2), revision: 9}))
+	behind := serve(t, directory.New(log.NewNopLogger()))
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer silent.Close()
+	garbled := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		known{revision: 99, changed: 9}.write(w.Header())
+		_, _ = io.WriteString(w, "no part")
+	}))
+	defer garbled.Close()
+	old := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		known{revision: 3, changed: 3}.write(w.Header())
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer old.Close()
+	for name, address := range map[string]string{
+		"gone": "127.0.0.1:1", "behind": behind.address, "silent": silent.Addr().String(),
+		"damaged": strings.TrimPrefix(garbled.URL, "http://"), "old": strings.TrimPrefix(old.URL, "http://"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := client(300*time.Millisecond, address, good.address)
+			list, err := c.Servers(t.Context(), 9)
+			require.NoError(t, err)
+			assert.Len(t, list.Servers, 2)
+			_, err = client(50*time.Millisecond, address).Table(t.Context(), nil, 9)
+			assert.Error(t, err)
+		})
+	}
+	_, err = client(0).Table(t.Context(), nil, 0)
+	assert.ErrorIs(t, err, directory.ErrNoNeighbour)
+}
+
+// A box that gives no answer is asked last for a while; one that is only behind is not.
+func TestSilentBoxesAreAskedLast(t *testing.T) {
+	c := client(time.Second, "a", "b", "c")
+	c.note("a", io.ErrUnexpectedEOF)
+	c.note("b", &StatusError{Address: "b", Status: http.StatusServiceUnavailable})
+	assert.Equal(t, []string{"b", "c", "a"}, c.inOrder())
+	c.silent["a"] = time.Now().Add(-passedOver)
+	assert.Equal(t, []string{"a", "b", "c"}, c.inOrder())
+	c.note("b", io.ErrUnexpectedEOF)
+	c.note("b", nil)
+	assert.Equal(t, []string{"a", "b", "c"}, c.inOrder())
+}
+
+func FuzzAnswers(f *testing.F) {
+	body, err := encode(routing.Diff(emptyTable, tableOf(3, 2)))
+	require.NoError(f, err)
+	f.Add(body, "3", "2", "0")
+	f.Add([]byte("no part"), "x", "", "-1")
+	f.Fuzz(func(t *testing.T, body []byte, revision, changed, age string) {
+		h := http.Header{headerRevision: {revision}, headerChanged: {changed}, headerAge: {age}}
+		if k, ok := readKnown(h); ok {
+			assert.LessOrEqual(t, k.changed, k.revision)
+			assert.GreaterOrEqual(t, k.age, time.Duration(0))
+		}
+		var d routing.Delta
+		if decode(strings.NewReader(string(body)), &d) == nil {
+			_, _ = applied(emptyTable, d, "box")
+		}
+	})
+}
+
+// BenchmarkTableBytes is what a table takes between boxes. A route takes 270 bytes in the
+// store's answers.
+func BenchmarkTableBytes(b *testing.B) {
+	for _, n := range []int{100, 4000, 20000} {
+		b.Run(fmt.Sprintf("routes=%d", n), func(b *testing.B) {
+			table := tableOf(1, n)
+			for b.Loop() {
+				var e tableEncoder
+				body, err := e.body(table, 0)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(body))/float64(n), "B/route")
+			}
+		})
+	}
+}
