balancer, loadshare: failures of all boxes are told with the loads

Hypothesis: one of hundreds of boxes sees a few calls of each server in a minute, so what it knows of a server's failures is chance; all together see them within a second. What: loads carry how many boxes have seen a server fail, how many calls failed and, where any failed, how many there were, decayed as before. The share of failures that costs a candidate is that of all boxes; where three other boxes saw it and half of the calls failed, the server gets nothing from boxes without a recent success there. Calls that never reached a server are not told: a cut path says nothing of it. Also: a box that starts looks who is there while it enters itself, for 0.3 s at the most.

--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -79,9 +79,9 @@
 		}
 		s := b.server(KeyOf(c.ID), now)
 		other := b.other(s, now)
-		x := choice{Server: c, state: s, failures: s.health.failureShare(now), load: s.load().Plus(other)}
+		x := choice{Server: c, state: s, failures: s.health.failureShare(other, now), load: s.load().Plus(other)}
 		x.cached, x.prefilled = s.cached.longest(shared, now)
-		if now.Before(s.health.ejected) || other.Down >= downLeast && now.Sub(s.health.reached) > ownWord {
+		if now.Before(s.health.ejected) || x.ejectedByOthers(other, now) {
 			ejected = append(ejected, x)
 			continue
 		}
@@ -93,6 +93,13 @@
 	return fit
 }
 
+// ejectedByOthers tells whether other boxes can't reach the server, or saw it fail again and
+// again, and this box has no better word of its own.
+func (c *choice) ejectedByOthers(other Load, now time.Time) bool {
+	failing := other.Failing >= failingLeast && c.failures >= ejectShare
+	return (other.Down >= downLeast || failing) && now.Sub(c.state.health.reached) > ownWord
+}
+
 // leastFailures is the share of failures of the best candidate.
 func leastFailures(choices []choice) float64 {
 	least := choices[0].failures
--- a/pkg/balancer/health.go
+++ b/pkg/balancer/health.go
@@ -51,8 +51,11 @@
 type health struct {
 	failures float64 // decayed counts
 	calls    float64
-	counted  time.Time
-	inARow   int
+	// broken counts the failures of calls that reached the server: a cut path says nothing
+	// of it to others.
+	broken  float64
+	counted time.Time
+	inARow  int
 	// ejected is until when the server gets nothing.
 	ejected time.Time
 	// reached is when the server last answered well; unreachable says that it was
@@ -86,6 +89,9 @@
 	h.calls++
 	h.failures++
 	h.inARow++
+	if r == ResultFailed {
+		h.broken++
+	}
 	if r == ResultFailed && h.inARow < brokenInARow {
 		return 0
 	}
@@ -106,16 +112,38 @@
 		f := math.Exp2(-now.Sub(h.counted).Seconds() / failureHalfLife.Seconds())
 		h.failures *= f
 		h.calls *= f
+		h.broken *= f
 	}
 	h.counted = now
 }
 
-// failureShare is the share of recent calls that failed, drawn towards none while
-// there are few.
-func (h *health) failureShare(now time.Time) float64 {
-	if h.failures == 0 {
+// failureShare is the share of recent calls of all boxes that failed, drawn towards none
+// while there are few.
+func (h *health) failureShare(others Load, now time.Time) float64 {
+	if h.failures == 0 && others.Failed == 0 {
 		return 0
 	}
 	h.decay(now)
-	return h.failures / (h.calls + priorCalls)
+	return (h.failures + float64(others.Failed)/countScale) / (h.calls + float64(others.Calls)/countScale + priorCalls)
 }
+
+// brokenLeast is how much of a failure must be left to be told: less is as good as none.
+const brokenLeast = 0.1
+
+// report adds to a load what other boxes should know of this one's calls: failures, and
+// where other boxes have seen failures how many calls there were.
+func (h *health) report(l *Load, othersFail bool, now time.Time) {
+	if h.broken == 0 && !othersFail {
+		return
+	}
+	h.decay(now)
+	if h.broken >= brokenLeast {
+		l.Failing = 1
+		l.Failed = scaled(h.broken)
+	}
+	if l.Failing > 0 || othersFail {
+		l.Calls = scaled(h.calls)
+	}
+}
+
+func scaled(count float64) int { return int(math.Round(count * countScale)) }
--- a/pkg/balancer/lease.go
+++ b/pkg/balancer/lease.go
@@ -110,7 +110,7 @@
 		b.lanesOf(l.service).classes.ended(l.class, now.Sub(l.begun), now)
 	}
 	ejected := s.health.note(r, now)
-	if ejected > 0 && s.health.unreachable {
+	if ejected > 0 && s.health.unreachable || r == ResultFailed {
 		b.changed()
 	}
 	if ejected > 0 {
--- a/pkg/balancer/share.go
+++ b/pkg/balancer/share.go
@@ -26,6 +26,15 @@
 	ownWord   = 2 * time.Second
 )
 
+const (
+	// countScale is how many parts of a call the decayed counts of calls are told in.
+	countScale = 8
+	// failingLeast is how many other boxes must have seen a server fail, and ejectShare how
+	// much of all calls there must have failed, for it to get nothing from this box either.
+	failingLeast = 3
+	ejectShare   = 0.5
+)
+
 // ServerKey is a server's ID as boxes name it to each other, in short. Two servers may
 // share one: then each counts what the other has to do.
 type ServerKey uint32
@@ -47,12 +56,18 @@
 	Memory int
 	// Down is how many boxes can't reach it.
 	Down int
+	// Failing is how many boxes have seen it fail. Failed and Calls count the recent calls
+	// that failed, and all of them, in parts of a call; older ones count less.
+	Failing int
+	Failed  int
+	Calls   int
 }
 
 // Plus is the load of both.
 func (l Load) Plus(o Load) Load {
 	return Load{
 		Backlog: l.Backlog + o.Backlog, Running: l.Running + o.Running, Memory: l.Memory + o.Memory, Down: l.Down + o.Down,
+		Failing: l.Failing + o.Failing, Failed: l.Failed + o.Failed, Calls: l.Calls + o.Calls,
 	}
 }
 
@@ -62,6 +77,7 @@
 	return Load{
 		Backlog: max(0, l.Backlog-o.Backlog), Running: max(0, l.Running-o.Running),
 		Memory: max(0, l.Memory-o.Memory), Down: max(0, l.Down-o.Down),
+		Failing: max(0, l.Failing-o.Failing), Failed: max(0, l.Failed-o.Failed), Calls: max(0, l.Calls-o.Calls),
 	}
 }
 
@@ -102,6 +118,7 @@
 		if s.health.down(now) {
 			l.Down = 1
 		}
+		s.health.report(&l, b.other(s, now).Failing > 0, now)
 		s.reported = l
 		if l != (Load{}) {
 			r.Loads[s.key] = l
--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -70,7 +70,7 @@
 	}
 	for key, l := range all.loads {
 		m := list[len(list)-1]
-		if len(m.Servers)+len(m.Down) >= loadsMost {
+		if len(m.Servers)+len(m.Down)+len(m.Failing) >= loadsMost {
 			m = &loadpb.Loads{Hall: hall, Round: round}
 			list = append(list, m)
 		}
@@ -81,6 +81,10 @@
 		if l.Down > 0 {
 			m.Down, m.Boxes = append(m.Down, uint32(key)), append(m.Boxes, uint32(l.Down))
 		}
+		if l.Calls > 0 {
+			m.Failing, m.FailingBoxes = append(m.Failing, uint32(key)), append(m.FailingBoxes, uint32(l.Failing))
+			m.Failed, m.Calls = append(m.Failed, uint32(l.Failed)), append(m.Calls, uint32(l.Calls))
+		}
 	}
 	for i, m := range list {
 		m.Part, m.Parts = uint32(i), uint32(len(list))
@@ -106,6 +110,13 @@
 		l.Down = bounded(m.GetBoxes()[i])
 		to[balancer.ServerKey(key)] = l
 	}
+	for i, key := range m.GetFailing() {
+		l := to[balancer.ServerKey(key)]
+		l.Failing = bounded(m.GetFailingBoxes()[i])
+		l.Failed = bounded(m.GetFailed()[i])
+		l.Calls = bounded(m.GetCalls()[i])
+		to[balancer.ServerKey(key)] = l
+	}
 }
 
 // valueMost bounds a value that is believed.
@@ -162,9 +173,10 @@
 
 // wellFormed tells whether the lists of a message that belong together have one length.
 func wellFormed(m *loadpb.Loads) bool {
-	servers := len(m.GetServers())
+	servers, failing := len(m.GetServers()), len(m.GetFailing())
 	return len(m.GetBacklog()) == servers && len(m.GetRunning()) == servers &&
-		len(m.GetMemory()) == servers && len(m.GetDown()) == len(m.GetBoxes())
+		len(m.GetMemory()) == servers && len(m.GetDown()) == len(m.GetBoxes()) &&
+		len(m.GetFailingBoxes()) == failing && len(m.GetFailed()) == failing && len(m.GetCalls()) == failing
 }
 
 // workTable holds what some senders have reported last.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/sourcegraph/conc"
 
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/stall"
@@ -145,18 +146,24 @@
 
 // Read enters this box if it is not entered yet, reads the others, and returns the
 // store's revision.
-func (r *Roster) Read(ctx context.Context) (uint64, error) { return r.read(ctx, false) }
+func (r *Roster) Read(ctx context.Context) (uint64, error) {
+	r.enter(ctx)
+	return r.read(ctx, false)
+}
 
 // Look enters this box if it is not entered yet, and reads the others as they were some
-// seconds ago at most, which costs little. It returns whether that made any box known.
+// seconds ago at most, which costs little. Neither waits for the other. It returns whether
+// that made any box known.
 func (r *Roster) Look(ctx context.Context) (bool, error) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { r.enter(ctx) })
 	before := r.Count()
 	_, err := r.read(ctx, true)
 	return r.Count() > before, err
 }
 
 func (r *Roster) read(ctx context.Context, stale bool) (uint64, error) {
-	r.enter(ctx)
 	ctx, cancel := stall.WithLimits(ctx, r.limits)
 	defer cancel()
 	entries, revision, err := r.store.Boxes(ctx, stale)
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 
 // fakeStore keeps entries in memory and fails when told to.
 type fakeStore struct {
+	mu      sync.Mutex
 	entries map[string]Entry
 	err     error
 	entered int
@@ -25,6 +27,8 @@
 }
 
 func (s *fakeStore) Enter(_ context.Context, e Entry) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.err != nil {
 		return s.err
 	}
@@ -34,13 +38,17 @@
 }
 
 func (s *fakeStore) Leave(_ context.Context, e Entry) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.entries[e.Box].Incarnation == e.Incarnation {
 		delete(s.entries, e.Box)
 	}
 	return s.err
 }
 
-func (s *fakeStore) Boxes(_ context.Context, stale bool) ([]Entry, uint64, error) {
+func (s *fakeStore) Boxes(_ context.Context, _ bool) ([]Entry, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	list := make([]Entry, 0, len(s.entries))
 	for _, e := range s.entries {
 		list = append(list, e)
--- a/pkg/routerd/join.go
+++ b/pkg/routerd/join.go
@@ -21,6 +21,9 @@
 	joinSpread = time.Second
 	// joinPause is how often such a box looks.
 	joinPause = 150 * time.Millisecond
+	// joinAnswer is how long the store may take to tell who is there before it is asked for
+	// table and servers all the same. A calm one answers within some milliseconds.
+	joinAnswer = 300 * time.Millisecond
 	// snapshotShare is the part of the time that a change may take to be in force for which
 	// a box waits for another one to have it. Three such waits leave time to ask the store.
 	snapshotShare = 0.15
@@ -75,7 +78,10 @@
 	begun := time.Now()
 	wait := rand.N(joinSpread)
 	for d.roster.Count() == 1 && ctx.Err() == nil {
-		if _, err := d.roster.Look(ctx); err != nil {
+		looking, cancel := context.WithTimeout(ctx, joinAnswer)
+		_, err := d.roster.Look(looking)
+		cancel()
+		if err != nil {
 			_ = level.Info(d.logger).Log("msg", "others not seen", "err", err, "outcome", "the store is asked")
 			return
 		}
