--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -55,10 +55,11 @@
 
 // Roster is what this box knows of the others.
 type Roster struct {
-	store  Store
-	self   Entry
-	limits stall.Limits
-	logger log.Logger
+	store    Store
+	self     Entry
+	limits   stall.Limits
+	logger   log.Logger
+	onChange func()
 
 	mu      sync.Mutex
 	entries []Entry
@@ -79,9 +80,12 @@
 // New returns a roster of one box, this one. The limits bound each call to the store.
 func New(store Store, self Entry, limits stall.Limits, logger log.Logger) *Roster {
 	self.Incarnation = rand.Uint64() >> 1
-	return &Roster{store: store, self: self, limits: limits, logger: logger, entries: []Entry{self}}
+	return &Roster{store: store, self: self, limits: limits, logger: logger, onChange: func() {}, entries: []Entry{self}}
 }
 
+// OnChange sets who is told that the boxes have been read. It is set before the first reading.
+func (r *Roster) OnChange(f func()) { r.onChange = f }
+
 // Count is the number of boxes, this one included.
 func (r *Roster) Count() int {
 	r.mu.Lock()
@@ -171,6 +175,7 @@
 		return 0, err
 	}
 	r.set(entries, revision, stale)
+	r.onChange()
 	return revision, nil
 }
 
--- a/pkg/roster/sweep.go
+++ b/pkg/roster/sweep.go
@@ -26,10 +26,16 @@
 	// in vain to be taken out.
 	goneAfter  = time.Minute
 	pingsLeast = 5
-	// pingsAtOnce bounds the boxes that are asked with one sweep.
+	// pingsAtOnce bounds the boxes that are asked with one sweep, pingShare is the part of
+	// all boxes that may be asked where that is more: sweeps come each second or two, and
+	// within silentAfter most boxes must have been heard.
 	pingsAtOnce = 4
+	pingShare   = 0.1
 )
 
+// pingsMost is how many of some boxes are asked with one sweep.
+func pingsMost(boxes int) int { return max(pingsAtOnce, int(pingShare*float64(boxes))) }
+
 // Sweeper takes boxes out of the roster that are gone for good without having said so.
 // Only what it hears counts, by the steady clock: the time of day of boxes differs.
 type Sweeper struct {
@@ -107,7 +113,7 @@
 			gone = append(gone, e)
 			continue
 		}
-		if len(ask) < pingsAtOnce {
+		if len(ask) < pingsMost(len(entries)) {
 			b.pings++
 			s.silent[e.Box] = b
 			ask = append(ask, e)
--- a/pkg/roster/sweep_test.go
+++ b/pkg/roster/sweep_test.go
@@ -125,3 +125,32 @@
 		assert.Empty(t, gone)
 	})
 }
+
+// In a fleet of hundreds one box checks for all, and few others send it anything by
+// themselves. It asks often enough to hear most of them, and finds those that are gone.
+func TestBoxThatIsGoneIsFoundAmongHundreds(t *testing.T) {
+	for _, count := range []int{20, 300, 1700} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			entries := fleetOf(count, 5, 20)
+			r := New(&fakeStore{}, entries[0], stall.Limits{}, log.NewNopLogger())
+			s := &Sweeper{roster: r, heard: make(map[string]time.Time), silent: make(map[string]silentBox)}
+			now := time.Now()
+			s.now = func() time.Time { return now }
+			const checks = 2 * time.Second
+			for end := now.Add(5 * time.Minute); now.Before(end); now = now.Add(checks) {
+				ask, gone := s.look(entries, now)
+				if len(gone) > 0 {
+					assert.Equal(t, "box-0007", gone[0].Box)
+					assert.Len(t, gone, 1)
+					return
+				}
+				for _, e := range ask {
+					if e.Box != "box-0007" {
+						s.hear(e.Box)
+					}
+				}
+			}
+			t.Error("the box that is gone was not found")
+		})
+	}
+}
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -130,6 +130,7 @@
 		Box: s.Box.ID, Hall: s.Box.Hall, Port: d.peers, Balancer: balance, Entries: d.roster.Entries, Logger: peerLogger,
 	})
 	d.budget = retry.NewBudget(d.retryLimits())
+	d.roster.OnChange(d.setShares)
 	d.gateway = gateway.New(gateway.Deps{
 		Protocol: a.Protocol, Directory: d.directory, Balancer: balance,
 		Budget: d.budget, Upstream: d.upstream, Recorder: recorder{metrics}, Logger: logs.For(logflags.Gateway),
@@ -160,7 +161,6 @@
 	if err != nil {
 		return directory.Check{}, false
 	}
-	d.setShares()
 	d.sweeper.Sweep(ctx)
 	return d.directory.Verify(ctx, revision, asked, d.timing())
 }
--- a/pkg/routerd/join.go
+++ b/pkg/routerd/join.go
@@ -110,7 +110,6 @@
 		_ = level.Info(d.logger).Log("msg", "others not seen", "err", err, "outcome", "looked for again when one is heard")
 		return false
 	}
-	d.setShares()
 	return grown
 }
 
