pause: one function waits for a time or a context, where four stood

Ruled out: a change of behaviour; a repeated check is told also while the box ends, on a port that is closing. Tests of the packages green.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -17,6 +17,7 @@
 
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/routing"
 )
 
@@ -196,12 +197,8 @@
 
 // look looks who else is there, and tells whether any box is known now that was not.
 func (c *Checker) look(ctx context.Context, grown chan<- struct{}) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-time.After(rand.N(lookSpread)):
-	}
-	if !c.Look(ctx) {
+	pause.For(ctx, rand.N(lookSpread))
+	if ctx.Err() != nil || !c.Look(ctx) {
 		return
 	}
 	select {
@@ -217,11 +214,8 @@
 	}
 	c.tellCheck(check)
 	// Whoever loses what is told asks for itself: of hundreds there would always be some.
-	select {
-	case <-ctx.Done():
-	case <-time.After(repeatAfter):
-		c.tellCheck(check)
-	}
+	pause.For(ctx, repeatAfter)
+	c.tellCheck(check)
 }
 
 // repeatAfter is when a check is told once more.
--- a/pkg/box/follow.go
+++ b/pkg/box/follow.go
@@ -13,6 +13,7 @@
 	"headhill.example/headhill/pkg/membership"
 	"headhill.example/headhill/pkg/objectstore"
 	"headhill.example/headhill/pkg/objlog"
+	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/peer/peerpb"
 	"headhill.example/headhill/pkg/shard"
 )
@@ -39,7 +40,7 @@
 			b.askPeers()
 		}
 		every := max(rosterLeast, time.Duration(len(boxes))*rosterPerBox)
-		wait(b.ctx, every/2+rand.N(every))
+		pause.For(b.ctx, every/2+rand.N(every))
 	}
 }
 
@@ -127,7 +128,7 @@
 		if !b.tracker.Serving() {
 			b.serveWhenReady()
 		}
-		wait(b.ctx, pullEvery)
+		pause.For(b.ctx, pullEvery)
 	}
 }
 
@@ -220,7 +221,7 @@
 		if have >= min(spreadTo, live) {
 			return
 		}
-		wait(ctx, spreadCheck)
+		pause.For(ctx, spreadCheck)
 	}
 }
 
--- a/pkg/box/stop.go
+++ b/pkg/box/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"headhill.example/headhill/pkg/pause"
 )
 
 // Stop ends the box as planned: it hands its shards over, still takes callers
@@ -19,7 +21,7 @@
 	b.links.Beat()
 	ctx, cancel := b.stopContext(ctx)
 	defer cancel()
-	wait(ctx, b.settings.Limits.StopNotice)
+	pause.For(ctx, b.settings.Limits.StopNotice)
 	if err := b.callers.Shutdown(ctx); err != nil {
 		level.Warn(b.logger).Log("msg", "planned stop cut short", "cut", b.entry.Running(), "err", err)
 		b.callers.Close()
@@ -42,16 +44,6 @@
 // drain waits until no reservation of this box is left with any owner.
 func (b *Box) drain(ctx context.Context) {
 	for b.broker.Held() > 0 && ctx.Err() == nil {
-		wait(ctx, heldCheck)
-	}
-}
-
-// wait sleeps for d or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		pause.For(ctx, heldCheck)
 	}
 }
--- a/pkg/directory/backoff.go
+++ b/pkg/directory/backoff.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -55,12 +54,3 @@
 	d := min(t.Backoff<<min(failures, 8), t.BackoffMost)
 	return d/2 + rand.N(d/2+1)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 
+	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/routing"
 )
 
@@ -36,7 +37,7 @@
 }
 
 func (s *fakeSource) WatchTable(ctx context.Context, _ uint64, wait time.Duration, _ int) (TableRead, error) {
-	pause(ctx, wait)
+	pause.For(ctx, wait)
 	return TableRead{Revision: s.revision()}, ctx.Err()
 }
 
@@ -112,7 +113,7 @@
 }
 
 func (s *fakeSource) WatchServers(ctx context.Context, after uint64, wait time.Duration) (ServerChanges, error) {
-	pause(ctx, wait)
+	pause.For(ctx, wait)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
--- a/pkg/directory/follow.go
+++ b/pkg/directory/follow.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/sourcegraph/conc"
 
+	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/stall"
 )
 
@@ -90,7 +91,7 @@
 		default:
 			// A watch that broke goes on from its revision: nothing is lost, and
 			// lost history is told.
-			pause(ctx, f.backoff(t))
+			pause.For(ctx, f.backoff(t))
 		}
 	}
 }
@@ -194,7 +195,7 @@
 func (f *follower) collect(ctx context.Context, t Timing) {
 	if changed := f.known().changed; changed != f.collected {
 		f.collected = changed
-		pause(ctx, t.Collect)
+		pause.For(ctx, t.Collect)
 	}
 }
 
--- a/pkg/directory/follow_test.go
+++ b/pkg/directory/follow_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
+
+	"headhill.example/headhill/pkg/pause"
 )
 
 // silentSource gives no answer to what is asked before a time. What it answers takes
@@ -23,7 +25,7 @@
 	if time.Now().Before(s.silentUntil) {
 		<-ctx.Done()
 	}
-	pause(ctx, s.work)
+	pause.For(ctx, s.work)
 	return ctx.Err()
 }
 
--- a/pkg/directory/neighbours.go
+++ b/pkg/directory/neighbours.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/routing"
 )
 
@@ -144,7 +145,7 @@
 		if ctx.Err() != nil {
 			return ErrBehind
 		}
-		pause(ctx, copyStep)
+		pause.For(ctx, copyStep)
 	}
 	return nil
 }
--- a/pkg/directory/parts.go
+++ b/pkg/directory/parts.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/routing"
 	"headhill.example/headhill/pkg/stall"
 )
@@ -177,7 +178,7 @@
 			return page, err
 		}
 		p.directory.list.missed()
-		pause(ctx, p.directory.list.limit(p.timing, backoff(p.timing, try)))
+		pause.For(ctx, p.directory.list.limit(p.timing, backoff(p.timing, try)))
 	}
 	return page, err
 }
--- a/pkg/directory/share.go
+++ b/pkg/directory/share.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/routing"
 )
 
@@ -37,7 +38,7 @@
 		if ctx.Err() != nil || time.Now().After(end) {
 			return Check{}, false
 		}
-		pause(ctx, verifyStep)
+		pause.For(ctx, verifyStep)
 	}
 	d.confirm(revision, asked)
 	return Check{
--- a/pkg/directory/simulation_test.go
+++ b/pkg/directory/simulation_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-kit/log"
 
+	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/routing"
 	"headhill.example/headhill/pkg/stall"
@@ -151,7 +152,7 @@
 // reach waits for the store's answer to begin.
 func (b *simulatedBox) reach(ctx context.Context) error {
 	b.history.store.calls.Add(1)
-	pause(ctx, 4*time.Millisecond)
+	pause.For(ctx, 4*time.Millisecond)
 	return b.troubled(ctx)
 }
 
@@ -200,7 +201,7 @@
 		return 0, err
 	}
 	n := min(r.left, len(p), 32<<10)
-	pause(r.ctx, time.Duration(n)*time.Second/time.Duration(min(r.box.speed, r.share())))
+	pause.For(r.ctx, time.Duration(n)*time.Second/time.Duration(min(r.box.speed, r.share())))
 	r.sent.Add(int64(n))
 	r.left -= n
 	return n, context.Cause(r.ctx)
@@ -248,7 +249,7 @@
 	if err := b.reach(ctx); err != nil {
 		return ServerChanges{}, err
 	}
-	pause(ctx, wait)
+	pause.For(ctx, wait)
 	return ServerChanges{Revision: max(after, b.history.store.newest().revision)}, context.Cause(ctx)
 }
 
@@ -292,7 +293,7 @@
 		if time.Since(begun) > providersMost {
 			break
 		}
-		pause(ctx, time.Millisecond+rand.N(3*time.Millisecond))
+		pause.For(ctx, time.Millisecond+rand.N(3*time.Millisecond))
 		within, cancel := context.WithTimeout(ctx, providerWait)
 		if b.isCut() || p.isCut() {
 			<-within.Done()
@@ -381,7 +382,7 @@
 			b.spared()
 			return true
 		}
-		pause(ctx, left)
+		pause.For(ctx, left)
 	}
 	return false
 }
--- a/pkg/routerd/join.go
+++ b/pkg/routerd/join.go
@@ -12,6 +12,7 @@
 	"golang.org/x/net/netutil"
 
 	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/snapshot"
 )
 
@@ -88,21 +89,11 @@
 		if d.roster.Count() > 1 || time.Since(begun) >= wait {
 			break
 		}
-		pause(ctx, joinPause)
+		pause.For(ctx, joinPause)
 	}
 	_ = level.Info(d.logger).Log("msg", "joined", "boxes", d.roster.Count(), "providers", len(d.roster.Providers()), "reader", d.roster.Reader(), "after", time.Since(begun))
 }
 
-// pause waits for a time, or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // look looks who else is there. It returns whether that made any box known.
 func (d *Daemon) look(ctx context.Context) bool {
 	grown, err := d.roster.Look(ctx)
--- a/pkg/snapshot/client.go
+++ b/pkg/snapshot/client.go
@@ -20,9 +20,8 @@
 	// dialTimeout is how long a connection to another box may take to come up: one that
 	// has lost power says nothing.
 	dialTimeout = 300 * time.Millisecond
-	// silenceMost is how long an answer may stand still, and how long it may take to begin,
-	// the connection included,
-	// beyond the wait that was asked for.
+	// silenceMost is how long an answer may stand still, and how long it may take to begin
+	// beyond the wait that was asked for, the connection included.
 	silenceMost = 300 * time.Millisecond
 	// answerMost bounds a whole answer: what trickles is left for the next box.
 	answerMost = 10 * time.Second
