--- a/pkg/directory/simulation_test.go
+++ b/pkg/directory/simulation_test.go
@@ -276,11 +276,11 @@
 	})
 }
 
-// providerWait is how long a provider may take to know what is asked for, and providersMost
-// for how long they are asked, as in routerd.
+// providersWait is how long providers may take together to begin an answer, as in routerd;
+// firstShare is what each gets of it while there are others, as in pkg/snapshot.
 const (
-	providerWait  = applied * 15 / 100
-	providersMost = 3 * providerWait
+	providersWait = applied * 15 / 100
+	firstShare    = 2.0 / 3
 )
 
 // askProviders asks one provider after the other. What is asked may be lost, and then the
@@ -288,13 +288,14 @@
 func askProviders[T any](ctx context.Context, b *simulatedBox, ask func(context.Context, *simulatedBox, *Directory) (T, error)) (T, error) {
 	var got T
 	err := ErrNoNeighbour
-	begun := time.Now()
-	for _, p := range b.providers {
-		if time.Since(begun) > providersMost {
-			break
+	end := time.Now().Add(providersWait)
+	for i, p := range b.providers {
+		wait := time.Until(end)
+		if i < len(b.providers)-1 {
+			wait = time.Duration(firstShare * float64(wait))
 		}
 		pause.For(ctx, time.Millisecond+rand.N(3*time.Millisecond))
-		within, cancel := context.WithTimeout(ctx, providerWait)
+		within, cancel := context.WithTimeout(ctx, wait)
 		if b.isCut() || p.isCut() {
 			<-within.Done()
 			cancel()
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -80,7 +81,7 @@
 // New returns a roster of one box, this one. The limits bound each call to the store.
 func New(store Store, self Entry, limits stall.Limits, logger log.Logger) *Roster {
 	self.Incarnation = rand.Uint64() >> 1
-	return &Roster{store: store, self: self, limits: limits, logger: logger, onChange: func() {}, entries: []Entry{self}}
+	return &Roster{store: store, self: self, limits: limits, logger: logger, onChange: func() {}, entries: []Entry{self}, rank: rankUnknown}
 }
 
 // OnChange sets who is told that the boxes have been read. It is set before the first reading.
@@ -133,6 +134,9 @@
 	return r.rank < readers
 }
 
+// rankUnknown is the rank of a box that has not read the roster yet.
+const rankUnknown = math.MaxInt
+
 // Rank is this box's place in the order in which boxes read for others; zero for the first.
 func (r *Roster) Rank() int {
 	r.mu.Lock()
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -103,6 +103,27 @@
 	assert.True(t, b.Reader(), "alone it watches for itself")
 }
 
+// Hundreds of boxes that start at once must not all take themselves for the first one.
+func TestRankIsUnknownBeforeTheRosterIsRead(t *testing.T) {
+	store := &fakeStore{entries: make(map[string]Entry)}
+	var boxes []*Roster
+	for i := range 5 {
+		b := box(store, i)
+		assert.Greater(t, b.Rank(), 1000)
+		assert.False(t, b.Reader())
+		boxes = append(boxes, b)
+	}
+	ranks := make(map[int]bool)
+	for range 2 {
+		for _, b := range boxes {
+			_, err := b.Read(t.Context())
+			require.NoError(t, err)
+			ranks[b.Rank()] = true
+		}
+	}
+	assert.Equal(t, map[int]bool{0: true, 1: true, 2: true, 3: true, 4: true}, ranks)
+}
+
 // A stale reading costs little, and may be older than what is known.
 func TestStaleReadingsUndoNothing(t *testing.T) {
 	store := &fakeStore{entries: make(map[string]Entry), revision: 7}
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -264,7 +264,6 @@
 	s := d.settings.Load()
 	for _, f := range []func(){
 		d.follow,
-		func() { d.checker.Run(d.ctx) },
 		func() { d.sharer.Run(d.ctx) },
 		d.peers.Listen,
 		func() { d.upstream.Run(d.ctx) },
--- a/pkg/routerd/join.go
+++ b/pkg/routerd/join.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/sourcegraph/conc"
 	"golang.org/x/net/netutil"
 
 	"headhill.example/headhill/pkg/directory"
@@ -26,7 +27,8 @@
 	// table and servers all the same. A calm one answers within some milliseconds.
 	joinAnswer = 300 * time.Millisecond
 	// snapshotShare is the part of the time that a change may take to be in force for which
-	// a box waits for another one to have it. Three such waits leave time to ask the store.
+	// a box waits for others to begin to send it. After it the store is asked, over a link
+	// that may need a third of that time for a large table.
 	snapshotShare = 0.15
 	// snapshotsAtOnce bounds the connections on which other boxes ask this one: a hall asks
 	// one box, or a few.
@@ -66,12 +68,18 @@
 	d.snapshotServer = &http.Server{Handler: server.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
 
-// follow joins the other boxes, and then keeps the belief up to date until the box ends.
+// follow joins the other boxes, and then keeps the belief up to date until the box ends. When
+// this box checks the store follows from who else is there.
 func (d *Daemon) follow() {
 	d.join(d.ctx)
-	d.directory.Follow(d.ctx, directory.Following{
-		Source: d.source, Neighbours: d.snapshots, Timing: d.timing(), Reader: d.roster.Reader,
+	var wg conc.WaitGroup
+	wg.Go(func() { d.checker.Run(d.ctx) })
+	wg.Go(func() {
+		d.directory.Follow(d.ctx, directory.Following{
+			Source: d.source, Neighbours: d.snapshots, Timing: d.timing(), Reader: d.roster.Reader,
+		})
 	})
+	wg.Wait()
 }
 
 // join enters this box in the roster and looks who else is there.
--- a/pkg/snapshot/client.go
+++ b/pkg/snapshot/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -17,16 +16,16 @@
 )
 
 const (
-	// dialTimeout is how long a connection to another box may take to come up: one that
-	// has lost power says nothing.
-	dialTimeout = 300 * time.Millisecond
-	// silenceMost is how long an answer may stand still, and how long it may take to begin
-	// beyond the wait that was asked for, the connection included.
+	// firstShare is the part of the wait that a box is given while there are others to ask.
+	firstShare = 2.0 / 3
+	// askLeast is the least time for which it makes sense to ask a box.
+	askLeast = 20 * time.Millisecond
+	// wayMost is how long a question and the beginning of its answer may be on their way.
+	wayMost = 50 * time.Millisecond
+	// silenceMost is how long an answer that has begun may stand still.
 	silenceMost = 300 * time.Millisecond
-	// answerMost bounds a whole answer: what trickles is left for the next box.
+	// answerMost bounds a whole answer: what trickles is left for the source.
 	answerMost = 10 * time.Second
-	// waitsMost is for how many waits boxes are asked, before the source is.
-	waitsMost = 3
 	// passedOver is how long a box that gave no answer is asked after the others.
 	passedOver = 5 * time.Second
 )
@@ -46,14 +45,14 @@
 type ClientDeps struct {
 	// Providers are the addresses of the boxes to ask, in order.
 	Providers func() []string
-	// Wait is how long each of them may take to know what is asked for.
+	// Wait is how long they may take together to begin an answer. The source could have been
+	// asked in that time.
 	Wait func() time.Duration
 }
 
 // NewClient returns a client.
 func NewClient(d ClientDeps) *Client {
 	t := &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableCompression: true,
 		// Questions are rare: a kept connection to each box would cost more than it saves.
 		DisableKeepAlives: true,
@@ -66,9 +65,9 @@
 	if inForce == nil {
 		inForce = emptyTable
 	}
-	return ask(ctx, c, func(ctx context.Context, address string) (directory.TableCopy, error) {
+	return ask(ctx, c, func(ctx context.Context, address string, wait time.Duration) (directory.TableCopy, error) {
 		var delta routing.Delta
-		k, has, err := c.fetch(ctx, address, pathTable, question{least: least, inForce: inForce.Version}, &delta)
+		k, has, err := c.fetch(ctx, address, pathTable, question{least: least, inForce: inForce.Version, wait: wait}, &delta)
 		if err != nil {
 			return directory.TableCopy{}, err
 		}
@@ -96,9 +95,9 @@
 
 // Servers implements directory.Neighbours.
 func (c *Client) Servers(ctx context.Context, least uint64) (directory.ListCopy, error) {
-	return ask(ctx, c, func(ctx context.Context, address string) (directory.ListCopy, error) {
+	return ask(ctx, c, func(ctx context.Context, address string, wait time.Duration) (directory.ListCopy, error) {
 		var servers []routing.Server
-		k, has, err := c.fetch(ctx, address, pathServers, question{least: least}, &servers)
+		k, has, err := c.fetch(ctx, address, pathServers, question{least: least, wait: wait}, &servers)
 		if err == nil && !has {
 			err = &DamagedError{Address: address, Reason: "it holds no list"}
 		}
@@ -106,20 +105,27 @@
 	})
 }
 
-// ask asks one box after the other until one answers, for some waits at the most.
-func ask[T any](ctx context.Context, c *Client, one func(context.Context, string) (T, error)) (T, error) {
+// ask asks one box after the other until one answers. It gives up when none has begun to
+// in time.
+func ask[T any](ctx context.Context, c *Client, one func(context.Context, string, time.Duration) (T, error)) (T, error) {
 	var none T
 	var failures []error
-	end := time.Now().Add(waitsMost * c.wait())
-	for _, address := range c.inOrder() {
-		got, err := one(ctx, address)
+	end := time.Now().Add(min(c.wait(), waitMost))
+	addresses := c.inOrder()
+	for i, address := range addresses {
+		wait := time.Until(end)
+		if wait < askLeast {
+			break
+		}
+		if i < len(addresses)-1 {
+			wait = time.Duration(firstShare * float64(wait))
+		}
+		got, err := one(ctx, address, wait)
 		c.note(address, err)
 		if err == nil {
 			return got, nil
 		}
-		if failures = append(failures, err); time.Now().After(end) {
-			break
-		}
+		failures = append(failures, err)
 	}
 	if len(failures) == 0 {
 		return none, directory.ErrNoNeighbour
@@ -156,13 +162,12 @@
 
 // fetch asks one box for a part. It returns false where the box has what the asker has.
 func (c *Client) fetch(ctx context.Context, address, path string, q question, to any) (known, bool, error) {
-	wait := min(c.wait(), waitMost)
-	ctx, cancel := stall.WithLimits(ctx, stall.Limits{First: wait + silenceMost, Silence: silenceMost, Most: answerMost})
+	ctx, cancel := stall.WithLimits(ctx, stall.Limits{First: q.wait + wayMost, Silence: silenceMost, Most: answerMost})
 	defer cancel()
 	values := url.Values{
 		keyLeast:   {strconv.FormatUint(q.least, 10)},
 		keyInForce: {strconv.FormatUint(q.inForce, 10)},
-		keyWait:    {strconv.FormatInt(wait.Milliseconds(), 10)},
+		keyWait:    {strconv.FormatInt(q.wait.Milliseconds(), 10)},
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path+"?"+values.Encode(), nil)
 	if err != nil {
