--- a/pkg/directory/histories_test.go
+++ b/pkg/directory/histories_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/routing"
 )
 
@@ -117,6 +118,34 @@
 	})
 }
 
+// The fleet is cut in two again and again, while all boxes reach the store: each half keeps up,
+// also the one without a reader, and nobody goes back when the halves meet again.
+func TestHalvesKeepUpAndMeetAgain(t *testing.T) {
+	for i := range max(2, *historyCount/4) {
+		seed := *historySeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				h := newHistory(ctx, t, seed, 2*historyBoxes, newStore(largeTable), lossOfHistories)
+				h.wg.Go(func() {
+					for ctx.Err() == nil {
+						pause.For(ctx, time.Duration(2000+h.seededPause(seed))*time.Millisecond)
+						h.halved.Store(!h.halved.Load())
+					}
+				})
+				h.play(40 * time.Second)
+				cancel()
+				h.wg.Wait()
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
+
+// seededPause is how long the halves of a history stay as they are beyond two seconds, in
+// milliseconds.
+func (h *history) seededPause(seed uint64) int { return int(seed*977) % 5000 }
+
 // In whatever order changes, losses, refusals, cuts and restarts come: a box that is in
 // touch is no older than the bound, and none goes back.
 func TestDrawnHistories(t *testing.T) {
--- a/pkg/directory/simulation_test.go
+++ b/pkg/directory/simulation_test.go
@@ -296,7 +296,7 @@
 		}
 		pause.For(ctx, time.Millisecond+rand.N(3*time.Millisecond))
 		within, cancel := context.WithTimeout(ctx, wait)
-		if b.isCut() || p.isCut() {
+		if b.isCut() || p.isCut() || b.history.apart(b, p) {
 			<-within.Done()
 			cancel()
 			err = within.Err()
@@ -408,6 +408,13 @@
 	loss float64
 	// between counts the bytes that boxes have sent each other.
 	between atomic.Int64
+	// halved says that boxes with odd and with even numbers don't hear each other now.
+	halved atomic.Bool
+}
+
+// apart tells whether two boxes are in different halves of a fleet that is cut in two.
+func (h *history) apart(a, b *simulatedBox) bool {
+	return h.halved.Load() && a.number%2 != b.number%2
 }
 
 // lossOfHistories is far above what calm networks lose.
@@ -458,7 +465,7 @@
 		return
 	}
 	for _, b := range h.boxes {
-		if b == from {
+		if b == from || h.apart(b, from) {
 			continue
 		}
 		copies := 1
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -20,6 +21,7 @@
 
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/stall"
 )
 
 func tableOf(version uint64, routes int) *routing.Table {
@@ -194,8 +196,10 @@
 		w.WriteHeader(http.StatusNoContent)
 	}))
 	defer old.Close()
+	killed := halfServed(t, func(w http.ResponseWriter) { panic(http.ErrAbortHandler) })
 	for name, address := range map[string]string{
-		"gone": "127.0.0.1:1", "behind": behind.address, "silent": silent.Addr().String(),
+		"killed while it sends": killed,
+		"gone":                  "127.0.0.1:1", "behind": behind.address, "silent": silent.Addr().String(),
 		"damaged": strings.TrimPrefix(garbled.URL, "http://"), "old": strings.TrimPrefix(old.URL, "http://"),
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -211,6 +215,34 @@
 	assert.ErrorIs(t, err, directory.ErrNoNeighbour)
 }
 
+// halfServed is a box that sends half of a list and then does something.
+func halfServed(t *testing.T, then func(http.ResponseWriter)) string {
+	body, err := encode(listOf(400))
+	require.NoError(t, err)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		known{revision: 99, changed: 9}.write(w.Header())
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		then(w)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// A box that freezes while it sends is given up soon: the source is to be asked.
+func TestBoxThatFreezesWhileItSendsIsGivenUp(t *testing.T) {
+	end := make(chan struct{})
+	frozen := halfServed(t, func(http.ResponseWriter) { <-end })
+	defer close(end)
+	begun := time.Now()
+	_, err := client(300*time.Millisecond, frozen).Servers(t.Context(), 9)
+	var stalled *stall.Error
+	require.ErrorAs(t, err, &stalled)
+	assert.True(t, stalled.Begun)
+	assert.Less(t, time.Since(begun), 5*time.Second)
+}
+
 // A box that gives no answer is asked last for a while; one that is only behind is not.
 func TestSilentBoxesAreAskedLast(t *testing.T) {
 	c := client(time.Second, "a", "b", "c")
