--- a/pkg/directory/follow.go
+++ b/pkg/directory/follow.go
@@ -39,9 +39,9 @@
 // Following is what a directory follows.
 type Following struct {
 	Source Source
-	// Neighbours are asked before the source by boxes that are no readers.
-	Neighbours Neighbours
-	Timing     Timing
+	// Providers are asked before the source by boxes that are no readers.
+	Providers Providers
+	Timing    Timing
 	// Reader tells whether this box reads the source for others.
 	Reader func() bool
 }
@@ -53,10 +53,10 @@
 	t := f.Timing
 	var wg conc.WaitGroup
 	wg.Go(func() {
-		d.table.run(ctx, t, &tablePart{directory: d, source: f.Source, neighbours: f.Neighbours, timing: t}, f.Reader)
+		d.table.run(ctx, t, &tablePart{directory: d, source: f.Source, providers: f.Providers, timing: t}, f.Reader)
 	})
 	wg.Go(func() {
-		d.list.run(ctx, t, &serversPart{directory: d, source: f.Source, neighbours: f.Neighbours, timing: t}, f.Reader)
+		d.list.run(ctx, t, &serversPart{directory: d, source: f.Source, providers: f.Providers, timing: t}, f.Reader)
 	})
 	wg.Wait()
 }
@@ -118,7 +118,7 @@
 // ask asks other boxes or the source once.
 func (f *follower) ask(ctx context.Context, t Timing, p part, reader func() bool) error {
 	target := f.target()
-	if f.asksNeighbours(target, reader) && f.askNeighbours(ctx, p, target) {
+	if f.asksProviders(target, reader) && f.askProviders(ctx, p, target) {
 		return nil
 	}
 	var err error
--- a/pkg/directory/parts.go
+++ b/pkg/directory/parts.go
@@ -25,10 +25,10 @@
 }
 
 type tablePart struct {
-	directory  *Directory
-	source     Source
-	neighbours Neighbours
-	timing     Timing
+	directory *Directory
+	source    Source
+	providers Providers
+	timing    Timing
 	// bytes is how long the last answer that held a table was.
 	bytes int
 	// watched is the wait of a watch whose answer can't be had: what is read in its place
@@ -86,10 +86,10 @@
 }
 
 type serversPart struct {
-	directory  *Directory
-	source     Source
-	neighbours Neighbours
-	timing     Timing
+	directory *Directory
+	source    Source
+	providers Providers
+	timing    Timing
 }
 
 // readsWhole is false: changes are short, and the list is long.
--- a/pkg/directory/neighbours.go
+++ b/pkg/directory/providers.go
@@ -13,8 +13,8 @@
 	"headhill.example/headhill/pkg/routing"
 )
 
-// ErrNoNeighbour says that no other box is known that may have what this one lacks.
-var ErrNoNeighbour = errors.New("no other box is known to ask: the source is asked")
+// ErrNoProvider says that no other box is known that may have what this one lacks.
+var ErrNoProvider = errors.New("no other box is known to ask: the source is asked")
 
 // ErrBehind says that a box does not know as much as was asked for.
 var ErrBehind = errors.New("the other box is behind: the next one or the source is asked")
@@ -35,9 +35,9 @@
 	Read              time.Time
 }
 
-// Neighbours are the other boxes that this one asks for what it lacks, which spares the
+// Providers are the other boxes that this one asks for what it lacks, which spares the
 // source the question.
-type Neighbours interface {
+type Providers interface {
 	// Table asks for a table known at a revision at least. The table in force, which may be
 	// nil, need not be sent again.
 	Table(ctx context.Context, inForce *routing.Table, least uint64) (TableCopy, error)
@@ -45,14 +45,14 @@
 	Servers(ctx context.Context, least uint64) (ListCopy, error)
 }
 
-// asksNeighbours tells whether other boxes are asked before the source: by a box that reads
+// asksProviders tells whether other boxes are asked before the source: by a box that reads
 // for nobody, while it has nothing yet or where it was told that something has changed.
-func (f *follower) asksNeighbours(asked target, reader func() bool) bool {
+func (f *follower) asksProviders(asked target, reader func() bool) bool {
 	return (asked.missing > 0 || !f.there()) && !reader()
 }
 
-// askNeighbours asks other boxes once. It returns false where the source has to be asked.
-func (f *follower) askNeighbours(ctx context.Context, p part, asked target) bool {
+// askProviders asks other boxes once. It returns false where the source has to be asked.
+func (f *follower) askProviders(ctx context.Context, p part, asked target) bool {
 	begun := time.Now()
 	k, err := p.fetch(ctx, asked.missing)
 	if err != nil {
@@ -68,7 +68,7 @@
 
 // fetch implements part.
 func (p *tablePart) fetch(ctx context.Context, least uint64) (known, error) {
-	c, err := p.neighbours.Table(ctx, p.directory.View().Table, least)
+	c, err := p.providers.Table(ctx, p.directory.View().Table, least)
 	if err != nil {
 		return known{}, err
 	}
@@ -78,7 +78,7 @@
 
 // fetch implements part.
 func (p *serversPart) fetch(ctx context.Context, least uint64) (known, error) {
-	c, err := p.neighbours.Servers(ctx, least)
+	c, err := p.providers.Servers(ctx, least)
 	if err != nil {
 		return known{}, err
 	}
--- a/pkg/directory/neighbours_test.go
+++ b/pkg/directory/providers_test.go
@@ -15,33 +15,33 @@
 	"headhill.example/headhill/pkg/routing"
 )
 
-// nobody is the neighbours of a box that is alone.
+// nobody is the providers of a box that is alone.
 type nobody struct{}
 
 func (nobody) Table(context.Context, *routing.Table, uint64) (TableCopy, error) {
-	return TableCopy{}, ErrNoNeighbour
+	return TableCopy{}, ErrNoProvider
 }
 
-func (nobody) Servers(context.Context, uint64) (ListCopy, error) { return ListCopy{}, ErrNoNeighbour }
+func (nobody) Servers(context.Context, uint64) (ListCopy, error) { return ListCopy{}, ErrNoProvider }
 
 // alone follows a source as a box that knows no other and reads for none.
 func alone(source Source, t Timing) Following {
-	return Following{Source: source, Neighbours: nobody{}, Timing: t, Reader: func() bool { return false }}
+	return Following{Source: source, Providers: nobody{}, Timing: t, Reader: func() bool { return false }}
 }
 
-// oneNeighbour is a box that is asked by another.
-type oneNeighbour struct {
+// oneProvider is a box that is asked by another.
+type oneProvider struct {
 	*Directory
 	patience time.Duration
 }
 
-func (n oneNeighbour) Table(ctx context.Context, _ *routing.Table, least uint64) (TableCopy, error) {
+func (n oneProvider) Table(ctx context.Context, _ *routing.Table, least uint64) (TableCopy, error) {
 	ctx, cancel := context.WithTimeout(ctx, n.patience)
 	defer cancel()
 	return n.TableCopy(ctx, least)
 }
 
-func (n oneNeighbour) Servers(ctx context.Context, least uint64) (ListCopy, error) {
+func (n oneProvider) Servers(ctx context.Context, least uint64) (ListCopy, error) {
 	ctx, cancel := context.WithTimeout(ctx, n.patience)
 	defer cancel()
 	return n.ListCopy(ctx, least)
@@ -63,14 +63,14 @@
 	return ServerChanges{}, errDead
 }
 
-// followNeighbour runs f with a box that can ask only one other.
-func followNeighbour(t *testing.T, other *Directory, f func(*Directory)) {
+// followProvider runs f with a box that can ask only one other.
+func followProvider(t *testing.T, other *Directory, f func(*Directory)) {
 	d := New(log.NewNopLogger())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		x := alone(deadSource{}, testTiming())
-		x.Neighbours = oneNeighbour{other, time.Second}
+		x.Providers = oneProvider{other, time.Second}
 		d.Follow(ctx, x)
 		close(done)
 	}()
@@ -84,7 +84,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		other := knowing(tableOf(3, "a"), 5)
 		other.setServers([]routing.Server{{ID: "s", Service: "x"}, {ID: "t", Service: "x", Leaving: true}}, time.Now())
-		followNeighbour(t, other, func(d *Directory) {
+		followProvider(t, other, func(d *Directory) {
 			time.Sleep(time.Second)
 			require.True(t, d.Loaded())
 			assert.Equal(t, other.View().Table, d.View().Table)
@@ -110,7 +110,7 @@
 func TestSourceIsAskedWhereOthersAreBehind(t *testing.T) {
 	source := &fakeSource{events: []ServerEvent{{Server: routing.Server{ID: "a", Service: "s"}}}}
 	withFollower(t, source, func(ctx context.Context, d *Directory) {
-		_, err := oneNeighbour{New(log.NewNopLogger()), time.Millisecond}.Table(ctx, nil, 0)
+		_, err := oneProvider{New(log.NewNopLogger()), time.Millisecond}.Table(ctx, nil, 0)
 		assert.ErrorIs(t, err, ErrBehind)
 		assert.Len(t, d.listed(), 1)
 	})
--- a/pkg/directory/simulation_test.go
+++ b/pkg/directory/simulation_test.go
@@ -253,7 +253,7 @@
 	return ServerChanges{Revision: max(after, b.history.store.newest().revision)}, context.Cause(ctx)
 }
 
-// Table implements Neighbours.
+// Table implements Providers.
 func (b *simulatedBox) Table(ctx context.Context, _ *routing.Table, least uint64) (TableCopy, error) {
 	return askProviders(ctx, b, func(ctx context.Context, p *simulatedBox, d *Directory) (TableCopy, error) {
 		c, err := d.TableCopy(ctx, least)
@@ -269,7 +269,7 @@
 	})
 }
 
-// Servers implements Neighbours.
+// Servers implements Providers.
 func (b *simulatedBox) Servers(ctx context.Context, least uint64) (ListCopy, error) {
 	return askProviders(ctx, b, func(ctx context.Context, _ *simulatedBox, d *Directory) (ListCopy, error) {
 		return d.ListCopy(ctx, least)
@@ -287,7 +287,7 @@
 // provider is silent.
 func askProviders[T any](ctx context.Context, b *simulatedBox, ask func(context.Context, *simulatedBox, *Directory) (T, error)) (T, error) {
 	var got T
-	err := ErrNoNeighbour
+	err := ErrNoProvider
 	end := time.Now().Add(providersWait)
 	for i, p := range b.providers {
 		wait := time.Until(end)
@@ -335,7 +335,7 @@
 	b.directory, b.seen, b.inTouch, b.heard = d, 0, time.Now(), time.Now()
 	b.mu.Unlock()
 	wg.Go(func() {
-		d.Follow(ctx, Following{Source: b, Neighbours: b, Timing: historyTiming, Reader: func() bool { return b.number < readersOfHistories }})
+		d.Follow(ctx, Following{Source: b, Providers: b, Timing: historyTiming, Reader: func() bool { return b.number < readersOfHistories }})
 	})
 	wg.Go(func() { b.checks(ctx, d) })
 }
--- a/pkg/routerd/join.go
+++ b/pkg/routerd/join.go
@@ -76,7 +76,7 @@
 	wg.Go(func() { d.checker.Run(d.ctx) })
 	wg.Go(func() {
 		d.directory.Follow(d.ctx, directory.Following{
-			Source: d.source, Neighbours: d.snapshots, Timing: d.timing(), Reader: d.roster.Reader,
+			Source: d.source, Providers: d.snapshots, Timing: d.timing(), Reader: d.roster.Reader,
 		})
 	})
 	wg.Wait()
--- a/pkg/snapshot/client.go
+++ b/pkg/snapshot/client.go
@@ -30,7 +30,7 @@
 	passedOver = 5 * time.Second
 )
 
-// Client asks other boxes. It implements directory.Neighbours.
+// Client asks other boxes. It implements directory.Providers.
 type Client struct {
 	http      *http.Client
 	providers func() []string
@@ -60,7 +60,7 @@
 	return &Client{http: &http.Client{Transport: t}, providers: d.Providers, wait: d.Wait, silent: make(map[string]time.Time)}
 }
 
-// Table implements directory.Neighbours.
+// Table implements directory.Providers.
 func (c *Client) Table(ctx context.Context, inForce *routing.Table, least uint64) (directory.TableCopy, error) {
 	if inForce == nil {
 		inForce = emptyTable
@@ -93,7 +93,7 @@
 	return table, nil
 }
 
-// Servers implements directory.Neighbours.
+// Servers implements directory.Providers.
 func (c *Client) Servers(ctx context.Context, least uint64) (directory.ListCopy, error) {
 	return ask(ctx, c, func(ctx context.Context, address string, wait time.Duration) (directory.ListCopy, error) {
 		var servers []routing.Server
@@ -128,7 +128,7 @@
 		failures = append(failures, err)
 	}
 	if len(failures) == 0 {
-		return none, directory.ErrNoNeighbour
+		return none, directory.ErrNoProvider
 	}
 	return none, errors.Join(failures...)
 }
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -71,13 +71,13 @@
 }
 
 // follow runs a directory with a source until the test ends.
-func follow(t *testing.T, s directory.Source, n directory.Neighbours) *directory.Directory {
+func follow(t *testing.T, s directory.Source, n directory.Providers) *directory.Directory {
 	d := directory.New(log.NewNopLogger())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		d.Follow(ctx, directory.Following{
-			Source: s, Neighbours: n, Reader: func() bool { return false },
+			Source: s, Providers: n, Reader: func() bool { return false },
 			Timing: directory.Timing{Wait: time.Second, Answer: time.Second, Lag: time.Second, Backoff: time.Millisecond, BackoffMost: 10 * time.Millisecond},
 		})
 		close(done)
@@ -212,7 +212,7 @@
 		})
 	}
 	_, err = client(0).Table(t.Context(), nil, 0)
-	assert.ErrorIs(t, err, directory.ErrNoNeighbour)
+	assert.ErrorIs(t, err, directory.ErrNoProvider)
 }
 
 // halfServed is a box that sends half of a list and then does something.
