roster, loadshare: the boxes are put in order once a reading; a field that only a test read is gone

Cause: each reading of the roster sorted all entries twice, for who is asked and for the rank, with a hash of each name in each comparison; loadshare's member kept a link's speed that nothing but a test read since the order came from pkg/roster. Found by reading the whole change again. Ruled out: a change of behaviour: same order, same providers, same rank; the test looks the speeds up in its entries and asserts the same. Before and after: two sorts a reading, one. Formatter, vet, staticcheck clean; tests of roster, loadshare, directory, routerd, announce green under -race.

--- a/pkg/loadshare/relays.go
+++ b/pkg/loadshare/relays.go
@@ -21,7 +21,6 @@
 type member struct {
 	box     string
 	hall    string
-	link    float64
 	address *net.UDPAddr
 }
 
@@ -30,7 +29,7 @@
 	members := make([]member, 0, len(entries))
 	for _, e := range roster.Ordered(entries) {
 		if address := e.Address(); address != nil {
-			members = append(members, member{box: e.Box, hall: e.Hall, link: e.LinkMbps, address: address})
+			members = append(members, member{box: e.Box, hall: e.Hall, address: address})
 		}
 	}
 	return members
--- a/pkg/loadshare/sharer_test.go
+++ b/pkg/loadshare/sharer_test.go
@@ -177,8 +177,12 @@
 		}
 		entries = append(entries, e)
 	}
+	links := make(map[string]float64)
+	for _, e := range entries {
+		links[e.Box] = e.LinkMbps
+	}
 	for i, m := range membersOf(entries)[:3] {
-		assert.Equal(t, 200.0, m.link, "member %d", i)
+		assert.Equal(t, 200.0, links[m.box], "member %d", i)
 	}
 	relay := newSilence().relays(membersOf(entries), "hall-0", time.Now())[0]
 	slices.Reverse(entries)
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -205,13 +205,13 @@
 
 // set takes a reading in. One that is older than what is known is dropped.
 func (r *Roster) set(entries []Entry, revision uint64, stale bool) {
-	own := slices.ContainsFunc(entries, func(e Entry) bool { return e.Box == r.self.Box })
+	own := placeOf(entries, r.self) >= 0
 	if !own {
 		entries = append(entries, r.self)
 	}
 	peers, known, hosts := addressesOf(behind(entries, r.self.Box), r.self.Box)
-	providers := ProvidersOf(entries, r.self)
-	rank := slices.IndexFunc(Ordered(entries), func(e Entry) bool { return e.Box == r.self.Box })
+	ordered := Ordered(entries)
+	providers, rank := providersIn(ordered, r.self), placeOf(ordered, r.self)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if revision < r.revision || stale && revision == r.revision {
--- a/pkg/roster/tree.go
+++ b/pkg/roster/tree.go
@@ -33,14 +33,17 @@
 // ProvidersOf are the boxes that one asks for what it lacks, in order: its parent in the
 // tree of its hall, the root of that tree, and the readers. A reader asks the store.
 func ProvidersOf(entries []Entry, self Entry) []Entry {
-	ordered := Ordered(entries)
+	return providersIn(Ordered(entries), self)
+}
+
+// providersIn is ProvidersOf for entries that are in order.
+func providersIn(ordered []Entry, self Entry) []Entry {
 	reading := ordered[:min(readers, len(ordered))]
-	isSelf := func(e Entry) bool { return e.Box == self.Box }
-	if slices.ContainsFunc(reading, isSelf) {
+	if placeOf(reading, self) >= 0 {
 		return nil
 	}
 	hall := slices.DeleteFunc(slices.Clone(ordered), func(e Entry) bool { return e.Hall != self.Hall })
-	at := slices.IndexFunc(hall, isSelf)
+	at := placeOf(hall, self)
 	var list []Entry
 	if at > 0 {
 		list = append(list, hall[parent(hall, at)], hall[0])
@@ -48,6 +51,11 @@
 	return distinct(append(list, reading...))
 }
 
+// placeOf is a box's place among some, -1 if it is none of them.
+func placeOf(entries []Entry, box Entry) int {
+	return slices.IndexFunc(entries, func(e Entry) bool { return e.Box == box.Box })
+}
+
 // parent returns whom a box of a hall's tree asks, by their places in order. Each box takes
 // as many children as its link bears, the first ones first.
 func parent(hall []Entry, at int) int {
