lease: one box at a time holds the fleet's duties

What: an object in the store, written only under the condition that nobody has written it since it was read; the revision of the taking is the fence. Renewals are told by datagram, so that nobody else reads the store; boxes take it in their order, 250 ms apart. Ruled out: a holder by rendezvous (two holders in a cut); the sender's wall clock (jumps).

--- /dev/null
+++ b/pkg/lease/keeper.go
@@ -0,0 +1,382 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+
+	"headhill.example/headhill/pkg/datagram"
+	"headhill.example/headhill/pkg/lease/leasepb"
+)
+
+// Deps are what a Keeper is built on.
+type Deps struct {
+	Box         string
+	Incarnation uint64
+	Timing      Timing
+	Store       Store
+	Port        *datagram.Port
+	// Peers are the addresses of the other boxes, Rank is this box's place in the order in
+	// which boxes take the lease, on which those that know the same others agree.
+	Peers func() []*net.UDPAddr
+	Rank  func() int
+	// Alone tells that this box knows no other: the others may not be there yet.
+	Alone func() bool
+	// State is what the duties hand on. It is asked before each renewal.
+	State func() []byte
+	// OnTaken is told of each taking, with the state of the holder before. It runs before
+	// the lease is used.
+	OnTaken func(state []byte)
+	// Told is what this box tells the others with each renewal, OnTold takes it in from the
+	// holder.
+	Told   func() []byte
+	OnTold func(told []byte, received time.Time)
+	// OnHolder is told of a new holder that this box hears of.
+	OnHolder func(box string)
+	Logger   log.Logger
+}
+
+// Holding is a lease that this box holds.
+type Holding struct {
+	Fence uint64
+	// Until is how long this box may act on it. A call must have ended by then.
+	Until time.Time
+}
+
+// Status is what is known of the lease, for operators.
+type Status struct {
+	Holder   string
+	Fence    uint64
+	Mine     bool
+	SeenAge  time.Duration
+	Takings  int
+	Renewals int
+	Failures int
+}
+
+// Keeper takes and keeps the lease for one box. One goroutine steps it; others ask.
+type Keeper struct {
+	Deps
+	wake chan struct{}
+
+	mu      sync.Mutex
+	elector *Elector
+	// wanted numbers the states that were asked to be saved, saved is the last one that the
+	// store has.
+	wanted uint64
+	saved  uint64
+	// stopped is set once this box is about to end.
+	stopped bool
+	status  Status
+	// retryAt is when to call again after a call that failed, retries how many did in a row.
+	retryAt time.Time
+	retries int
+}
+
+const (
+	// kind marks the datagrams of this package.
+	kind = "lease"
+	// rankDelay is added for each place in the order before another box takes the lease, so
+	// that those before it come first and are heard. A taking is told within milliseconds
+	// where the store is calm.
+	rankDelay = 250 * time.Millisecond
+	// aloneDelay is that of a box that knows no other: where all start at once, they see each
+	// other before.
+	aloneDelay = 2 * time.Second
+	// rankMost bounds the delay: it also holds for a box that knows no order yet.
+	rankMost = 64
+	// callMost bounds a call to the store. A calm one answers within some milliseconds.
+	callMost = 700 * time.Millisecond
+	// retryLeast and retryMost are the pauses after a call that failed; each further one in
+	// a row doubles it for a box that does not hold the lease.
+	retryLeast = 150 * time.Millisecond
+	retryMost  = 4 * time.Second
+)
+
+// NewKeeper returns a keeper that hears the port's messages from now on.
+func NewKeeper(d Deps) *Keeper {
+	k := &Keeper{Deps: d, wake: make(chan struct{}, 1), elector: NewElector(d.Box, d.Incarnation, d.Timing, time.Now())}
+	d.Port.Handle(kind, k.hear)
+	return k
+}
+
+// Holding returns the lease if this box holds it now. It is asked before each call.
+func (k *Keeper) Holding() (Holding, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	fence, until, ok := k.elector.Holding(time.Now())
+	return Holding{Fence: fence, Until: until}, ok && !k.stopped
+}
+
+// Holder names the box that is known to hold the lease, "" if none is.
+func (k *Keeper) Holder() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.elector.Seen().Holder
+}
+
+// Status tells what is known of the lease.
+func (k *Keeper) Status() Status {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	s := k.status
+	seen := k.elector.Seen()
+	fence, _, mine := k.elector.Holding(now)
+	s.Holder, s.Fence, s.Mine = seen.Holder, seen.Fence, mine
+	if mine {
+		s.Fence = fence
+	}
+	s.SeenAge = now.Sub(k.elector.seenAt)
+	return s
+}
+
+// Save has the state written soon. It returns a number that Saved reaches once a state
+// that was asked for after this call is in the store.
+func (k *Keeper) Save() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.wanted++
+	k.nudge()
+	return k.wanted
+}
+
+// Saved tells up to which number states are in the store.
+func (k *Keeper) Saved() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.saved
+}
+
+// Wake has the keeper look again what is due, as when the order of the boxes has changed.
+func (k *Keeper) Wake() { k.nudge() }
+
+func (k *Keeper) nudge() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run keeps the lease until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-k.wake:
+		}
+		timer.Reset(time.Until(k.step(ctx)))
+	}
+}
+
+// step does what is due. It returns when to step again.
+func (k *Keeper) step(ctx context.Context) time.Time {
+	now := time.Now()
+	k.mu.Lock()
+	step, due := k.elector.Next(k.delay(), now)
+	_, _, holding := k.elector.Holding(now)
+	if step == StepWait && holding && k.wanted > k.saved {
+		step, due = StepRenew, now
+	}
+	if k.stopped {
+		step, due = StepWait, now.Add(k.Timing.Take)
+	}
+	if step != StepWait && now.Before(k.retryAt) {
+		step, due = StepWait, k.retryAt
+	}
+	k.mu.Unlock()
+	switch step {
+	case StepRead:
+		k.ended(k.read(ctx), holding)
+	case StepTake:
+		k.ended(k.take(ctx), holding)
+	case StepRenew:
+		k.ended(k.renew(ctx), holding)
+	default:
+		return due
+	}
+	return time.Now()
+}
+
+func (k *Keeper) delay() time.Duration {
+	if k.Alone() {
+		return aloneDelay
+	}
+	return rankDelay * time.Duration(min(k.Rank(), rankMost))
+}
+
+// ended notes how a call went.
+func (k *Keeper) ended(err error, holding bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err == nil || errors.Is(err, errReread) {
+		k.retries, k.retryAt = 0, time.Time{}
+		return
+	}
+	k.status.Failures++
+	pause := retryLeast
+	if !holding {
+		pause = min(retryLeast<<min(k.retries, 8), retryMost)
+	}
+	k.retries++
+	k.retryAt = time.Now().Add(pause)
+}
+
+func (k *Keeper) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callMost)
+	defer cancel()
+	s, err := k.Store.Read(ctx)
+	if err != nil {
+		_ = level.Info(k.Logger).Log("msg", "lease not read", "err", err, "outcome", "read again")
+		return err
+	}
+	k.mu.Lock()
+	newer := s.Revision > k.elector.Seen().Revision
+	k.elector.Observe(s, time.Now())
+	k.mu.Unlock()
+	if newer {
+		k.tell(s)
+	}
+	return nil
+}
+
+func (k *Keeper) take(ctx context.Context) error {
+	k.mu.Lock()
+	r, before := k.elector.Taking(), k.elector.Seen()
+	k.mu.Unlock()
+	sent := time.Now()
+	s, err := k.write(ctx, r, before.Revision)
+	if err != nil {
+		return err
+	}
+	k.OnTaken(before.State)
+	k.mu.Lock()
+	k.elector.Taken(s, sent, time.Now())
+	k.status.Takings++
+	k.mu.Unlock()
+	_ = level.Info(k.Logger).Log("msg", "lease taken", "fence", s.Revision, "before", before.Holder, "before_revision", before.Revision, "after", time.Since(sent))
+	k.tell(s)
+	return nil
+}
+
+func (k *Keeper) renew(ctx context.Context) error {
+	k.mu.Lock()
+	wanted := k.wanted
+	k.mu.Unlock()
+	state := k.State()
+	k.mu.Lock()
+	r, revision := k.elector.Renewing(state), k.elector.Seen().Revision
+	k.mu.Unlock()
+	sent := time.Now()
+	s, err := k.write(ctx, r, revision)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	k.elector.Renewed(s, sent, time.Now())
+	k.saved = max(k.saved, wanted)
+	k.status.Renewals++
+	k.mu.Unlock()
+	k.tell(s)
+	return nil
+}
+
+// write writes a record. Where another one was written meanwhile, it reads that.
+func (k *Keeper) write(ctx context.Context, r Record, revision uint64) (Stored, error) {
+	sending, cancel := context.WithTimeout(ctx, callMost)
+	defer cancel()
+	s, err := k.Store.Write(sending, r, revision)
+	if err == nil {
+		return s, nil
+	}
+	_ = level.Info(k.Logger).Log("msg", "lease not written", "holder", r.Holder, "revision", revision, "err", err, "outcome", "read again")
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		return s, k.reread(ctx, err)
+	}
+	return s, err
+}
+
+// reread reads what is there in place of what was seen. It returns the error of the write
+// unless that is known now.
+func (k *Keeper) reread(ctx context.Context, cause error) error {
+	if err := k.read(ctx); err != nil {
+		return errors.Join(cause, err)
+	}
+	return errReread
+}
+
+// errReread ends a step whose write was refused, once the record has been read.
+var errReread = errors.New("another record was there: it was read")
+
+// Stop hands the lease over if this box holds it, and takes it no more.
+func (k *Keeper) Stop(ctx context.Context) {
+	k.mu.Lock()
+	k.stopped = true
+	_, _, holding := k.elector.Holding(time.Now())
+	k.mu.Unlock()
+	if !holding {
+		return
+	}
+	state := k.State()
+	k.mu.Lock()
+	r, revision := k.elector.HandingOver(state), k.elector.Seen().Revision
+	k.elector.HandedOver(time.Now())
+	k.mu.Unlock()
+	s, err := k.write(ctx, r, revision)
+	_ = level.Info(k.Logger).Log("msg", "lease handed over", "err", err)
+	if err == nil {
+		k.tell(s)
+	}
+}
+
+// fence is this box's own, zero if it does not hold the lease.
+func (k *Keeper) fence() uint64 {
+	h, _ := k.Holding()
+	return h.Fence
+}
+
+// tell tells the other boxes of a record.
+func (k *Keeper) tell(s Stored) {
+	m := &leasepb.Lease{Holder: s.Holder, Incarnation: s.Incarnation, Fence: s.Fence, Revision: s.Revision}
+	if s.Holder == k.Box {
+		m.Fence, m.Told = max(s.Fence, k.fence()), k.Told()
+	}
+	body, err := proto.Marshal(m)
+	if err != nil || !k.Port.Send(kind, body, k.Peers()...) {
+		_ = level.Warn(k.Logger).Log("msg", "lease not told", "err", err, "bytes", len(body), "outcome", "others read it")
+	}
+}
+
+// hear takes a datagram in.
+func (k *Keeper) hear(d datagram.Message) {
+	m := &leasepb.Lease{}
+	if err := proto.Unmarshal(d.Body, m); err != nil {
+		_ = level.Debug(k.Logger).Log("msg", "lease message dropped", "from", d.Box, "err", err)
+		return
+	}
+	s := Stored{Revision: m.GetRevision(), Record: Record{Holder: m.GetHolder(), Incarnation: m.GetIncarnation(), Fence: m.GetFence()}}
+	k.mu.Lock()
+	before := k.elector.Seen().Holder
+	k.elector.Hear(s, d.Received)
+	changed := before != k.elector.Seen().Holder
+	k.mu.Unlock()
+	if d.Box == m.GetHolder() && len(m.GetTold()) > 0 {
+		k.OnTold(m.GetTold(), d.Received)
+	}
+	if changed {
+		k.OnHolder(s.Holder)
+		_ = level.Debug(k.Logger).Log("msg", "lease heard", "holder", s.Holder, "fence", s.Fence, "revision", s.Revision)
+		k.nudge()
+	}
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -69,6 +69,8 @@
 	revision uint64
 	fresh    bool
 	peers    []*net.UDPAddr
+	// ordered are the entries in the order in which boxes read and relay for others.
+	ordered []Entry
 	// providers are the boxes that this one asks for what it lacks, rank is its place in
 	// the order in which boxes read for others.
 	providers []Entry
@@ -81,7 +83,7 @@
 // New returns a roster of one box, this one. The limits bound each call to the store.
 func New(store Store, self Entry, limits stall.Limits, logger log.Logger) *Roster {
 	self.Incarnation = rand.Uint64() >> 1
-	return &Roster{store: store, self: self, limits: limits, logger: logger, onChange: func() {}, entries: []Entry{self}, rank: rankUnknown}
+	return &Roster{store: store, self: self, limits: limits, logger: logger, onChange: func() {}, entries: []Entry{self}, ordered: []Entry{self}, rank: rankUnknown}
 }
 
 // OnChange sets who is told that the boxes have been read. It is set before the first reading.
@@ -109,6 +111,17 @@
 	return r.entries
 }
 
+// Ordered lists the boxes in the order in which they read and relay for others. Callers must
+// not change the list.
+func (r *Roster) Ordered() []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ordered
+}
+
+// Incarnation is that of this box's process.
+func (r *Roster) Incarnation() uint64 { return r.self.Incarnation }
+
 // Known tells whether an address is that of another box.
 func (r *Roster) Known(a netip.AddrPort) bool {
 	r.mu.Lock()
@@ -224,7 +237,7 @@
 		_ = level.Info(r.logger).Log("msg", "boxes counted", "count", len(entries), "before", len(r.entries), "revision", revision, "stale", stale)
 	}
 	r.entries, r.revision, r.fresh = entries, revision, r.fresh || !stale
-	r.peers, r.known, r.hosts = peers, known, hosts
+	r.peers, r.known, r.hosts, r.ordered = peers, known, hosts, ordered
 	r.providers, r.rank = providers, rank
 }
 
