metering, fleetclock: requests that began to run are counted by organisation and window

Cause: usage of each window has to be reported; nothing counted it. What: each box counts with the first event of a stream, and when another request was sent; counts only grow, so that a message lost or doubled does no harm; three boxes and the holder collect. Windows go by the median of all boxes' wall clocks, as the clock of one may jump.

--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -46,6 +46,7 @@
 // whole passes an answer on once all of it is there, so that one that breaks off
 // never reaches the caller in part.
 func (x *exchange) whole(resp *upstream.Response, lease *balancer.Lease) (*failure, error) {
+	x.noteRun(x.sent)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, answerMost+1))
 	if err != nil {
 		resp.Close(false)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -41,9 +41,11 @@
 	Budget    *retry.Budget
 	Upstream  *upstream.Client
 	Recorder  Recorder
-	Logger    log.Logger
-	Hall      string
-	Bounds    Bounds
+	// Usage counts requests that begin to run.
+	Usage  Usage
+	Logger log.Logger
+	Hall   string
+	Bounds Bounds
 	// Stop returns the planned stop that is under way, or nil.
 	Stop func() *Stop
 }
@@ -124,10 +126,14 @@
 	organisation *routing.Organisation
 	deadline     time.Time
 
+	// sent is when the latest attempt began.
+	sent time.Time
 	// servers were sent the request, in order; unreachedServers were not, as no
 	// connection came up.
 	servers          []string
 	unreachedServers []string
+	// counted is set once the request counts as one that began to run.
+	counted bool
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	// begun is set once the head of the answer went to the caller.
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -50,6 +50,7 @@
 		}
 		if !f.notRun {
 			x.mayHaveRun = true
+			x.noteLostRun()
 		}
 		switch {
 		case ctx.Err() != nil:
@@ -126,6 +127,7 @@
 // ended, with the error or with an answer.
 func (x *exchange) attempt(ctx context.Context) (*failure, error) {
 	now := time.Now()
+	x.sent = now
 	lease, ok := x.gateway.Balancer.Pick(x.query(now), now)
 	if !ok {
 		return &failure{result: balancer.ResultUnreached, notRun: true, unsent: true, cause: errNoServer}, nil
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -26,6 +26,7 @@
 		n, err := resp.Body.Read(buffer)
 		events, cutErr := cutter.add(buffer[:n])
 		if len(events) > 0 {
+			x.noteRun(time.Now())
 			lease.Begun(time.Now())
 			if werr := x.sendEvents(resp, events); werr != nil {
 				resp.Close(false)
--- /dev/null
+++ b/pkg/metering/collector.go
@@ -0,0 +1,78 @@
+package metering
+
+import (
+	"sync"
+
+	"headhill.example/headhill/pkg/metering/usagepb"
+)
+
+// sender is one life of a box.
+type sender struct {
+	box         string
+	incarnation uint64
+}
+
+// counts are the requests by organisation.
+type counts map[OrganisationKey]uint32
+
+// Collector adds up what boxes have counted. Each count of a life of a box only grows, so
+// that the highest one heard stands.
+type Collector struct {
+	mu      sync.Mutex
+	windows map[Window]map[sender]counts
+}
+
+// NewCollector returns an empty collector.
+func NewCollector() *Collector {
+	return &Collector{windows: make(map[Window]map[sender]counts)}
+}
+
+// countMost bounds a count that is believed.
+const countMost = 1 << 28
+
+// Take takes in what a box has counted.
+func (c *Collector) Take(box string, m *usagepb.Usage) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	from := sender{box: box, incarnation: m.GetIncarnation()}
+	for _, w := range m.GetWindows() {
+		if len(w.GetOrganisations()) == len(w.GetCounts()) {
+			c.add(Window(w.GetNumber()), from, w)
+		}
+	}
+}
+
+func (c *Collector) add(number Window, from sender, w *usagepb.Window) {
+	senders := c.windows[number]
+	if senders == nil {
+		senders = make(map[sender]counts)
+		c.windows[number] = senders
+	}
+	if senders[from] == nil {
+		senders[from] = make(counts)
+	}
+	for i, key := range w.GetOrganisations() {
+		k := OrganisationKey(key)
+		senders[from][k] = max(senders[from][k], min(w.GetCounts()[i], countMost))
+	}
+}
+
+// Total adds up a window. Boxes is how many lives of boxes counted in it.
+func (c *Collector) Total(w Window) (total map[OrganisationKey]int, boxes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	total = make(map[OrganisationKey]int)
+	for _, counts := range c.windows[w] {
+		for key, n := range counts {
+			total[key] += int(n)
+		}
+	}
+	return total, len(c.windows[w])
+}
+
+// Forget drops windows that are long over.
+func (c *Collector) Forget(now Window) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	forget(c.windows, now)
+}
--- /dev/null
+++ b/pkg/metering/teller.go
@@ -0,0 +1,130 @@
+package metering
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+
+	"headhill.example/headhill/pkg/datagram"
+	"headhill.example/headhill/pkg/fleetclock"
+	"headhill.example/headhill/pkg/metering/usagepb"
+)
+
+const (
+	// kind marks the datagrams of this package.
+	kind = "usage"
+	// tellEvery is how often changes are told. What a box has counted since is lost where it
+	// dies: half of this time on average, a twentieth of a window of five seconds.
+	tellEvery = 500 * time.Millisecond
+	// tellLeast is how often a box that counts nothing tells its wall clock all the same.
+	tellLeast = 2 * time.Second
+	// entriesMost bounds the counts in one datagram; each takes up to 11 bytes.
+	entriesMost = 500
+)
+
+// TellerDeps are what a Teller is built on.
+type TellerDeps struct {
+	Box         string
+	Incarnation uint64
+	Port        *datagram.Port
+	Counter     *Counter
+	Collector   *Collector
+	Clock       *fleetclock.Clock
+	// Collecting are the addresses of the boxes that collect, this one left out.
+	Collecting func() []*net.UDPAddr
+	Logger     log.Logger
+}
+
+// Teller tells the boxes that collect what this one has counted, and takes in what they
+// are told.
+type Teller struct {
+	TellerDeps
+	// whole asks for all counts to be told once.
+	whole chan struct{}
+	last  time.Time
+}
+
+// NewTeller returns a teller that hears the port's messages from now on.
+func NewTeller(d TellerDeps) *Teller {
+	t := &Teller{TellerDeps: d, whole: make(chan struct{}, 1)}
+	d.Port.Handle(kind, t.receive)
+	return t
+}
+
+func (t *Teller) receive(d datagram.Message) {
+	m := &usagepb.Usage{}
+	if err := proto.Unmarshal(d.Body, m); err != nil {
+		_ = level.Debug(t.Logger).Log("msg", "usage message dropped", "from", d.Box, "err", err)
+		return
+	}
+	t.Clock.Read(d.Box, m.GetWallMs(), d.Received)
+	t.Collector.Take(d.Box, m)
+}
+
+// TellAll has all counts told once more, as to a box that has just begun to collect.
+func (t *Teller) TellAll() {
+	select {
+	case t.whole <- struct{}{}:
+	default:
+	}
+}
+
+// Run tells what is counted until ctx ends, and once more then.
+func (t *Teller) Run(ctx context.Context) {
+	ticker := time.NewTicker(tellEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			t.tell(t.Counter.Changes(time.Now()))
+		case <-t.whole:
+			t.tell(t.Counter.All())
+		}
+	}
+}
+
+// Flush tells all that was counted, as the box is about to end.
+func (t *Teller) Flush() { t.tell(t.Counter.All()) }
+
+func (t *Teller) tell(windows []*usagepb.Window) {
+	now := time.Now()
+	t.Collector.Forget(WindowAt(t.Clock.Now(now), t.Counter.length))
+	if len(windows) == 0 && now.Sub(t.last) < tellLeast {
+		return
+	}
+	t.last = now
+	to := t.Collecting()
+	for _, part := range split(windows) {
+		m := &usagepb.Usage{Incarnation: t.Incarnation, WallMs: fleetclock.Wall(now), Windows: part}
+		t.Collector.Take(t.Box, m)
+		body, err := proto.Marshal(m)
+		if err != nil || !t.Port.Send(kind, body, to...) {
+			_ = level.Warn(t.Logger).Log("msg", "usage not told", "err", err, "bytes", len(body), "windows", len(part))
+		}
+	}
+}
+
+// split cuts windows into messages that fit a datagram; one at the least.
+func split(windows []*usagepb.Window) [][]*usagepb.Window {
+	parts := [][]*usagepb.Window{nil}
+	left := entriesMost
+	for _, w := range windows {
+		for len(w.GetCounts()) > 0 {
+			if left == 0 {
+				parts, left = append(parts, nil), entriesMost
+			}
+			n := min(left, len(w.GetCounts()))
+			last := len(parts) - 1
+			parts[last] = append(parts[last], &usagepb.Window{Number: w.GetNumber(), Organisations: w.GetOrganisations()[:n], Counts: w.GetCounts()[:n]})
+			w = &usagepb.Window{Number: w.GetNumber(), Organisations: w.GetOrganisations()[n:], Counts: w.GetCounts()[n:]}
+			left -= n
+		}
+	}
+	return parts
+}
