balancer, loadshare, routing: what a service is asked, how fast its engines are, what can be ordered

Cause: ordering servers needs the load in servers: tokens to prefill a second, against the speed of an engine, and which servers are paid how.

--- a/pkg/balancer/lanes.go
+++ b/pkg/balancer/lanes.go
@@ -30,6 +30,34 @@
 type Demand struct {
 	Interactive float64
 	Bulk        float64
+	// Speeds adds up the speeds, in tokens a second, at which engines were seen to prefill,
+	// one for each of so many Samples.
+	Speeds  float64
+	Samples int
+}
+
+// Plus is the demand of both.
+func (d Demand) Plus(o Demand) Demand {
+	return Demand{
+		Interactive: d.Interactive + o.Interactive, Bulk: d.Bulk + o.Bulk,
+		Speeds: d.Speeds + o.Speeds, Samples: d.Samples + o.Samples,
+	}
+}
+
+// Minus is the demand without a part of it, which may be newer than the whole.
+func (d Demand) Minus(o Demand) Demand {
+	return Demand{
+		Interactive: max(0, d.Interactive-o.Interactive), Bulk: max(0, d.Bulk-o.Bulk),
+		Speeds: max(0, d.Speeds-o.Speeds), Samples: max(0, d.Samples-o.Samples),
+	}
+}
+
+// speed is the mean speed, zero where none was seen.
+func (d Demand) speed() float64 {
+	if d.Samples == 0 {
+		return 0
+	}
+	return d.Speeds / float64(d.Samples)
 }
 
 // of is the demand in one lane.
@@ -53,6 +81,17 @@
 	own    Demand
 	since  time.Time
 	others Demand
+	// speed is how fast this box saw the engines prefill.
+	speed prefillSpeed
+}
+
+// report is this box's own demand, and what it has learned of the engines.
+func (l *lanes) report(now time.Time) Demand {
+	l.decay(now)
+	d := l.own
+	d.Samples = len(l.speed.samples)
+	d.Speeds = l.speed.tokensPerSecond() * float64(d.Samples)
+	return d
 }
 
 // note counts tokens that a server is to prefill.
--- a/pkg/balancer/lease.go
+++ b/pkg/balancer/lease.go
@@ -53,8 +53,11 @@
 	// service and class are set for engines.
 	service string
 	class   string
-	// begun is when the first event came.
+	// taken is when the server was chosen, begun when the first event came. An alone call
+	// found a server with nothing else to prefill.
+	taken time.Time
 	begun time.Time
+	alone bool
 	done  bool
 }
 
@@ -64,6 +67,7 @@
 	l.service, l.class = q.Service, q.Class
 	l.memory = q.Tokens + q.Output
 	l.backlog = c.toPrefill(q)
+	l.taken, l.alone = now, c.load.Backlog == 0 && c.transferred == 0
 	s.memory += l.memory
 	s.backlog += l.backlog
 	lanes := b.lanesOf(q.Service)
@@ -82,6 +86,9 @@
 		return
 	}
 	l.begun = now
+	if l.alone && l.class != "" {
+		b.lanesOf(l.service).speed.add(l.backlog, now.Sub(l.taken))
+	}
 	l.settle()
 	b.publishPlacement(l.state, l.prefix, true, now)
 }
--- a/pkg/balancer/share.go
+++ b/pkg/balancer/share.go
@@ -109,8 +109,7 @@
 	defer b.mu.Unlock()
 	r := Report{Loads: make(map[ServerKey]Load), Placements: b.placements, Demands: make(map[ServiceKey]Demand)}
 	for key, l := range b.lanes {
-		l.decay(now)
-		r.Demands[key] = l.own
+		r.Demands[key] = l.report(now)
 	}
 	b.placements = nil
 	for _, s := range b.servers {
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -66,11 +66,21 @@
 	return lost
 }
 
-// pool is the servers of a service that are not leaving.
+// Listed returns the servers of a service that the list has, leaving ones too.
+func (v *View) Listed(service string) []routing.Server {
+	p := v.pools[service]
+	if p == nil {
+		return nil
+	}
+	return append(slices.Clip(p.ready), p.leaving...)
+}
+
+// pool is the servers of a service.
 type pool struct {
-	// ready are listed, lost are not any more.
-	ready []routing.Server
-	lost  []Server
+	// ready are listed and stay, leaving are listed and don't, lost are not listed any more.
+	ready   []routing.Server
+	leaving []routing.Server
+	lost    []Server
 }
 
 // Directory keeps the belief.
@@ -242,6 +252,8 @@
 
 func (p *pool) add(s Server) {
 	switch {
+	case s.Leaving && s.Removed.IsZero():
+		p.leaving = append(p.leaving, s.Server)
 	case s.Leaving:
 	case s.Removed.IsZero():
 		p.ready = append(p.ready, s.Server)
--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -66,7 +66,7 @@
 func split(hall string, round uint32, all work) []*loadpb.Loads {
 	list := []*loadpb.Loads{{Hall: hall, Round: round}}
 	for key, d := range all.demands {
-		list[0].Demands = append(list[0].Demands, &loadpb.Demand{Service: uint32(key), Interactive: uint32(d.Interactive), Bulk: uint32(d.Bulk)})
+		list[0].Demands = append(list[0].Demands, &loadpb.Demand{Service: uint32(key), Interactive: uint32(d.Interactive), Bulk: uint32(d.Bulk), Speeds: d.Speeds, Samples: uint32(d.Samples)})
 	}
 	for key, l := range all.loads {
 		m := list[len(list)-1]
@@ -96,7 +96,9 @@
 func read(m *loadpb.Loads, w work) {
 	to := w.loads
 	for _, d := range m.GetDemands() {
-		w.demands[balancer.ServiceKey(d.GetService())] = balancer.Demand{Interactive: float64(d.GetInteractive()), Bulk: float64(d.GetBulk())}
+		w.demands[balancer.ServiceKey(d.GetService())] = balancer.Demand{
+			Interactive: float64(d.GetInteractive()), Bulk: float64(d.GetBulk()), Speeds: max(0, d.GetSpeeds()), Samples: bounded(d.GetSamples()),
+		}
 	}
 	for i, key := range m.GetServers() {
 		l := to[balancer.ServerKey(key)]
@@ -213,10 +215,7 @@
 		w.loads[key] = w.loads[key].Plus(l)
 	}
 	for key, d := range more.demands {
-		sum := w.demands[key]
-		sum.Interactive += d.Interactive
-		sum.Bulk += d.Bulk
-		w.demands[key] = sum
+		w.demands[key] = w.demands[key].Plus(d)
 	}
 }
 
@@ -233,10 +232,7 @@
 		rest.loads[key] = sum
 	}
 	for key, d := range part.demands {
-		sum := rest.demands[key]
-		sum.Interactive = max(0, sum.Interactive-d.Interactive)
-		sum.Bulk = max(0, sum.Bulk-d.Bulk)
-		rest.demands[key] = sum
+		rest.demands[key] = rest.demands[key].Minus(d)
 	}
 	return rest
 }
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -94,6 +94,21 @@
 	// Engine marks model engines; MemoryTokens is the memory of one.
 	Engine       bool
 	MemoryTokens int
+	// Scaling is nil where servers can't be ordered.
+	Scaling *Scaling
+}
+
+// Scaling says which servers of a service can be ordered.
+type Scaling struct {
+	// Least and Most bound the servers in each hall.
+	Least, Most int
+	// Boot is the time until an ordered server serves.
+	Boot time.Duration
+	// SpotPrice is the price of a server that may be taken away, as a share of one on demand;
+	// zero if there are none.
+	SpotPrice float64
+	// Prices are those of a server on demand by hall, for each second.
+	Prices map[string]float64
 }
 
 // Organisation is a customer whose callers share API keys.
@@ -120,6 +135,8 @@
 	Slots   int
 	// Leaving servers get no new work.
 	Leaving bool
+	// Spot servers cost less and may be taken away at short notice.
+	Spot bool
 }
 
 // Content is what a table is built from.
@@ -227,6 +244,12 @@
 	return o, ok
 }
 
+// Organisations lists all of them. Callers must not change the list.
+func (t *Table) Organisations() []Organisation { return t.content.Organisations }
+
+// Services lists all of them. Callers must not change the list.
+func (t *Table) Services() []Service { return t.content.Services }
+
 // NeedsKey tells whether a route's callers must show an API key.
 func (t *Table) NeedsKey(r *Route) bool { return !r.Public && len(t.keys) > 0 }
 
