autoscale, duties: servers are ordered by what lateness is expected to cost; usage is reported

What: of all numbers of spot servers in each hall and of servers on demand beside them, the one with the least price and expected loss is wanted, with the loss of the two halls with the most spot servers in view. Kinds that can't be had are asked for again each 1.5 s; servers that were lost are replaced where they can be had; a fifth of a second passes between looks. The prior of 10 s is kept.

--- a/cmd/headhill/cmds/route.go
+++ b/cmd/headhill/cmds/route.go
@@ -10,6 +10,8 @@
 	"github.com/go-kit/log/level"
 
 	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/duties"
+	"headhill.example/headhill/pkg/lease"
 	"headhill.example/headhill/pkg/logflags"
 	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/routerd"
@@ -73,6 +75,10 @@
 		Roster: func(access routerd.StoreAccess) roster.Store {
 			return platform.NewRoster(platform.NewStore(access))
 		},
+		Lease: func(access routerd.StoreAccess) lease.Store {
+			return platform.NewLease(platform.NewStore(access))
+		},
+		Cloud: func(address func() string) duties.Cloud { return platform.NewCloud(address) },
 	}
 }
 
--- /dev/null
+++ b/pkg/autoscale/planner.go
@@ -0,0 +1,386 @@
+package autoscale
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// probeEvery is how often a kind of server is asked for again in a hall after it could not
+	// be had, or was taken away there.
+	probeEvery = 1500 * time.Millisecond
+	// findTime is for how long no server must have come before a planner orders anything: at
+	// the start of a fleet, and of a box, the list grows for seconds.
+	findTime = 1200 * time.Millisecond
+	// stepShare is the least change that is ordered, as a part of what is ordered: each order
+	// is a call, and each server that comes or goes is told to all boxes.
+	stepShare = 0.05
+	// bootMargin is what a server may take longer than it should until it is listed. One that
+	// is not there after that counts as lost.
+	bootMargin = 3 * time.Second
+	// leaveMargin is what a server that was given up may take until it says that it leaves.
+	// One that is there after that counts as ordered.
+	leaveMargin = 3 * time.Second
+	// shrinkEvery and shrinkShare bound how fast servers are given up.
+	shrinkEvery = time.Second
+	shrinkShare = 0.1
+	// spotKept is for how long more spot servers than wanted are kept: they cost little, and
+	// each one that goes takes its cached prefixes along.
+	spotKept = 15 * time.Second
+	// swapShare is the part of the servers that is given up though none is spare, where a hall
+	// that is full is to have servers of the other kind in their place.
+	swapShare = 0.02
+	// reclaimPrior is the time in which one reclaim is expected before any was seen.
+	reclaimPrior = 10.0
+)
+
+// Book is what was ordered of a service, by hall. It is handed on with the lease.
+type Book map[string]PerKind
+
+// sum is the number of all servers.
+func (b Book) sum() int {
+	n := 0
+	for _, k := range b {
+		n += k.Sum()
+	}
+	return n
+}
+
+// Planner plans the orders of one service. It keeps what was ordered and what was refused.
+type Planner struct {
+	service string
+	policy  Policy
+
+	offer    Offer
+	ordered  Book
+	halls    map[string]*hallState
+	forecast Forecast
+	begun    time.Time
+	reclaims int
+	shrunk   time.Time
+	// spotOver is since when there are more spot servers than wanted.
+	spotOver time.Time
+	// learned tells that a load was known once. Until then the servers found at the begin are
+	// kept, or what the book says where there was one.
+	learned bool
+	adopted bool
+	// found is how many servers there were, at the time foundAt at the latest; foundAll tells
+	// that no more came for a while.
+	found    int
+	foundAt  time.Time
+	foundAll bool
+}
+
+// hallState is what is known of a hall besides what was ordered.
+type hallState struct {
+	// ready and leaving are the servers listed.
+	ready, leaving PerKind
+	// refused tells that a kind could not be had, probed is when it was last asked for; grown
+	// and shrunk are when more and less of it was last ordered.
+	refused [kinds]bool
+	probed  [kinds]time.Time
+	grown   [kinds]time.Time
+	shrunk  [kinds]time.Time
+}
+
+// refuse notes that a kind can't be had at present.
+func (h *hallState) refuse(k Kind, now time.Time) { h.refused[k], h.probed[k] = true, now }
+
+// probeDue tells whether a kind that could not be had is to be asked for again.
+func (h *hallState) probeDue(k Kind, now time.Time) bool {
+	return h.refused[k] && now.Sub(h.probed[k]) >= probeEvery
+}
+
+// NewPlanner returns a planner that goes on from a book; with an empty one it goes on from
+// what is there.
+func NewPlanner(service string, policy Policy, book Book, now time.Time) *Planner {
+	return &Planner{service: service, policy: policy, ordered: maps.Clone(book), halls: make(map[string]*hallState), begun: now}
+}
+
+// Book is what is ordered.
+func (p *Planner) Book() Book { return maps.Clone(p.ordered) }
+
+// Status is what a plan rested on, for logs and metrics.
+type Status struct {
+	Load    Load
+	Peak    float64
+	Targets Book
+	Ready   Book
+	Leaving Book
+}
+
+// Plan takes in what is there and what is asked, and returns the orders that follow, those of
+// more servers first.
+func (p *Planner) Plan(offer Offer, servers []Server, load Load, now time.Time) ([]Order, Status) {
+	p.offer = offer
+	p.count(servers)
+	if len(p.ordered) == 0 {
+		p.ordered, p.adopted = make(Book), true
+	}
+	p.noteLosses(now)
+	if p.finding(now) {
+		return nil, p.status(load, p.ordered)
+	}
+	if load.Known {
+		p.learned = true
+	}
+	if p.learned {
+		p.forecast.Add(load.Busy, offer.Boot, now)
+	}
+	targets := p.targets(now, false)
+	orders := p.probe(now)
+	orders = append(orders, p.grow(targets, now)...)
+	orders = append(orders, p.shrink(targets, now)...)
+	return orders, p.status(load, targets)
+}
+
+// finding tells whether the list of what is there still grows, as at a start.
+func (p *Planner) finding(now time.Time) bool {
+	if p.foundAll {
+		return false
+	}
+	if ready := p.ready().sum(); ready > p.found || p.foundAt.IsZero() {
+		p.found, p.foundAt = ready, now
+	}
+	p.foundAll = now.Sub(p.foundAt) >= findTime
+	return !p.foundAll
+}
+
+// ready are the servers that stay, by hall.
+func (p *Planner) ready() Book {
+	b := make(Book, len(p.halls))
+	for name, h := range p.halls {
+		b[name] = h.ready
+	}
+	return b
+}
+
+// count counts the servers listed.
+func (p *Planner) count(servers []Server) {
+	for name := range p.offer.Prices {
+		h := p.hall(name)
+		h.ready, h.leaving = PerKind{}, PerKind{}
+	}
+	for _, s := range servers {
+		h := p.hall(s.Hall)
+		if s.Leaving {
+			h.leaving[s.Kind]++
+			continue
+		}
+		h.ready[s.Kind]++
+	}
+}
+
+func (p *Planner) hall(name string) *hallState {
+	h := p.halls[name]
+	if h == nil {
+		h = &hallState{}
+		p.halls[name] = h
+	}
+	return h
+}
+
+// names are the halls in which servers can be ordered, the cheapest first.
+func (p *Planner) names() []string {
+	return slices.SortedFunc(maps.Keys(p.offer.Prices), func(a, b string) int {
+		return cmp.Or(cmp.Compare(p.offer.Prices[a], p.offer.Prices[b]), cmp.Compare(a, b))
+	})
+}
+
+// noteLosses notes servers that were ordered and are not there, though they had time to
+// boot or were there before; and servers that came back or were never given up.
+func (p *Planner) noteLosses(now time.Time) {
+	for _, name := range p.names() {
+		h, ordered := p.hall(name), p.ordered[name]
+		for k := range kinds {
+			missing := ordered[k] - h.ready[k]
+			if missing < 0 && now.Sub(h.shrunk[k]) > leaveMargin {
+				ordered[k] = h.ready[k]
+				p.ordered[name] = ordered
+			}
+			overdue := now.Sub(h.grown[k]) > p.offer.Boot+bootMargin
+			taken := k == Spot && missing > 0 && h.leaving[k] > 0
+			if missing <= 0 || !overdue && !taken {
+				continue
+			}
+			if taken && !h.refused[k] {
+				p.reclaims++
+			}
+			h.refuse(k, now)
+			ordered[k] = h.ready[k]
+			p.ordered[name] = ordered
+		}
+	}
+}
+
+// Refused notes that an order for more servers was not taken: there are none at present.
+func (p *Planner) Refused(o Order, now time.Time) {
+	p.hall(o.Hall).refuse(o.Kind, now)
+	p.Undo(o)
+}
+
+// Undo takes an order back that was not made.
+func (p *Planner) Undo(o Order) {
+	ordered := p.ordered[o.Hall]
+	ordered[o.Kind] = o.Before
+	p.ordered[o.Hall] = ordered
+}
+
+// targets asks the policy, by hall. Before any load is known the number of servers stays as
+// it is, and they are had as cheaply as can be.
+// Where a kind could not be had, the targets are without more of it, unless they are to tell
+// what to ask for again.
+func (p *Planner) targets(now time.Time, probing bool) Book {
+	q := Question{Offer: p.offer, Busy: p.forecast.Peak(), Reclaims: p.reclaimRate(now)}
+	names := p.names()
+	for _, name := range names {
+		h := p.hall(name)
+		hall := Hall{Name: name, Price: p.offer.Prices[name], Ready: h.ready}
+		for k := range kinds {
+			hall.Refused[k] = h.refused[k] && !(probing && h.probeDue(k, now))
+		}
+		q.Halls = append(q.Halls, hall)
+	}
+	targets := make(Book, len(names))
+	wanted := p.policy.Targets(q)
+	switch {
+	case !p.learned && p.adopted:
+		wanted = q.cheapest(p.found)
+	case !p.learned:
+		return maps.Clone(p.ordered)
+	}
+	for i, t := range wanted {
+		targets[names[i]] = t
+	}
+	return targets
+}
+
+// reclaimRate is how many halls a second have their spot servers taken away.
+func (p *Planner) reclaimRate(now time.Time) float64 {
+	return (1 + float64(p.reclaims)) / (reclaimPrior + now.Sub(p.begun).Seconds())
+}
+
+// probe asks for kinds again that could not be had a while ago.
+func (p *Planner) probe(now time.Time) []Order {
+	var orders []Order
+	var targets Book
+	for _, name := range p.names() {
+		h := p.hall(name)
+		for k := range kinds {
+			if !h.probeDue(k, now) {
+				continue
+			}
+			if targets == nil {
+				targets = p.targets(now, true)
+			}
+			h.probed[k] = now
+			if wanted := p.within(name, k, targets); wanted > p.ordered[name][k] {
+				// An order that is taken ends the refusal; one that is not begins it anew.
+				h.refused[k], h.grown[k] = false, now
+				orders = append(orders, p.order(name, k, wanted))
+			}
+		}
+	}
+	return orders
+}
+
+// within is how many servers of a kind are wanted in a hall, as far as there is room beside
+// those of the other kind.
+func (p *Planner) within(hall string, k Kind, targets Book) int {
+	return min(targets[hall][k], p.offer.Most-p.ordered[hall][1-k])
+}
+
+// least is the least change of a number that is ordered.
+func least(ordered int) int { return int(stepShare*float64(ordered)) + 1 }
+
+// grow orders more where more are wanted.
+func (p *Planner) grow(targets Book, now time.Time) []Order {
+	var orders []Order
+	for _, name := range p.names() {
+		h := p.hall(name)
+		for k := range kinds {
+			wanted, ordered := p.within(name, k, targets), p.ordered[name][k]
+			if !h.refused[k] && wanted-ordered >= least(ordered) {
+				h.grown[k] = now
+				orders = append(orders, p.order(name, k, wanted))
+			}
+		}
+	}
+	return orders
+}
+
+// shrink gives up servers that are not wanted, once those wanted in their place are there:
+// a few at a time, the dearest first.
+func (p *Planner) shrink(targets Book, now time.Time) []Order {
+	ready, wanted := 0, 0
+	for _, name := range p.names() {
+		ready += p.hall(name).ready.Sum()
+		wanted += targets[name].Sum()
+	}
+	spare := min(ready-wanted, int(shrinkShare*float64(ready))+1)
+	swaps := int(swapShare*float64(ready)) + 1
+	if now.Sub(p.shrunk) < shrinkEvery {
+		return nil
+	}
+	if !p.over(Spot, targets) {
+		p.spotOver = now
+	}
+	var orders []Order
+	for _, k := range []Kind{OnDemand, Spot} {
+		for _, name := range slices.Backward(p.names()) {
+			ordered := p.ordered[name][k]
+			over := ordered - targets[name][k]
+			if over <= 0 || over < least(ordered) && targets[name][k] > 0 {
+				continue
+			}
+			may := spare
+			switch {
+			case k == Spot && now.Sub(p.spotOver) < spotKept:
+				continue
+			case k == OnDemand && p.full(name, Spot, targets):
+				may = max(may, swaps)
+			}
+			if over = min(over, may); over <= 0 {
+				continue
+			}
+			spare, swaps = spare-over, swaps-over
+			p.shrunk, p.hall(name).shrunk[k] = now, now
+			orders = append(orders, p.order(name, k, p.ordered[name][k]-over))
+		}
+	}
+	return orders
+}
+
+// over tells whether more servers of a kind are ordered than wanted.
+func (p *Planner) over(k Kind, targets Book) bool {
+	ordered, wanted := 0, 0
+	for _, name := range p.names() {
+		ordered += p.ordered[name][k]
+		wanted += targets[name][k]
+	}
+	return ordered > wanted
+}
+
+// full tells whether a hall has no room for more of a kind though more are wanted.
+func (p *Planner) full(hall string, k Kind, targets Book) bool {
+	return !p.hall(hall).refused[k] && targets[hall][k] > p.ordered[hall][k] && p.ordered[hall].Sum() >= p.offer.Most
+}
+
+// order notes a number as ordered.
+func (p *Planner) order(hall string, k Kind, count int) Order {
+	ordered := p.ordered[hall]
+	o := Order{Service: p.service, Hall: hall, Kind: k, Count: count, Before: ordered[k]}
+	ordered[k] = count
+	p.ordered[hall] = ordered
+	return o
+}
+
+func (p *Planner) status(load Load, targets Book) Status {
+	s := Status{Load: load, Peak: p.forecast.Peak(), Targets: targets, Ready: make(Book), Leaving: make(Book)}
+	for name, h := range p.halls {
+		s.Ready[name], s.Leaving[name] = h.ready, h.leaving
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/duties/duties.go
@@ -0,0 +1,188 @@
+// Package duties does what the fleet has to do once, on the box that holds the lease:
+// it reports usage and orders servers. Each call is made only while the lease is held,
+// under its fence, and ends before the lease does.
+package duties
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/sourcegraph/conc"
+
+	"headhill.example/headhill/pkg/autoscale"
+	"headhill.example/headhill/pkg/lease"
+	"headhill.example/headhill/pkg/metering"
+)
+
+// Caller is the box that makes a call, and the fence that it holds.
+type Caller struct {
+	Box   string
+	Fence uint64
+}
+
+// Cloud is where the duties' calls go.
+type Cloud interface {
+	ReportUsage(ctx context.Context, by Caller, r metering.Report) error
+	// OrderServers returns a *NoneAvailableError where more servers can't be had at present.
+	OrderServers(ctx context.Context, by Caller, o autoscale.Order) error
+}
+
+// NoneAvailableError says that a hall has no more servers of a kind at present.
+type NoneAvailableError struct {
+	Hall string
+	Kind autoscale.Kind
+}
+
+func (e *NoneAvailableError) Error() string {
+	return fmt.Sprintf("no servers %s are available in hall %s at present: order elsewhere, or again later", e.Kind, e.Hall)
+}
+
+// Holder tells whether this box holds the lease, and has the duties' state written with it.
+type Holder interface {
+	Holding() (lease.Holding, bool)
+	Save() uint64
+	Saved() uint64
+}
+
+const (
+	// tick is how often the duties look whether something is due.
+	tick = 200 * time.Millisecond
+	// callMost bounds one call, callLeast is what must be left of the lease to begin one.
+	callMost  = time.Second
+	callLeast = 50 * time.Millisecond
+	// retryAfter is the pause after a call that failed.
+	retryAfter = 400 * time.Millisecond
+)
+
+// notHeldError ends a call for which this box has not the lease.
+type notHeldError struct{}
+
+func (notHeldError) Error() string { return "the lease is not held long enough: its holder calls" }
+
+// caller makes calls under the lease.
+type caller struct {
+	box    string
+	holder Holder
+}
+
+// call makes one call if the lease is held, and bounds it by the lease. The check of the
+// lease comes immediately before the call.
+func (c *caller) call(ctx context.Context, f func(context.Context, Caller) error) error {
+	h, ok := c.holder.Holding()
+	left := time.Until(h.Until)
+	if !ok || left < callLeast {
+		return notHeldError{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(left, callMost))
+	defer cancel()
+	return f(ctx, Caller{Box: c.box, Fence: h.Fence})
+}
+
+// Deps are what Duties are built on.
+type Deps struct {
+	Box    string
+	Holder Holder
+	Cloud  Cloud
+	// Reporter and Scaler are nil where the box has not that duty.
+	Reporter *Reporter
+	Scaler   *Scaler
+	Logger   log.Logger
+}
+
+// Duties runs the duties while this box holds the lease.
+type Duties struct{ Deps }
+
+// New returns duties that hold nothing yet.
+func New(d Deps) *Duties {
+	calls := &caller{box: d.Box, holder: d.Holder}
+	if d.Reporter != nil {
+		d.Reporter.attach(calls, d.Cloud, d.Logger)
+	}
+	if d.Scaler != nil {
+		d.Scaler.attach(calls, d.Cloud, d.Logger)
+	}
+	return &Duties{Deps: d}
+}
+
+// Run does the duties until ctx ends. Each has a loop of its own, so that a slow call of one
+// holds up no other.
+func (d *Duties) Run(ctx context.Context) {
+	var wg conc.WaitGroup
+	if d.Reporter != nil {
+		wg.Go(func() { d.every(ctx, d.Reporter.step) })
+	}
+	if d.Scaler != nil {
+		wg.Go(func() { d.every(ctx, d.Scaler.step) })
+	}
+	wg.Wait()
+}
+
+// every steps a duty while the lease is held.
+func (d *Duties) every(ctx context.Context, step func(context.Context)) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if _, ok := d.Holder.Holding(); ok {
+				step(ctx)
+			}
+		}
+	}
+}
+
+// state is what the duties hand on with the lease.
+type state struct {
+	Metering *metering.Ledger          `json:"metering,omitempty"`
+	Books    map[string]autoscale.Book `json:"books,omitempty"`
+}
+
+// State is what the next holder of the lease goes on from.
+func (d *Duties) State() []byte {
+	var s state
+	if d.Reporter != nil {
+		s.Metering = d.Reporter.Ledger()
+	}
+	if d.Scaler != nil {
+		s.Books = d.Scaler.Books()
+	}
+	// Plain structs always encode.
+	data, _ := json.Marshal(s)
+	return data
+}
+
+// Take goes on from what the holder before has left.
+func (d *Duties) Take(data []byte) {
+	var s state
+	if len(data) > 0 {
+		if err := json.Unmarshal(data, &s); err != nil {
+			_ = level.Error(d.Logger).Log("msg", "state of the duties not read", "err", err, "bytes", len(data), "outcome", "begun anew")
+			s = state{}
+		}
+	}
+	if d.Reporter != nil {
+		d.Reporter.take(s.Metering)
+	}
+	if d.Scaler != nil {
+		d.Scaler.take(s.Books)
+	}
+}
+
+// guarded is a value that several goroutines use.
+type guarded[T any] struct {
+	mu sync.Mutex
+	v  T
+}
+
+func (g *guarded[T]) with(f func(*T)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(&g.v)
+}
--- /dev/null
+++ b/pkg/duties/scaler.go
@@ -0,0 +1,183 @@
+package duties
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"headhill.example/headhill/pkg/autoscale"
+)
+
+// Service is what is known of one whose servers can be ordered.
+type Service struct {
+	Name    string
+	Offer   autoscale.Offer
+	Servers []autoscale.Server
+	Load    autoscale.Load
+}
+
+// ScalerDeps are what a Scaler is built on.
+type ScalerDeps struct {
+	// Services lists those whose servers can be ordered, as they are now.
+	Services func(now time.Time) []Service
+	Policy   autoscale.Policy
+}
+
+// Scaler orders servers.
+type Scaler struct {
+	ScalerDeps
+	calls  *caller
+	cloud  Cloud
+	logger log.Logger
+
+	planners guarded[map[string]*autoscale.Planner]
+	books    guarded[map[string]autoscale.Book]
+	status   guarded[map[string]autoscale.Status]
+	retryAt  time.Time
+	// logged is when the state of a service was last written to the log.
+	logged map[string]time.Time
+}
+
+// logEvery is how often the state of a service is logged though nothing is ordered.
+const logEvery = 5 * time.Second
+
+// NewScaler returns a scaler that has ordered nothing yet.
+func NewScaler(d ScalerDeps) *Scaler {
+	return &Scaler{ScalerDeps: d, logged: make(map[string]time.Time)}
+}
+
+func (s *Scaler) attach(calls *caller, cloud Cloud, logger log.Logger) {
+	s.calls, s.cloud, s.logger = calls, cloud, logger
+}
+
+// Books are what is ordered, by service.
+func (s *Scaler) Books() map[string]autoscale.Book {
+	var books map[string]autoscale.Book
+	s.books.with(func(b *map[string]autoscale.Book) { books = maps.Clone(*b) })
+	return books
+}
+
+// Status tells what the last plans rested on.
+func (s *Scaler) Status() map[string]autoscale.Status {
+	var status map[string]autoscale.Status
+	s.status.with(func(x *map[string]autoscale.Status) { status = maps.Clone(*x) })
+	return status
+}
+
+// take goes on from the books of the holder before.
+func (s *Scaler) take(books map[string]autoscale.Book) {
+	s.books.with(func(b *map[string]autoscale.Book) { *b = maps.Clone(books) })
+	s.planners.with(func(p *map[string]*autoscale.Planner) { *p = nil })
+}
+
+// step plans each service and makes the orders.
+func (s *Scaler) step(ctx context.Context) {
+	now := time.Now()
+	if now.Before(s.retryAt) {
+		return
+	}
+	for _, service := range s.Services(now) {
+		p := s.planner(service.Name, now)
+		orders, status := p.Plan(service.Offer, service.Servers, service.Load, now)
+		s.log(service.Name, len(orders) > 0, status, now)
+		s.make(ctx, p, orders)
+		s.note(service.Name, p.Book(), status)
+	}
+}
+
+func (s *Scaler) planner(service string, now time.Time) *autoscale.Planner {
+	books := s.Books()
+	var planner *autoscale.Planner
+	s.planners.with(func(p *map[string]*autoscale.Planner) {
+		if *p == nil {
+			*p = make(map[string]*autoscale.Planner)
+		}
+		if (*p)[service] == nil {
+			(*p)[service] = autoscale.NewPlanner(service, s.Policy, books[service], now)
+		}
+		planner = (*p)[service]
+	})
+	return planner
+}
+
+// make makes orders. Those after one that failed are planned again.
+func (s *Scaler) make(ctx context.Context, p *autoscale.Planner, orders []autoscale.Order) {
+	failed := false
+	for _, o := range orders {
+		if failed {
+			p.Undo(o)
+			continue
+		}
+		err := s.order(ctx, p, o)
+		var none *NoneAvailableError
+		failed = err != nil && !errors.As(err, &none)
+	}
+	if failed {
+		s.retryAt = time.Now().Add(retryAfter)
+	}
+}
+
+func (s *Scaler) order(ctx context.Context, p *autoscale.Planner, o autoscale.Order) error {
+	begun := time.Now()
+	var by Caller
+	err := s.calls.call(ctx, func(ctx context.Context, c Caller) error {
+		by = c
+		return s.cloud.OrderServers(ctx, c, o)
+	})
+	now := time.Now()
+	var none *NoneAvailableError
+	outcome := "ordered"
+	switch {
+	case errors.As(err, &none):
+		p.Refused(o, now)
+		outcome = "ordered elsewhere"
+	case err != nil:
+		p.Undo(o)
+		outcome = "planned again"
+	}
+	_ = level.Info(s.logger).Log("msg", "servers ordered", "service", o.Service, "hall", o.Hall, "kind", o.Kind, "count", o.Count, "before", o.Before,
+		"fence", by.Fence, "after", now.Sub(begun), "outcome", outcome, "err", err)
+	return err
+}
+
+func (s *Scaler) note(service string, book autoscale.Book, status autoscale.Status) {
+	s.books.with(func(b *map[string]autoscale.Book) {
+		if *b == nil {
+			*b = make(map[string]autoscale.Book)
+		}
+		(*b)[service] = book
+	})
+	s.status.with(func(x *map[string]autoscale.Status) {
+		if *x == nil {
+			*x = make(map[string]autoscale.Status)
+		}
+		(*x)[service] = status
+	})
+}
+
+// log tells what a plan rested on: with each order, and now and then without.
+func (s *Scaler) log(service string, ordered bool, status autoscale.Status, now time.Time) {
+	if !ordered && now.Sub(s.logged[service]) < logEvery {
+		return
+	}
+	s.logged[service] = now
+	_ = level.Info(s.logger).Log("msg", "servers planned", "service", service, "speed", math.Round(status.Load.Speed), "busy", fmt.Sprintf("%.1f", status.Load.Busy), "known", status.Load.Known,
+		"peak", fmt.Sprintf("%.1f", status.Peak), "wanted", text(status.Targets), "ready", text(status.Ready), "leaving", text(status.Leaving))
+}
+
+// text writes the servers of each hall as "hall:on demand+spot".
+func text(b autoscale.Book) string {
+	var list []string
+	for _, hall := range slices.Sorted(maps.Keys(b)) {
+		list = append(list, fmt.Sprintf("%s:%d+%d", hall, b[hall][autoscale.OnDemand], b[hall][autoscale.Spot]))
+	}
+	return strings.Join(list, ",")
+}
--- a/pkg/logflags/logflags.go
+++ b/pkg/logflags/logflags.go
@@ -25,10 +25,11 @@
 	Gateway   = "gateway"
 	Directory = "directory"
 	Balancer  = "balancer"
+	Duties    = "duties"
 	allOutput = "all"
 )
 
-var subsystems = []string{Entry, Shard, Backend, Claims, Config, Peer, Platform, Admin, Box, Gateway, Directory, Balancer}
+var subsystems = []string{Entry, Shard, Backend, Claims, Config, Peer, Platform, Admin, Box, Gateway, Directory, Balancer, Duties}
 
 // UnknownSubsystemError says that a switch names no subsystem.
 type UnknownSubsystemError struct{ Name string }
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -20,7 +20,9 @@
 	"headhill.example/headhill/pkg/balancer"
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/duties"
 	"headhill.example/headhill/pkg/gateway"
+	"headhill.example/headhill/pkg/lease"
 	"headhill.example/headhill/pkg/loadshare"
 	"headhill.example/headhill/pkg/logflags"
 	"headhill.example/headhill/pkg/readiness"
@@ -62,6 +64,10 @@
 	Source func(StoreAccess) directory.Source
 	// Roster returns where boxes enter themselves.
 	Roster func(StoreAccess) roster.Store
+	// Lease returns where the lease of the fleet's duties is kept.
+	Lease func(StoreAccess) lease.Store
+	// Cloud returns where the duties' calls go.
+	Cloud func(address func() string) duties.Cloud
 }
 
 // Daemon is one routing box.
@@ -78,6 +84,7 @@
 	sweeper   *roster.Sweeper
 	snapshots *snapshot.Client
 	upstream  *upstream.Client
+	duties    *fleetDuties
 	budget    *retry.Budget
 	calls     *storeCalls
 	gateway   *gateway.Gateway
@@ -129,11 +136,15 @@
 	d.sharer = loadshare.New(loadshare.Deps{
 		Box: s.Box.ID, Hall: s.Box.Hall, Port: d.peers, Balancer: balance, Entries: d.roster.Entries, Logger: peerLogger,
 	})
+	d.duties = newFleetDuties(d, a, access, balance, logs.For(logflags.Duties))
+	if err := metrics.AddGauges(d.duties.gauges()...); err != nil {
+		return nil, oops.In("telemetry").Wrap(err)
+	}
 	d.budget = retry.NewBudget(d.retryLimits())
 	d.roster.OnChange(d.setShares)
 	d.gateway = gateway.New(gateway.Deps{
 		Protocol: a.Protocol, Directory: d.directory, Balancer: balance,
-		Budget: d.budget, Upstream: d.upstream, Recorder: recorder{metrics}, Logger: logs.For(logflags.Gateway),
+		Budget: d.budget, Upstream: d.upstream, Recorder: recorder{metrics}, Usage: d.duties, Logger: logs.For(logflags.Gateway),
 		Hall: s.Box.Hall, Stop: d.stop.Load,
 		Bounds: gateway.Bounds{
 			Requests: int64(s.Limits.MemoryMB) * requestsPerMB,
@@ -209,6 +220,7 @@
 func (d *Daemon) setShares() {
 	d.budget.SetLimits(d.retryLimits())
 	d.calls.rates.SetBudget(d.settings.Load().Rates.Share(d.roster.Count()))
+	d.duties.orderChanged()
 }
 
 // retryLimits gives this box its part of the fleet's slack.
@@ -265,6 +277,7 @@
 	for _, f := range []func(){
 		d.follow,
 		func() { d.sharer.Run(d.ctx) },
+		func() { d.duties.run(d.ctx) },
 		d.peers.Listen,
 		func() { d.upstream.Run(d.ctx) },
 		func() {
--- /dev/null
+++ b/pkg/routerd/fleetduties.go
@@ -0,0 +1,293 @@
+package routerd
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/sourcegraph/conc"
+
+	"headhill.example/headhill/pkg/autoscale"
+	"headhill.example/headhill/pkg/balancer"
+	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/duties"
+	"headhill.example/headhill/pkg/fleetclock"
+	"headhill.example/headhill/pkg/lease"
+	"headhill.example/headhill/pkg/metering"
+	"headhill.example/headhill/pkg/roster"
+	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/telemetry"
+)
+
+// collectors is how many boxes collect what all have counted: two may die at once with one
+// that holds the lease without a loss.
+const collectors = 3
+
+// handOverTime bounds the handing over of the lease at a planned stop.
+const handOverTime = 500 * time.Millisecond
+
+// fleetDuties is what a box does for the duties that the fleet has once. Where the settings
+// name none it does nothing.
+type fleetDuties struct {
+	settings  DutySettings
+	roster    *roster.Roster
+	directory *directory.Directory
+	balancer  *balancer.Balancer
+	logger    log.Logger
+
+	clock     *fleetclock.Clock
+	counter   *metering.Counter
+	collector *metering.Collector
+	teller    *metering.Teller
+	keeper    *lease.Keeper
+	duties    *duties.Duties
+	reporter  *duties.Reporter
+	scaler    *duties.Scaler
+
+	mu sync.Mutex
+	// names are the organisations of the table of a version, and of those before.
+	names        map[metering.OrganisationKey]string
+	namesVersion uint64
+}
+
+// newFleetDuties puts the parts together. Nothing runs before run.
+func newFleetDuties(d *Daemon, a Adapter, access StoreAccess, balance *balancer.Balancer, logger log.Logger) *fleetDuties {
+	s := d.settings.Load()
+	f := &fleetDuties{
+		settings: s.Duties, roster: d.roster, directory: d.directory, balancer: balance, logger: logger,
+		clock: fleetclock.New(), collector: metering.NewCollector(), names: make(map[metering.OrganisationKey]string),
+	}
+	f.counter = metering.NewCounter(s.Duties.Window, f.clock.Now)
+	if !f.any() {
+		return f
+	}
+	f.teller = metering.NewTeller(metering.TellerDeps{
+		Box: s.Box.ID, Incarnation: d.roster.Incarnation(), Port: d.peers, Counter: f.counter, Collector: f.collector, Clock: f.clock,
+		Collecting: f.collecting, Logger: logger,
+	})
+	f.keeper = lease.NewKeeper(lease.Deps{
+		Box: s.Box.ID, Incarnation: d.roster.Incarnation(), Timing: lease.TimingOf(s.Duties.Lease),
+		Store: a.Lease(access), Port: d.peers, Peers: d.roster.Peers, Rank: d.roster.Rank, Alone: func() bool { return d.roster.Count() == 1 },
+		State: f.state, OnTaken: f.taken, Told: f.told, OnTold: f.onTold, OnHolder: f.onHolder, Logger: logger,
+	})
+	if s.Duties.Has(DutyMetering) {
+		f.reporter = duties.NewReporter(duties.ReporterDeps{Length: s.Duties.Window, Clock: f.clock.Now, Collector: f.collector, Names: f.organisations})
+	}
+	if s.Duties.Has(DutyAutoscale) {
+		f.scaler = duties.NewScaler(duties.ScalerDeps{Services: f.services, Policy: autoscale.ExpectedLoss{Value: s.Duties.WorkValue}})
+	}
+	address := func() string { return d.settings.Load().Duties.Address }
+	f.duties = duties.New(duties.Deps{Box: s.Box.ID, Holder: f.keeper, Cloud: a.Cloud(address), Reporter: f.reporter, Scaler: f.scaler, Logger: logger})
+	return f
+}
+
+// any tells whether the fleet has duties that this program knows.
+func (f *fleetDuties) any() bool {
+	return f.settings.Has(DutyMetering) || f.settings.Has(DutyAutoscale)
+}
+
+// run does the duties while this box holds the lease, until ctx ends.
+func (f *fleetDuties) run(ctx context.Context) {
+	if !f.any() {
+		return
+	}
+	var wg conc.WaitGroup
+	wg.Go(func() { f.teller.Run(ctx) })
+	wg.Go(func() { f.keeper.Run(ctx) })
+	wg.Go(func() { f.duties.Run(ctx) })
+	wg.Wait()
+}
+
+// handOver gives the lease up, as the box stops.
+func (f *fleetDuties) handOver() {
+	if !f.any() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTime)
+	defer cancel()
+	f.keeper.Stop(ctx)
+}
+
+// orderChanged tells that the boxes, or their order, may have changed.
+func (f *fleetDuties) orderChanged() {
+	if f.any() {
+		f.keeper.Wake()
+	}
+}
+
+// flush tells what was counted, as the box ends.
+func (f *fleetDuties) flush() {
+	if f.any() {
+		f.teller.Flush()
+	}
+}
+
+// Begun implements gateway.Usage.
+func (f *fleetDuties) Begun(organisation string, at time.Time) {
+	if f.settings.Has(DutyMetering) {
+		f.counter.Begun(organisation, at)
+	}
+}
+
+// state and taken hand on what lasts with the lease.
+func (f *fleetDuties) state() []byte { return f.duties.State() }
+
+func (f *fleetDuties) taken(state []byte) { f.duties.Take(state) }
+
+// told is the estimate of true time, which the holder tells the others.
+func (f *fleetDuties) told() []byte {
+	return binary.BigEndian.AppendUint64(nil, uint64(f.clock.Tell(time.Now())))
+}
+
+func (f *fleetDuties) onTold(told []byte, received time.Time) {
+	if len(told) != 8 {
+		_ = level.Debug(f.logger).Log("msg", "time of the holder dropped", "bytes", len(told))
+		return
+	}
+	f.clock.Told(int64(binary.BigEndian.Uint64(told)), received)
+}
+
+// onHolder tells a new holder all that was counted, if it did not collect until now.
+func (f *fleetDuties) onHolder(box string) {
+	for i, e := range f.roster.Ordered() {
+		if e.Box == box && i >= collectors {
+			f.teller.TellAll()
+		}
+	}
+}
+
+// collecting are the boxes that collect: the first few in order, and the holder.
+func (f *fleetDuties) collecting() []*net.UDPAddr {
+	holder := f.keeper.Holder()
+	var list []*net.UDPAddr
+	for i, e := range f.roster.Ordered() {
+		if e.Box == f.teller.Box || i >= collectors && e.Box != holder {
+			continue
+		}
+		if a := e.Address(); a != nil {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// organisations are all that the table has or had, by their keys.
+func (f *fleetDuties) organisations() map[metering.OrganisationKey]string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.directory.View().Table
+	if t == nil || t.Version == f.namesVersion {
+		return f.names
+	}
+	for _, o := range t.Organisations() {
+		f.names[metering.KeyOf(o.Name)] = o.Name
+	}
+	f.namesVersion = t.Version
+	return f.names
+}
+
+// services are those whose servers can be ordered, as they are now.
+func (f *fleetDuties) services(now time.Time) []duties.Service {
+	v := f.directory.View()
+	if v.Table == nil {
+		return nil
+	}
+	var list []duties.Service
+	for _, s := range v.Table.Services() {
+		if s.Scaling == nil {
+			continue
+		}
+		servers := v.Listed(s.Name)
+		list = append(list, duties.Service{
+			Name: s.Name, Offer: offerOf(s.Scaling), Servers: scaledServers(servers), Load: loadOf(s, f.balancer.Workload(s.Name, servers, now), len(servers)),
+		})
+	}
+	return list
+}
+
+func offerOf(s *routing.Scaling) autoscale.Offer {
+	return autoscale.Offer{Least: s.Least, Most: s.Most, Boot: s.Boot, SpotPrice: s.SpotPrice, Prices: s.Prices}
+}
+
+func scaledServers(servers []routing.Server) []autoscale.Server {
+	list := make([]autoscale.Server, 0, len(servers))
+	for _, s := range servers {
+		k := autoscale.OnDemand
+		if s.Spot {
+			k = autoscale.Spot
+		}
+		list = append(list, autoscale.Server{Hall: s.Hall, Kind: k, Leaving: s.Leaving})
+	}
+	return list
+}
+
+// loadOf is how many servers would be busy all the time: with prefills, or with places taken,
+// whichever are more.
+func loadOf(s routing.Service, w balancer.Workload, servers int) autoscale.Load {
+	if servers == 0 || w.Slots == 0 {
+		return autoscale.Load{}
+	}
+	l := autoscale.Load{Busy: float64(w.Running) * float64(servers) / float64(w.Slots), Known: true}
+	if !s.Engine {
+		return l
+	}
+	if w.Speed == 0 {
+		return autoscale.Load{}
+	}
+	l.Busy, l.Speed = max(l.Busy, w.Prefill/w.Speed), w.Speed
+	return l
+}
+
+// gauges show who holds the lease, what was reported, and the servers by hall and kind.
+func (f *fleetDuties) gauges() []telemetry.Gauge {
+	if !f.any() {
+		return nil
+	}
+	return []telemetry.Gauge{
+		{Name: "headhill_lease", Help: "The lease of the fleet's duties as this box knows it.", Attribute: "part", Observe: f.leaseGauge},
+		{Name: "headhill_usage_windows", Help: "Windows of usage: reported, waiting, calls that failed, and the last one's number.", Attribute: "part", Observe: f.usageGauge},
+		{Name: "headhill_ordered_servers", Help: "Servers wanted, ready and leaving, by service, hall and kind.", Attribute: "servers", Observe: f.serversGauge},
+	}
+}
+
+func (f *fleetDuties) leaseGauge() map[string]int64 {
+	s := f.keeper.Status()
+	held := int64(0)
+	if s.Mine {
+		held = 1
+	}
+	return map[string]int64{
+		"held": held, "fence": int64(s.Fence), "takings": int64(s.Takings), "renewals": int64(s.Renewals),
+		"failures": int64(s.Failures), "age_ms": s.SeenAge.Milliseconds(),
+	}
+}
+
+func (f *fleetDuties) usageGauge() map[string]int64 {
+	if f.reporter == nil {
+		return nil
+	}
+	s := f.reporter.Status()
+	return map[string]int64{"reported": int64(s.Reported), "waiting": int64(s.Waiting), "failed": int64(s.Failed), "last": int64(s.Last)}
+}
+
+func (f *fleetDuties) serversGauge() map[string]int64 {
+	values := make(map[string]int64)
+	if f.scaler == nil {
+		return values
+	}
+	for service, s := range f.scaler.Status() {
+		for state, book := range map[string]autoscale.Book{"wanted": s.Targets, "ready": s.Ready, "leaving": s.Leaving} {
+			for hall, n := range book {
+				for _, k := range []autoscale.Kind{autoscale.OnDemand, autoscale.Spot} {
+					values[fmt.Sprintf("%s %s %s %s", service, hall, k, state)] = int64(n[k])
+				}
+			}
+		}
+	}
+	return values
+}
--- a/pkg/routerd/settings.go
+++ b/pkg/routerd/settings.go
@@ -1,6 +1,7 @@
 package routerd
 
 import (
+	"slices"
 	"time"
 
 	"headhill.example/headhill/pkg/callrate"
@@ -18,6 +19,7 @@
 	Rates  callrate.Budget
 	Limits LimitSettings
 	Bounds BoundSettings
+	Duties DutySettings
 	Log    logflags.Settings
 }
 
@@ -55,6 +57,30 @@
 	RetryWindow time.Duration
 }
 
+// DutySettings are of what the fleet does once, on the box that holds the lease.
+type DutySettings struct {
+	// Address is where the duties' calls go, "" where the fleet has no duties.
+	Address string
+	// Held names the duties that the fleet has.
+	Held []string
+	// Lease is the length of the lease.
+	Lease time.Duration
+	// Window is the length of a window whose usage is reported.
+	Window time.Duration
+	// WorkValue is what the work of a server that is busy all the time is worth, as a multiple
+	// of the price of one on demand.
+	WorkValue float64
+}
+
+// Names of duties.
+const (
+	DutyMetering  = "metering"
+	DutyAutoscale = "autoscale"
+)
+
+// Has tells whether the fleet has a duty.
+func (d DutySettings) Has(duty string) bool { return d.Address != "" && slices.Contains(d.Held, duty) }
+
 // DefaultSettings returns the settings that stand where the file says nothing.
 func DefaultSettings() Settings {
 	return Settings{
@@ -65,7 +91,8 @@
 			Drain: 2 * time.Second, Apply: 2 * time.Second, Grace: 8 * time.Second,
 			RetryRatio: 0.1, RetrySlack: 20, RetryWindow: 10 * time.Second,
 		},
-		Log: logflags.DefaultSettings(),
+		Duties: DutySettings{Lease: 3 * time.Second, Window: 5 * time.Second, WorkValue: 12},
+		Log:    logflags.DefaultSettings(),
 	}
 }
 
@@ -86,6 +113,7 @@
 	readStore(f.Section("store"), &s)
 	readLimits(f.Section("limits"), &s.Limits)
 	readBounds(f.Section("bounds"), &s.Bounds)
+	readDuties(f.Section("duties"), &s.Duties)
 	s.Log.Read(f.Section("log"))
 	return s, f.Done()
 }
@@ -130,3 +158,12 @@
 	s.Duration("retry-window", &b.RetryWindow, 100*time.Millisecond, time.Hour)
 	s.Done()
 }
+
+func readDuties(s *inifile.Section, d *DutySettings) {
+	s.AddrPort("address", &d.Address, false)
+	s.List("held", &d.Held)
+	s.Duration("lease", &d.Lease, 500*time.Millisecond, time.Minute)
+	s.Duration("window", &d.Window, time.Second, time.Hour)
+	s.Float("work-value", &d.WorkValue, 0, 1e6)
+	s.Done()
+}
--- a/pkg/routerd/stop.go
+++ b/pkg/routerd/stop.go
@@ -32,6 +32,7 @@
 	// elsewhere with the next request.
 	d.connections.closeResting()
 	_ = level.Info(d.logger).Log("msg", "stopping", "in_progress", d.gateway.Running())
+	d.duties.handOver()
 	d.waitUntilIdle(begun.Add(min(noticeTime, time.Until(end))), end)
 	left := d.gateway.Running()
 	d.gateway.GiveUp()
@@ -39,6 +40,7 @@
 	defer cancel()
 	_ = d.callerPort.Close()
 	d.connections.closeAll(ctx)
+	d.duties.flush()
 	d.roster.Leave(ctx)
 	d.cancel()
 	_ = d.callers.Close()
