balancer: a speed of engines is believed from ten prefills on

Cause: after all processes were killed the first boxes know no caches, and took a prefill of a cached prompt for one of 280,786 tokens a second (37,431 a second later, 27,000 in truth), so that the load seemed a tenth of what it was.

--- a/pkg/balancer/lanes.go
+++ b/pkg/balancer/lanes.go
@@ -52,9 +52,13 @@
 	}
 }
 
-// speed is the mean speed, zero where none was seen.
+// samplesLeast is how many prefills must have been seen for their mean speed to be believed.
+// Boxes that have just started do not know what is cached, so that prefills seem fast.
+const samplesLeast = 10
+
+// speed is the mean speed, zero where too little was seen.
 func (d Demand) speed() float64 {
-	if d.Samples == 0 {
+	if d.Samples < samplesLeast {
 		return 0
 	}
 	return d.Speeds / float64(d.Samples)
