autoscale: cheaper servers are ordered while the list still grows; after a loss one more hall is in view

Cause: the first order waited until no server had come for 1.2 s, six seconds after the start, and 90 servers on demand stayed for that time; with one hall refused, the loss of both others was prepared for, which nothing but servers on demand survive.

--- a/pkg/autoscale/planner.go
+++ b/pkg/autoscale/planner.go
@@ -11,8 +11,8 @@
 	// probeEvery is how often a kind of server is asked for again in a hall after it could not
 	// be had, or was taken away there.
 	probeEvery = 1500 * time.Millisecond
-	// findTime is for how long no server must have come before a planner orders anything: at
-	// the start of a fleet, and of a box, the list grows for seconds.
+	// findTime is for how long no server must have come before a planner gives any up: at the
+	// start of a fleet, and of a box, the list grows for seconds.
 	findTime = 1200 * time.Millisecond
 	// stepShare is the least change that is ordered, as a part of what is ordered: each order
 	// is a call, and each server that comes or goes is told to all boxes.
@@ -48,6 +48,15 @@
 	return n
 }
 
+// onDemand is the number of servers on demand.
+func (b Book) onDemand() int {
+	n := 0
+	for _, k := range b {
+		n += k[OnDemand]
+	}
+	return n
+}
+
 // Planner plans the orders of one service. It keeps what was ordered and what was refused.
 type Planner struct {
 	service string
@@ -121,7 +130,9 @@
 	}
 	p.noteLosses(now)
 	if p.finding(now) {
-		return nil, p.status(load, p.ordered)
+		// Cheaper servers may be ordered already; nothing is given up.
+		targets := p.targets(now, false)
+		return p.grow(targets, now), p.status(load, targets)
 	}
 	if load.Known {
 		p.learned = true
@@ -141,7 +152,7 @@
 	if p.foundAll {
 		return false
 	}
-	if ready := p.ready().sum(); ready > p.found || p.foundAt.IsZero() {
+	if ready := p.ready().onDemand(); ready > p.found || p.foundAt.IsZero() {
 		p.found, p.foundAt = ready, now
 	}
 	p.foundAll = now.Sub(p.foundAt) >= findTime
@@ -340,7 +351,7 @@
 			}
 			may := spare
 			switch {
-			case k == Spot && now.Sub(p.spotOver) < spotKept:
+			case k == Spot && (!p.learned || now.Sub(p.spotOver) < spotKept):
 				continue
 			case k == OnDemand && p.full(name, Spot, targets):
 				may = max(may, swaps)
--- a/pkg/autoscale/policy.go
+++ b/pkg/autoscale/policy.go
@@ -68,9 +68,9 @@
 	return q.Halls[hall].Price
 }
 
-// left is how many servers are left when the two halls with the most spot servers lose them
-// at once.
-func (t Targets) left() int {
+// left is how many servers are left when those halls lose their spot servers that have the most:
+// two halls at once, or one more where one has none to be had already.
+func (q *Question) left(t Targets) int {
 	n := t.Sum()
 	first, second := 0, 0
 	for _, p := range t {
@@ -81,9 +81,17 @@
 			second = p[Spot]
 		}
 	}
+	if q.spotRefused() {
+		return n - first
+	}
 	return n - first - second
 }
 
+// spotRefused tells whether any hall has no spot servers to be had at present.
+func (q *Question) spotRefused() bool {
+	return slices.ContainsFunc(q.Halls, func(h Hall) bool { return h.Refused[Spot] })
+}
+
 // ExpectedLoss orders a server as long as what it is expected to save is worth more than its
 // price.
 type ExpectedLoss struct {
@@ -111,7 +119,7 @@
 
 // cost is what is expected to be lost, in prices of a server on demand.
 func (e ExpectedLoss) cost(q *Question, t Targets) float64 {
-	now, then := late(q.Busy, t.Sum()), late(q.Busy, t.left())
+	now, then := late(q.Busy, t.Sum()), late(q.Busy, q.left(t))
 	gap := min(1, q.Reclaims*(q.Offer.Boot.Seconds()+gapMargin))
 	return e.Value * q.Busy * (now + gap*(then-now))
 }
