--- a/pkg/routerd/settings.go
+++ b/pkg/routerd/settings.go
@@ -91,7 +91,7 @@
 			Drain: 2 * time.Second, Apply: 2 * time.Second, Grace: 8 * time.Second,
 			RetryRatio: 0.1, RetrySlack: 20, RetryWindow: 10 * time.Second,
 		},
-		Duties: DutySettings{Lease: 3 * time.Second, Window: 5 * time.Second, WorkValue: 12},
+		Duties: DutySettings{Lease: 3 * time.Second, Window: 5 * time.Second, WorkValue: 20},
 		Log:    logflags.DefaultSettings(),
 	}
 }
