balancer, autoscale: prefixes are taken from servers that leave; room for servers on demand before a loss

Cause: a third of all servers is taken away at a notice of two seconds, with a third of all cached prefixes: their prompts were prefilled again in the very seconds in which servers were missing, the load rose from 85 to 137 busy servers. And a hall full of spot servers had no room for those on demand that were to be left after such a loss (wanted 24+36, there 8+52).

--- a/pkg/autoscale/planner.go
+++ b/pkg/autoscale/planner.go
@@ -31,7 +31,7 @@
 	spotKept = 15 * time.Second
 	// swapShare is the part of the servers that is given up though none is spare, where a hall
 	// that is full is to have servers of the other kind in their place.
-	swapShare = 0.02
+	swapShare = 0.03
 	// reclaimPrior is the time in which one reclaim is expected before any was seen.
 	reclaimPrior = 10.0
 )
@@ -350,16 +350,21 @@
 				continue
 			}
 			may := spare
-			switch {
-			case k == Spot && (!p.learned || now.Sub(p.spotOver) < spotKept):
-				continue
-			case k == OnDemand && p.full(name, Spot, targets):
-				may = max(may, swaps)
+			if k == Spot && (!p.learned || now.Sub(p.spotOver) < spotKept) {
+				may = 0
+			}
+			swapping := may <= 0 && p.full(name, 1-k, targets)
+			if swapping {
+				may = swaps
 			}
 			if over = min(over, may); over <= 0 {
 				continue
 			}
-			spare, swaps = spare-over, swaps-over
+			if swapping {
+				swaps -= over
+			} else {
+				spare -= over
+			}
 			p.shrunk, p.hall(name).shrunk[k] = now, now
 			orders = append(orders, p.order(name, k, p.ordered[name][k]-over))
 		}
@@ -377,12 +382,26 @@
 	return ordered > wanted
 }
 
-// full tells whether a hall has no room for more of a kind though more are wanted.
+// full tells whether a hall has no room for more of a kind though more are wanted. Where spot
+// servers were taken away, none are given up for others.
 func (p *Planner) full(hall string, k Kind, targets Book) bool {
 	h := p.hall(hall)
+	if k == OnDemand && p.spotRefused() {
+		return false
+	}
 	return !h.refused[k] && targets[hall][k] > p.ordered[hall][k] && h.ready.Sum() >= p.offer.Most
 }
 
+// spotRefused tells whether any hall has no spot servers to be had at present.
+func (p *Planner) spotRefused() bool {
+	for _, h := range p.halls {
+		if h.refused[Spot] {
+			return true
+		}
+	}
+	return false
+}
+
 // order notes a number as ordered.
 func (p *Planner) order(hall string, k Kind, count int) Order {
 	ordered := p.ordered[hall]
--- a/pkg/balancer/cost.go
+++ b/pkg/balancer/cost.go
@@ -75,6 +75,7 @@
 			p.source = *c
 		}
 	}
+	p.source = b.leavingSource(q, shared, p.source, now)
 	if q.Engine {
 		lanes := b.lanesOf(q.Service)
 		p.lane = lanes.laneOf(q, choices, now)
@@ -87,6 +88,21 @@
 	return p
 }
 
+// leavingSource is a server that is leaving, if it has prefilled more of the prefix than any
+// that stays: what is not taken from it before it is gone has to be prefilled again.
+func (b *Balancer) leavingSource(q Query, shared prefix, best choice, now time.Time) choice {
+	for i := range q.Leaving {
+		s, known := b.servers[KeyOf(q.Leaving[i].ID)]
+		if !known {
+			continue
+		}
+		if _, prefilled := s.cached.longest(shared, now); prefilled > best.prefilled {
+			best = choice{Server: &q.Leaving[i], state: s, prefilled: prefilled}
+		}
+	}
+	return best
+}
+
 // price works out the cost of a candidate.
 func (p *placing) price(c *choice) {
 	c.home = c.state == p.home
--- a/pkg/balancer/query.go
+++ b/pkg/balancer/query.go
@@ -15,6 +15,8 @@
 // Query says what a server is wanted for.
 type Query struct {
 	Candidates []routing.Server
+	// Leaving servers get no new work, but what they have cached can still be taken from them.
+	Leaving []routing.Server
 	// Hall is where the box stands.
 	Hall string
 	// Parts are those of the prompt, in order. The last one is the request's own.
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -66,6 +66,15 @@
 	return lost
 }
 
+// Leaving returns the servers of a service that get no new work and are still there. Callers
+// must not change the list.
+func (v *View) Leaving(service string) []routing.Server {
+	if p := v.pools[service]; p != nil {
+		return p.leaving
+	}
+	return nil
+}
+
 // Listed returns the servers of a service that the list has, leaving ones too.
 func (v *View) Listed(service string) []routing.Server {
 	p := v.pools[service]
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -154,6 +154,7 @@
 	view := x.gateway.Directory.View()
 	return balancer.Query{
 		Candidates: view.Candidates(x.service.Name, now, x.gateway.Bounds.Grace),
+		Leaving:    view.Leaving(x.service.Name),
 		Hall:       x.gateway.Hall,
 		Parts:      x.call.Parts,
 		Tokens:     x.call.PromptTokens,
