--- a/pkg/duties/duties.go
+++ b/pkg/duties/duties.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -17,6 +18,7 @@
 	"headhill.example/headhill/pkg/autoscale"
 	"headhill.example/headhill/pkg/lease"
 	"headhill.example/headhill/pkg/metering"
+	"headhill.example/headhill/pkg/pause"
 )
 
 // Caller is the box that makes a call, and the fence that it holds.
@@ -68,11 +70,15 @@
 type caller struct {
 	box    string
 	holder Holder
+	// underWay counts the calls that have begun and not ended.
+	underWay atomic.Int32
 }
 
 // call makes one call if the lease is held, and bounds it by the lease. The check of the
 // lease comes immediately before the call.
 func (c *caller) call(ctx context.Context, f func(context.Context, Caller) error) error {
+	c.underWay.Add(1)
+	defer c.underWay.Add(-1)
 	h, ok := c.holder.Holding()
 	left := time.Until(h.Until)
 	if !ok || left < callLeast {
@@ -95,7 +101,10 @@
 }
 
 // Duties runs the duties while this box holds the lease.
-type Duties struct{ Deps }
+type Duties struct {
+	Deps
+	calls *caller
+}
 
 // New returns duties that hold nothing yet.
 func New(d Deps) *Duties {
@@ -106,7 +115,21 @@
 	if d.Scaler != nil {
 		d.Scaler.attach(calls, d.Cloud, d.Logger)
 	}
-	return &Duties{Deps: d}
+	return &Duties{Deps: d, calls: calls}
+}
+
+// idleCheck is how often is looked whether a call is still under way.
+const idleCheck = 5 * time.Millisecond
+
+// AwaitIdle waits until no call is under way. It returns false if ctx ends before that.
+func (d *Duties) AwaitIdle(ctx context.Context) bool {
+	for d.calls.underWay.Load() > 0 {
+		if ctx.Err() != nil {
+			return false
+		}
+		pause.For(ctx, idleCheck)
+	}
+	return true
 }
 
 // Run does the duties until ctx ends. Each has a loop of its own, so that a slow call of one
--- a/pkg/duties/duties_test.go
+++ b/pkg/duties/duties_test.go
@@ -249,6 +249,23 @@
 	})
 }
 
+// A lease is handed over once no call is under way any more.
+func TestCallsUnderWayAreAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Deps{Box: "box", Holder: &holder{fence: 7, until: time.Now().Add(time.Hour)}, Logger: log.NewNopLogger()})
+		assert.True(t, d.AwaitIdle(context.Background()))
+		go d.calls.call(context.Background(), func(context.Context, Caller) error {
+			time.Sleep(300 * time.Millisecond)
+			return nil
+		})
+		synctest.Wait()
+		short, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		assert.False(t, d.AwaitIdle(short))
+		assert.True(t, d.AwaitIdle(context.Background()))
+	})
+}
+
 func TestOrdersAreHandedOn(t *testing.T) {
 	play(t, func(t *testing.T, cloud *cloudFake, start func() *box) {
 		a, b := start(), start()
--- a/pkg/lease/keeper.go
+++ b/pkg/lease/keeper.go
@@ -319,25 +319,40 @@
 // errReread ends a step whose write was refused, once the record has been read.
 var errReread = errors.New("another record was there: it was read")
 
-// Stop hands the lease over if this box holds it, and takes it no more.
-func (k *Keeper) Stop(ctx context.Context) {
+// Stop ends this box's holding, so that no call begins any more. The lease itself lapses,
+// unless HandOver follows. It returns whether the box held it.
+func (k *Keeper) Stop() bool {
 	k.mu.Lock()
-	k.stopped = true
+	defer k.mu.Unlock()
 	_, _, holding := k.elector.Holding(time.Now())
-	k.mu.Unlock()
-	if !holding {
-		return
-	}
+	k.stopped = true
+	return holding
+}
+
+// handOverTries is how often the handing over is written: a renewal that was under way may
+// have changed the record.
+const handOverTries = 2
+
+// HandOver gives the lease up after Stop, so that another box takes it at once. No call may be
+// under way any more: it would arrive after those of the next holder.
+func (k *Keeper) HandOver(ctx context.Context) {
 	state := k.State()
-	k.mu.Lock()
-	r, revision := k.elector.HandingOver(state), k.elector.Seen().Revision
-	k.elector.HandedOver(time.Now())
-	k.mu.Unlock()
-	s, err := k.write(ctx, r, revision)
-	_ = level.Info(k.Logger).Log("msg", "lease handed over", "err", err)
-	if err == nil {
-		k.tell(s)
+	err := errReread
+	for try := 0; try < handOverTries && errors.Is(err, errReread); try++ {
+		k.mu.Lock()
+		mine := k.elector.mine()
+		r, revision := k.elector.HandingOver(state), k.elector.Seen().Revision
+		k.elector.HandedOver(time.Now())
+		k.mu.Unlock()
+		if !mine {
+			return
+		}
+		var s Stored
+		if s, err = k.write(ctx, r, revision); err == nil {
+			k.tell(s)
+		}
 	}
+	_ = level.Info(k.Logger).Log("msg", "lease handed over", "err", err)
 }
 
 // fence is this box's own, zero if it does not hold the lease.
--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -66,7 +66,7 @@
 func split(hall string, round uint32, all work) []*loadpb.Loads {
 	list := []*loadpb.Loads{{Hall: hall, Round: round}}
 	for key, d := range all.demands {
-		list[0].Demands = append(list[0].Demands, &loadpb.Demand{Service: uint32(key), Interactive: uint32(d.Interactive), Bulk: uint32(d.Bulk), Speeds: d.Speeds, Samples: uint32(d.Samples)})
+		list[0].Demands = append(list[0].Demands, &loadpb.Demand{Service: uint32(key), Interactive: uint32(d.Interactive), Bulk: uint32(d.Bulk), Speeds: float32(d.Speeds), Samples: uint32(d.Samples)})
 	}
 	for key, l := range all.loads {
 		m := list[len(list)-1]
@@ -97,7 +97,7 @@
 	to := w.loads
 	for _, d := range m.GetDemands() {
 		w.demands[balancer.ServiceKey(d.GetService())] = balancer.Demand{
-			Interactive: float64(d.GetInteractive()), Bulk: float64(d.GetBulk()), Speeds: max(0, d.GetSpeeds()), Samples: bounded(d.GetSamples()),
+			Interactive: float64(d.GetInteractive()), Bulk: float64(d.GetBulk()), Speeds: float64(max(0, d.GetSpeeds())), Samples: bounded(d.GetSamples()),
 		}
 	}
 	for i, key := range m.GetServers() {
--- a/pkg/routerd/fleetduties.go
+++ b/pkg/routerd/fleetduties.go
@@ -108,9 +108,14 @@
 	if !f.any() {
 		return
 	}
+	if !f.keeper.Stop() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTime)
 	defer cancel()
-	f.keeper.Stop(ctx)
+	if f.duties.AwaitIdle(ctx) {
+		f.keeper.HandOver(ctx)
+	}
 }
 
 // orderChanged tells that the boxes, or their order, may have changed.
