--- a/pkg/metering/ledger.go
+++ b/pkg/metering/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"time"
 )
 
@@ -82,12 +81,3 @@
 		l.Closed = l.Closed[1:]
 	}
 }
-
-// sum is the number of requests of a report.
-func (r Report) sum() int {
-	n := 0
-	for c := range maps.Values(r.Counts) {
-		n += c
-	}
-	return n
-}
--- a/pkg/routerd/fleetduties.go
+++ b/pkg/routerd/fleetduties.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -20,8 +19,6 @@
 	"headhill.example/headhill/pkg/lease"
 	"headhill.example/headhill/pkg/metering"
 	"headhill.example/headhill/pkg/roster"
-	"headhill.example/headhill/pkg/routing"
-	"headhill.example/headhill/pkg/telemetry"
 )
 
 // collectors is how many boxes collect what all have counted: two may die at once with one
@@ -63,6 +60,9 @@
 		clock: fleetclock.New(), collector: metering.NewCollector(), names: make(map[metering.OrganisationKey]string),
 	}
 	f.counter = metering.NewCounter(s.Duties.Window, f.clock.Now)
+	for _, duty := range s.Duties.Unknown() {
+		_ = level.Warn(logger).Log("msg", "duty not known", "duty", duty, "outcome", "passed over; a newer version may know it")
+	}
 	if !f.any() {
 		return f
 	}
@@ -195,104 +195,3 @@
 	f.namesVersion = t.Version
 	return f.names
 }
-
-// services are those whose servers can be ordered, as they are now.
-func (f *fleetDuties) services(now time.Time) []duties.Service {
-	v := f.directory.View()
-	if v.Table == nil {
-		return nil
-	}
-	var list []duties.Service
-	for _, s := range v.Table.Services() {
-		if s.Scaling == nil {
-			continue
-		}
-		servers := v.Listed(s.Name)
-		list = append(list, duties.Service{
-			Name: s.Name, Offer: offerOf(s.Scaling), Servers: scaledServers(servers), Load: loadOf(s, f.balancer.Workload(s.Name, servers, now), len(servers)),
-		})
-	}
-	return list
-}
-
-func offerOf(s *routing.Scaling) autoscale.Offer {
-	return autoscale.Offer{Least: s.Least, Most: s.Most, Boot: s.Boot, SpotPrice: s.SpotPrice, Prices: s.Prices}
-}
-
-func scaledServers(servers []routing.Server) []autoscale.Server {
-	list := make([]autoscale.Server, 0, len(servers))
-	for _, s := range servers {
-		k := autoscale.OnDemand
-		if s.Spot {
-			k = autoscale.Spot
-		}
-		list = append(list, autoscale.Server{Hall: s.Hall, Kind: k, Leaving: s.Leaving})
-	}
-	return list
-}
-
-// loadOf is how many servers would be busy all the time: with prefills, or with places taken,
-// whichever are more.
-func loadOf(s routing.Service, w balancer.Workload, servers int) autoscale.Load {
-	if servers == 0 || w.Slots == 0 {
-		return autoscale.Load{}
-	}
-	l := autoscale.Load{Busy: float64(w.Running) * float64(servers) / float64(w.Slots), Known: true}
-	if !s.Engine {
-		return l
-	}
-	if w.Speed == 0 {
-		return autoscale.Load{}
-	}
-	l.Busy, l.Speed = max(l.Busy, w.Prefill/w.Speed), w.Speed
-	return l
-}
-
-// gauges show who holds the lease, what was reported, and the servers by hall and kind.
-func (f *fleetDuties) gauges() []telemetry.Gauge {
-	if !f.any() {
-		return nil
-	}
-	return []telemetry.Gauge{
-		{Name: "headhill_lease", Help: "The lease of the fleet's duties as this box knows it.", Attribute: "part", Observe: f.leaseGauge},
-		{Name: "headhill_usage_windows", Help: "Windows of usage: reported, waiting, calls that failed, and the last one's number.", Attribute: "part", Observe: f.usageGauge},
-		{Name: "headhill_ordered_servers", Help: "Servers wanted, ready and leaving, by service, hall and kind.", Attribute: "servers", Observe: f.serversGauge},
-	}
-}
-
-func (f *fleetDuties) leaseGauge() map[string]int64 {
-	s := f.keeper.Status()
-	held := int64(0)
-	if s.Mine {
-		held = 1
-	}
-	return map[string]int64{
-		"held": held, "fence": int64(s.Fence), "takings": int64(s.Takings), "renewals": int64(s.Renewals),
-		"failures": int64(s.Failures), "age_ms": s.SeenAge.Milliseconds(),
-	}
-}
-
-func (f *fleetDuties) usageGauge() map[string]int64 {
-	if f.reporter == nil {
-		return nil
-	}
-	s := f.reporter.Status()
-	return map[string]int64{"reported": int64(s.Reported), "waiting": int64(s.Waiting), "failed": int64(s.Failed), "last": int64(s.Last)}
-}
-
-func (f *fleetDuties) serversGauge() map[string]int64 {
-	values := make(map[string]int64)
-	if f.scaler == nil {
-		return values
-	}
-	for service, s := range f.scaler.Status() {
-		for state, book := range map[string]autoscale.Book{"wanted": s.Targets, "ready": s.Ready, "leaving": s.Leaving} {
-			for hall, n := range book {
-				for _, k := range []autoscale.Kind{autoscale.OnDemand, autoscale.Spot} {
-					values[fmt.Sprintf("%s %s %s %s", service, hall, k, state)] = int64(n[k])
-				}
-			}
-		}
-	}
-	return values
-}
--- /dev/null
+++ b/pkg/routerd/scaledservices.go
@@ -0,0 +1,62 @@
+package routerd
+
+import (
+	"time"
+
+	"headhill.example/headhill/pkg/autoscale"
+	"headhill.example/headhill/pkg/balancer"
+	"headhill.example/headhill/pkg/duties"
+	"headhill.example/headhill/pkg/routing"
+)
+
+// services are those whose servers can be ordered, as they are now.
+func (f *fleetDuties) services(now time.Time) []duties.Service {
+	v := f.directory.View()
+	if v.Table == nil {
+		return nil
+	}
+	var list []duties.Service
+	for _, s := range v.Table.Services() {
+		if s.Scaling == nil {
+			continue
+		}
+		servers := v.Listed(s.Name)
+		list = append(list, duties.Service{
+			Name: s.Name, Offer: offerOf(s.Scaling), Servers: scaledServers(servers), Load: loadOf(s, f.balancer.Workload(s.Name, servers, now), len(servers)),
+		})
+	}
+	return list
+}
+
+func offerOf(s *routing.Scaling) autoscale.Offer {
+	return autoscale.Offer{Least: s.Least, Most: s.Most, Boot: s.Boot, SpotPrice: s.SpotPrice, Prices: s.Prices}
+}
+
+func scaledServers(servers []routing.Server) []autoscale.Server {
+	list := make([]autoscale.Server, 0, len(servers))
+	for _, s := range servers {
+		k := autoscale.OnDemand
+		if s.Spot {
+			k = autoscale.Spot
+		}
+		list = append(list, autoscale.Server{Hall: s.Hall, Kind: k, Leaving: s.Leaving})
+	}
+	return list
+}
+
+// loadOf is how many servers would be busy all the time: with prefills, or with places taken,
+// whichever are more.
+func loadOf(s routing.Service, w balancer.Workload, servers int) autoscale.Load {
+	if servers == 0 || w.Slots == 0 {
+		return autoscale.Load{}
+	}
+	l := autoscale.Load{Busy: float64(w.Running) * float64(servers) / float64(w.Slots), Known: true}
+	if !s.Engine {
+		return l
+	}
+	if w.Speed == 0 {
+		return autoscale.Load{}
+	}
+	l.Busy, l.Speed = max(l.Busy, w.Prefill/w.Speed), w.Speed
+	return l
+}
--- a/pkg/routerd/settings.go
+++ b/pkg/routerd/settings.go
@@ -81,6 +81,11 @@
 // Has tells whether the fleet has a duty.
 func (d DutySettings) Has(duty string) bool { return d.Address != "" && slices.Contains(d.Held, duty) }
 
+// Unknown lists the duties that this program does not know.
+func (d DutySettings) Unknown() []string {
+	return slices.DeleteFunc(slices.Clone(d.Held), func(duty string) bool { return duty == DutyMetering || duty == DutyAutoscale })
+}
+
 // DefaultSettings returns the settings that stand where the file says nothing.
 func DefaultSettings() Settings {
 	return Settings{
--- a/pkg/routerd/settings_test.go
+++ b/pkg/routerd/settings_test.go
@@ -34,3 +34,19 @@
 		}
 	})
 }
+
+func TestDutySettings(t *testing.T) {
+	const box = "[box]\nid = a\nhall = b\n[store]\naddress = 192.0.2.1:7000\n"
+	s, err := ParseSettings([]byte(box))
+	require.NoError(t, err)
+	assert.False(t, s.Duties.Has(DutyMetering), "a fleet has no duties unless it is told where their calls go")
+	s, err = ParseSettings([]byte(box + "[duties]\naddress = 192.0.2.2:80\nheld = metering,autoscale,rotation\nlease = 3000ms\nwindow = 5s\n"))
+	require.NoError(t, err)
+	assert.True(t, s.Duties.Has(DutyMetering))
+	assert.True(t, s.Duties.Has(DutyAutoscale))
+	assert.Equal(t, []string{"rotation"}, s.Duties.Unknown())
+	_, err = ParseSettings([]byte(box + "[duties]\naddress = nowhere\nlease = 1ms\nwork-value = -1\n"))
+	var faults *inifile.Error
+	require.ErrorAs(t, err, &faults)
+	assert.Len(t, faults.Problems, 3)
+}
