duties: what was counted before the first holder is reported too

Cause: the ledger of a fleet began at the window in which the lease was first taken; boxes serve before that, up to two seconds later with a calm store. Ruled out: a lost message (the collector had the count: the unit test has no network).

--- a/pkg/duties/duties_test.go
+++ b/pkg/duties/duties_test.go
@@ -192,6 +192,19 @@
 	})
 }
 
+// What was counted before any box held the lease for the first time is reported too.
+func TestWindowsBeforeTheFirstHolderAreReported(t *testing.T) {
+	play(t, func(t *testing.T, cloud *cloudFake, start func() *box) {
+		b := start()
+		b.count(3)
+		time.Sleep(3 * windowLength)
+		b.hold(7, time.Hour, nil)
+		time.Sleep(windowLength)
+		require.NotEmpty(t, cloud.reported())
+		assert.Equal(t, map[string]int{"alpha": 3}, cloud.reported()[0].Counts)
+	})
+}
+
 // A report that failed is repeated to the letter, also by the next holder, and also if more
 // was heard of its window meanwhile.
 func TestReportIsRepeatedToTheLetter(t *testing.T) {
--- a/pkg/duties/reporter.go
+++ b/pkg/duties/reporter.go
@@ -102,7 +102,7 @@
 	var closed []metering.Report
 	skipped := 0
 	r.ledger.with(func(l *metering.Ledger) {
-		l.Begin(metering.WindowAt(now, r.Length))
+		l.Begin(r.first(now))
 		closed, skipped = l.Close(now, r.Length, r.total)
 	})
 	if skipped > 0 {
@@ -111,6 +111,16 @@
 	return len(closed) > 0
 }
 
+// first is where a ledger begins: at the first window in which anything was counted. Boxes
+// serve before one of them holds the lease for the first time.
+func (r *Reporter) first(now time.Time) metering.Window {
+	current := metering.WindowAt(now, r.Length)
+	if counted, ok := r.Collector.First(); ok {
+		return min(counted, current)
+	}
+	return current
+}
+
 // total is the content of a window.
 func (r *Reporter) total(w metering.Window) map[string]int {
 	total, boxes := r.Collector.Total(w)
--- a/pkg/metering/collector.go
+++ b/pkg/metering/collector.go
@@ -1,6 +1,8 @@
 package metering
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"headhill.example/headhill/pkg/metering/usagepb"
@@ -70,6 +72,16 @@
 	return total, len(c.windows[w])
 }
 
+// First is the earliest window in which anything was counted, if there is one.
+func (c *Collector) First() (Window, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.windows) == 0 {
+		return 0, false
+	}
+	return slices.Min(slices.Collect(maps.Keys(c.windows))), true
+}
+
 // Forget drops windows that are long over.
 func (c *Collector) Forget(now Window) {
 	c.mu.Lock()
