metering: a box that begins to collect is told the last windows

Cause: changes are told twice and a window that has ended for 1.1 s, to the boxes that are known to collect then. A box that knows the others only later, as one that starts beside a busy machine, had told its counts to nobody by then, and the holder closed the window without them. Ruled out: loss on the way (the counts of one box were missing as a whole).

--- a/pkg/metering/metering_test.go
+++ b/pkg/metering/metering_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"headhill.example/headhill/pkg/datagram"
+	"headhill.example/headhill/pkg/datagram/datagrampb"
+	"headhill.example/headhill/pkg/fleetclock"
 	"headhill.example/headhill/pkg/metering/usagepb"
 )
 
@@ -96,6 +101,42 @@
 	assert.Len(t, c.Changes(begin.Add(windowLength)), 1, "a window that has ended is told whole")
 }
 
+// A box that is known to collect only by now is told what was told to others before.
+func TestBoxThatBeginsToCollectIsToldAll(t *testing.T) {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	defer conn.Close()
+	counter := NewCounter(windowLength, trueTime)
+	var collecting []*net.UDPAddr
+	teller := NewTeller(TellerDeps{
+		Box: "a", Port: datagram.NewPort(datagram.Deps{Box: "a", Conn: conn, Logger: log.NewNopLogger()}), Counter: counter,
+		Collector: NewCollector(), Clock: fleetclock.New(), Logger: log.NewNopLogger(),
+		Collecting: func() []*net.UDPAddr { return collecting },
+	})
+	counter.Begun("alpha", time.Now())
+	for range 4 {
+		teller.tell(counter.Changes(time.Now()))
+	}
+	collecting = []*net.UDPAddr{conn.LocalAddr().(*net.UDPAddr)}
+	teller.last = time.Time{}
+	teller.tell(counter.Changes(time.Now()))
+	buffer := make([]byte, datagram.SizeMost)
+	counts := 0
+	for range 2 {
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(200*time.Millisecond)))
+		n, _, err := conn.ReadFrom(buffer)
+		if err != nil {
+			break
+		}
+		var e datagrampb.Envelope
+		m := &usagepb.Usage{}
+		require.NoError(t, proto.Unmarshal(buffer[:n], &e))
+		require.NoError(t, proto.Unmarshal(e.GetBody(), m))
+		counts += len(m.GetWindows())
+	}
+	assert.Equal(t, 1, counts)
+}
+
 func TestMessagesFitADatagram(t *testing.T) {
 	w := &usagepb.Window{Number: 1}
 	for i := range 2*entriesMost + 1 {
--- a/pkg/metering/teller.go
+++ b/pkg/metering/teller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/go-kit/log"
@@ -46,11 +47,14 @@
 	// whole asks for all counts to be told once.
 	whole chan struct{}
 	last  time.Time
+	// known are the addresses that were told before: one that is new lacks what was told until
+	// then.
+	known map[netip.AddrPort]bool
 }
 
 // NewTeller returns a teller that hears the port's messages from now on.
 func NewTeller(d TellerDeps) *Teller {
-	t := &Teller{TellerDeps: d, whole: make(chan struct{}, 1)}
+	t := &Teller{TellerDeps: d, whole: make(chan struct{}, 1), known: make(map[netip.AddrPort]bool)}
 	d.Port.Handle(kind, t.receive)
 	return t
 }
@@ -99,14 +103,41 @@
 		return
 	}
 	t.last = now
-	to := t.Collecting()
+	known, joined := t.recipients()
 	for _, part := range split(windows) {
-		m := &usagepb.Usage{Incarnation: t.Incarnation, WallMs: fleetclock.Wall(now), Windows: part}
-		t.Collector.Take(t.Box, m)
-		body, err := proto.Marshal(m)
-		if err != nil || !t.Port.Send(kind, body, to...) {
-			_ = level.Warn(t.Logger).Log("msg", "usage not told", "err", err, "bytes", len(body), "windows", len(part))
+		t.send(part, now, known)
+	}
+	if len(joined) == 0 {
+		return
+	}
+	for _, part := range split(t.Counter.Recent(now)) {
+		t.send(part, now, joined)
+	}
+}
+
+// recipients are the boxes that collect: those that were told before, and those that were not.
+func (t *Teller) recipients() (known, joined []*net.UDPAddr) {
+	addresses := make(map[netip.AddrPort]bool)
+	for _, a := range t.Collecting() {
+		address := datagram.AddrPortOf(a)
+		addresses[address] = true
+		if t.known[address] {
+			known = append(known, a)
+			continue
 		}
+		joined = append(joined, a)
+	}
+	t.known = addresses
+	return known, joined
+}
+
+// send sends counts, and takes them in here.
+func (t *Teller) send(windows []*usagepb.Window, now time.Time, to []*net.UDPAddr) {
+	m := &usagepb.Usage{Incarnation: t.Incarnation, WallMs: fleetclock.Wall(now), Windows: windows}
+	t.Collector.Take(t.Box, m)
+	body, err := proto.Marshal(m)
+	if err != nil || !t.Port.Send(kind, body, to...) {
+		_ = level.Warn(t.Logger).Log("msg", "usage not told", "err", err, "bytes", len(body), "windows", len(windows))
 	}
 }
 
