--- a/pkg/autoscale/planner.go
+++ b/pkg/autoscale/planner.go
@@ -196,7 +196,7 @@
 // Where a kind could not be had, the targets are without more of it, unless they are to tell
 // what to ask for again.
 func (p *Planner) targets(now time.Time, probing bool) Book {
-	q := Question{Offer: p.offer, Busy: p.forecast.Peak(), Reclaims: p.reclaimRate(now)}
+	in := Inputs{Offer: p.offer, Busy: p.forecast.Peak(), Reclaims: p.reclaimRate(now)}
 	names := p.names()
 	for _, name := range names {
 		h := p.hall(name)
@@ -204,13 +204,13 @@
 		for k := range kinds {
 			hall.Refused[k] = h.refused[k] && !(probing && h.probeDue(k, now))
 		}
-		q.Halls = append(q.Halls, hall)
+		in.Halls = append(in.Halls, hall)
 	}
 	targets := make(Book, len(names))
-	wanted := p.policy.Targets(q)
+	wanted := p.policy.Targets(in)
 	switch {
 	case !p.learned && p.adopted:
-		wanted = q.cheapest(p.found)
+		wanted = in.cheapest(p.found)
 	case !p.learned:
 		return maps.Clone(p.ordered)
 	}
--- a/pkg/autoscale/planner_test.go
+++ b/pkg/autoscale/planner_test.go
@@ -330,11 +330,11 @@
 }
 
 func BenchmarkTargets(b *testing.B) {
-	q := Question{Offer: offered(), Busy: 60, Reclaims: 0.05}
+	in := Inputs{Offer: offered(), Busy: 60, Reclaims: 0.05}
 	for _, h := range halls {
-		q.Halls = append(q.Halls, Hall{Name: h, Price: q.Offer.Prices[h]})
+		in.Halls = append(in.Halls, Hall{Name: h, Price: in.Offer.Prices[h]})
 	}
 	for b.Loop() {
-		expectedLoss().Targets(q)
+		expectedLoss().Targets(in)
 	}
 }
--- a/pkg/autoscale/policy.go
+++ b/pkg/autoscale/policy.go
@@ -15,8 +15,8 @@
 	Ready   PerKind
 }
 
-// Question is what a policy decides on.
-type Question struct {
+// Inputs are what a policy decides on.
+type Inputs struct {
 	// Halls are in the order of their prices.
 	Halls []Hall
 	Offer Offer
@@ -26,7 +26,7 @@
 	Reclaims float64
 }
 
-// Targets are the servers wanted, by the places of the halls in the question.
+// Targets are the servers wanted, by the places of the halls in the inputs.
 type Targets []PerKind
 
 // Sum is the number of all.
@@ -39,38 +39,38 @@
 }
 
 // Policy decides how many servers are wanted where.
-type Policy interface{ Targets(Question) Targets }
+type Policy interface{ Targets(Inputs) Targets }
 
 // most is how many servers of a kind may stand in a hall: those that are there where no more
 // can be had.
-func (q *Question) most(hall int, k Kind) int {
-	h := &q.Halls[hall]
-	if h.Refused[k] || k == Spot && q.Offer.SpotPrice == 0 {
-		return min(h.Ready[k], q.Offer.Most)
+func (in *Inputs) most(hall int, k Kind) int {
+	h := &in.Halls[hall]
+	if h.Refused[k] || k == Spot && in.Offer.SpotPrice == 0 {
+		return min(h.Ready[k], in.Offer.Most)
 	}
-	return q.Offer.Most
+	return in.Offer.Most
 }
 
 // room is how many servers may stand in a hall. Where spot servers can't be had at present, the
 // room of one is left to ask for them again.
-func (q *Question) room(hall int) int {
-	if q.Halls[hall].Refused[Spot] {
-		return q.Offer.Most - 1
+func (in *Inputs) room(hall int) int {
+	if in.Halls[hall].Refused[Spot] {
+		return in.Offer.Most - 1
 	}
-	return q.Offer.Most
+	return in.Offer.Most
 }
 
 // price is that of a server of a kind in a hall.
-func (q *Question) price(hall int, k Kind) float64 {
+func (in *Inputs) price(hall int, k Kind) float64 {
 	if k == Spot {
-		return q.Halls[hall].Price * q.Offer.SpotPrice
+		return in.Halls[hall].Price * in.Offer.SpotPrice
 	}
-	return q.Halls[hall].Price
+	return in.Halls[hall].Price
 }
 
 // left is how many servers are left when those halls lose their spot servers that have the most:
 // two halls at once, or one more where one has none to be had already.
-func (q *Question) left(t Targets) int {
+func (in *Inputs) left(t Targets) int {
 	n := t.Sum()
 	first, second := 0, 0
 	for _, p := range t {
@@ -81,15 +81,15 @@
 			second = p[Spot]
 		}
 	}
-	if q.spotRefused() {
+	if in.spotRefused() {
 		return n - first
 	}
 	return n - first - second
 }
 
 // spotRefused tells whether any hall has no spot servers to be had at present.
-func (q *Question) spotRefused() bool {
-	return slices.ContainsFunc(q.Halls, func(h Hall) bool { return h.Refused[Spot] })
+func (in *Inputs) spotRefused() bool {
+	return slices.ContainsFunc(in.Halls, func(h Hall) bool { return h.Refused[Spot] })
 }
 
 // ExpectedLoss orders a server as long as what it is expected to save is worth more than its
@@ -118,22 +118,22 @@
 }
 
 // cost is what is expected to be lost, in prices of a server on demand.
-func (e ExpectedLoss) cost(q *Question, t Targets) float64 {
-	now, then := late(q.Busy, t.Sum()), late(q.Busy, q.left(t))
-	gap := min(1, q.Reclaims*(q.Offer.Boot.Seconds()+gapMargin))
-	return e.Value * q.Busy * (now + gap*(then-now))
+func (e ExpectedLoss) cost(in *Inputs, t Targets) float64 {
+	now, then := late(in.Busy, t.Sum()), late(in.Busy, in.left(t))
+	gap := min(1, in.Reclaims*(in.Offer.Boot.Seconds()+gapMargin))
+	return e.Value * in.Busy * (now + gap*(then-now))
 }
 
 // Targets implements Policy. Halls have as many spot servers each, as those that lose them are
 // not known. Of all such numbers, and all numbers on demand beside them, it keeps what costs
 // least: the price and what is expected to be lost.
-func (e ExpectedLoss) Targets(q Question) Targets {
+func (e ExpectedLoss) Targets(in Inputs) Targets {
 	var best Targets
 	lowest := math.Inf(1)
-	for _, spot := range q.spotLevels() {
-		t := q.spotTargets(spot)
-		for more := true; more; more = q.addOnDemand(t) {
-			if cost := e.cost(&q, t) + q.total(t); cost < lowest {
+	for _, spot := range in.spotLevels() {
+		t := in.spotTargets(spot)
+		for more := true; more; more = in.addOnDemand(t) {
+			if cost := e.cost(&in, t) + in.total(t); cost < lowest {
 				best, lowest = slices.Clone(t), cost
 			}
 		}
@@ -145,20 +145,20 @@
 const levelsMost = 20
 
 // spotLevels are the numbers of spot servers in each hall that are compared.
-func (q *Question) spotLevels() []int {
-	if q.Offer.SpotPrice == 0 {
+func (in *Inputs) spotLevels() []int {
+	if in.Offer.SpotPrice == 0 {
 		return []int{0}
 	}
 	var levels []int
-	for n := 0; n < q.Offer.Most; n += q.Offer.Most/levelsMost + 1 {
+	for n := 0; n < in.Offer.Most; n += in.Offer.Most/levelsMost + 1 {
 		levels = append(levels, n)
 	}
-	return append(levels, q.Offer.Most)
+	return append(levels, in.Offer.Most)
 }
 
 // addOnDemand adds a server on demand. It returns false if no hall has room.
-func (q *Question) addOnDemand(t Targets) bool {
-	i := q.roomiest(t)
+func (in *Inputs) addOnDemand(t Targets) bool {
+	i := in.roomiest(t)
 	if i >= 0 {
 		t[i][OnDemand]++
 	}
@@ -167,24 +167,24 @@
 
 // spotTargets are so many spot servers in each hall that has them, and on demand what a hall
 // must have at the least.
-func (q *Question) spotTargets(spot int) Targets {
-	t := make(Targets, len(q.Halls))
+func (in *Inputs) spotTargets(spot int) Targets {
+	t := make(Targets, len(in.Halls))
 	for i := range t {
-		t[i][Spot] = min(spot, q.most(i, Spot))
-		t[i][OnDemand] = max(0, q.Offer.Least-t[i][Spot])
+		t[i][Spot] = min(spot, in.most(i, Spot))
+		t[i][OnDemand] = max(0, in.Offer.Least-t[i][Spot])
 	}
 	return t
 }
 
 // roomiest is the hall in which the next server on demand is ordered: the cheapest one with
 // room, but not twice as many as in another; -1 if there is none.
-func (q *Question) roomiest(t Targets) int {
+func (in *Inputs) roomiest(t Targets) int {
 	best := -1
 	for i := range t {
-		if t[i].Sum() >= q.room(i) || t[i][OnDemand] >= q.most(i, OnDemand) {
+		if t[i].Sum() >= in.room(i) || t[i][OnDemand] >= in.most(i, OnDemand) {
 			continue
 		}
-		if best < 0 || q.Halls[i].Price*float64(t[i][OnDemand]+1) < q.Halls[best].Price*float64(t[best][OnDemand]+1) {
+		if best < 0 || in.Halls[i].Price*float64(t[i][OnDemand]+1) < in.Halls[best].Price*float64(t[best][OnDemand]+1) {
 			best = i
 		}
 	}
@@ -192,11 +192,11 @@
 }
 
 // total is the price of all targets.
-func (q *Question) total(t Targets) float64 {
+func (in *Inputs) total(t Targets) float64 {
 	sum := 0.0
 	for i, p := range t {
 		for k := range kinds {
-			sum += float64(p[k]) * q.price(i, k)
+			sum += float64(p[k]) * in.price(i, k)
 		}
 	}
 	return sum
@@ -204,15 +204,15 @@
 
 // cheapest is a number of servers at the lowest price. If so many can't be had, it is as many
 // as can.
-func (q *Question) cheapest(count int) Targets {
+func (in *Inputs) cheapest(count int) Targets {
 	var best Targets
-	for _, spot := range q.spotLevels() {
-		t := q.spotTargets(spot)
+	for _, spot := range in.spotLevels() {
+		t := in.spotTargets(spot)
 		for more := true; more && t.Sum() < count; {
-			more = q.addOnDemand(t)
+			more = in.addOnDemand(t)
 		}
 		fuller := best == nil || min(t.Sum(), count) > best.Sum()
-		if fuller || t.Sum() >= count && q.total(t) < q.total(best) {
+		if fuller || t.Sum() >= count && in.total(t) < in.total(best) {
 			best = t
 		}
 	}
--- a/pkg/duties/scaler.go
+++ b/pkg/duties/scaler.go
@@ -88,7 +88,7 @@
 		p := s.planner(service.Name, now)
 		orders, status := p.Plan(service.Offer, service.Servers, service.Load, now)
 		s.log(service.Name, len(orders) > 0, status, now)
-		s.make(ctx, p, orders)
+		s.placeOrders(ctx, p, orders)
 		s.note(service.Name, p.Book(), status)
 	}
 }
@@ -108,15 +108,15 @@
 	return planner
 }
 
-// make makes orders. Those after one that failed are planned again.
-func (s *Scaler) make(ctx context.Context, p *autoscale.Planner, orders []autoscale.Order) {
+// placeOrders makes orders. Those after one that failed are planned again.
+func (s *Scaler) placeOrders(ctx context.Context, p *autoscale.Planner, orders []autoscale.Order) {
 	failed := false
 	for _, o := range orders {
 		if failed {
 			p.Undo(o)
 			continue
 		}
-		err := s.order(ctx, p, o)
+		err := s.placeOrder(ctx, p, o)
 		var none *NoneAvailableError
 		failed = err != nil && !errors.As(err, &none)
 	}
@@ -125,7 +125,7 @@
 	}
 }
 
-func (s *Scaler) order(ctx context.Context, p *autoscale.Planner, o autoscale.Order) error {
+func (s *Scaler) placeOrder(ctx context.Context, p *autoscale.Planner, o autoscale.Order) error {
 	begun := time.Now()
 	var by Caller
 	err := s.calls.call(ctx, func(ctx context.Context, c Caller) error {
