--- a/pkg/duties/reporter.go
+++ b/pkg/duties/reporter.go
@@ -111,14 +111,18 @@
 	return len(closed) > 0
 }
 
-// first is where a ledger begins: at the first window in which anything was counted. Boxes
-// serve before one of them holds the lease for the first time.
+// beginBack is how long before the first holding a ledger begins at the least: what other boxes
+// counted then is heard within a second.
+const beginBack = 3 * time.Second
+
+// first is where a ledger begins: at the first window in which anything was counted, or a
+// little back. Boxes serve before one of them holds the lease for the first time.
 func (r *Reporter) first(now time.Time) metering.Window {
-	current := metering.WindowAt(now, r.Length)
+	first := metering.WindowAt(now.Add(-beginBack), r.Length)
 	if counted, ok := r.Collector.First(); ok {
-		return min(counted, current)
+		return min(counted, first)
 	}
-	return current
+	return first
 }
 
 // total is the content of a window.
