--- a/pkg/autoscale/planner.go
+++ b/pkg/autoscale/planner.go
@@ -104,20 +104,20 @@
 	if p.foundAll {
 		return false
 	}
-	if ready := p.ready().onDemand(); ready > p.found || p.foundAt.IsZero() {
+	if ready := p.readyOnDemand(); ready > p.found || p.foundAt.IsZero() {
 		p.found, p.foundAt = ready, now
 	}
 	p.foundAll = now.Sub(p.foundAt) >= findTime
 	return !p.foundAll
 }
 
-// ready are the servers that stay, by hall.
-func (p *Planner) ready() Book {
-	b := make(Book, len(p.halls))
-	for name, h := range p.halls {
-		b[name] = h.ready
+// readyOnDemand is the number of servers on demand that stay.
+func (p *Planner) readyOnDemand() int {
+	n := 0
+	for _, h := range p.halls {
+		n += h.ready[OnDemand]
 	}
-	return b
+	return n
 }
 
 // count counts the servers listed.
@@ -206,14 +206,16 @@
 		}
 		in.Halls = append(in.Halls, hall)
 	}
-	targets := make(Book, len(names))
-	wanted := p.policy.Targets(in)
+	var wanted Targets
 	switch {
-	case !p.learned && p.adopted:
+	case p.learned:
+		wanted = p.policy.Targets(in)
+	case p.adopted:
 		wanted = in.cheapest(p.found)
-	case !p.learned:
-		return maps.Clone(p.ordered)
+	default:
+		return p.Book()
 	}
+	targets := make(Book, len(names))
 	for i, t := range wanted {
 		targets[names[i]] = t
 	}
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -228,13 +228,13 @@
 	}
 	long.Begun(now)
 	tellEachOther(one, two, now)
-	assert.Equal(t, Load{Running: 1, Memory: 28000}, two.other(two.servers[KeyOf(long.Server.ID)], now), "that it has begun is told as well")
+	assert.Equal(t, Load{Running: 1, Memory: 28000}, two.other(KeyOf(long.Server.ID), now), "that it has begun is told as well")
 	long.Done(ResultDone, now)
 	tellEachOther(one, two, now)
-	assert.Zero(t, two.other(two.servers[KeyOf(long.Server.ID)], now), "and its end")
+	assert.Zero(t, two.other(KeyOf(long.Server.ID), now), "and its end")
 	two.SetOthers(map[ServerKey]Load{KeyOf(long.Server.ID): {Backlog: 9000}}, nil, now)
-	assert.Equal(t, 9000, two.other(two.servers[KeyOf(long.Server.ID)], now).Backlog)
-	assert.Zero(t, two.other(two.servers[KeyOf(long.Server.ID)], now.Add(othersFor+time.Millisecond)), "others that fall silent are forgotten")
+	assert.Equal(t, 9000, two.other(KeyOf(long.Server.ID), now).Backlog)
+	assert.Zero(t, two.other(KeyOf(long.Server.ID), now.Add(othersFor+time.Millisecond)), "others that fall silent are forgotten")
 }
 
 // A box goes where another one has sent a prefix, and takes it from there when that
--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -78,7 +78,7 @@
 			continue
 		}
 		s := b.server(KeyOf(c.ID), now)
-		other := b.other(s, now)
+		other := b.other(s.key, now)
 		x := choice{Server: c, state: s, failures: s.health.failureShare(other, now), load: s.load().Plus(other)}
 		x.cached, x.prefilled = s.cached.longest(shared, now)
 		if now.Before(s.health.ejected) || x.ejectedByOthers(other, now) {
--- a/pkg/balancer/cost.go
+++ b/pkg/balancer/cost.go
@@ -93,6 +93,9 @@
 // third of 180 engines went in a burst, 0.961 in place of 0.947 of a day's requests were served
 // (one day each).
 func (b *Balancer) leavingSource(q Query, shared prefix, best choice, now time.Time) choice {
+	if best.prefilled >= shared.tokens {
+		return best
+	}
 	for i := range q.Leaving {
 		s, known := b.servers[KeyOf(q.Leaving[i].ID)]
 		if !known {
--- a/pkg/balancer/lanes.go
+++ b/pkg/balancer/lanes.go
@@ -19,7 +19,7 @@
 	laneMost = 0.6
 	// interactiveAwayCost is what an interactive request costs in the bulk lane,
 	// bulkAwayCost what another costs in the interactive lane, in tokens to prefill; both were
-	// chosen by rounds on the bench (docs/measurements/platform.md).
+	// chosen by measured rounds (docs/measurements/platform.md).
 	interactiveAwayCost = 6000.0
 	bulkAwayCost        = 20000.0
 	// demandTime is the time over which demand is averaged.
--- a/pkg/balancer/share.go
+++ b/pkg/balancer/share.go
@@ -117,7 +117,7 @@
 		if s.health.down(now) {
 			l.Down = 1
 		}
-		s.health.report(&l, b.other(s, now).Failing > 0, now)
+		s.health.report(&l, b.other(s.key, now).Failing > 0, now)
 		s.reported = l
 		if l != (Load{}) {
 			r.Loads[s.key] = l
@@ -149,12 +149,15 @@
 	}
 }
 
+// othersKnown tells whether the other boxes' word is still believed.
+func (b *Balancer) othersKnown(now time.Time) bool { return now.Sub(b.othersHeard) <= othersFor }
+
 // other is what the other boxes have a server do.
-func (b *Balancer) other(s *server, now time.Time) Load {
-	if now.Sub(b.othersHeard) > othersFor {
+func (b *Balancer) other(key ServerKey, now time.Time) Load {
+	if !b.othersKnown(now) {
 		return Load{}
 	}
-	return b.others[s.key]
+	return b.others[key]
 }
 
 // publishLoad passes on a change of a server's load that is large enough, and each return
--- a/pkg/balancer/workload.go
+++ b/pkg/balancer/workload.go
@@ -26,20 +26,17 @@
 	var w Workload
 	if l, ok := b.lanes[ServiceKeyOf(service)]; ok {
 		d := l.report(now)
-		if now.Sub(b.othersHeard) <= othersFor {
+		if b.othersKnown(now) {
 			d = d.Plus(l.others)
 		}
 		w.Prefill, w.Speed = d.Interactive+d.Bulk, d.speed()
 	}
 	for i := range servers {
 		key := KeyOf(servers[i].ID)
-		s := b.servers[key]
-		if s != nil {
+		if s := b.servers[key]; s != nil {
 			w.Running += s.running
 		}
-		if now.Sub(b.othersHeard) <= othersFor {
-			w.Running += b.others[key].Running
-		}
+		w.Running += b.other(key, now).Running
 		w.Slots += servers[i].Slots
 	}
 	return w
--- a/pkg/duties/duties.go
+++ b/pkg/duties/duties.go
@@ -75,18 +75,19 @@
 }
 
 // call makes one call if the lease is held, and bounds it by the lease. The check of the
-// lease comes immediately before the call.
-func (c *caller) call(ctx context.Context, f func(context.Context, Caller) error) error {
+// lease comes immediately before the call. It returns under which fence the call was made.
+func (c *caller) call(ctx context.Context, f func(context.Context, Caller) error) (Caller, error) {
 	c.underWay.Add(1)
 	defer c.underWay.Add(-1)
 	h, ok := c.holder.Holding()
 	left := time.Until(h.Until)
 	if !ok || left < callLeast {
-		return notHeldError{}
+		return Caller{}, notHeldError{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(left, callMost))
 	defer cancel()
-	return f(ctx, Caller{Box: c.box, Fence: h.Fence})
+	by := Caller{Box: c.box, Fence: h.Fence}
+	return by, f(ctx, by)
 }
 
 // Deps are what Duties are built on.
--- a/pkg/duties/duties_test.go
+++ b/pkg/duties/duties_test.go
@@ -276,13 +276,14 @@
 		h := &holder{fence: 7, until: time.Now().Add(300 * time.Millisecond)}
 		c := &caller{box: "box", holder: h}
 		begun := time.Now()
-		err := c.call(context.Background(), func(ctx context.Context, _ Caller) error {
+		_, err := c.call(context.Background(), func(ctx context.Context, _ Caller) error {
 			<-ctx.Done()
 			return ctx.Err()
 		})
 		require.Error(t, err)
 		assert.LessOrEqual(t, time.Since(begun), 300*time.Millisecond)
-		assert.ErrorIs(t, c.call(context.Background(), func(context.Context, Caller) error { return nil }), notHeldError{})
+		_, err = c.call(context.Background(), func(context.Context, Caller) error { return nil })
+		assert.ErrorIs(t, err, notHeldError{})
 	})
 }
 
--- a/pkg/duties/reporter.go
+++ b/pkg/duties/reporter.go
@@ -130,7 +130,6 @@
 	total, boxes := r.Collector.Total(w)
 	names := r.Names()
 	counts := make(map[string]int, len(total))
-	sum := 0
 	for key, n := range total {
 		name, ok := names[key]
 		if !ok {
@@ -138,19 +137,16 @@
 			continue
 		}
 		counts[name] = n
-		sum += n
 	}
-	_ = level.Info(r.logger).Log("msg", "window closed", "window", w, "boxes", boxes, "organisations", len(counts), "requests", sum)
+	_ = level.Info(r.logger).Log("msg", "window closed", "window", w, "boxes", boxes, "organisations", len(counts), "requests", sum(counts))
 	return counts
 }
 
 // report reports one window.
 func (r *Reporter) report(ctx context.Context, due metering.Report) {
 	begun := time.Now()
-	var by Caller
-	err := r.calls.call(ctx, func(ctx context.Context, c Caller) error {
-		by = c
-		return r.cloud.ReportUsage(ctx, c, due)
+	by, err := r.calls.call(ctx, func(ctx context.Context, by Caller) error {
+		return r.cloud.ReportUsage(ctx, by, due)
 	})
 	now := time.Now()
 	if err != nil {
--- a/pkg/duties/scaler.go
+++ b/pkg/duties/scaler.go
@@ -127,10 +127,8 @@
 
 func (s *Scaler) placeOrder(ctx context.Context, p *autoscale.Planner, o autoscale.Order) error {
 	begun := time.Now()
-	var by Caller
-	err := s.calls.call(ctx, func(ctx context.Context, c Caller) error {
-		by = c
-		return s.cloud.OrderServers(ctx, c, o)
+	by, err := s.calls.call(ctx, func(ctx context.Context, by Caller) error {
+		return s.cloud.OrderServers(ctx, by, o)
 	})
 	now := time.Now()
 	var none *NoneAvailableError
--- a/pkg/lease/keeper.go
+++ b/pkg/lease/keeper.go
@@ -139,7 +139,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.wanted++
-	k.nudge()
+	k.Wake()
 	return k.wanted
 }
 
@@ -151,9 +151,7 @@
 }
 
 // Wake has the keeper look again what is due, as when the order of the boxes has changed.
-func (k *Keeper) Wake() { k.nudge() }
-
-func (k *Keeper) nudge() {
+func (k *Keeper) Wake() {
 	select {
 	case k.wake <- struct{}{}:
 	default:
--- a/pkg/lease/tell.go
+++ b/pkg/lease/tell.go
@@ -48,6 +48,6 @@
 	if changed {
 		k.OnHolder(s.Holder)
 		_ = level.Debug(k.Logger).Log("msg", "lease heard", "holder", s.Holder, "fence", s.Fence, "revision", s.Revision)
-		k.nudge()
+		k.Wake()
 	}
 }
--- a/pkg/metering/ledger.go
+++ b/pkg/metering/ledger.go
@@ -1,9 +1,6 @@
 package metering
 
-import (
-	"encoding/json"
-	"time"
-)
+import "time"
 
 // Report is the content of a window that is closed. It never changes.
 type Report struct {
@@ -31,16 +28,6 @@
 	skippedMost = windowsKept - 2
 )
 
-// DecodeLedger reads a ledger. What can't be read counts as none.
-func DecodeLedger(data []byte) (Ledger, error) {
-	var l Ledger
-	if len(data) == 0 {
-		return l, nil
-	}
-	err := json.Unmarshal(data, &l)
-	return l, err
-}
-
 // Begin sets where a ledger begins that has closed nothing yet.
 func (l *Ledger) Begin(first Window) {
 	if l.Next == 0 {
