--- a/pkg/metering/counter.go
+++ b/pkg/metering/counter.go
@@ -87,18 +87,6 @@
 	return c.list(func(Window, *count) bool { return true })
 }
 
-// recentWindows is how many windows a box is told that begins to collect: those that may not
-// be closed yet.
-const recentWindows = 3
-
-// Recent are the counts of the last few windows.
-func (c *Counter) Recent(now time.Time) []*usagepb.Window {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	current := WindowAt(c.clock(now), c.length)
-	return c.list(func(w Window, _ *count) bool { return w > current-recentWindows })
-}
-
 // list is the counts that are wanted, as they are told. The caller holds the lock.
 func (c *Counter) list(wanted func(Window, *count) bool) []*usagepb.Window {
 	var list []*usagepb.Window
--- a/pkg/metering/teller.go
+++ b/pkg/metering/teller.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -44,9 +45,12 @@
 // are told.
 type Teller struct {
 	TellerDeps
-	// whole asks for all counts to be told once.
-	whole chan struct{}
-	last  time.Time
+	// wake has the teller look at once who collects.
+	wake chan struct{}
+
+	// mu guards what follows: a box that ends tells once more beside Run.
+	mu   sync.Mutex
+	last time.Time
 	// known are the addresses that were told before: one that is new lacks what was told until
 	// then.
 	known map[netip.AddrPort]bool
@@ -54,7 +58,7 @@
 
 // NewTeller returns a teller that hears the port's messages from now on.
 func NewTeller(d TellerDeps) *Teller {
-	t := &Teller{TellerDeps: d, whole: make(chan struct{}, 1), known: make(map[netip.AddrPort]bool)}
+	t := &Teller{TellerDeps: d, wake: make(chan struct{}, 1), known: make(map[netip.AddrPort]bool)}
 	d.Port.Handle(kind, t.receive)
 	return t
 }
@@ -69,15 +73,15 @@
 	t.Collector.Take(d.Box, m)
 }
 
-// TellAll has all counts told once more, as to a box that has just begun to collect.
-func (t *Teller) TellAll() {
+// Wake has the teller look at once who collects, as when another box holds the lease.
+func (t *Teller) Wake() {
 	select {
-	case t.whole <- struct{}{}:
+	case t.wake <- struct{}{}:
 	default:
 	}
 }
 
-// Run tells what is counted until ctx ends, and once more then.
+// Run tells what is counted until ctx ends.
 func (t *Teller) Run(ctx context.Context) {
 	ticker := time.NewTicker(tellEvery)
 	defer ticker.Stop()
@@ -87,8 +91,8 @@
 			return
 		case <-ticker.C:
 			t.tell(t.Counter.Changes(time.Now()))
-		case <-t.whole:
-			t.tell(t.Counter.All())
+		case <-t.wake:
+			t.tell(nil)
 		}
 	}
 }
@@ -96,22 +100,21 @@
 // Flush tells all that was counted, as the box is about to end.
 func (t *Teller) Flush() { t.tell(t.Counter.All()) }
 
+// tell tells counts to the boxes that collect, and all that is remembered to those among them
+// that were not told before.
 func (t *Teller) tell(windows []*usagepb.Window) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	now := time.Now()
 	t.Collector.Forget(WindowAt(t.Clock.Now(now), t.Counter.length))
-	if len(windows) == 0 && now.Sub(t.last) < tellLeast {
-		return
-	}
-	t.last = now
+	t.Collector.Take(t.Box, t.message(windows, now))
 	known, joined := t.recipients()
-	for _, part := range split(windows) {
-		t.send(part, now, known)
-	}
-	if len(joined) == 0 {
-		return
+	if len(joined) > 0 {
+		t.send(t.Counter.All(), now, joined)
 	}
-	for _, part := range split(t.Counter.Recent(now)) {
-		t.send(part, now, joined)
+	if len(windows) > 0 || now.Sub(t.last) >= tellLeast {
+		t.last = now
+		t.send(windows, now, known)
 	}
 }
 
@@ -131,13 +134,17 @@
 	return known, joined
 }
 
-// send sends counts, and takes them in here.
+func (t *Teller) message(windows []*usagepb.Window, now time.Time) *usagepb.Usage {
+	return &usagepb.Usage{Incarnation: t.Incarnation, WallMs: fleetclock.Wall(now), Windows: windows}
+}
+
+// send sends counts to some boxes.
 func (t *Teller) send(windows []*usagepb.Window, now time.Time, to []*net.UDPAddr) {
-	m := &usagepb.Usage{Incarnation: t.Incarnation, WallMs: fleetclock.Wall(now), Windows: windows}
-	t.Collector.Take(t.Box, m)
-	body, err := proto.Marshal(m)
-	if err != nil || !t.Port.Send(kind, body, to...) {
-		_ = level.Warn(t.Logger).Log("msg", "usage not told", "err", err, "bytes", len(body), "windows", len(windows))
+	for _, part := range split(windows) {
+		body, err := proto.Marshal(t.message(part, now))
+		if err != nil || !t.Port.Send(kind, body, to...) {
+			_ = level.Warn(t.Logger).Log("msg", "usage not told", "err", err, "bytes", len(body), "windows", len(part))
+		}
 	}
 }
 
--- a/pkg/routerd/fleetduties.go
+++ b/pkg/routerd/fleetduties.go
@@ -157,14 +157,8 @@
 	f.clock.Told(int64(binary.BigEndian.Uint64(told)), received)
 }
 
-// onHolder tells a new holder all that was counted, if it did not collect until now.
-func (f *fleetDuties) onHolder(box string) {
-	for i, e := range f.roster.Ordered() {
-		if e.Box == box && i >= collectors {
-			f.teller.TellAll()
-		}
-	}
-}
+// onHolder has a new holder told what was counted, if it did not collect until now.
+func (f *fleetDuties) onHolder(string) { f.teller.Wake() }
 
 // collecting are the boxes that collect: the first few in order, and the holder.
 func (f *fleetDuties) collecting() []*net.UDPAddr {
