warmup, directory, gateway: servers that warm up, evacuated halls and regions are heeded

Cause: nothing read cold_left_ms but for its type, nor evacuations/, nor allowed_regions.

Warm-up: two boxes by a consistent hash of the names are the keepers of each server that warms up, each with a bucket of a quarter of what it bears; the others send elsewhere. Ruled out: a share for each box, which is under one request in ten seconds at 84 boxes.

Evacuations: read with the checks of the store, told with them and with the list of servers, all halls each time, highest revision holds. Regions: what route and organisation allow, for servers and for caches.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -78,10 +78,18 @@
 	// ServersChanged is the revision of a list that a box has just seen, where what has
 	// changed in it is too long to be told.
 	ServersChanged uint64 `json:"servers_changed,omitempty"`
+	// Evacuations are all halls that are evacuated, read at the time of the check or just now.
+	Evacuations *evacuationsMessage `json:"evacuations,omitempty"`
 
 	received time.Time
 }
 
+// evacuationsMessage tells all halls that are evacuated, and how long ago the store said so.
+type evacuationsMessage struct {
+	directory.Evacuations
+	AgeMillis int64 `json:"age_ms"`
+}
+
 type checkMessage struct {
 	AgeMillis      int64  `json:"age_ms"`
 	Revision       uint64 `json:"revision"`
@@ -160,6 +168,10 @@
 	if m.Delta != nil {
 		n.Delta = &directory.Delta{From: m.Delta.From, To: m.Delta.To, Events: m.Delta.Events}
 	}
+	if m.Evacuations != nil {
+		age := time.Duration(m.Evacuations.AgeMillis) * time.Millisecond
+		n.Evacuations, n.EvacuationsAsked = &m.Evacuations.Evacuations, m.received.Add(-age-flight)
+	}
 	return n
 }
 
@@ -197,11 +209,24 @@
 	c.tell(message{Check: &checkMessage{
 		AgeMillis: clock.Since(check.Asked).Milliseconds(), Revision: check.Revision,
 		TableChanged: check.TableChanged, ServersChanged: check.ServersChanged,
-	}})
+	}, Evacuations: c.evacuations()})
+}
+
+// evacuations tells what this box knows of evacuated halls; nil if it knows nothing yet.
+func (c *Checker) evacuations() *evacuationsMessage {
+	e := c.Directory.Evacuations()
+	if e.Revision == 0 {
+		return nil
+	}
+	age := clock.Since(c.Directory.EvacuationsRead())
+	return &evacuationsMessage{Evacuations: e, AgeMillis: age.Milliseconds()}
 }
 
 func (c *Checker) tellNotice(n directory.Notice) {
 	m := message{TableChanged: n.TableChanged, Table: n.Table}
+	if n.Evacuations != nil {
+		m.Evacuations = c.evacuations()
+	}
 	if n.Delta != nil {
 		m.Delta = &deltaMessage{From: n.Delta.From, To: n.Delta.To, Events: n.Delta.Events}
 	}
@@ -259,5 +284,8 @@
 }
 
 func (m message) valid() bool {
+	if m.Evacuations != nil && (m.Evacuations.AgeMillis < 0 || m.Evacuations.Revision == 0) {
+		return false
+	}
 	return m.Check == nil || m.Check.AgeMillis >= 0 && m.Check.AgeMillis <= ageMost.Milliseconds()
 }
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/go-kit/log"
+
+	"headhill.example/headhill/pkg/routing"
 )
 
 // forgetAfter is how long a server that gets no calls is remembered.
@@ -25,8 +27,20 @@
 	placements []Placement
 	// lanes are those of services with engines.
 	lanes map[ServiceKey]*lanes
+	// warmUps limits what goes to servers that warm up; nil for no limit.
+	warmUps WarmUps
+}
+
+// WarmUps limits what this box sends to servers that warm up.
+type WarmUps interface {
+	// Allows tells whether a request may go now, Take counts one that goes.
+	Allows(server routing.Life, w routing.WarmUp, now time.Time) bool
+	Take(server routing.Life, w routing.WarmUp, now time.Time)
 }
 
+// LimitWarmUps sets what limits requests to servers that warm up. It is set before the first call.
+func (b *Balancer) LimitWarmUps(w WarmUps) { b.warmUps = w }
+
 // server is what is known of one server.
 type server struct {
 	key     ServerKey
@@ -40,6 +54,8 @@
 	cached   cachedParts
 	health   health
 	touched  time.Time
+	// down is when the server was last known to be down, as far as a choice looked at it.
+	down time.Time
 }
 
 // load is what this box has the server do.
@@ -66,6 +82,9 @@
 		balancer: b, state: chosen.state, prefix: p.prefix,
 	}
 	l.state.running++
+	if chosen.warmingUp {
+		b.warmUps.Take(chosen.Life(), q.WarmUp, now)
+	}
 	if q.Engine {
 		l.occupy(q, &chosen, &p, now)
 	}
--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -30,6 +30,8 @@
 	// much more that is.
 	source      string
 	transferred int
+	// warmingUp tells that the server bears few requests, of which this one would be counted.
+	warmingUp bool
 }
 
 // toPrefill is how much of the prompt the server has to prefill.
@@ -68,7 +70,7 @@
 }
 
 // usable are the candidates not tried before and not ejected; if all are ejected,
-// all of them.
+// all of them. Those that warm up and have had this box's part are left out in any case.
 func (b *Balancer) usable(q Query, shared prefix, now time.Time) []choice {
 	fit := make([]choice, 0, len(q.Candidates))
 	var ejected []choice
@@ -79,7 +81,11 @@
 		}
 		s := b.server(KeyOf(c.Life()), now)
 		other := b.other(s.key, now)
-		x := choice{Server: c, state: s, failures: s.health.failureShare(other, now), load: s.load().Plus(other)}
+		warmingUp := b.warmingUp(&q, c, s, other, now)
+		if warmingUp && !b.warmUps.Allows(c.Life(), q.WarmUp, now) {
+			continue
+		}
+		x := choice{Server: c, state: s, failures: s.health.failureShare(other, now), load: s.load().Plus(other), warmingUp: warmingUp}
 		x.cached, x.prefilled = s.cached.longest(shared, now)
 		if now.Before(s.health.ejected) || x.ejectedByOthers(other, now) {
 			ejected = append(ejected, x)
--- a/pkg/balancer/cost.go
+++ b/pkg/balancer/cost.go
@@ -75,7 +75,7 @@
 			p.source = *c
 		}
 	}
-	p.source = b.leavingSource(q, shared, p.source, now)
+	p.source = b.idleSource(q, shared, p.source, now)
 	if q.Engine {
 		lanes := b.lanesOf(q.Service)
 		p.lane = lanes.laneOf(q, choices, now)
@@ -88,21 +88,21 @@
 	return p
 }
 
-// leavingSource is a server that is leaving, if it has prefilled more of the prefix than any
+// idleSource is a server that is leaving, if it has prefilled more of the prefix than any
 // that stays: what is not taken from it before it is gone has to be prefilled again. Where a
 // third of 180 engines went in a burst, 0.961 in place of 0.947 of a day's requests were served
 // (one day each).
-func (b *Balancer) leavingSource(q Query, shared prefix, best choice, now time.Time) choice {
+func (b *Balancer) idleSource(q Query, shared prefix, best choice, now time.Time) choice {
 	if best.prefilled >= shared.tokens {
 		return best
 	}
-	for i := range q.Leaving {
-		s, known := b.servers[KeyOf(q.Leaving[i].Life())]
+	for i := range q.Idle {
+		s, known := b.servers[KeyOf(q.Idle[i].Life())]
 		if !known {
 			continue
 		}
 		if _, prefilled := s.cached.longest(shared, now); prefilled > best.prefilled {
-			best = choice{Server: &q.Leaving[i], state: s, prefilled: prefilled}
+			best = choice{Server: &q.Idle[i], state: s, prefilled: prefilled}
 		}
 	}
 	return best
--- a/pkg/balancer/query.go
+++ b/pkg/balancer/query.go
@@ -15,8 +15,16 @@
 // Query says what a server is wanted for.
 type Query struct {
 	Candidates []routing.Server
-	// Leaving servers get no new work, but what they have cached can still be taken from them.
-	Leaving []routing.Server
+	// Idle servers get no new work, but what they have cached can still be taken from them: they
+	// leave, or their hall is evacuated.
+	Idle []routing.Server
+	// WarmUp is what a candidate bears while it warms up, Warm tells when it has done so; nil for
+	// candidates that all have.
+	WarmUp routing.WarmUp
+	Warm   func(*routing.Server) time.Time
+	// Unconfirmed says that the list of servers has not been confirmed for so long that starts of
+	// servers may be unknown.
+	Unconfirmed bool
 	// Hall is where the box stands.
 	Hall string
 	// Parts are those of the prompt, in order. The last one is the request's own.
--- a/pkg/balancer/workload_test.go
+++ b/pkg/balancer/workload_test.go
@@ -29,7 +29,7 @@
 		}
 		staying = append(staying, s)
 	}
-	q.Candidates, q.Leaving = staying, leaving
+	q.Candidates, q.Idle = staying, leaving
 	next, ok := b.Pick(q, now)
 	require.True(t, ok)
 	assert.Equal(t, first.Server.Address, next.Source)
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -21,6 +21,8 @@
 	// Lapsed is until when a server that the list lost in an outage of the source is
 	// used as if it were listed; zero for others.
 	Lapsed time.Time
+	// Warm is when the server has warmed up, by what its entry said.
+	Warm time.Time
 }
 
 // View is one consistent state of the belief. It is immutable.
@@ -30,8 +32,15 @@
 	// TableRead and ServersRead are when the source last confirmed each part.
 	TableRead   time.Time
 	ServersRead time.Time
+	// EvacuationsRead is when the source last confirmed which halls are evacuated.
+	EvacuationsRead time.Time
 
 	pools map[string]*pool // by service
+	// warm is when servers have warmed up that do so; others are left out.
+	warm map[routing.Life]time.Time
+	// evacuated are the halls whose servers get nothing, takenBack is when others were taken back.
+	evacuated map[string]bool
+	takenBack map[string]time.Time
 }
 
 // TableAge is the time since the source last confirmed the table.
@@ -66,30 +75,50 @@
 	return lost
 }
 
-// Leaving returns the servers of a service that get no new work and are still there. Callers
-// must not change the list.
-func (v *View) Leaving(service string) []routing.Server {
+// Idle returns the servers of a service that get no new work and are still there: they leave, or
+// their hall is evacuated. Callers must not change the list.
+func (v *View) Idle(service string) []routing.Server {
 	if p := v.pools[service]; p != nil {
-		return p.leaving
+		return p.idle
 	}
 	return nil
 }
 
-// Listed returns the servers of a service that the list has, leaving ones too.
+// Listed returns the servers of a service that the list has, leaving ones too, but for those of
+// evacuated halls.
 func (v *View) Listed(service string) []routing.Server {
 	p := v.pools[service]
 	if p == nil {
 		return nil
 	}
-	return append(slices.Clip(p.ready), p.leaving...)
+	list := slices.Clip(p.ready)
+	for _, s := range p.idle {
+		if !v.Evacuated(s.Hall) {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// Evacuated tells whether the servers of a hall get nothing.
+func (v *View) Evacuated(hall string) bool { return v.evacuated[hall] }
+
+// Warm is when a server of a service has warmed up, by what is known of it; zero for one that has.
+// A server of a hall that was taken back may have been idle for long and have turned cold since.
+func (v *View) Warm(s *routing.Server, w routing.WarmUp) time.Time {
+	warm := v.warm[s.Life()]
+	if since, ok := v.takenBack[s.Hall]; ok {
+		warm = latest(warm, since.Add(w.Time))
+	}
+	return warm
 }
 
 // pool is the servers of a service.
 type pool struct {
-	// ready are listed and stay, leaving are listed and don't, lost are not listed any more.
-	ready   []routing.Server
-	leaving []routing.Server
-	lost    []Server
+	// ready are listed and get work, idle are listed and don't, lost are not listed any more.
+	ready []routing.Server
+	idle  []routing.Server
+	lost  []Server
 }
 
 // Directory keeps the belief.
@@ -110,12 +139,14 @@
 	servers map[string]Server
 	// returned is when the source was last back after an outage.
 	returned time.Time
+	// evacuations are the halls whose servers get nothing.
+	evacuations Evacuations
 }
 
 const (
-	// outageLeast is how old the list must have grown for its source to have been
+	// OutageLeast is how old the list must have grown for its source to have been
 	// away: checks come more often than that.
-	outageLeast = 2500 * time.Millisecond
+	OutageLeast = 2500 * time.Millisecond
 	// lapsedFor is how long after its return entries that lapsed meanwhile may still
 	// be missing. One that is missing after that is gone.
 	lapsedFor = 2 * time.Second
@@ -177,7 +208,15 @@
 
 // later returns the later of two times; a part that was never read stays so.
 func later(a, b time.Time) time.Time {
-	if a.IsZero() || a.After(b) {
+	if a.IsZero() {
+		return a
+	}
+	return latest(a, b)
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
 		return a
 	}
 	return b
@@ -192,7 +231,7 @@
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
-		if d.setServer(s) {
+		if d.setServer(s, at) {
 			events = append(events, ServerEvent{Server: s})
 		}
 	}
@@ -216,7 +255,7 @@
 			d.removeServer(e.Server.ID, at)
 			continue
 		}
-		d.setServer(e.Server)
+		d.setServer(e.Server, at)
 	}
 	if len(events) == 0 {
 		v := *d.view.Load()
@@ -230,19 +269,23 @@
 // noteReturn notes that the source has answered after an outage.
 func (d *Directory) noteReturn(now time.Time) {
 	read := d.view.Load().ServersRead
-	if !read.IsZero() && now.Sub(read) > outageLeast {
+	if !read.IsZero() && now.Sub(read) > OutageLeast {
 		d.returned = now
 	}
 }
 
-// setServer takes one server in. It returns whether that changes anything.
-func (d *Directory) setServer(s routing.Server) bool {
+// setServer takes one server in, as it was told at a time. It returns whether that changes anything.
+func (d *Directory) setServer(s routing.Server, at time.Time) bool {
 	old, known := d.servers[s.ID]
 	if known && old.Removed.IsZero() && old.Server == s {
 		return false
 	}
-	_ = level.Info(d.logger).Log("msg", "server listed", "server", s.ID, "service", s.Service, "address", s.Address, "leaving", s.Leaving, "known", known)
-	d.servers[s.ID] = Server{Server: s}
+	_ = level.Info(d.logger).Log("msg", "server listed", "server", s.ID, "service", s.Service, "address", s.Address, "leaving", s.Leaving, "known", known, "warm_up_ms", s.WarmUp.Milliseconds())
+	listed := Server{Server: s}
+	if s.WarmUp > 0 {
+		listed.Warm = at.Add(s.WarmUp)
+	}
+	d.servers[s.ID] = listed
 	return true
 }
 
@@ -259,11 +302,13 @@
 	_ = level.Info(d.logger).Log("msg", "server left the list", "server", id, "service", s.Service, "leaving", s.Leaving, "lapsed", !s.Lapsed.IsZero())
 }
 
-func (p *pool) add(s Server) {
+// add adds a server, which gets nothing where it leaves or its hall is evacuated.
+func (p *pool) add(s Server, evacuated bool) {
+	stopped := s.Leaving || evacuated
 	switch {
-	case s.Leaving && s.Removed.IsZero():
-		p.leaving = append(p.leaving, s.Server)
-	case s.Leaving:
+	case stopped && s.Removed.IsZero():
+		p.idle = append(p.idle, s.Server)
+	case stopped:
 	case s.Removed.IsZero():
 		p.ready = append(p.ready, s.Server)
 	default:
@@ -277,6 +322,8 @@
 func (d *Directory) publishServers(at time.Time) {
 	v := *d.view.Load()
 	v.ServersRead = at
+	v.warm = make(map[routing.Life]time.Time)
+	v.evacuated = d.evacuations.set()
 	v.pools = make(map[string]*pool)
 	for id, s := range d.servers {
 		if !s.Removed.IsZero() && at.Sub(s.Removed) > removedKept {
@@ -288,7 +335,10 @@
 			p = &pool{}
 			v.pools[s.Service] = p
 		}
-		p.add(s)
+		p.add(s, v.evacuated[s.Hall])
+		if s.Warm.After(at) {
+			v.warm[s.Life()] = s.Warm
+		}
 	}
 	for _, p := range v.pools {
 		slices.SortFunc(p.ready, func(a, b routing.Server) int { return strings.Compare(a.ID, b.ID) })
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -30,6 +30,8 @@
 	behind int
 	// forgotten is the revision up to which history is gone.
 	forgotten uint64
+	// evacuations are the halls whose servers get nothing.
+	evacuations Evacuations
 }
 
 func (s *fakeSource) ReadTable(context.Context) (TableRead, error) {
@@ -112,6 +114,12 @@
 	withFollower(t, source, check)
 }
 
+func (s *fakeSource) ReadEvacuations(ctx context.Context) (Evacuations, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuations, ctx.Err()
+}
+
 func (s *fakeSource) WatchServers(ctx context.Context, after uint64, wait time.Duration) (ServerChanges, error) {
 	pause.For(ctx, wait)
 	s.mu.Lock()
@@ -274,7 +282,7 @@
 		away time.Duration
 		want []string
 	}{
-		"in an outage": {outageLeast + time.Second, []string{"a", "b"}},
+		"in an outage": {OutageLeast + time.Second, []string{"a", "b"}},
 		"otherwise":    {time.Second, []string{"a"}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- /dev/null
+++ b/pkg/directory/evacuations_test.go
@@ -0,0 +1,143 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"headhill.example/headhill/pkg/routing"
+)
+
+func serverIn(hall string, i int) routing.Server {
+	return routing.Server{ID: fmt.Sprintf("%s-%d", hall, i), Service: "models", Hall: hall}
+}
+
+func hallsOf(servers []routing.Server) map[string]int {
+	halls := make(map[string]int)
+	for _, s := range servers {
+		halls[s.Hall]++
+	}
+	return halls
+}
+
+// withHalls is a directory that knows two servers in each of three halls.
+func withHalls(now time.Time) *Directory {
+	d := New(log.NewNopLogger())
+	var list []routing.Server
+	for _, hall := range []string{"east", "north", "west"} {
+		list = append(list, serverIn(hall, 0), serverIn(hall, 1))
+	}
+	d.setServers(list, now)
+	return d
+}
+
+func TestEvacuatedHallGetsNothing(t *testing.T) {
+	now := time.Now()
+	d := withHalls(now)
+	assert.True(t, d.SetEvacuations(Evacuations{Halls: []string{"east"}, Revision: 7}, now))
+	assert.Equal(t, map[string]int{"north": 2, "west": 2}, hallsOf(d.View().Candidates("models", now, time.Second)))
+	assert.Equal(t, map[string]int{"east": 2}, hallsOf(d.View().Idle("models")), "caches can still be taken")
+	assert.Equal(t, map[string]int{"north": 2, "west": 2}, hallsOf(d.View().Listed("models")), "no room for orders")
+
+	// A server that is listed meanwhile, and one that the list loses.
+	d.changeServers([]ServerEvent{{Server: serverIn("east", 2)}, {Server: serverIn("east", 0), Removed: true}}, now)
+	assert.NotContains(t, hallsOf(d.View().Candidates("models", now, time.Second)), "east")
+
+	// All halls: no server is left, also none that the list has just lost.
+	d.SetEvacuations(Evacuations{Halls: []string{"east", "north", "west"}, Revision: 8}, now)
+	d.changeServers([]ServerEvent{{Server: serverIn("west", 0), Removed: true}}, now)
+	assert.Empty(t, d.View().Candidates("models", now, time.Second))
+
+	// What comes late says nothing.
+	assert.False(t, d.SetEvacuations(Evacuations{Revision: 7}, now))
+	assert.Empty(t, d.View().Candidates("models", now, time.Second))
+
+	// Taken back, the servers may have turned cold.
+	limited := routing.WarmUp{Time: 3 * time.Second, PerSecond: 8}
+	assert.True(t, d.SetEvacuations(Evacuations{Halls: []string{"east"}, Revision: 9}, now))
+	for _, s := range d.View().Candidates("models", now, 0) {
+		assert.NotEqual(t, "east", s.Hall)
+		assert.WithinDuration(t, time.Now().Add(limited.Time), d.View().Warm(&s, limited), time.Second)
+	}
+	untouched := serverIn("east", 1)
+	assert.Zero(t, d.View().Warm(&untouched, limited))
+}
+
+// Whatever order words of evacuations, servers and whole lists come in, candidates are those of the
+// halls that the highest revision leaves.
+func TestEvacuationsHoldInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		d := withHalls(now)
+		halls := []string{"east", "north", "west"}
+		var highest Evacuations
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			hall := rapid.SampledFrom(halls).Draw(t, "hall")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				e := Evacuations{Halls: rapid.SliceOfNDistinct(rapid.SampledFrom(halls), 0, 3, rapid.ID).Draw(t, "halls"), Revision: rapid.Uint64Range(0, 20).Draw(t, "revision")}
+				// One revision says one thing.
+				if e.Revision == highest.Revision {
+					continue
+				}
+				if e.Revision > highest.Revision {
+					highest = e
+				}
+				d.SetEvacuations(e, now)
+			case 1:
+				d.changeServers([]ServerEvent{{Server: serverIn(hall, rapid.IntRange(0, 4).Draw(t, "server"))}}, now)
+			case 2:
+				d.changeServers([]ServerEvent{{Server: serverIn(hall, rapid.IntRange(0, 4).Draw(t, "server")), Removed: true}}, now)
+			case 3:
+				d.setServers([]routing.Server{serverIn("east", 0), serverIn("north", 0), serverIn("west", 0)}, now)
+			}
+			for _, grace := range []time.Duration{0, time.Second} {
+				for in := range hallsOf(d.View().Candidates("models", now, grace)) {
+					if highest.set()[in] {
+						t.Fatalf("a candidate stands in the evacuated hall %s, evacuated are %v", in, highest.Halls)
+					}
+				}
+			}
+		}
+	})
+}
+
+// A box that learns the list from another one learns with it which halls are evacuated.
+func TestStartingBoxLearnsEvacuations(t *testing.T) {
+	source := &fakeSource{evacuations: Evacuations{Halls: []string{"east"}, Revision: 1}}
+	for _, hall := range []string{"east", "west"} {
+		source.events = append(source.events, ServerEvent{Server: serverIn(hall, 0)})
+	}
+	withFollower(t, source, func(_ context.Context, first *Directory) {
+		followProvider(t, first, func(second *Directory) {
+			assert.Eventually(t, func() bool { return !second.View().ServersRead.IsZero() }, 20*time.Second, time.Millisecond)
+			assert.Equal(t, map[string]int{"west": 1}, hallsOf(second.View().Candidates("models", time.Now(), 0)))
+		})
+	})
+}
+
+// Servers that warm up say for how long; that counts from when the entry was read.
+func TestWarmUpCountsFromTheEntry(t *testing.T) {
+	now := time.Now()
+	d := New(log.NewNopLogger())
+	cold := serverIn("east", 0)
+	cold.WarmUp = 3 * time.Second
+	d.changeServers([]ServerEvent{{Server: cold}, {Server: serverIn("east", 1)}}, now)
+	v, w := d.View(), routing.WarmUp{Time: 3 * time.Second, PerSecond: 8}
+	warm := serverIn("east", 1)
+	assert.Zero(t, v.Warm(&warm, w))
+	assert.Equal(t, now.Add(3*time.Second), v.Warm(&cold, w))
+
+	// A warm server turns cold again at any moment, and says that it has warmed up.
+	warm.WarmUp = time.Second
+	d.changeServers([]ServerEvent{{Server: warm}}, now.Add(time.Minute))
+	assert.Equal(t, now.Add(time.Minute+time.Second), d.View().Warm(&warm, w))
+	warm.WarmUp = 0
+	d.changeServers([]ServerEvent{{Server: warm}}, now.Add(time.Minute))
+	assert.Zero(t, d.View().Warm(&warm, w))
+}
--- a/pkg/directory/parts.go
+++ b/pkg/directory/parts.go
@@ -100,6 +100,10 @@
 // the source gives in a second, so the pages after the first may be stale; what has
 // changed since the oldest of them is read afterwards.
 func (p *serversPart) read(ctx context.Context, asked time.Time) (known, error) {
+	// No server of an evacuated hall may get anything from a box that has just started.
+	if err := p.readEvacuations(ctx, asked); err != nil {
+		return known{}, err
+	}
 	list, err := p.pages(ctx, true)
 	if err == nil && list.stale {
 		err = p.renew(ctx, &list)
@@ -120,6 +124,17 @@
 	return known{revision: list.revision, changed: list.revision}, nil
 }
 
+func (p *serversPart) readEvacuations(ctx context.Context, asked time.Time) error {
+	ctx, cancel := stall.WithLimits(ctx, p.timing.limits(p.directory.list.patience(p.timing)))
+	defer cancel()
+	evacuations, err := p.source.ReadEvacuations(ctx)
+	if err != nil {
+		return withCause(ctx, err)
+	}
+	p.directory.SetEvacuations(evacuations, asked)
+	return nil
+}
+
 // pagedList is a list as its pages gave it, all of them no older than a revision.
 type pagedList struct {
 	servers  []routing.Server
--- a/pkg/directory/providers.go
+++ b/pkg/directory/providers.go
@@ -34,6 +34,8 @@
 	Servers           []routing.Server
 	Revision, Changed uint64
 	Read              time.Time
+	// Evacuations are the halls whose servers get nothing.
+	Evacuations Evacuations
 }
 
 // Providers are the other boxes that this one asks for what it lacks, which spares the
@@ -83,6 +85,7 @@
 	if err != nil {
 		return known{}, err
 	}
+	p.directory.SetEvacuations(c.Evacuations, c.Read)
 	p.directory.takeList(c.Servers, c.Revision, c.Read)
 	return known{revision: c.Revision, changed: c.Changed}, nil
 }
@@ -127,7 +130,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	k := d.list.known()
-	c := ListCopy{Revision: k.revision, Changed: k.changed, Read: d.view.Load().ServersRead}
+	c := ListCopy{Revision: k.revision, Changed: k.changed, Read: d.view.Load().ServersRead, Evacuations: d.evacuations}
 	for _, id := range slices.Sorted(maps.Keys(d.servers)) {
 		if s := d.servers[id]; s.Removed.IsZero() {
 			c.Servers = append(c.Servers, s.Server)
--- a/pkg/directory/providers_test.go
+++ b/pkg/directory/providers_test.go
@@ -59,6 +59,10 @@
 func (deadSource) ReadServers(context.Context, string, bool) (ServersPage, error) {
 	return ServersPage{}, errDead
 }
+func (deadSource) ReadEvacuations(context.Context) (Evacuations, error) {
+	return Evacuations{}, errDead
+}
+
 func (deadSource) WatchServers(context.Context, uint64, time.Duration) (ServerChanges, error) {
 	return ServerChanges{}, errDead
 }
--- a/pkg/directory/share.go
+++ b/pkg/directory/share.go
@@ -86,6 +86,10 @@
 	// revision is told at which it has.
 	Delta          *Delta
 	ServersChanged uint64
+	// Evacuations are all halls that are evacuated, as the source said when it was asked; nil where
+	// nothing is told of them.
+	Evacuations      *Evacuations
+	EvacuationsAsked time.Time
 }
 
 // OnNotice sets who is told of changes that this box sees first.
@@ -111,6 +115,19 @@
 	}
 }
 
+// ReadEvacuations asks a source which halls are evacuated, and tells the other boxes what has
+// changed.
+func (d *Directory) ReadEvacuations(ctx context.Context, source Source, asked time.Time) error {
+	evacuations, err := source.ReadEvacuations(ctx)
+	if err != nil {
+		return err
+	}
+	if d.SetEvacuations(evacuations, asked) && d.onNotice != nil {
+		d.onNotice(Notice{Evacuations: &evacuations, EvacuationsAsked: asked})
+	}
+	return nil
+}
+
 // ahead tells whether what is read now is news for the others: it is for a watch that
 // waits, and while this box checks the source for all. Who asks briefly otherwise was
 // told by somebody.
@@ -120,6 +137,9 @@
 
 // Noticed takes in what another box has seen.
 func (d *Directory) Noticed(n Notice) {
+	if n.Evacuations != nil {
+		d.SetEvacuations(*n.Evacuations, n.EvacuationsAsked)
+	}
 	if n.Delta != nil {
 		d.Apply(*n.Delta)
 	}
--- a/pkg/directory/simulation_test.go
+++ b/pkg/directory/simulation_test.go
@@ -245,6 +245,10 @@
 	return ServersPage{Revision: b.history.store.newest().revision}, b.reach(ctx)
 }
 
+func (b *simulatedBox) ReadEvacuations(ctx context.Context) (Evacuations, error) {
+	return Evacuations{}, ctx.Err()
+}
+
 func (b *simulatedBox) WatchServers(ctx context.Context, after uint64, wait time.Duration) (ServerChanges, error) {
 	if err := b.reach(ctx); err != nil {
 		return ServerChanges{}, err
--- a/pkg/directory/source.go
+++ b/pkg/directory/source.go
@@ -60,4 +60,6 @@
 	// by no rate.
 	ReadServers(ctx context.Context, from string, stale bool) (ServersPage, error)
 	WatchServers(ctx context.Context, after uint64, wait time.Duration) (ServerChanges, error)
+	// ReadEvacuations reads which halls are evacuated.
+	ReadEvacuations(ctx context.Context) (Evacuations, error)
 }
--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -37,7 +37,7 @@
 		return nil
 	}
 	now := clock.Now()
-	servers := x.gateway.Directory.View().Candidates(x.service.Name, now, x.gateway.Bounds.Grace)
+	servers := x.candidates(x.gateway.Directory.View(), now)
 	if len(servers) == 0 {
 		// An outage is waited for.
 		return nil
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -49,7 +49,9 @@
 	Usage  Usage
 	Logger log.Logger
 	Hall   string
-	Bounds Bounds
+	// RegionOf tells the region of a hall, "" for none.
+	RegionOf func(hall string) string
+	Bounds   Bounds
 	// Stop returns the planned stop that is under way, or nil.
 	Stop func() *Stop
 }
@@ -163,7 +165,7 @@
 }
 
 func (x *exchange) serve() error {
-	for _, step := range []func() error{x.readCall, x.findRoute, x.identify, x.checkStop, x.readBody} {
+	for _, step := range []func() error{x.readCall, x.findRoute, x.identify, x.checkRegions, x.checkStop, x.readBody} {
 		if err := step(); err != nil {
 			return err
 		}
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -11,6 +11,7 @@
 
 	"headhill.example/headhill/pkg/balancer"
 	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/routing"
 	"headhill.example/headhill/pkg/upstream"
 )
@@ -169,22 +170,25 @@
 	// Each attempt asks for the list of now, not of the request's arrival.
 	view := x.gateway.Directory.View()
 	return balancer.Query{
-		Candidates: view.Candidates(x.service.Name, now, x.gateway.Bounds.Grace),
-		Leaving:    view.Leaving(x.service.Name),
-		Hall:       x.gateway.Hall,
-		Parts:      x.call.Parts,
-		Tokens:     x.call.PromptTokens,
-		Output:     x.call.OutputTokens,
-		Memory:     x.service.MemoryTokens,
-		Bytes:      len(x.body),
-		Avoid:      x.tried(),
-		Rank:       x.rank(),
-		Places:     x.places(),
-		Engine:     x.service.Engine,
-		Service:    x.service.Name,
-		Class:      x.route.Name,
-		Pause:      x.route.BetweenTarget,
-		Repeatable: x.route.Repeatable() && len(x.servers)+1 < x.route.MaxAttempts,
+		Candidates:  x.candidates(view, now),
+		Idle:        x.allowed(view.Idle(x.service.Name)),
+		WarmUp:      x.service.WarmUp,
+		Unconfirmed: view.ServersAge(now) > directory.OutageLeast,
+		Warm:        func(s *routing.Server) time.Time { return view.Warm(s, x.service.WarmUp) },
+		Hall:        x.gateway.Hall,
+		Parts:       x.call.Parts,
+		Tokens:      x.call.PromptTokens,
+		Output:      x.call.OutputTokens,
+		Memory:      x.service.MemoryTokens,
+		Bytes:       len(x.body),
+		Avoid:       x.tried(),
+		Rank:        x.rank(),
+		Places:      x.places(),
+		Engine:      x.service.Engine,
+		Service:     x.service.Name,
+		Class:       x.route.Name,
+		Pause:       x.route.BetweenTarget,
+		Repeatable:  x.route.Repeatable() && len(x.servers)+1 < x.route.MaxAttempts,
 	}
 }
 
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -119,6 +119,16 @@
 	return r.ordered
 }
 
+// Names are those of the boxes, this one included.
+func (r *Roster) Names() []string {
+	entries := r.Entries()
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		names = append(names, e.Box)
+	}
+	return names
+}
+
 // Incarnation is that of this box's process.
 func (r *Roster) Incarnation() uint64 { return r.self.Incarnation }
 
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -34,6 +34,7 @@
 	"headhill.example/headhill/pkg/stall"
 	"headhill.example/headhill/pkg/telemetry"
 	"headhill.example/headhill/pkg/upstream"
+	"headhill.example/headhill/pkg/warmup"
 )
 
 const (
@@ -92,9 +93,11 @@
 	// quarantine keeps requests of which servers crash away from them.
 	quarantine *quarantine.Quarantine
 	budget     *retry.Budget
-	calls      *storeCalls
-	gateway    *gateway.Gateway
-	metrics    *telemetry.Metrics
+	// warmUps limits what goes to servers that warm up.
+	warmUps *warmup.Limiter
+	calls   *storeCalls
+	gateway *gateway.Gateway
+	metrics *telemetry.Metrics
 
 	callers, ready, metricsServer, snapshotServer    *http.Server
 	connections                                      *connections
@@ -133,6 +136,8 @@
 	self := roster.Entry{Box: s.Box.ID, Hall: s.Box.Hall, Peer: d.peerPort.LocalAddr().String(), LinkMbps: s.Limits.LinkMbps}
 	d.roster = roster.New(a.Roster(access), self, storeLimits, logs.For(logflags.Directory))
 	balance := balancer.New(logs.For(logflags.Balancer))
+	d.warmUps = warmup.New(s.Box.ID, logs.For(logflags.Balancer))
+	balance.LimitWarmUps(d.warmUps)
 	peerLogger := logs.For(logflags.Peer)
 	d.peers = datagram.NewPort(datagram.Deps{Box: s.Box.ID, Conn: d.peerPort, Known: d.roster.Known, Logger: peerLogger})
 	d.checker = announce.New(announce.Deps{
@@ -158,7 +163,7 @@
 	d.gateway = gateway.New(gateway.Deps{
 		Protocol: a.Protocol, Directory: d.directory, Balancer: balance,
 		Budget: d.budget, Upstream: d.upstream, Quarantine: d.quarantine, Recorder: recorder{metrics}, Usage: d.duties, Logger: logs.For(logflags.Gateway),
-		Hall: s.Box.Hall, Stop: d.stop.Load,
+		Hall: s.Box.Hall, Stop: d.stop.Load, RegionOf: d.regionOf,
 		Bounds: gateway.Bounds{
 			Requests: int64(s.Limits.MemoryMB) * requestsPerMB,
 			Held:     int64(s.Limits.MemoryMB<<20) / heldShare,
@@ -187,6 +192,7 @@
 		return directory.Check{}, false
 	}
 	d.sweeper.Sweep(ctx)
+	d.readEvacuations(ctx)
 	return d.directory.Verify(ctx, revision, asked, d.timing())
 }
 
@@ -198,10 +204,40 @@
 	_ = level.Info(d.logger).Log("msg", "store regained", "revision", revision)
 }
 
+const (
+	// evacuationsShare is the part of the time that an evacuation may take to be in force after
+	// which the store is asked again which halls are evacuated, with the next check.
+	evacuationsShare = 0.35
+	// evacuationsRare is how often it is asked where no evacuation is expected.
+	evacuationsRare = 20 * time.Second
+)
+
+// readEvacuations asks the store which halls are evacuated, if that is not known well enough.
+func (d *Daemon) readEvacuations(ctx context.Context) {
+	asked := clock.Now()
+	if asked.Sub(d.directory.EvacuationsRead()) < d.evacuationsAge() {
+		return
+	}
+	ctx, cancel := stall.WithLimits(ctx, storeLimits)
+	defer cancel()
+	if err := d.directory.ReadEvacuations(ctx, d.source, asked); err != nil {
+		_ = level.Info(d.logger).Log("msg", "evacuations not read", "err", err, "outcome", "asked again with the next check")
+	}
+}
+
+// evacuationsAge is how old what is known of evacuations may grow before the store is asked again.
+func (d *Daemon) evacuationsAge() time.Duration {
+	bound := d.settings.Load().Bounds.Evacuate
+	if bound == 0 {
+		return evacuationsRare
+	}
+	return time.Duration(evacuationsShare * float64(bound))
+}
+
 // checkTiming lets a dead watch be found out, and the change that it missed be read,
 // within the time that a change may take to be in force.
 func (d *Daemon) checkTiming() announce.Timing {
-	apply := d.settings.Load().Bounds.Apply
+	apply := d.settings.Load().Bounds.soonest()
 	return announce.Timing{Every: apply * 45 / 100, Spread: apply * 20 / 100}
 }
 
@@ -235,6 +271,7 @@
 	d.budget.SetLimits(d.retryLimits())
 	d.calls.rates.SetBudget(d.settings.Load().Rates.Share(d.roster.Count()))
 	d.duties.orderChanged()
+	d.warmUps.SetBoxes(d.roster.Names(), clock.Now())
 }
 
 // retryLimits gives this box its part of the fleet's slack.
@@ -310,6 +347,9 @@
 	_ = level.Info(d.logger).Log("msg", "started", "box", s.Box.ID, "hall", s.Box.Hall, "caller", d.CallerAddress(), "store", s.Store)
 }
 
+// regionOf is the region of a hall, "" if the settings name none.
+func (d *Daemon) regionOf(hall string) string { return d.settings.Load().Regions[hall] }
+
 // callersMost bounds the callers' connections by the descriptors.
 func callersMost(l LimitSettings) int {
 	return max(1, int(callerShare*float64(l.Descriptors-reservedDescriptors)))
--- a/pkg/routerd/settings.go
+++ b/pkg/routerd/settings.go
@@ -20,7 +20,10 @@
 	Limits LimitSettings
 	Bounds BoundSettings
 	Duties DutySettings
-	Log    logflags.Settings
+	// Regions are those of the halls, by hall. One that is not named has none, so that no request
+	// that is bound to regions is served there.
+	Regions map[string]string
+	Log     logflags.Settings
 }
 
 // BoxSettings say which box this is and where it stands.
@@ -49,6 +52,9 @@
 	Drain time.Duration
 	// Apply is how long an accepted table may take to be in force.
 	Apply time.Duration
+	// Evacuate is how long an evacuation of a hall may take to be in force; zero where none is
+	// expected.
+	Evacuate time.Duration
 	// Grace is the time between the signal to stop and the kill.
 	Grace time.Duration
 	// RetryRatio, RetrySlack and RetryWindow bound the fleet's repeats.
@@ -57,6 +63,14 @@
 	RetryWindow time.Duration
 }
 
+// soonest is the shorter of the times within which changes and evacuations must be in force.
+func (b BoundSettings) soonest() time.Duration {
+	if b.Evacuate == 0 {
+		return b.Apply
+	}
+	return min(b.Apply, b.Evacuate)
+}
+
 // DutySettings are of what the fleet does once, on the box that holds the lease.
 type DutySettings struct {
 	// Address is where the duties' calls go, "" where the fleet has no duties.
@@ -119,6 +133,7 @@
 	readLimits(f.Section("limits"), &s.Limits)
 	readBounds(f.Section("bounds"), &s.Bounds)
 	readDuties(f.Section("duties"), &s.Duties)
+	s.Regions = f.Section("regions").All()
 	s.Log.Read(f.Section("log"))
 	return s, f.Done()
 }
@@ -157,6 +172,7 @@
 func readBounds(s *inifile.Section, b *BoundSettings) {
 	s.Duration("drain", &b.Drain, 100*time.Millisecond, time.Hour)
 	s.Duration("apply", &b.Apply, 100*time.Millisecond, time.Hour)
+	s.Duration("evacuate", &b.Evacuate, 100*time.Millisecond, time.Hour)
 	s.Duration("grace", &b.Grace, time.Second, 24*time.Hour)
 	s.Float("retry-ratio", &b.RetryRatio, 0, 10)
 	s.Float("retry-slack", &b.RetrySlack, 0, 1e9)
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -60,6 +60,8 @@
 	Public bool
 	// Resumable streams may go on at another server after their last event.
 	Resumable bool
+	// Regions are those in which its requests may be served and cached; empty for all.
+	Regions []string `json:",omitempty"`
 }
 
 // Repeatable tells whether a request may run a second time.
@@ -96,8 +98,21 @@
 	MemoryTokens int
 	// Scaling is nil where servers can't be ordered.
 	Scaling *Scaling
+	// WarmUp is what a server bears after a start; zero where that makes no difference.
+	WarmUp WarmUp `json:",omitzero"`
 }
 
+// WarmUp says what a server of a service bears while it warms up. Far above that it falls over.
+type WarmUp struct {
+	// Time is how long a server warms up after a start.
+	Time time.Duration
+	// PerSecond is how many requests a second it bears meanwhile, from all boxes together.
+	PerSecond float64
+}
+
+// Limited tells whether servers that warm up bear less than others.
+func (w WarmUp) Limited() bool { return w.PerSecond > 0 }
+
 // Scaling says which servers of a service can be ordered.
 type Scaling struct {
 	// Least and Most bound the servers in each hall.
@@ -116,6 +131,8 @@
 	Name     string
 	Keys     []string
 	Priority int
+	// Regions are those in which its requests may be served and cached; empty for all.
+	Regions []string `json:",omitempty"`
 }
 
 // Limits bound what a caller may send, and how long it may rest.
@@ -141,6 +158,8 @@
 	Leaving bool
 	// Spot servers cost less and may be taken away at short notice.
 	Spot bool
+	// WarmUp is for how much longer it warms up, as it said when it wrote its entry.
+	WarmUp time.Duration `json:",omitzero"`
 }
 
 // Content is what a table is built from.
--- a/pkg/snapshot/client.go
+++ b/pkg/snapshot/client.go
@@ -101,7 +101,7 @@
 		if err == nil && !has {
 			err = &DamagedError{Address: address, Reason: "it holds no list"}
 		}
-		return directory.ListCopy{Servers: servers, Revision: k.revision, Changed: k.changed, Read: time.Now().Add(-k.age)}, err
+		return directory.ListCopy{Servers: servers, Revision: k.revision, Changed: k.changed, Read: time.Now().Add(-k.age), Evacuations: k.evacuations}, err
 	})
 }
 
--- a/pkg/snapshot/doc.go
+++ b/pkg/snapshot/doc.go
@@ -5,10 +5,13 @@
 package snapshot
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
 	"time"
+
+	"headhill.example/headhill/pkg/directory"
 )
 
 // Paths of the two parts.
@@ -34,6 +37,9 @@
 	headerRevision = "Belief-Revision"
 	headerChanged  = "Belief-Changed"
 	headerAge      = "Belief-Age-Ms"
+	// headerEvacuations tells the evacuated halls, as JSON, with the list of servers. It is missing
+	// where the sender does not know them.
+	headerEvacuations = "Belief-Evacuations"
 )
 
 const (
@@ -68,12 +74,29 @@
 type known struct {
 	revision, changed uint64
 	age               time.Duration
+	// evacuations are known with the list of servers only.
+	evacuations directory.Evacuations
 }
 
 func (k known) write(h http.Header) {
 	h.Set(headerRevision, strconv.FormatUint(k.revision, 10))
 	h.Set(headerChanged, strconv.FormatUint(k.changed, 10))
 	h.Set(headerAge, strconv.FormatInt(k.age.Milliseconds(), 10))
+	if k.evacuations.Revision > 0 {
+		// Plain structs always encode.
+		text, _ := json.Marshal(k.evacuations)
+		h.Set(headerEvacuations, string(text))
+	}
+}
+
+// readEvacuations reads the evacuated halls, none where they are not told.
+func readEvacuations(h http.Header) (e directory.Evacuations, ok bool) {
+	text := h.Get(headerEvacuations)
+	if text == "" {
+		return e, true
+	}
+	err := json.Unmarshal([]byte(text), &e)
+	return e, err == nil
 }
 
 // readKnown reads the headers of an answer. It returns false where one is missing or makes
@@ -82,6 +105,7 @@
 	revision, err1 := strconv.ParseUint(h.Get(headerRevision), 10, 64)
 	changed, err2 := strconv.ParseUint(h.Get(headerChanged), 10, 64)
 	age, err3 := strconv.ParseUint(h.Get(headerAge), 10, 32)
-	ok := err1 == nil && err2 == nil && err3 == nil && changed <= revision
-	return known{revision: revision, changed: changed, age: time.Duration(age) * time.Millisecond}, ok
+	evacuations, told := readEvacuations(h)
+	ok := err1 == nil && err2 == nil && err3 == nil && changed <= revision && told
+	return known{revision: revision, changed: changed, age: time.Duration(age) * time.Millisecond, evacuations: evacuations}, ok
 }
--- a/pkg/snapshot/server.go
+++ b/pkg/snapshot/server.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return answer{}, err
 	}
-	a := answer{known: known{revision: c.Revision, changed: c.Changed, age: time.Since(c.Read)}}
+	a := answer{known: known{revision: c.Revision, changed: c.Changed, age: time.Since(c.Read), evacuations: c.Evacuations}}
 	a.body, err = s.list.body(c.Servers, c.Revision)
 	return a, err
 }
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -50,6 +50,8 @@
 	table    *routing.Table
 	servers  []routing.Server
 	revision uint64
+	// evacuations are the halls whose servers get nothing.
+	evacuations directory.Evacuations
 }
 
 func (s *source) ReadTable(context.Context) (directory.TableRead, error) {
@@ -65,6 +67,10 @@
 	return directory.ServersPage{Servers: s.servers, Revision: s.revision}, nil
 }
 
+func (s *source) ReadEvacuations(ctx context.Context) (directory.Evacuations, error) {
+	return s.evacuations, ctx.Err()
+}
+
 func (s *source) WatchServers(ctx context.Context, _ uint64, _ time.Duration) (directory.ServerChanges, error) {
 	<-ctx.Done()
 	return directory.ServerChanges{}, ctx.Err()
