--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -280,7 +280,7 @@
 	if known && old.Removed.IsZero() && old.Server == s {
 		return false
 	}
-	_ = level.Info(d.logger).Log("msg", "server listed", "server", s.ID, "service", s.Service, "address", s.Address, "leaving", s.Leaving, "known", known, "warm_up_ms", s.WarmUp.Milliseconds())
+	_ = level.Info(d.logger).Log("msg", "server listed", "server", s.ID, "service", s.Service, "address", s.Address, "hall", s.Hall, "leaving", s.Leaving, "known", known, "warm_up_ms", s.WarmUp.Milliseconds())
 	listed := Server{Server: s}
 	if s.WarmUp > 0 {
 		listed.Warm = at.Add(s.WarmUp)
