--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -132,6 +132,8 @@
 	// that wait for the version that they begin at.
 	applying sync.Mutex
 	deltas   []tableDelta
+	// history are the last changes of the list, for boxes that lack them.
+	history listHistory
 	// verifying counts the checks of the source that are under way.
 	verifying atomic.Int32
 
--- /dev/null
+++ b/pkg/directory/history_test.go
@@ -0,0 +1,95 @@
+package directory
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"headhill.example/headhill/pkg/routing"
+)
+
+// listedIn is the list that a box has.
+func listedIn(d *Directory) map[string]routing.Server {
+	list := make(map[string]routing.Server)
+	for id, s := range d.servers {
+		if s.Removed.IsZero() {
+			list[id] = s.Server
+		}
+	}
+	return list
+}
+
+// A box that lacks some changes has, after what another box tells it of them, the same list as that
+// one, whatever came in which order; it is told the whole where the changes are not known.
+func TestChangesLeadToTheSameList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		first, second := New(log.NewNopLogger()), New(log.NewNopLogger())
+		revision := uint64(1)
+		first.takeList(nil, revision, now)
+		second.takeList(nil, revision, now)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			s := routing.Server{ID: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "id"), Slots: rapid.IntRange(1, 3).Draw(t, "slots")}
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			default:
+				e := ServerEvent{Server: s, Removed: rapid.Bool().Draw(t, "removed")}
+				first.Apply(Delta{From: revision, To: revision + 2, Events: []ServerEvent{e}})
+				revision += 2
+			case 7:
+				revision += 3
+				first.takeList([]routing.Server{s}, revision, now)
+			case 8, 9:
+				since := second.list.known().revision
+				c, err := first.ListCopy(context.Background(), since, 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if c.Delta != nil {
+					second.Apply(*c.Delta)
+				} else {
+					second.takeList(c.Servers, c.Revision, now)
+				}
+				assert.Equal(t, listedIn(first), listedIn(second))
+			}
+		}
+	})
+}
+
+// A box that lacks a change asks for that alone, however long the list is.
+func TestOneChangeIsTold(t *testing.T) {
+	for _, n := range []int{1000, 2000} {
+		d := New(log.NewNopLogger())
+		var list []routing.Server
+		for i := range n {
+			list = append(list, serverIn("east", i))
+		}
+		d.takeList(list, 5, time.Now())
+		d.Apply(Delta{From: 5, To: 8, Events: []ServerEvent{{Server: serverIn("east", n)}}})
+		c, err := d.ListCopy(t.Context(), 6, 0)
+		assert.NoError(t, err)
+		assert.Len(t, c.Delta.Events, 1)
+		c, err = d.ListCopy(t.Context(), 4, 0)
+		assert.NoError(t, err)
+		assert.Nil(t, c.Delta, "from before the list was read")
+		assert.Len(t, c.Servers, n+1)
+	}
+}
+
+// What is kept is bounded; a box that lacks more is told the whole.
+func TestOldChangesAreForgotten(t *testing.T) {
+	var h listHistory
+	h.begin(1)
+	for i := range uint64(historyEvents + 10) {
+		h.add(Delta{From: i + 1, To: i + 2, Events: []ServerEvent{{Server: serverIn("east", int(i))}}})
+	}
+	assert.Equal(t, historyEvents, h.events)
+	_, ok := h.since(5)
+	assert.False(t, ok)
+	events, ok := h.since(historyEvents + 10)
+	assert.True(t, ok)
+	assert.Len(t, events, 1)
+}
--- a/pkg/directory/providers.go
+++ b/pkg/directory/providers.go
@@ -29,23 +29,15 @@
 	Read time.Time
 }
 
-// ListCopy is the list of servers as one box knows it.
-type ListCopy struct {
-	Servers           []routing.Server
-	Revision, Changed uint64
-	Read              time.Time
-	// Evacuations are the halls whose servers get nothing.
-	Evacuations Evacuations
-}
-
 // Providers are the other boxes that this one asks for what it lacks, which spares the
 // source the question.
 type Providers interface {
 	// Table asks for a table known at a revision at least. The table in force, which may be
 	// nil, need not be sent again.
 	Table(ctx context.Context, inForce *routing.Table, least uint64) (TableCopy, error)
-	// Servers asks for the list known at a revision at least.
-	Servers(ctx context.Context, least uint64) (ListCopy, error)
+	// Servers asks for the list known at a revision at least. Of a list that is known at another
+	// one, zero for none, only what has changed since need be sent.
+	Servers(ctx context.Context, known, least uint64) (ListCopy, error)
 }
 
 // asksProviders tells whether other boxes are asked before the source: by a box that reads
@@ -81,15 +73,28 @@
 
 // fetch implements part.
 func (p *serversPart) fetch(ctx context.Context, least uint64) (known, error) {
-	c, err := p.providers.Servers(ctx, least)
+	c, err := p.providers.Servers(ctx, p.known(), least)
 	if err != nil {
 		return known{}, err
 	}
 	p.directory.SetEvacuations(c.Evacuations, c.Read)
-	p.directory.takeList(c.Servers, c.Revision, c.Read)
+	if c.Delta != nil {
+		p.directory.Apply(*c.Delta)
+	} else {
+		p.directory.takeList(c.Servers, c.Revision, c.Read)
+	}
 	return known{revision: c.Revision, changed: c.Changed}, nil
 }
 
+// known is the revision up to which changes of the list may be added to it; zero if the whole has
+// to be had.
+func (p *serversPart) known() uint64 {
+	if !p.directory.list.watchable() {
+		return 0
+	}
+	return p.directory.list.known().revision
+}
+
 // takeList takes a whole list in, known at a revision, and returns what it changes. Changes
 // may have come while it was on its way: an older list must not undo them.
 func (d *Directory) takeList(list []routing.Server, revision uint64, at time.Time) []ServerEvent {
@@ -100,6 +105,7 @@
 		return nil
 	}
 	events := d.setServers(list, at)
+	d.history.begin(revision)
 	d.list.advance(known{revision: revision})
 	return events
 }
@@ -120,8 +126,9 @@
 }
 
 // ListCopy returns this box's list once it is known at a revision; ErrBehind if it is not
-// when ctx ends.
-func (d *Directory) ListCopy(ctx context.Context, least uint64) (ListCopy, error) {
+// when ctx ends. To who knows it at another revision, it returns what has changed since, if that is
+// known.
+func (d *Directory) ListCopy(ctx context.Context, since, least uint64) (ListCopy, error) {
 	if err := d.list.await(ctx, least); err != nil {
 		return ListCopy{}, err
 	}
@@ -131,6 +138,10 @@
 	defer d.mu.Unlock()
 	k := d.list.known()
 	c := ListCopy{Revision: k.revision, Changed: k.changed, Read: d.view.Load().ServersRead, Evacuations: d.evacuations}
+	if events, ok := d.history.since(since); ok && since > 0 {
+		c.Delta = &Delta{From: since, To: k.revision, Events: events}
+		return c, nil
+	}
 	for _, id := range slices.Sorted(maps.Keys(d.servers)) {
 		if s := d.servers[id]; s.Removed.IsZero() {
 			c.Servers = append(c.Servers, s.Server)
--- a/pkg/directory/providers_test.go
+++ b/pkg/directory/providers_test.go
@@ -22,7 +22,7 @@
 	return TableCopy{}, ErrNoProvider
 }
 
-func (nobody) Servers(context.Context, uint64) (ListCopy, error) { return ListCopy{}, ErrNoProvider }
+func (nobody) Servers(context.Context, uint64, uint64) (ListCopy, error) { return ListCopy{}, ErrNoProvider }
 
 // alone follows a source as a box that knows no other and reads for none.
 func alone(source Source, t Timing) Following {
@@ -41,10 +41,10 @@
 	return n.TableCopy(ctx, least)
 }
 
-func (n oneProvider) Servers(ctx context.Context, least uint64) (ListCopy, error) {
+func (n oneProvider) Servers(ctx context.Context, since, least uint64) (ListCopy, error) {
 	ctx, cancel := context.WithTimeout(ctx, n.patience)
 	defer cancel()
-	return n.ListCopy(ctx, least)
+	return n.ListCopy(ctx, since, least)
 }
 
 // deadSource answers nothing.
--- a/pkg/directory/share.go
+++ b/pkg/directory/share.go
@@ -68,6 +68,7 @@
 		return
 	}
 	d.changeServers(delta.Events, clock.Now())
+	d.history.add(delta)
 	k := known{revision: delta.To}
 	if len(delta.Events) > 0 {
 		k.changed = delta.To
--- a/pkg/snapshot/client.go
+++ b/pkg/snapshot/client.go
@@ -67,7 +67,7 @@
 	}
 	return ask(ctx, c, func(ctx context.Context, address string, wait time.Duration) (directory.TableCopy, error) {
 		var delta routing.Delta
-		k, has, err := c.fetch(ctx, address, pathTable, question{least: least, inForce: inForce.Version, wait: wait}, &delta)
+		k, has, err := c.fetch(ctx, address, pathTable, question{least: least, inForce: inForce.Version, wait: wait}, func(known) any { return &delta })
 		if err != nil {
 			return directory.TableCopy{}, err
 		}
@@ -94,14 +94,22 @@
 }
 
 // Servers implements directory.Providers.
-func (c *Client) Servers(ctx context.Context, least uint64) (directory.ListCopy, error) {
+func (c *Client) Servers(ctx context.Context, since, least uint64) (directory.ListCopy, error) {
 	return ask(ctx, c, func(ctx context.Context, address string, wait time.Duration) (directory.ListCopy, error) {
-		var servers []routing.Server
-		k, has, err := c.fetch(ctx, address, pathServers, question{least: least, wait: wait}, &servers)
+		var list directory.ListCopy
+		k, has, err := c.fetch(ctx, address, pathServers, question{least: least, since: since, wait: wait}, func(k known) any {
+			if k.since == 0 {
+				return &list.Servers
+			}
+			list.Delta = &directory.Delta{From: k.since, To: k.revision}
+			return &list.Delta.Events
+		})
 		if err == nil && !has {
 			err = &DamagedError{Address: address, Reason: "it holds no list"}
 		}
-		return directory.ListCopy{Servers: servers, Revision: k.revision, Changed: k.changed, Read: time.Now().Add(-k.age), Evacuations: k.evacuations}, err
+		list.Revision, list.Changed, list.Evacuations = k.revision, k.changed, k.evacuations
+		list.Read = time.Now().Add(-k.age)
+		return list, err
 	})
 }
 
@@ -160,13 +168,15 @@
 	c.silent[address] = time.Now()
 }
 
-// fetch asks one box for a part. It returns false where the box has what the asker has.
-func (c *Client) fetch(ctx context.Context, address, path string, q question, to any) (known, bool, error) {
+// fetch asks one box for a part, and decodes it into what the head of the answer calls for. It
+// returns false where the box has what the asker has.
+func (c *Client) fetch(ctx context.Context, address, path string, q question, to func(known) any) (known, bool, error) {
 	ctx, cancel := stall.WithLimits(ctx, stall.Limits{First: q.wait + wayMost, Silence: silenceMost, Most: answerMost})
 	defer cancel()
 	values := url.Values{
 		keyLeast:   {strconv.FormatUint(q.least, 10)},
 		keyInForce: {strconv.FormatUint(q.inForce, 10)},
+		keySince:   {strconv.FormatUint(q.since, 10)},
 		keyWait:    {strconv.FormatInt(q.wait.Milliseconds(), 10)},
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path+"?"+values.Encode(), nil)
@@ -189,7 +199,7 @@
 		return k, false, nil
 	}
 	body := stall.Reader(ctx, io.LimitReader(resp.Body, bodyMost))
-	if err := decode(body, to); err != nil {
+	if err := decode(body, to(k)); err != nil {
 		return known{}, false, errors.Join(&DamagedError{Address: address, Reason: "its body is no part"}, err, context.Cause(ctx))
 	}
 	return k, true, nil
--- a/pkg/snapshot/doc.go
+++ b/pkg/snapshot/doc.go
@@ -26,6 +26,8 @@
 	keyLeast = "least"
 	// keyInForce is the version of the table that the asker has; zero for none.
 	keyInForce = "in-force"
+	// keySince is the revision at which the asker knows the list of servers; zero for none.
+	keySince = "since"
 	// keyWait is how many milliseconds the asker would wait for a revision that this box
 	// does not know yet.
 	keyWait = "wait-ms"
@@ -37,6 +39,8 @@
 	headerRevision = "Belief-Revision"
 	headerChanged  = "Belief-Changed"
 	headerAge      = "Belief-Age-Ms"
+	// headerSince says that only what has changed in the list of servers after a revision is sent.
+	headerSince = "Belief-Since"
 	// headerEvacuations tells the evacuated halls, as JSON, with the list of servers. It is missing
 	// where the sender does not know them.
 	headerEvacuations = "Belief-Evacuations"
@@ -74,6 +78,8 @@
 type known struct {
 	revision, changed uint64
 	age               time.Duration
+	// since is the revision after which changes of the list are sent; zero for the whole.
+	since uint64
 	// evacuations are known with the list of servers only.
 	evacuations directory.Evacuations
 }
@@ -82,6 +88,9 @@
 	h.Set(headerRevision, strconv.FormatUint(k.revision, 10))
 	h.Set(headerChanged, strconv.FormatUint(k.changed, 10))
 	h.Set(headerAge, strconv.FormatInt(k.age.Milliseconds(), 10))
+	if k.since > 0 {
+		h.Set(headerSince, strconv.FormatUint(k.since, 10))
+	}
 	if k.evacuations.Revision > 0 {
 		// Plain structs always encode.
 		text, _ := json.Marshal(k.evacuations)
@@ -105,7 +114,12 @@
 	revision, err1 := strconv.ParseUint(h.Get(headerRevision), 10, 64)
 	changed, err2 := strconv.ParseUint(h.Get(headerChanged), 10, 64)
 	age, err3 := strconv.ParseUint(h.Get(headerAge), 10, 32)
+	since := uint64(0)
+	var err4 error
+	if text := h.Get(headerSince); text != "" {
+		since, err4 = strconv.ParseUint(text, 10, 64)
+	}
 	evacuations, told := readEvacuations(h)
-	ok := err1 == nil && err2 == nil && err3 == nil && changed <= revision && told
-	return known{revision: revision, changed: changed, age: time.Duration(age) * time.Millisecond, evacuations: evacuations}, ok
+	ok := err1 == nil && err2 == nil && err3 == nil && err4 == nil && changed <= revision && told
+	return known{revision: revision, changed: changed, since: since, age: time.Duration(age) * time.Millisecond, evacuations: evacuations}, ok
 }
--- a/pkg/snapshot/encode.go
+++ b/pkg/snapshot/encode.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 
+	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/routing"
 )
 
@@ -59,11 +60,32 @@
 	e.table, e.bodies = table, make(map[uint64][]byte)
 }
 
-// listEncoder encodes the list of servers once for each revision at which it changed.
+// listEncoder encodes the list of servers once for each revision at which it changed, and what
+// leads to the newest revision once for each from which it is asked for.
 type listEncoder struct {
 	mu       sync.Mutex
 	revision uint64
 	encoded  []byte
+	// newest is the revision to which deltas lead, by the revisions at which they begin.
+	newest uint64
+	deltas map[uint64][]byte
+}
+
+// changes returns an encoded delta.
+func (e *listEncoder) changes(d directory.Delta) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.newest != d.To {
+		e.newest, e.deltas = d.To, make(map[uint64][]byte)
+	}
+	if body, ok := e.deltas[d.From]; ok {
+		return body, nil
+	}
+	body, err := encode(d.Events)
+	if err == nil {
+		e.deltas[d.From] = body
+	}
+	return body, err
 }
 
 func (e *listEncoder) body(servers []routing.Server, revision uint64) ([]byte, error) {
--- a/pkg/snapshot/server.go
+++ b/pkg/snapshot/server.go
@@ -53,7 +53,9 @@
 // question is what another box asks.
 type question struct {
 	least, inForce uint64
-	wait           time.Duration
+	// since is the revision at which the asker knows the list of servers.
+	since uint64
+	wait  time.Duration
 }
 
 func readQuestion(r *http.Request) (question, error) {
@@ -61,8 +63,13 @@
 	least, err1 := strconv.ParseUint(values.Get(keyLeast), 10, 64)
 	inForce, err2 := strconv.ParseUint(values.Get(keyInForce), 10, 64)
 	wait, err3 := strconv.ParseUint(values.Get(keyWait), 10, 32)
+	// Boxes of earlier builds do not say what they know: they are sent the whole.
+	since, err := strconv.ParseUint(values.Get(keySince), 10, 64)
+	if err != nil {
+		since = 0
+	}
 	return question{
-		least: least, inForce: inForce, wait: min(time.Duration(wait)*time.Millisecond, waitMost),
+		least: least, inForce: inForce, since: since, wait: min(time.Duration(wait)*time.Millisecond, waitMost),
 	}, errors.Join(err1, err2, err3)
 }
 
@@ -128,11 +135,16 @@
 }
 
 func (s *Server) serveList(ctx context.Context, q question) (answer, error) {
-	c, err := s.directory.ListCopy(ctx, q.least)
+	c, err := s.directory.ListCopy(ctx, q.since, q.least)
 	if err != nil {
 		return answer{}, err
 	}
 	a := answer{known: known{revision: c.Revision, changed: c.Changed, age: time.Since(c.Read), evacuations: c.Evacuations}}
+	if c.Delta != nil {
+		a.since = c.Delta.From
+		a.body, err = s.list.changes(*c.Delta)
+		return a, err
+	}
 	a.body, err = s.list.body(c.Servers, c.Revision)
 	return a, err
 }
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -138,7 +138,7 @@
 	_, found := table.Table.Organisation("key")
 	assert.True(t, found)
 	assert.Equal(t, uint64(9), table.Revision)
-	list, err := third.ListCopy(t.Context(), 9)
+	list, err := third.ListCopy(t.Context(), 0, 9)
 	require.NoError(t, err)
 	assert.Equal(t, s.servers, list.Servers)
 	assert.WithinDuration(t, first.View().TableRead, table.Read, 5*time.Second)
@@ -210,7 +210,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := client(300*time.Millisecond, address, good.address)
-			list, err := c.Servers(t.Context(), 9)
+			list, err := c.Servers(t.Context(), 0, 9)
 			require.NoError(t, err)
 			assert.Len(t, list.Servers, 2)
 			_, err = client(50*time.Millisecond, address).Table(t.Context(), nil, 9)
@@ -242,7 +242,7 @@
 	frozen := halfServed(t, func(http.ResponseWriter) { <-end })
 	defer close(end)
 	begun := time.Now()
-	_, err := client(300*time.Millisecond, frozen).Servers(t.Context(), 9)
+	_, err := client(300*time.Millisecond, frozen).Servers(t.Context(), 0, 9)
 	var stalled *stall.Error
 	require.ErrorAs(t, err, &stalled)
 	assert.True(t, stalled.Begun)
@@ -297,3 +297,30 @@
 		})
 	}
 }
+
+// A box that knows the list at an earlier revision is sent what has changed alone, and which halls
+// are evacuated; one of an earlier build, which does not say what it knows, is sent the whole.
+func TestChangesOfTheListAreSent(t *testing.T) {
+	d := loaded(t, &source{table: tableOf(7, 3), servers: listOf(2000), revision: 9, evacuations: directory.Evacuations{Halls: []string{"hall, 1"}, Revision: 9}})
+	changed := routing.Server{ID: "i-0001", Service: "calls", Address: "192.0.2.1:1", Leaving: true}
+	d.Apply(directory.Delta{From: 9, To: 12, Events: []directory.ServerEvent{{Server: changed}}})
+	address := serve(t, d).address
+	for range 2 {
+		list, err := client(time.Second, address).Servers(t.Context(), 9, 12)
+		require.NoError(t, err)
+		assert.Empty(t, list.Servers)
+		assert.Equal(t, &directory.Delta{From: 9, To: 12, Events: []directory.ServerEvent{{Server: changed}}}, list.Delta)
+		assert.Equal(t, []string{"hall, 1"}, list.Evacuations.Halls)
+	}
+	list, err := client(time.Second, address).Servers(t.Context(), 8, 12)
+	require.NoError(t, err)
+	assert.Len(t, list.Servers, 2000)
+
+	resp, err := http.Get("http://" + address + pathServers + "?least=12&in-force=0&wait-ms=100")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	assert.Empty(t, resp.Header.Get(headerSince))
+	var whole []routing.Server
+	require.NoError(t, decode(resp.Body, &whole))
+	assert.Len(t, whole, 2000)
+}
