directory: a change of the list costs what has changed

Cause: each change of the list made all pools anew from a map and sorted them, at each box: several a second while servers are replaced. At the start each server had a line of its own in each box's log, 10,000 at 985 boxes.

What is left grows with the list: one copy of it, as views are immutable. The first list has one line with its length; lines of servers are in the debug log.

Drawn histories: views changed step by step hold what whole lists hold.

--- /dev/null
+++ b/pkg/directory/bench_test.go
@@ -0,0 +1,31 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"headhill.example/headhill/pkg/routing"
+)
+
+// BenchmarkChange is what one change of a list of servers costs each box.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{9845, 19690} {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			d := New(log.NewNopLogger())
+			var list []routing.Server
+			for i := range n {
+				list = append(list, serverIn("east", i))
+			}
+			d.takeList(list, 1, time.Now())
+			b.ResetTimer()
+			for i := range b.N {
+				s := serverIn("east", i%n)
+				s.Leaving = i%2 == 0
+				d.Apply(Delta{From: uint64(i + 1), To: uint64(i + 2), Events: []ServerEvent{{Server: s}}})
+			}
+		})
+	}
+}
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -113,14 +112,6 @@
 	return warm
 }
 
-// pool is the servers of a service.
-type pool struct {
-	// ready are listed and get work, idle are listed and don't, lost are not listed any more.
-	ready []routing.Server
-	idle  []routing.Server
-	lost  []Server
-}
-
 // Directory keeps the belief.
 type Directory struct {
 	logger log.Logger
@@ -139,6 +130,8 @@
 
 	mu      sync.Mutex
 	servers map[string]Server
+	// tidied is when servers that were removed long ago were last forgotten.
+	tidied time.Time
 	// returned is when the source was last back after an outage.
 	returned time.Time
 	// evacuations are the halls whose servers get nothing.
@@ -229,11 +222,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.noteReturn(at)
+	first := d.view.Load().ServersRead.IsZero()
 	var events []ServerEvent
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
-		if d.setServer(s, at) {
+		if d.setServer(s, at, first) {
 			events = append(events, ServerEvent{Server: s})
 		}
 	}
@@ -243,6 +237,9 @@
 			events = append(events, ServerEvent{Server: routing.Server{ID: id}, Removed: true})
 		}
 	}
+	if first {
+		_ = level.Info(d.logger).Log("msg", "list of servers read", "servers", len(list))
+	}
 	d.publishServers(at)
 	return events
 }
@@ -257,15 +254,9 @@
 			d.removeServer(e.Server.ID, at)
 			continue
 		}
-		d.setServer(e.Server, at)
+		d.setServer(e.Server, at, false)
 	}
-	if len(events) == 0 {
-		v := *d.view.Load()
-		v.ServersRead = at
-		d.view.Store(&v)
-		return
-	}
-	d.publishServers(at)
+	d.publishChanges(events, at)
 }
 
 // noteReturn notes that the source has answered after an outage.
@@ -277,12 +268,18 @@
 }
 
 // setServer takes one server in, as it was told at a time. It returns whether that changes anything.
-func (d *Directory) setServer(s routing.Server, at time.Time) bool {
+// Of the first list no server has a line of its own in the usual log: thousands of them took a box
+// longer than the list itself.
+func (d *Directory) setServer(s routing.Server, at time.Time, first bool) bool {
 	old, known := d.servers[s.ID]
 	if known && old.Removed.IsZero() && old.Server == s {
 		return false
 	}
-	_ = level.Info(d.logger).Log("msg", "server listed", "server", s.ID, "service", s.Service, "address", s.Address, "hall", s.Hall, "leaving", s.Leaving, "known", known, "warm_up_ms", s.WarmUp.Milliseconds())
+	line := level.Info(d.logger)
+	if first {
+		line = level.Debug(d.logger)
+	}
+	_ = line.Log("msg", "server listed", "server", s.ID, "service", s.Service, "address", s.Address, "hall", s.Hall, "leaving", s.Leaving, "known", known, "warm_up_ms", s.WarmUp.Milliseconds())
 	listed := Server{Server: s}
 	if s.WarmUp > 0 {
 		listed.Warm = at.Add(s.WarmUp)
@@ -303,47 +300,3 @@
 	d.servers[id] = s
 	_ = level.Info(d.logger).Log("msg", "server left the list", "server", id, "service", s.Service, "leaving", s.Leaving, "lapsed", !s.Lapsed.IsZero())
 }
-
-// add adds a server, which gets nothing where it leaves or its hall is evacuated.
-func (p *pool) add(s Server, evacuated bool) {
-	stopped := s.Leaving || evacuated
-	switch {
-	case stopped && s.Removed.IsZero():
-		p.idle = append(p.idle, s.Server)
-	case stopped:
-	case s.Removed.IsZero():
-		p.ready = append(p.ready, s.Server)
-	default:
-		p.lost = append(p.lost, s)
-	}
-}
-
-// removedKept is how long a removed server is remembered.
-const removedKept = time.Minute
-
-func (d *Directory) publishServers(at time.Time) {
-	v := *d.view.Load()
-	v.ServersRead = at
-	v.warm = make(map[routing.Life]time.Time)
-	v.evacuated = d.evacuations.set()
-	v.pools = make(map[string]*pool)
-	for id, s := range d.servers {
-		if !s.Removed.IsZero() && at.Sub(s.Removed) > removedKept {
-			delete(d.servers, id)
-			continue
-		}
-		p := v.pools[s.Service]
-		if p == nil {
-			p = &pool{}
-			v.pools[s.Service] = p
-		}
-		p.add(s, v.evacuated[s.Hall])
-		if s.Warm.After(at) {
-			v.warm[s.Life()] = s.Warm
-		}
-	}
-	for _, p := range v.pools {
-		slices.SortFunc(p.ready, func(a, b routing.Server) int { return strings.Compare(a.ID, b.ID) })
-	}
-	d.view.Store(&v)
-}
--- a/pkg/directory/history_test.go
+++ b/pkg/directory/history_test.go
@@ -1,7 +1,9 @@
 package directory
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,6 +25,15 @@
 	return list
 }
 
+// candidatesOf are the candidates by a directory's view, which is changed step by step, in order.
+func candidatesOf(d *Directory) []routing.Server {
+	list := d.View().Candidates("", time.Now().Add(time.Hour), 0)
+	if !slices.IsSortedFunc(list, func(a, b routing.Server) int { return cmp.Compare(a.ID, b.ID) }) {
+		panic("candidates are not in order")
+	}
+	return append([]routing.Server{}, list...)
+}
+
 // A box that lacks some changes has, after what another box tells it of them, the same list as that
 // one, whatever came in which order; it is told the whole where the changes are not known.
 func TestChangesLeadToTheSameList(t *testing.T) {
@@ -54,6 +65,7 @@
 					second.takeList(c.Servers, c.Revision, now)
 				}
 				assert.Equal(t, listedIn(first), listedIn(second))
+				assert.Equal(t, candidatesOf(first), candidatesOf(second))
 			}
 		}
 	})
--- a/pkg/directory/providers_test.go
+++ b/pkg/directory/providers_test.go
@@ -22,7 +22,9 @@
 	return TableCopy{}, ErrNoProvider
 }
 
-func (nobody) Servers(context.Context, uint64, uint64) (ListCopy, error) { return ListCopy{}, ErrNoProvider }
+func (nobody) Servers(context.Context, uint64, uint64) (ListCopy, error) {
+	return ListCopy{}, ErrNoProvider
+}
 
 // alone follows a source as a box that knows no other and reads for none.
 func alone(source Source, t Timing) Following {
