--- a/cmd/headhillctl/cmds/cmds.go
+++ b/cmd/headhillctl/cmds/cmds.go
@@ -57,11 +57,16 @@
 )
 
 // adminFlags say which box to ask, and as whom.
-func adminFlags(more ...cli.Flag) []cli.Flag {
-	return append([]cli.Flag{
+func adminFlags(more ...cli.Flag) []cli.Flag { return append(flagsOfAdmin(true), more...) }
+
+// optionalAdminFlags are adminFlags for a command that can do without them.
+func optionalAdminFlags() []cli.Flag { return flagsOfAdmin(false) }
+
+func flagsOfAdmin(token bool) []cli.Flag {
+	return []cli.Flag{
 		&cli.StringFlag{Name: flagAdmin, Usage: "`URL` of a box's admin port", Value: "http://127.0.0.1:8082", Sources: cli.EnvVars("HEADHILL_ADMIN")},
-		&cli.StringFlag{Name: flagToken, Usage: "the operator's `TOKEN`", Required: true, Sources: cli.EnvVars("HEADHILL_TOKEN")},
-	}, more...)
+		&cli.StringFlag{Name: flagToken, Usage: "the operator's `TOKEN`", Required: token, Sources: cli.EnvVars("HEADHILL_TOKEN")},
+	}
 }
 
 func jsonFlag() cli.Flag {
--- a/cmd/headhillctl/cmds/config.go
+++ b/cmd/headhillctl/cmds/config.go
@@ -158,9 +158,15 @@
 func statusCommand(out io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:  "status",
-		Usage: "show every box and shard",
-		Flags: adminFlags(jsonFlag()),
+		Usage: "show every box and shard, or what one routing box knows",
+		Flags: append(statusFlags(), jsonFlag()),
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if base := c.String(flagBox); base != "" {
+				return routingStatus(ctx, out, strings.TrimSuffix(base, "/"), c.Bool(flagJSON))
+			}
+			if c.String(flagToken) == "" {
+				return &UsageError{Usage: "status --token TOKEN, or status --box URL for a routing box"}
+			}
 			r, err := adminOf(c).Status(ctx)
 			if err != nil {
 				return err
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -319,6 +319,7 @@
 	d.ready = &http.Server{Handler: questions, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	figures := httprouter.New()
 	figures.Handler(http.MethodGet, "/metrics", d.metrics.Handler())
+	figures.GET(pathStatus, d.handleStatus)
 	figures.GET(pathHeld, d.handleHeld)
 	figures.POST(pathRelease, d.handleRelease)
 	d.metricsServer = &http.Server{Handler: figures, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
--- /dev/null
+++ b/pkg/routerd/status.go
@@ -0,0 +1,63 @@
+package routerd
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/julienschmidt/httprouter"
+
+	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/version"
+)
+
+// pathStatus is where operators see what a box knows, at the metrics address.
+const pathStatus = "/status"
+
+// Status is what a routing box tells of itself.
+type Status struct {
+	Box     string `json:"box"`
+	Hall    string `json:"hall"`
+	Version string `json:"version"`
+	Ready   bool   `json:"ready"`
+	// Boxes is how many boxes it knows, itself included.
+	Boxes int `json:"boxes"`
+	// TableVersion is that of the routing table in force, zero for none; TableAgeMillis and
+	// ServersAgeMillis are how long ago the store last confirmed table and servers.
+	TableVersion     uint64 `json:"table_version"`
+	TableAgeMillis   int64  `json:"table_age_ms"`
+	ServersAgeMillis int64  `json:"servers_age_ms"`
+	// EvacuatedHalls are those whose servers get nothing, as the store said so long ago.
+	EvacuatedHalls       []string `json:"evacuated_halls"`
+	EvacuationsAgeMillis int64    `json:"evacuations_age_ms"`
+}
+
+// Status tells what the box knows.
+func (d *Daemon) Status() Status {
+	s, v, now := d.settings.Load(), d.directory.View(), clock.Now()
+	status := Status{
+		Box: s.Box.ID, Hall: s.Box.Hall, Version: version.String(), Ready: d.Ready(), Boxes: d.roster.Count(),
+		TableAgeMillis: millisSince(v.TableRead, now), ServersAgeMillis: millisSince(v.ServersRead, now),
+		EvacuatedHalls: d.directory.Evacuations().Halls, EvacuationsAgeMillis: millisSince(v.EvacuationsRead, now),
+	}
+	if v.Table != nil {
+		status.TableVersion = v.Table.Version
+	}
+	return status
+}
+
+// millisSince is how many milliseconds ago a time was, -1 for a time that never was.
+func millisSince(t, now time.Time) int64 {
+	if t.IsZero() {
+		return -1
+	}
+	return now.Sub(t).Milliseconds()
+}
+
+func (d *Daemon) handleStatus(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(d.Status()); err != nil {
+		_ = level.Info(d.logger).Log("msg", "status not told", "err", err)
+	}
+}
