--- a/pkg/directory/follow.go
+++ b/pkg/directory/follow.go
@@ -71,6 +71,7 @@
 // run reads the whole until it succeeds, then follows changes, and begins anew when
 // history is lost.
 func (f *follower) run(ctx context.Context, t Timing, p part, reader func() bool) {
+	f.begin()
 	for ctx.Err() == nil {
 		if f.watchable() && !f.mustAsk(reader) {
 			f.rest(ctx)
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -31,6 +31,8 @@
 	// open is what this part has yet to reach. The source is asked until it is met.
 	open     target
 	failures int
+	// running says that the part is being followed.
+	running bool
 	// unbegun counts the watches in a row whose answer did not begin in time, though the
 	// source is known to have what they ask for.
 	unbegun int
@@ -131,6 +133,13 @@
 	return f.open
 }
 
+// begin notes that the part is followed from now on.
+func (f *follower) begin() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running = true
+}
+
 // met notes that the source has answered. A revision that it does not know was never its
 // own, and is not asked for again; what was heard of meanwhile is.
 func (f *follower) met(asked target) {
--- a/pkg/directory/providers.go
+++ b/pkg/directory/providers.go
@@ -20,6 +20,9 @@
 // ErrBehind says that a box does not know as much as was asked for.
 var ErrBehind = errors.New("the other box is behind: the next one or the source is asked")
 
+// ErrLoading says that a box has nothing yet, and is reading it for the first time.
+var ErrLoading = errors.New("the other box is reading it: it is asked again")
+
 // TableCopy is the table as one box knows it.
 type TableCopy struct {
 	Table *routing.Table
@@ -151,16 +154,27 @@
 }
 
 // await waits until the part is there and known at a revision. Whoever asks for one knows
-// that the part has changed there.
+// that the part has changed there. The error is ErrLoading or ErrBehind.
 func (f *follower) await(ctx context.Context, least uint64) error {
 	if least > 0 {
 		f.heardOf(0, least)
 	}
 	for !f.there() || f.known().revision < max(least, 1) {
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() == nil:
+			pause.For(ctx, copyStep)
+		case f.loading():
+			return ErrLoading
+		default:
 			return ErrBehind
 		}
-		pause.For(ctx, copyStep)
 	}
 	return nil
 }
+
+// loading tells whether the part is being read for the first time, and nothing speaks against it.
+func (f *follower) loading() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.running && !f.there() && f.failures == 0
+}
--- a/pkg/snapshot/client.go
+++ b/pkg/snapshot/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/routing"
 	"headhill.example/headhill/pkg/stall"
 )
@@ -26,6 +27,11 @@
 	silenceMost = 300 * time.Millisecond
 	// answerMost bounds a whole answer: what trickles is left for the source.
 	answerMost = 10 * time.Second
+	// loadingMost is for how long a box that has nothing waits for others that are still reading, and
+	// loadingPause how long it rests between two rounds. The first boxes take about a second to read
+	// a list of 10,000 servers in its pages, and those that pass it on as long again.
+	loadingMost  = 4 * time.Second
+	loadingPause = 50 * time.Millisecond
 	// passedOver is how long a box that gave no answer is asked after the others.
 	passedOver = 5 * time.Second
 )
@@ -65,7 +71,7 @@
 	if inForce == nil {
 		inForce = emptyTable
 	}
-	return ask(ctx, c, func(ctx context.Context, address string, wait time.Duration) (directory.TableCopy, error) {
+	return ask(ctx, c, least, func(ctx context.Context, address string, wait time.Duration) (directory.TableCopy, error) {
 		var delta routing.Delta
 		k, has, err := c.fetch(ctx, address, pathTable, question{least: least, inForce: inForce.Version, wait: wait}, func(known) any { return &delta })
 		if err != nil {
@@ -95,7 +101,7 @@
 
 // Servers implements directory.Providers.
 func (c *Client) Servers(ctx context.Context, since, least uint64) (directory.ListCopy, error) {
-	return ask(ctx, c, func(ctx context.Context, address string, wait time.Duration) (directory.ListCopy, error) {
+	return ask(ctx, c, least, func(ctx context.Context, address string, wait time.Duration) (directory.ListCopy, error) {
 		var list directory.ListCopy
 		k, has, err := c.fetch(ctx, address, pathServers, question{least: least, since: since, wait: wait}, func(k known) any {
 			if k.since == 0 {
@@ -113,9 +119,41 @@
 	})
 }
 
-// ask asks one box after the other until one answers. It gives up when none has begun to
-// in time.
-func ask[T any](ctx context.Context, c *Client, one func(context.Context, string, time.Duration) (T, error)) (T, error) {
+// ask asks one box after the other until one answers. It gives up when none has begun to in time,
+// but goes on as long as one of them is still reading what a box that has nothing yet needs: of
+// hundreds that start at once all others would read the source for themselves.
+func ask[T any](ctx context.Context, c *Client, least uint64, one func(context.Context, string, time.Duration) (T, error)) (T, error) {
+	begun := time.Now()
+	for {
+		got, err := askOnce(ctx, c, one)
+		if err == nil || least > 0 || !isLoading(err) || ctx.Err() != nil || time.Since(begun) > loadingMost {
+			return got, err
+		}
+		pause.For(ctx, loadingPause)
+	}
+}
+
+// isLoading tells whether any box was still reading what it was asked for.
+func isLoading(err error) bool {
+	for _, e := range failuresOf(err) {
+		var status *StatusError
+		if errors.As(e, &status) && status.Loading {
+			return true
+		}
+	}
+	return false
+}
+
+// failuresOf are the errors that make one up.
+func failuresOf(err error) []error {
+	if joined, ok := err.(interface{ Unwrap() []error }); ok {
+		return joined.Unwrap()
+	}
+	return []error{err}
+}
+
+// askOnce asks one box after the other, each once, until one answers.
+func askOnce[T any](ctx context.Context, c *Client, one func(context.Context, string, time.Duration) (T, error)) (T, error) {
 	var none T
 	var failures []error
 	end := time.Now().Add(min(c.wait(), waitMost))
@@ -189,7 +227,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode/100 != 2 {
-		return known{}, false, &StatusError{Address: address, Status: resp.StatusCode}
+		return known{}, false, &StatusError{Address: address, Status: resp.StatusCode, Loading: resp.Header.Get(headerLoading) != ""}
 	}
 	k, ok := readKnown(resp.Header)
 	if !ok || k.revision < q.least {
--- a/pkg/snapshot/doc.go
+++ b/pkg/snapshot/doc.go
@@ -39,6 +39,8 @@
 	headerRevision = "Belief-Revision"
 	headerChanged  = "Belief-Changed"
 	headerAge      = "Belief-Age-Ms"
+	// headerLoading says that the sender has nothing yet, and is reading it.
+	headerLoading = "Belief-Loading"
 	// headerSince says that only what has changed in the list of servers after a revision is sent.
 	headerSince = "Belief-Since"
 	// headerEvacuations tells the evacuated halls, as JSON, with the list of servers. It is missing
@@ -58,9 +60,14 @@
 type StatusError struct {
 	Address string
 	Status  int
+	// Loading says that the box has nothing yet, and is reading it.
+	Loading bool
 }
 
 func (e *StatusError) Error() string {
+	if e.Loading {
+		return fmt.Sprintf("box at %s is still reading what it was asked for: it is asked again", e.Address)
+	}
 	return fmt.Sprintf("box at %s answered %d: the next one or the source is asked", e.Address, e.Status)
 }
 
--- a/pkg/snapshot/server.go
+++ b/pkg/snapshot/server.go
@@ -98,6 +98,9 @@
 		a, err := serve(ctx, q)
 		if err != nil {
 			_ = level.Debug(s.logger).Log("msg", "snapshot not served", "path", r.URL.Path, "to", r.RemoteAddr, "least", q.least, "err", err)
+			if errors.Is(err, directory.ErrLoading) {
+				w.Header().Set(headerLoading, "1")
+			}
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -324,3 +325,56 @@
 	require.NoError(t, decode(resp.Body, &whole))
 	assert.Len(t, whole, 2000)
 }
+
+// slowSource takes its time for the first list.
+type slowSource struct {
+	*source
+	after time.Duration
+	reads atomic.Int32
+}
+
+func (s *slowSource) ReadServers(ctx context.Context, from string, stale bool) (directory.ServersPage, error) {
+	s.reads.Add(1)
+	time.Sleep(s.after)
+	return s.source.ReadServers(ctx, from, stale)
+}
+
+// Boxes that start together wait for the first one, which reads a long list, longer than they would
+// wait for an answer: they do not read it for themselves.
+func TestStartingBoxesWaitForTheOneThatReads(t *testing.T) {
+	s := &slowSource{source: &source{table: tableOf(7, 3), servers: listOf(10), revision: 9}, after: 700 * time.Millisecond}
+	address := serve(t, follow(t, s, client(0))).address
+	for range 8 {
+		d := follow(t, s, client(100*time.Millisecond, address))
+		defer func() { require.Eventually(t, d.Loaded, 10*time.Second, time.Millisecond) }()
+	}
+	time.Sleep(2 * s.after)
+	assert.Equal(t, int32(1), s.reads.Load())
+}
+
+// A box that can't read is not waited for.
+func TestBoxThatFailsIsNotWaitedFor(t *testing.T) {
+	address := serve(t, follow(t, brokenSource{}, client(0))).address
+	time.Sleep(50 * time.Millisecond)
+	begun := time.Now()
+	_, err := client(100*time.Millisecond, address).Servers(t.Context(), 0, 0)
+	assert.Error(t, err)
+	assert.Less(t, time.Since(begun), loadingMost/2)
+}
+
+// brokenSource answers nothing well.
+type brokenSource struct{ directory.Source }
+
+var errBroken = errors.New("the source is broken")
+
+func (brokenSource) ReadTable(context.Context) (directory.TableRead, error) {
+	return directory.TableRead{}, errBroken
+}
+
+func (brokenSource) ReadServers(context.Context, string, bool) (directory.ServersPage, error) {
+	return directory.ServersPage{}, errBroken
+}
+
+func (brokenSource) ReadEvacuations(context.Context) (directory.Evacuations, error) {
+	return directory.Evacuations{}, errBroken
+}
