--- a/pkg/directory/follow.go
+++ b/pkg/directory/follow.go
@@ -71,12 +71,14 @@
 // run reads the whole until it succeeds, then follows changes, and begins anew when
 // history is lost.
 func (f *follower) run(ctx context.Context, t Timing, p part, reader func() bool) {
-	f.begin()
+	defer f.setAsking(false)
 	for ctx.Err() == nil {
 		if f.watchable() && !f.mustAsk(reader) {
+			f.setAsking(false)
 			f.rest(ctx)
 			continue
 		}
+		f.setAsking(true)
 		err := f.ask(ctx, t, p, reader)
 		interrupted := errors.Is(err, errInterrupted)
 		if interrupted {
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -31,8 +31,8 @@
 	// open is what this part has yet to reach. The source is asked until it is met.
 	open     target
 	failures int
-	// running says that the part is being followed.
-	running bool
+	// asking says that others or the source are being asked.
+	asking bool
 	// unbegun counts the watches in a row whose answer did not begin in time, though the
 	// source is known to have what they ask for.
 	unbegun int
@@ -133,11 +133,11 @@
 	return f.open
 }
 
-// begin notes that the part is followed from now on.
-func (f *follower) begin() {
+// setAsking notes whether others or the source are being asked.
+func (f *follower) setAsking(asking bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.running = true
+	f.asking = asking
 }
 
 // met notes that the source has answered. A revision that it does not know was never its
--- a/pkg/directory/providers.go
+++ b/pkg/directory/providers.go
@@ -20,7 +20,7 @@
 // ErrBehind says that a box does not know as much as was asked for.
 var ErrBehind = errors.New("the other box is behind: the next one or the source is asked")
 
-// ErrLoading says that a box has nothing yet, and is reading it for the first time.
+// ErrLoading says that a box does not know as much as was asked for, and is about to.
 var ErrLoading = errors.New("the other box is reading it: it is asked again")
 
 // TableCopy is the table as one box knows it.
@@ -172,9 +172,9 @@
 	return nil
 }
 
-// loading tells whether the part is being read for the first time, and nothing speaks against it.
+// loading tells whether what is lacking is being read, and nothing speaks against it.
 func (f *follower) loading() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.running && !f.there() && f.failures == 0
+	return f.asking && f.failures == 0
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -146,15 +146,20 @@
 	return r.hosts[ip.Unmap()]
 }
 
-// Reader tells whether this box is one of the few that watch the store for all. A box that
-// has just started and sees no other is none yet: the others may not have entered.
+// Reader tells whether this box is one of the few that watch the store for all. A box that has
+// only seen the others as they were some time ago is none yet: more may have entered. Of 985 that
+// started at once dozens took themselves for the first ones.
 func (r *Roster) Reader() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.fresh && len(r.entries) == 1 {
-		return false
-	}
-	return r.rank < readers
+	return r.fresh && r.rank < readers
+}
+
+// MayRead tells whether this box would be a reader, or is alone, by what it has seen.
+func (r *Roster) MayRead() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.entries) == 1 || r.rank < readers
 }
 
 // rankUnknown is the rank of a box that has not read the roster yet.
--- a/pkg/routerd/join.go
+++ b/pkg/routerd/join.go
@@ -24,9 +24,14 @@
 	joinSpread = time.Second
 	// joinPause is how often such a box looks.
 	joinPause = 150 * time.Millisecond
-	// joinAnswer is how long the store may take to tell who is there before it is asked for
-	// table and servers all the same. A calm one answers within some milliseconds.
+	// joinAnswer is how long the store may take to tell who is there before it is asked again. A
+	// calm one answers within some milliseconds.
 	joinAnswer = 300 * time.Millisecond
+	// joinMost is how long a box tries to see others before it asks the store for table and servers
+	// all the same, which it does each time only after it has looked once more. Where hundreds start
+	// at once and read the list of 10,000 servers themselves, the store's link is taken for twenty
+	// seconds.
+	joinMost = 500 * time.Millisecond
 	// snapshotShare is the part of the time that a change may take to be in force for which
 	// a box waits for others to begin to send it. After it the store is asked, over a link
 	// that may need a third of that time for a large table.
@@ -88,21 +93,39 @@
 	begun := clock.Now()
 	wait := rand.N(joinSpread)
 	for d.roster.Count() == 1 && ctx.Err() == nil {
-		looking, cancel := context.WithTimeout(ctx, joinAnswer)
-		_, err := d.roster.Look(looking)
-		cancel()
-		if err != nil {
+		err := d.lookOnce(ctx)
+		if err != nil && clock.Since(begun) >= joinMost {
 			_ = level.Info(d.logger).Log("msg", "others not seen", "err", err, "outcome", "the store is asked")
 			return
 		}
-		if d.roster.Count() > 1 || clock.Since(begun) >= wait {
+		if d.roster.Count() > 1 || err == nil && clock.Since(begun) >= wait {
 			break
 		}
 		pause.For(ctx, joinPause)
 	}
+	d.confirmRank(ctx)
 	_ = level.Info(d.logger).Log("msg", "joined", "boxes", d.roster.Count(), "providers", len(d.roster.Providers()), "reader", d.roster.Reader(), "after", clock.Since(begun))
 }
 
+// lookOnce looks once who else is there.
+func (d *Daemon) lookOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, joinAnswer)
+	defer cancel()
+	_, err := d.roster.Look(ctx)
+	return err
+}
+
+// confirmRank reads the roster as it is now where this box takes itself for one that reads for
+// others, or for the only one: what it has seen may be from before the others entered.
+func (d *Daemon) confirmRank(ctx context.Context) {
+	if !d.roster.MayRead() {
+		return
+	}
+	if _, err := d.roster.Read(ctx); err != nil {
+		_ = level.Info(d.logger).Log("msg", "others not seen", "err", err, "outcome", "seen with the next check")
+	}
+}
+
 // look looks who else is there. It returns whether that made any box known.
 func (d *Daemon) look(ctx context.Context) bool {
 	grown, err := d.roster.Look(ctx)
@@ -113,8 +136,14 @@
 	return grown
 }
 
-// providers are the addresses of the boxes that this one asks for what it lacks.
+// providers are the addresses of the boxes that this one asks for what it lacks. While it sees
+// nobody it looks first: a connection to the store may have come up late.
 func (d *Daemon) providers() []string {
+	if d.roster.Count() == 1 && !d.roster.Reader() {
+		if err := d.lookOnce(d.ctx); err != nil {
+			_ = level.Info(d.logger).Log("msg", "others not seen", "err", err, "outcome", "the store is asked")
+		}
+	}
 	entries := d.roster.Providers()
 	addresses := make([]string, 0, len(entries))
 	for _, e := range entries {
--- a/pkg/snapshot/client.go
+++ b/pkg/snapshot/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -27,10 +28,15 @@
 	silenceMost = 300 * time.Millisecond
 	// answerMost bounds a whole answer: what trickles is left for the source.
 	answerMost = 10 * time.Second
-	// loadingMost is for how long a box that has nothing waits for others that are still reading, and
-	// loadingPause how long it rests between two rounds. The first boxes take about a second to read
-	// a list of 10,000 servers in its pages, and those that pass it on as long again.
-	loadingMost  = 4 * time.Second
+	// firstLeast and firstSpread bound for how long a box that has nothing waits for others that are
+	// still reading. The first boxes take about a second to read a list of 10,000 servers in its
+	// pages, and those that pass it on as long again.
+	firstLeast  = 3 * time.Second
+	firstSpread = 5 * time.Second
+	// listRounds is for how many times the wait a box waits for changes of the list that others are
+	// still reading. They have to be in force within six times the wait.
+	listRounds = 2
+	// loadingPause is how long a box rests between two rounds.
 	loadingPause = 50 * time.Millisecond
 	// passedOver is how long a box that gave no answer is asked after the others.
 	passedOver = 5 * time.Second
@@ -71,7 +77,7 @@
 	if inForce == nil {
 		inForce = emptyTable
 	}
-	return ask(ctx, c, least, func(ctx context.Context, address string, wait time.Duration) (directory.TableCopy, error) {
+	return ask(ctx, c, tableMost(least), func(ctx context.Context, address string, wait time.Duration) (directory.TableCopy, error) {
 		var delta routing.Delta
 		k, has, err := c.fetch(ctx, address, pathTable, question{least: least, inForce: inForce.Version, wait: wait}, func(known) any { return &delta })
 		if err != nil {
@@ -101,7 +107,7 @@
 
 // Servers implements directory.Providers.
 func (c *Client) Servers(ctx context.Context, since, least uint64) (directory.ListCopy, error) {
-	return ask(ctx, c, least, func(ctx context.Context, address string, wait time.Duration) (directory.ListCopy, error) {
+	return ask(ctx, c, c.listMost(least), func(ctx context.Context, address string, wait time.Duration) (directory.ListCopy, error) {
 		var list directory.ListCopy
 		k, has, err := c.fetch(ctx, address, pathServers, question{least: least, since: since, wait: wait}, func(k known) any {
 			if k.since == 0 {
@@ -120,19 +126,39 @@
 }
 
 // ask asks one box after the other until one answers. It gives up when none has begun to in time,
-// but goes on as long as one of them is still reading what a box that has nothing yet needs: of
-// hundreds that start at once all others would read the source for themselves.
-func ask[T any](ctx context.Context, c *Client, least uint64, one func(context.Context, string, time.Duration) (T, error)) (T, error) {
+// but goes on for some more time as long as one of them is still reading what is asked for: of
+// hundreds all others would read the source for themselves.
+func ask[T any](ctx context.Context, c *Client, most time.Duration, one func(context.Context, string, time.Duration) (T, error)) (T, error) {
 	begun := time.Now()
 	for {
 		got, err := askOnce(ctx, c, one)
-		if err == nil || least > 0 || !isLoading(err) || ctx.Err() != nil || time.Since(begun) > loadingMost {
+		if err == nil || !isLoading(err) || ctx.Err() != nil || time.Since(begun) > most {
 			return got, err
 		}
 		pause.For(ctx, loadingPause)
 	}
 }
 
+// tableMost is how long to go on asking for a table: a box that has one asks the source soon.
+func tableMost(least uint64) time.Duration {
+	if least > 0 {
+		return 0
+	}
+	return firstMost()
+}
+
+// listMost is how long to go on asking for the list of servers.
+func (c *Client) listMost(least uint64) time.Duration {
+	if least > 0 {
+		return listRounds * c.wait()
+	}
+	return firstMost()
+}
+
+// firstMost is how long a box that has nothing goes on asking. Boxes draw it, so that where all of
+// them wait in vain a few ask the source first, and the others have it from those.
+func firstMost() time.Duration { return firstLeast + rand.N(firstSpread) }
+
 // isLoading tells whether any box was still reading what it was asked for.
 func isLoading(err error) bool {
 	for _, e := range failuresOf(err) {
--- a/pkg/snapshot/server.go
+++ b/pkg/snapshot/server.go
@@ -14,6 +14,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/pause"
 )
 
 // Server serves what this box knows.
@@ -83,11 +84,6 @@
 // forBoxes answers questions of other boxes.
 func (s *Server) forBoxes(serve func(context.Context, question) (answer, error)) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-		if !s.isBox(r.RemoteAddr) {
-			s.stranger()
-			w.WriteHeader(http.StatusForbidden)
-			return
-		}
 		q, err := readQuestion(r)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -95,6 +91,10 @@
 		}
 		ctx, cancel := context.WithTimeout(r.Context(), q.wait)
 		defer cancel()
+		if !s.awaitKnown(ctx, r.RemoteAddr) {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
 		a, err := serve(ctx, q)
 		if err != nil {
 			_ = level.Debug(s.logger).Log("msg", "snapshot not served", "path", r.URL.Path, "to", r.RemoteAddr, "least", q.least, "err", err)
@@ -115,6 +115,25 @@
 	}
 }
 
+// knownStep is how often this box looks whether it knows an asker by now.
+const knownStep = 50 * time.Millisecond
+
+// awaitKnown waits until an asker is known to be a box; false if it is not when ctx ends. Where many
+// boxes start at once, those asked may hear of the asker a moment later.
+func (s *Server) awaitKnown(ctx context.Context, remote string) bool {
+	if s.isBox(remote) {
+		return true
+	}
+	s.stranger()
+	for ctx.Err() == nil {
+		pause.For(ctx, knownStep)
+		if s.isBox(remote) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Server) isBox(remote string) bool {
 	host, _, err := net.SplitHostPort(remote)
 	if err != nil {
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -359,7 +359,7 @@
 	begun := time.Now()
 	_, err := client(100*time.Millisecond, address).Servers(t.Context(), 0, 0)
 	assert.Error(t, err)
-	assert.Less(t, time.Since(begun), loadingMost/2)
+	assert.Less(t, time.Since(begun), firstLeast/2)
 }
 
 // brokenSource answers nothing well.
