--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -52,6 +52,8 @@
 	// Boxes lists the entries and the store's revision at that moment. A stale list may be
 	// seconds old, but it is cheap and bound by no rate.
 	Boxes(ctx context.Context, stale bool) (entries []Entry, revision uint64, err error)
+	// Some lists as many as the store gives at once, and whether there are more.
+	Some(ctx context.Context, stale bool) (entries []Entry, more bool, revision uint64, err error)
 }
 
 // Roster is what this box knows of the others.
@@ -68,7 +70,11 @@
 	// reading was not stale.
 	revision uint64
 	fresh    bool
-	peers    []*net.UDPAddr
+	// whole tells that all entries have been read once, and not only some.
+	whole bool
+	// partial tells that the store gave only some of them when it was last looked at.
+	partial bool
+	peers   []*net.UDPAddr
 	// ordered are the entries in the order in which boxes read and relay for others.
 	ordered []Entry
 	// providers are the boxes that this one asks for what it lacks, rank is its place in
@@ -187,18 +193,106 @@
 	return r.read(ctx, false)
 }
 
-// Look enters this box if it is not entered yet, and reads the others as they were some
-// seconds ago at most, which costs little. Neither waits for the other. It returns whether
-// that made any box known.
+// Look enters this box if it is not entered yet, and reads some of the others as they were some
+// seconds ago at most, which costs little however many there are. Neither waits for the other. It
+// returns whether that made any box known.
 func (r *Roster) Look(ctx context.Context) (bool, error) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { r.enter(ctx) })
+	before := r.Count()
+	err := r.readSome(ctx, true)
+	return r.Count() > before, err
+}
+
+// LookNow is Look without what is some seconds old.
+func (r *Roster) LookNow(ctx context.Context) error {
+	r.enter(ctx)
+	return r.readSome(ctx, false)
+}
+
+// LookAll reads all others as they were some seconds ago at most.
+func (r *Roster) LookAll(ctx context.Context) (bool, error) {
 	before := r.Count()
 	_, err := r.read(ctx, true)
 	return r.Count() > before, err
 }
 
+func (r *Roster) readSome(ctx context.Context, stale bool) error {
+	ctx, cancel := stall.WithLimits(ctx, r.limits)
+	defer cancel()
+	entries, more, revision, err := r.store.Some(ctx, stale)
+	switch {
+	case err != nil:
+		return err
+	case more:
+		r.merge(entries)
+		r.setPartial()
+	default:
+		r.set(entries, revision, stale)
+	}
+	r.onChange()
+	return nil
+}
+
+func (r *Roster) setPartial() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.partial = true
+}
+
+// merge adds entries to those that are known.
+func (r *Roster) merge(entries []Entry) {
+	r.mu.Lock()
+	known := make(map[string]bool, len(r.entries))
+	all := slices.Clone(r.entries)
+	for _, e := range all {
+		known[e.Box] = true
+	}
+	for _, e := range entries {
+		if !known[e.Box] {
+			all = append(all, e)
+		}
+	}
+	r.mu.Unlock()
+	r.install(all, 0, true)
+}
+
+// Partial tells whether the store gives only some of the boxes at once.
+func (r *Roster) Partial() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.partial
+}
+
+// Whole tells whether all boxes have been read once.
+func (r *Roster) Whole() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.whole
+}
+
+// Copy is all boxes as they were at a revision of the store; false while only some are known.
+func (r *Roster) Copy() (Copy, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Copy{Entries: r.entries, Revision: r.revision}, r.whole
+}
+
+// Copy is what one box knows of the others, as it is sent to another.
+type Copy struct {
+	Entries  []Entry
+	Revision uint64
+}
+
+// Take takes in what another box knows. It returns whether that made any box known.
+func (r *Roster) Take(c Copy) bool {
+	before := r.Count()
+	r.set(c.Entries, c.Revision, true)
+	r.onChange()
+	return r.Count() > before
+}
+
 func (r *Roster) read(ctx context.Context, stale bool) (uint64, error) {
 	ctx, cancel := stall.WithLimits(ctx, r.limits)
 	defer cancel()
@@ -231,8 +325,19 @@
 	r.mu.Unlock()
 }
 
-// set takes a reading in. One that is older than what is known is dropped.
+// set takes a reading of all boxes in. One that is older than what is known is dropped.
 func (r *Roster) set(entries []Entry, revision uint64, stale bool) {
+	r.mu.Lock()
+	old := revision < r.revision || stale && revision == r.revision
+	r.whole = true
+	r.mu.Unlock()
+	if !old {
+		r.install(entries, revision, stale)
+	}
+}
+
+// install works out what follows from entries, and puts it in force.
+func (r *Roster) install(entries []Entry, revision uint64, stale bool) {
 	own := placeOf(entries, r.self) >= 0
 	if !own {
 		entries = append(entries, r.self)
@@ -242,7 +347,7 @@
 	providers, rank := providersIn(ordered, r.self), placeOf(ordered, r.self)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if revision < r.revision || stale && revision == r.revision {
+	if revision > 0 && revision < r.revision {
 		return
 	}
 	// Others take a box out that they do not hear any more. One that is alive after
@@ -251,7 +356,7 @@
 	if len(entries) != len(r.entries) {
 		_ = level.Info(r.logger).Log("msg", "boxes counted", "count", len(entries), "before", len(r.entries), "revision", revision, "stale", stale)
 	}
-	r.entries, r.revision, r.fresh = entries, revision, r.fresh || !stale
+	r.entries, r.revision, r.fresh = entries, max(revision, r.revision), r.fresh || !stale
 	r.peers, r.known, r.hosts, r.ordered = peers, known, hosts, ordered
 	r.providers, r.rank = providers, rank
 }
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -46,6 +46,11 @@
 	return s.err
 }
 
+func (s *fakeStore) Some(ctx context.Context, stale bool) ([]Entry, bool, uint64, error) {
+	entries, revision, err := s.Boxes(ctx, stale)
+	return entries, false, revision, err
+}
+
 func (s *fakeStore) Boxes(_ context.Context, _ bool) ([]Entry, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/routerd/join.go
+++ b/pkg/routerd/join.go
@@ -24,9 +24,6 @@
 	joinSpread = time.Second
 	// joinPause is how often such a box looks.
 	joinPause = 150 * time.Millisecond
-	// joinAnswer is how long the store may take to tell who is there before it is asked again. A
-	// calm one answers within some milliseconds.
-	joinAnswer = 300 * time.Millisecond
 	// joinMost is how long a box tries to see others before it asks the store for table and servers
 	// all the same, which it does each time only after it has looked once more. Where hundreds start
 	// at once and read the list of 10,000 servers themselves, the store's link is taken for twenty
@@ -68,7 +65,7 @@
 // serveSnapshots lets other boxes ask for what this one knows.
 func (d *Daemon) serveSnapshots(logger log.Logger) {
 	server := snapshot.NewServer(snapshot.ServerDeps{
-		Directory: d.directory, KnownHost: d.roster.KnownHost, OnStranger: d.checker.LookWhoIsThere, Logger: logger,
+		Directory: d.directory, KnownHost: d.roster.KnownHost, OnStranger: d.checker.LookWhoIsThere, Boxes: d.roster.Copy, Logger: logger,
 	})
 	d.snapshotPort = netutil.LimitListener(d.snapshotPort, snapshotsAtOnce)
 	d.snapshotServer = &http.Server{Handler: server.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -103,32 +100,54 @@
 		}
 		pause.For(ctx, joinPause)
 	}
-	d.confirmRank(ctx)
+	d.completeRoster(ctx)
 	_ = level.Info(d.logger).Log("msg", "joined", "boxes", d.roster.Count(), "providers", len(d.roster.Providers()), "reader", d.roster.Reader(), "after", clock.Since(begun))
 }
 
 // lookOnce looks once who else is there.
 func (d *Daemon) lookOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, joinAnswer)
-	defer cancel()
 	_, err := d.roster.Look(ctx)
 	return err
 }
 
-// confirmRank reads the roster as it is now where this box takes itself for one that reads for
-// others, or for the only one: what it has seen may be from before the others entered.
-func (d *Daemon) confirmRank(ctx context.Context) {
-	if !d.roster.MayRead() {
-		return
+// completeRoster reads all boxes where this one has seen only some, or nobody: a box that reads for
+// others by what it has seen, and one that is alone, as they are now; others ask those. Of 985 boxes
+// that started at once each read all entries for itself, 250 kB, again and again, and the store's
+// link was full.
+func (d *Daemon) completeRoster(ctx context.Context) {
+	var err error
+	if d.roster.Count() == 1 {
+		err = d.roster.LookNow(ctx)
 	}
-	if _, err := d.roster.Read(ctx); err != nil {
+	switch {
+	case err != nil:
+	case !d.roster.Whole() && !d.roster.MayRead():
+		_, err = d.fetchRoster(ctx, true)
+	case d.roster.MayRead() && !d.roster.Reader():
+		_, err = d.roster.Read(ctx)
+	}
+	if err != nil {
 		_ = level.Info(d.logger).Log("msg", "others not seen", "err", err, "outcome", "seen with the next check")
 	}
 }
 
+// fetchRoster asks other boxes who is there, and the store if they do not tell. It returns whether
+// that made any box known.
+func (d *Daemon) fetchRoster(ctx context.Context, first bool) (bool, error) {
+	c, err := d.snapshots.Boxes(ctx, first)
+	if err == nil {
+		return d.roster.Take(c), nil
+	}
+	_ = level.Info(d.logger).Log("msg", "boxes not had from another box", "err", err, "outcome", "the store is asked")
+	return d.roster.LookAll(ctx)
+}
+
 // look looks who else is there. It returns whether that made any box known.
 func (d *Daemon) look(ctx context.Context) bool {
 	grown, err := d.roster.Look(ctx)
+	if err == nil && d.roster.Partial() {
+		grown, err = d.fetchRoster(ctx, false)
+	}
 	if err != nil {
 		_ = level.Info(d.logger).Log("msg", "others not seen", "err", err, "outcome", "looked for again when one is heard")
 		return false
--- a/pkg/routerd/join_test.go
+++ b/pkg/routerd/join_test.go
@@ -25,6 +25,11 @@
 
 func (r *fixedRoster) Enter(context.Context, roster.Entry) error { return r.err }
 func (r *fixedRoster) Leave(context.Context, roster.Entry) error { return r.err }
+func (r *fixedRoster) Some(ctx context.Context, stale bool) ([]roster.Entry, bool, uint64, error) {
+	entries, revision, err := r.Boxes(ctx, stale)
+	return entries, false, revision, err
+}
+
 func (r *fixedRoster) Boxes(context.Context, bool) ([]roster.Entry, uint64, error) {
 	r.revision++
 	return r.entries, r.revision, r.err
--- a/pkg/snapshot/client.go
+++ b/pkg/snapshot/client.go
@@ -13,6 +13,7 @@
 
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/pause"
+	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/routing"
 	"headhill.example/headhill/pkg/stall"
 )
@@ -125,6 +126,23 @@
 	})
 }
 
+// Boxes asks for the boxes that there are: at first for as long as for the rest that a box needs,
+// later once.
+func (c *Client) Boxes(ctx context.Context, first bool) (roster.Copy, error) {
+	most := time.Duration(0)
+	if first {
+		most = firstMost()
+	}
+	return ask(ctx, c, most, func(ctx context.Context, address string, wait time.Duration) (roster.Copy, error) {
+		var entries []roster.Entry
+		k, has, err := c.fetch(ctx, address, pathBoxes, question{wait: wait}, func(known) any { return &entries })
+		if err == nil && !has {
+			err = &DamagedError{Address: address, Reason: "it holds no boxes"}
+		}
+		return roster.Copy{Entries: entries, Revision: k.revision}, err
+	})
+}
+
 // ask asks one box after the other until one answers. It gives up when none has begun to in time,
 // but goes on for some more time as long as one of them is still reading what is asked for: of
 // hundreds all others would read the source for themselves.
--- a/pkg/snapshot/doc.go
+++ b/pkg/snapshot/doc.go
@@ -18,6 +18,8 @@
 const (
 	pathTable   = "/table"
 	pathServers = "/servers"
+	// pathBoxes leads to the boxes that there are.
+	pathBoxes = "/boxes"
 )
 
 // Query keys.
--- a/pkg/snapshot/encode.go
+++ b/pkg/snapshot/encode.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/routing"
 )
 
@@ -101,6 +102,27 @@
 	return body, err
 }
 
+// boxEncoder encodes the boxes that there are once for each revision at which they were read.
+type boxEncoder struct {
+	mu       sync.Mutex
+	revision uint64
+	boxes    int
+	encoded  []byte
+}
+
+func (e *boxEncoder) body(c roster.Copy) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.encoded != nil && e.revision == c.Revision && e.boxes == len(c.Entries) {
+		return e.encoded, nil
+	}
+	body, err := encode(c.Entries)
+	if err == nil {
+		e.encoded, e.revision, e.boxes = body, c.Revision, len(c.Entries)
+	}
+	return body, err
+}
+
 // encode writes a value as JSON, compressed: names of routes and servers have much in
 // common, and links between boxes are slow.
 func encode(value any) ([]byte, error) {
--- a/pkg/snapshot/server.go
+++ b/pkg/snapshot/server.go
@@ -15,6 +15,7 @@
 
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/pause"
+	"headhill.example/headhill/pkg/roster"
 )
 
 // Server serves what this box knows.
@@ -23,8 +24,10 @@
 	known     func(netip.Addr) bool
 	stranger  func()
 	logger    log.Logger
+	boxes     func() (roster.Copy, bool)
 	table     tableEncoder
 	list      listEncoder
+	roster    boxEncoder
 }
 
 // ServerDeps are what a Server is built on.
@@ -35,12 +38,14 @@
 	// OnStranger is told that somebody else has asked, who may be a box that has just been
 	// added. It must not block.
 	OnStranger func()
-	Logger     log.Logger
+	// Boxes are those that there are; false while only some are known.
+	Boxes  func() (roster.Copy, bool)
+	Logger log.Logger
 }
 
 // NewServer returns a server.
 func NewServer(d ServerDeps) *Server {
-	return &Server{directory: d.Directory, known: d.KnownHost, stranger: d.OnStranger, logger: d.Logger}
+	return &Server{directory: d.Directory, known: d.KnownHost, stranger: d.OnStranger, boxes: d.Boxes, logger: d.Logger}
 }
 
 // Handler returns the server's handler.
@@ -48,6 +53,7 @@
 	routes := httprouter.New()
 	routes.GET(pathTable, s.forBoxes(s.serveTable))
 	routes.GET(pathServers, s.forBoxes(s.serveList))
+	routes.GET(pathBoxes, s.forBoxes(s.serveBoxes))
 	return routes
 }
 
@@ -170,3 +176,18 @@
 	a.body, err = s.list.body(c.Servers, c.Revision)
 	return a, err
 }
+
+// serveBoxes serves the boxes that there are, once this box has read all of them.
+func (s *Server) serveBoxes(ctx context.Context, _ question) (answer, error) {
+	for {
+		c, whole := s.boxes()
+		if whole {
+			body, err := s.roster.body(c)
+			return answer{known: known{revision: c.Revision, changed: c.Revision}, body: body}, err
+		}
+		if ctx.Err() != nil {
+			return answer{}, directory.ErrLoading
+		}
+		pause.For(ctx, knownStep)
+	}
+}
