--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -222,12 +222,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.noteReturn(at)
-	first := d.view.Load().ServersRead.IsZero()
+	quiet := d.view.Load().ServersRead.IsZero()
 	var events []ServerEvent
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
-		if d.setServer(s, at, first) {
+		if d.setServer(s, at, quiet) {
 			events = append(events, ServerEvent{Server: s})
 		}
 	}
@@ -237,7 +237,7 @@
 			events = append(events, ServerEvent{Server: routing.Server{ID: id}, Removed: true})
 		}
 	}
-	if first {
+	if quiet {
 		_ = level.Info(d.logger).Log("msg", "list of servers read", "servers", len(list))
 	}
 	d.publishServers(at)
@@ -249,12 +249,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.noteReturn(at)
+	quiet := len(events) > changesMost
+	if quiet {
+		_ = level.Info(d.logger).Log("msg", "list of servers changed", "changes", len(events))
+	}
 	for _, e := range events {
 		if e.Removed {
 			d.removeServer(e.Server.ID, at)
 			continue
 		}
-		d.setServer(e.Server, at, false)
+		d.setServer(e.Server, at, quiet)
 	}
 	d.publishChanges(events, at)
 }
@@ -268,15 +272,15 @@
 }
 
 // setServer takes one server in, as it was told at a time. It returns whether that changes anything.
-// Of the first list no server has a line of its own in the usual log: thousands of them took a box
-// longer than the list itself.
-func (d *Directory) setServer(s routing.Server, at time.Time, first bool) bool {
+// Of the first list and of many changes at once no server has a line of its own in the usual log:
+// thousands of them took a box longer than the list itself.
+func (d *Directory) setServer(s routing.Server, at time.Time, quiet bool) bool {
 	old, known := d.servers[s.ID]
 	if known && old.Removed.IsZero() && old.Server == s {
 		return false
 	}
 	line := level.Info(d.logger)
-	if first {
+	if quiet {
 		line = level.Debug(d.logger)
 	}
 	_ = line.Log("msg", "server listed", "server", s.ID, "service", s.Service, "address", s.Address, "hall", s.Hall, "leaving", s.Leaving, "known", known, "warm_up_ms", s.WarmUp.Milliseconds())
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -201,3 +202,50 @@
 	}
 	assert.Equal(t, readers, reading)
 }
+
+// pagedStore gives so many entries at once.
+type pagedStore struct {
+	*fakeStore
+	page  int
+	whole int
+}
+
+func (s *pagedStore) Some(ctx context.Context, stale bool) ([]Entry, bool, uint64, error) {
+	entries, revision, err := s.fakeStore.Boxes(ctx, stale)
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Box, b.Box) })
+	return entries[:min(s.page, len(entries))], len(entries) > s.page, revision, err
+}
+
+func (s *pagedStore) Boxes(ctx context.Context, stale bool) ([]Entry, uint64, error) {
+	s.whole++
+	return s.fakeStore.Boxes(ctx, stale)
+}
+
+// Of many boxes that start at once few read all entries, however many there are.
+func TestFewReadAllEntries(t *testing.T) {
+	for _, n := range []int{100, 200} {
+		store := &pagedStore{fakeStore: &fakeStore{entries: make(map[string]Entry)}, page: 20}
+		boxes := make([]*Roster, n)
+		for i := range boxes {
+			boxes[i] = box(store, i)
+			store.entries[boxes[i].self.Box] = boxes[i].self
+		}
+		may := 0
+		for _, b := range boxes {
+			_, err := b.Look(t.Context())
+			require.NoError(t, err)
+			assert.False(t, b.Whole())
+			assert.False(t, b.Reader(), "not by what some entries tell")
+			if b.MayRead() {
+				may++
+			}
+		}
+		assert.Zero(t, store.whole)
+		assert.LessOrEqual(t, may, 2*n*readers/store.page, "those that would be readers among the entries seen")
+		all, _, err := store.fakeStore.Boxes(t.Context(), false)
+		require.NoError(t, err)
+		assert.True(t, boxes[n-1].Take(Copy{Entries: all, Revision: 7}))
+		assert.Equal(t, n, boxes[n-1].Count())
+		assert.True(t, boxes[n-1].Whole())
+	}
+}
--- /dev/null
+++ b/pkg/snapshot/boxes_test.go
@@ -0,0 +1,45 @@
+package snapshot
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/roster"
+)
+
+// A box that starts has the boxes from one that knows all of them, and waits while that reads them
+// itself.
+func TestBoxesAreHadFromAnother(t *testing.T) {
+	var entries []roster.Entry
+	for i := range 985 {
+		entries = append(entries, roster.Entry{Box: fmt.Sprintf("box-%d", i), Hall: "hall", Peer: "192.0.2.1:1", Incarnation: uint64(i)})
+	}
+	var whole atomic.Bool
+	s := NewServer(ServerDeps{
+		Directory: directory.New(log.NewNopLogger()), Logger: log.NewNopLogger(), OnStranger: func() {},
+		KnownHost: func(netip.Addr) bool { return true },
+		Boxes:     func() (roster.Copy, bool) { return roster.Copy{Entries: entries, Revision: 7}, whole.Load() },
+	})
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.Close)
+	c := client(100*time.Millisecond, strings.TrimPrefix(server.URL, "http://"))
+
+	_, err := c.Boxes(t.Context(), false)
+	var status *StatusError
+	require.ErrorAs(t, err, &status)
+	assert.True(t, status.Loading)
+	time.AfterFunc(300*time.Millisecond, func() { whole.Store(true) })
+	got, err := c.Boxes(t.Context(), true)
+	require.NoError(t, err)
+	assert.Equal(t, roster.Copy{Entries: entries, Revision: 7}, got)
+}
