--- a/pkg/routerd/join.go
+++ b/pkg/routerd/join.go
@@ -76,6 +76,9 @@
 func (d *Daemon) follow() {
 	d.join(d.ctx)
 	var wg conc.WaitGroup
+	// Some of the others are enough to ask for table and list, also while those that know all of
+	// them are away.
+	wg.Go(func() { d.completeRoster(d.ctx) })
 	wg.Go(func() { d.checker.Run(d.ctx) })
 	wg.Go(func() {
 		d.directory.Follow(d.ctx, directory.Following{
@@ -100,7 +103,9 @@
 		}
 		pause.For(ctx, joinPause)
 	}
-	d.completeRoster(ctx)
+	if d.roster.Count() == 1 {
+		d.lookNow(ctx)
+	}
 	_ = level.Info(d.logger).Log("msg", "joined", "boxes", d.roster.Count(), "providers", len(d.roster.Providers()), "reader", d.roster.Reader(), "after", clock.Since(begun))
 }
 
@@ -110,17 +115,19 @@
 	return err
 }
 
-// completeRoster reads all boxes where this one has seen only some, or nobody: a box that reads for
-// others by what it has seen, and one that is alone, as they are now; others ask those. Of 985 boxes
-// that started at once each read all entries for itself, 250 kB, again and again, and the store's
-// link was full.
+// lookNow looks who else is there now: what was seen so far may be from before the others entered.
+func (d *Daemon) lookNow(ctx context.Context) {
+	if err := d.roster.LookNow(ctx); err != nil {
+		_ = level.Info(d.logger).Log("msg", "others not seen", "err", err, "outcome", "the store is asked")
+	}
+}
+
+// completeRoster reads all boxes where this one has seen only some: a box that reads for others by
+// what it has seen, as they are now; others ask those. Of 985 boxes that started at once each read
+// all entries for itself, 250 kB, again and again, and the store's link was full.
 func (d *Daemon) completeRoster(ctx context.Context) {
 	var err error
-	if d.roster.Count() == 1 {
-		err = d.roster.LookNow(ctx)
-	}
 	switch {
-	case err != nil:
 	case !d.roster.Whole() && !d.roster.MayRead():
 		_, err = d.fetchRoster(ctx, true)
 	case d.roster.MayRead() && !d.roster.Reader():
--- a/pkg/snapshot/server.go
+++ b/pkg/snapshot/server.go
@@ -98,6 +98,10 @@
 		ctx, cancel := context.WithTimeout(r.Context(), q.wait)
 		defer cancel()
 		if !s.awaitKnown(ctx, r.RemoteAddr) {
+			if _, whole := s.boxes(); !whole {
+				// This box may hear of the asker yet.
+				w.Header().Set(headerLoading, "1")
+			}
 			w.WriteHeader(http.StatusForbidden)
 			return
 		}
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -21,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/routing"
 	"headhill.example/headhill/pkg/stall"
 )
@@ -101,6 +102,8 @@
 	address   string
 	strangers atomic.Int32
 	known     atomic.Bool
+	// partial says that it knows only some boxes.
+	partial atomic.Bool
 }
 
 func serve(t *testing.T, d *directory.Directory) *box {
@@ -108,6 +111,7 @@
 	b.known.Store(true)
 	s := NewServer(ServerDeps{
 		Directory: d, Logger: log.NewNopLogger(), OnStranger: func() { b.strangers.Add(1) },
+		Boxes:     func() (roster.Copy, bool) { return roster.Copy{}, !b.partial.Load() },
 		KnownHost: func(ip netip.Addr) bool { return b.known.Load() && ip.IsLoopback() },
 	})
 	server := httptest.NewServer(s.Handler())
@@ -378,3 +382,14 @@
 func (brokenSource) ReadEvacuations(context.Context) (directory.Evacuations, error) {
 	return directory.Evacuations{}, errBroken
 }
+
+// A box that knows only some others may hear of the asker yet: it is asked again.
+func TestBoxThatIsNotKnownYetAsksAgain(t *testing.T) {
+	b := serve(t, loaded(t, &source{table: tableOf(7, 3), servers: listOf(2), revision: 9}))
+	b.known.Store(false)
+	b.partial.Store(true)
+	time.AfterFunc(400*time.Millisecond, func() { b.known.Store(true) })
+	list, err := client(100*time.Millisecond, b.address).Servers(t.Context(), 0, 0)
+	require.NoError(t, err)
+	assert.Len(t, list.Servers, 2)
+}
