--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -393,3 +393,25 @@
 	require.NoError(t, err)
 	assert.Len(t, list.Servers, 2)
 }
+
+// slowChange tells one change after a while.
+type slowChange struct {
+	*source
+	after time.Duration
+}
+
+func (s *slowChange) WatchServers(context.Context, uint64, time.Duration) (directory.ServerChanges, error) {
+	time.Sleep(s.after)
+	return directory.ServerChanges{Events: []directory.ServerEvent{{Server: routing.Server{ID: "new"}}}, Revision: 12}, nil
+}
+
+// A box that lacks a change waits some more for one that is reading it.
+func TestChangeIsAwaitedWhereItIsBeingRead(t *testing.T) {
+	d := follow(t, &slowChange{source: &source{table: tableOf(7, 3), servers: listOf(2), revision: 9}, after: 250 * time.Millisecond}, client(0))
+	require.Eventually(t, d.Loaded, 10*time.Second, time.Millisecond)
+	d.Noticed(directory.Notice{ServersChanged: 12})
+	list, err := client(100*time.Millisecond, serve(t, d).address).Servers(t.Context(), 9, 12)
+	require.NoError(t, err)
+	require.NotNil(t, list.Delta)
+	assert.Len(t, list.Delta.Events, 1)
+}
