--- a/pkg/directory/history.go
+++ b/pkg/directory/history.go
@@ -21,8 +21,11 @@
 // begin begins anew, as the whole list was read: what it changed is known, but not in which order.
 func (h *listHistory) begin(revision uint64) { *h = listHistory{from: revision} }
 
-// add keeps a change.
+// add keeps a change. Deltas in which nothing has changed come with each watch that ends, for ever.
 func (h *listHistory) add(d Delta) {
+	if len(d.Events) == 0 {
+		return
+	}
 	h.deltas = append(h.deltas, d)
 	h.events += len(d.Events)
 	for h.events > historyEvents {
--- a/pkg/directory/history_test.go
+++ b/pkg/directory/history_test.go
@@ -99,6 +99,8 @@
 		h.add(Delta{From: i + 1, To: i + 2, Events: []ServerEvent{{Server: serverIn("east", int(i))}}})
 	}
 	assert.Equal(t, historyEvents, h.events)
+	h.add(Delta{From: historyEvents + 11, To: historyEvents + 12})
+	assert.Len(t, h.deltas, historyEvents, "nothing has changed")
 	_, ok := h.since(5)
 	assert.False(t, ok)
 	events, ok := h.since(historyEvents + 10)
