directory: changes are told on across a whole list

A whole list that follows on another is kept as one change, told only to who knows the list from before it: in between servers may have changed and changed back.

--- a/pkg/directory/history.go
+++ b/pkg/directory/history.go
@@ -14,23 +14,44 @@
 type listHistory struct {
 	// from is the revision from which on all changes are known.
 	from   uint64
-	deltas []Delta
+	deltas []keptDelta
 	events int
 }
 
-// begin begins anew, as the whole list was read: what it changed is known, but not in which order.
+// keptDelta is a change that is kept.
+type keptDelta struct {
+	Delta
+	// jump tells that the whole list was read: between the two revisions servers may have changed
+	// and changed back, which is known to nobody here.
+	jump bool
+}
+
+// size is what it counts of what is kept: also a jump in which nothing has changed takes room.
+func (d keptDelta) size() int { return max(1, len(d.Events)) }
+
+// begin begins with a first list.
 func (h *listHistory) begin(revision uint64) { *h = listHistory{from: revision} }
 
+// jump keeps what leads from a list to a later one that was read as a whole.
+func (h *listHistory) jump(d Delta) {
+	if d.From < d.To {
+		h.keep(keptDelta{Delta: d, jump: true})
+	}
+}
+
 // add keeps a change. Deltas in which nothing has changed come with each watch that ends, for ever.
 func (h *listHistory) add(d Delta) {
-	if len(d.Events) == 0 {
-		return
+	if len(d.Events) > 0 {
+		h.keep(keptDelta{Delta: d})
 	}
+}
+
+func (h *listHistory) keep(d keptDelta) {
 	h.deltas = append(h.deltas, d)
-	h.events += len(d.Events)
+	h.events += d.size()
 	for h.events > historyEvents {
 		h.from = h.deltas[0].To
-		h.events -= len(h.deltas[0].Events)
+		h.events -= h.deltas[0].size()
 		h.deltas = h.deltas[1:]
 	}
 }
@@ -46,6 +67,9 @@
 		if d.To <= revision {
 			continue
 		}
+		if d.jump && d.From < revision {
+			return nil, false
+		}
 		for _, e := range d.Events {
 			if i, ok := last[e.Server.ID]; ok {
 				events[i] = e
--- a/pkg/directory/history_test.go
+++ b/pkg/directory/history_test.go
@@ -60,7 +60,7 @@
 					t.Fatal(err)
 				}
 				if c.Delta != nil {
-					second.Apply(*c.Delta)
+					second.applyCopied(*c.Delta)
 				} else {
 					second.takeList(c.Servers, c.Revision, now)
 				}
@@ -71,6 +71,84 @@
 	})
 }
 
+// learner is a box that learns the list from a source by changes, or as a whole.
+type learner struct {
+	directory *Directory
+	source    *[]ServerEvent // event i made revision i+2
+}
+
+// watch takes in the changes up to a revision, as a watch tells them.
+func (l learner) watch(to uint64) {
+	known := l.directory.list.known().revision
+	if known < to {
+		l.directory.Apply(Delta{From: known, To: to, Events: (*l.source)[known-1 : to-1]})
+	}
+}
+
+// read takes in the whole list at a revision.
+func (l learner) read(at uint64) {
+	l.directory.takeList(replay((*l.source)[:at-1]), at, time.Now())
+}
+
+// Boxes learn of one source by changes and by whole lists, at any revisions, and of each other:
+// whatever a box tells another of the changes since any revision leads to the list as it was.
+func TestChangesLeadToTheSourcesList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var source []ServerEvent
+		boxes := make([]learner, 3)
+		for i := range boxes {
+			boxes[i] = learner{directory: New(log.NewNopLogger()), source: &source}
+			boxes[i].read(1)
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			b := boxes[rapid.IntRange(0, 2).Draw(t, "box")]
+			newest := uint64(len(source) + 1)
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			default:
+				s := routing.Server{ID: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"), Slots: rapid.IntRange(1, 2).Draw(t, "slots")}
+				source = append(source, ServerEvent{Server: s, Removed: rapid.IntRange(0, 3).Draw(t, "removed") == 0})
+				continue
+			case 2:
+				b.watch(rapid.Uint64Range(1, newest).Draw(t, "to"))
+			case 3:
+				b.read(rapid.Uint64Range(1, newest).Draw(t, "at"))
+			case 4, 5:
+				other := boxes[rapid.IntRange(0, 2).Draw(t, "other")].directory
+				c, err := other.ListCopy(context.Background(), b.directory.list.known().revision, 0)
+				if err != nil || c.Revision <= b.directory.list.known().revision {
+					continue
+				}
+				if c.Delta != nil {
+					b.directory.applyCopied(*c.Delta)
+				} else {
+					b.directory.takeList(c.Servers, c.Revision, time.Now())
+				}
+			}
+			want := make(map[string]routing.Server)
+			for _, s := range replay(source[:b.directory.list.known().revision-1]) {
+				want[s.ID] = s
+			}
+			if got := listedIn(b.directory); !assert.ObjectsAreEqual(want, got) {
+				t.Fatalf("at revision %d the box has %v, the source had %v", b.directory.list.known().revision, got, want)
+			}
+		}
+	})
+}
+
+// A box whose source has forgotten its history, and that reads the whole list, still tells the
+// others what has changed alone.
+func TestChangesAreToldAcrossAWholeList(t *testing.T) {
+	d := New(log.NewNopLogger())
+	d.takeList([]routing.Server{serverIn("east", 0), serverIn("east", 1)}, 5, time.Now())
+	d.takeList([]routing.Server{serverIn("east", 0), serverIn("east", 2)}, 9, time.Now())
+	c, err := d.ListCopy(t.Context(), 5, 0)
+	assert.NoError(t, err)
+	assert.Len(t, c.Delta.Events, 2)
+	c, err = d.ListCopy(t.Context(), 7, 0)
+	assert.NoError(t, err)
+	assert.Nil(t, c.Delta, "what changed and changed back is not known")
+}
+
 // A box that lacks a change asks for that alone, however long the list is.
 func TestOneChangeIsTold(t *testing.T) {
 	for _, n := range []int{1000, 2000} {
--- a/pkg/directory/providers.go
+++ b/pkg/directory/providers.go
@@ -82,7 +82,7 @@
 	}
 	p.directory.SetEvacuations(c.Evacuations, c.Read)
 	if c.Delta != nil {
-		p.directory.Apply(*c.Delta)
+		p.directory.applyCopied(*c.Delta)
 	} else {
 		p.directory.takeList(c.Servers, c.Revision, c.Read)
 	}
@@ -107,8 +107,13 @@
 		_ = level.Info(d.logger).Log("msg", "list refused", "revision", revision, "known", k.revision, "reason", "a lower revision than the one that is known")
 		return nil
 	}
+	before := d.list.known().revision
 	events := d.setServers(list, at)
-	d.history.begin(revision)
+	if before == 0 {
+		d.history.begin(revision)
+	} else {
+		d.history.jump(Delta{From: before, To: revision, Events: events})
+	}
 	d.list.advance(known{revision: revision})
 	return events
 }
--- a/pkg/directory/share.go
+++ b/pkg/directory/share.go
@@ -61,14 +61,21 @@
 
 // Apply takes a delta in if it follows on what this box knows. Deltas come from this
 // box's own watch and from others: an older one must not undo a newer.
-func (d *Directory) Apply(delta Delta) {
+func (d *Directory) Apply(delta Delta) { d.apply(delta, d.history.add) }
+
+// applyCopied is Apply for what another box tells of the changes since a revision. It may have read
+// the whole list meanwhile.
+func (d *Directory) applyCopied(delta Delta) { d.apply(delta, d.history.jump) }
+
+// apply takes a delta in, and keeps it.
+func (d *Directory) apply(delta Delta, keep func(Delta)) {
 	d.applying.Lock()
 	defer d.applying.Unlock()
 	if !d.list.covers(delta) {
 		return
 	}
 	d.changeServers(delta.Events, clock.Now())
-	d.history.add(delta)
+	keep(delta)
 	k := known{revision: delta.To}
 	if len(delta.Events) > 0 {
 		k.changed = delta.To
