--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -62,14 +62,12 @@
 }
 
 // places is the share of an engine's places that may be taken for the request to go there. Some
-// are kept only where more urgent requests come. They are kept by the ranks that the service has:
-// by those of all services two of six ranks had fewer, and 294, 50 and 166, 41 requests were
-// preempted in 40 s of played load with the one and the other (91 boxes, 90 engines, two seeds).
+// are kept only where more urgent requests come.
 func (x *exchange) places() float64 {
 	if !x.keepPlaces {
 		return placesUrgent
 	}
-	return placesUrgent - (placesUrgent-placesLeast)*x.view.Table.RankPlace(x.service.Name, x.rank())
+	return x.byRank(placesUrgent, placesLeast)
 }
 
 // byRank is a value for the request's rank between those of the most and the least urgent one.
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -185,8 +185,6 @@
 	least int
 	// shortest are the shortest targets of the routes to each service.
 	shortest map[string]time.Duration
-	// serviceRanks are the ranks that occur on the routes to each service, in order.
-	serviceRanks map[string][]int
 }
 
 // rankKey orders requests: the organisation's priority comes before the route's.
@@ -225,7 +223,6 @@
 		t.least = max(t.least, rank)
 	}
 	t.shortest = shortestTargets(c)
-	t.serviceRanks = serviceRanks(t)
 	return t
 }
 
@@ -246,43 +243,6 @@
 	return shortest
 }
 
-// RankPlace is the place of a rank among those that requests of a service have: 0 for the most
-// urgent, 1 for the least.
-func (t *Table) RankPlace(service string, rank int) float64 {
-	ranks := t.serviceRanks[service]
-	if len(ranks) < 2 {
-		return 0
-	}
-	i, _ := slices.BinarySearch(ranks, rank)
-	return float64(i) / float64(len(ranks)-1)
-}
-
-// serviceRanks are the ranks that occur on the routes to each service, in order.
-func serviceRanks(t *Table) map[string][]int {
-	urgencies := organisationPriorities(t.content)
-	sets := make(map[string]map[int]bool)
-	for i := range t.content.Routes {
-		r := &t.content.Routes[i]
-		of := urgencies
-		if !t.NeedsKey(r) {
-			of = []int{0}
-		}
-		for _, to := range r.Targets {
-			if sets[to.Service] == nil {
-				sets[to.Service] = make(map[int]bool)
-			}
-			for _, priority := range of {
-				sets[to.Service][t.ranks[rankKey{priority, r.Priority}]] = true
-			}
-		}
-	}
-	lists := make(map[string][]int, len(sets))
-	for service, set := range sets {
-		lists[service] = slices.Sorted(maps.Keys(set))
-	}
-	return lists
-}
-
 // organisationPriorities are those that occur, in order. There are few, however many organisations.
 func organisationPriorities(c Content) []int {
 	set := make(map[int]bool)
