--- a/pkg/snapshot/encode.go
+++ b/pkg/snapshot/encode.go
@@ -61,6 +61,10 @@
 	e.table, e.bodies = table, make(map[uint64][]byte)
 }
 
+// deltasKept bounds the encoded deltas that lead to one revision: boxes that checked the store at
+// different times name as many revisions, and a box that serves hundreds grew to 113 MB.
+const deltasKept = 16
+
 // listEncoder encodes the list of servers once for each revision at which it changed, and what
 // leads to the newest revision once for each from which it is asked for.
 type listEncoder struct {
@@ -76,7 +80,7 @@
 func (e *listEncoder) changes(d directory.Delta) ([]byte, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.newest != d.To {
+	if e.newest != d.To || len(e.deltas) >= deltasKept {
 		e.newest, e.deltas = d.To, make(map[uint64][]byte)
 	}
 	if body, ok := e.deltas[d.From]; ok {
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -415,3 +415,13 @@
 	require.NotNil(t, list.Delta)
 	assert.Len(t, list.Delta.Events, 1)
 }
+
+// What is encoded for many askers that know different revisions is bounded.
+func TestEncodedChangesAreBounded(t *testing.T) {
+	var e listEncoder
+	for from := range uint64(10 * deltasKept) {
+		_, err := e.changes(directory.Delta{From: from + 1, To: 1000, Events: []directory.ServerEvent{{Server: routing.Server{ID: "new"}}}})
+		require.NoError(t, err)
+	}
+	assert.LessOrEqual(t, len(e.deltas), deltasKept)
+}
