--- a/pkg/snapshot/encode.go
+++ b/pkg/snapshot/encode.go
@@ -62,7 +62,7 @@
 }
 
 // deltasKept bounds the encoded deltas that lead to one revision: boxes that checked the store at
-// different times name as many revisions, and a box that serves hundreds grew to 113 MB.
+// different times name as many revisions.
 const deltasKept = 16
 
 // listEncoder encodes the list of servers once for each revision at which it changed, and what
