--- a/pkg/roster/read.go
+++ b/pkg/roster/read.go
@@ -94,8 +94,11 @@
 			all = append(all, e)
 		}
 	}
+	news := len(all) > len(r.entries)
 	r.mu.Unlock()
-	r.install(all, 0, true)
+	if news {
+		r.install(all, 0, true)
+	}
 }
 
 // Partial tells whether the store gives only some of the boxes at once.
