--- a/pkg/snapshot/client.go
+++ b/pkg/snapshot/client.go
@@ -34,9 +34,11 @@
 	// pages, and those that pass it on as long again.
 	firstLeast  = 3 * time.Second
 	firstSpread = 5 * time.Second
-	// listRounds is for how many times the wait a box waits for changes of the list that others are
-	// still reading. They have to be in force within six times the wait.
-	listRounds = 2
+	// tableRounds and listRounds are how often more a box asks for changes that others are still
+	// reading, each time for the wait. They have to be in force within six times the wait; a table
+	// takes longer to be read from the source than changes of the list.
+	tableRounds = 1
+	listRounds  = 2
 	// loadingPause is how long a box rests between two rounds.
 	loadingPause = 50 * time.Millisecond
 	// passedOver is how long a box that gave no answer is asked after the others.
@@ -78,7 +80,7 @@
 	if inForce == nil {
 		inForce = emptyTable
 	}
-	return ask(ctx, c, tableMost(least), func(ctx context.Context, address string, wait time.Duration) (directory.TableCopy, error) {
+	return ask(ctx, c, again(least, tableRounds), func(ctx context.Context, address string, wait time.Duration) (directory.TableCopy, error) {
 		var delta routing.Delta
 		k, has, err := c.fetch(ctx, address, pathTable, question{least: least, inForce: inForce.Version, wait: wait}, func(known) any { return &delta })
 		if err != nil {
@@ -108,7 +110,7 @@
 
 // Servers implements directory.Providers.
 func (c *Client) Servers(ctx context.Context, since, least uint64) (directory.ListCopy, error) {
-	return ask(ctx, c, c.listMost(least), func(ctx context.Context, address string, wait time.Duration) (directory.ListCopy, error) {
+	return ask(ctx, c, again(least, listRounds), func(ctx context.Context, address string, wait time.Duration) (directory.ListCopy, error) {
 		var list directory.ListCopy
 		k, has, err := c.fetch(ctx, address, pathServers, question{least: least, since: since, wait: wait}, func(k known) any {
 			if k.since == 0 {
@@ -129,11 +131,11 @@
 // Boxes asks for the boxes that there are: at first for as long as for the rest that a box needs,
 // later once.
 func (c *Client) Boxes(ctx context.Context, first bool) (roster.Copy, error) {
-	most := time.Duration(0)
+	more := never
 	if first {
-		most = firstMost()
+		more = againAtFirst()
 	}
-	return ask(ctx, c, most, func(ctx context.Context, address string, wait time.Duration) (roster.Copy, error) {
+	return ask(ctx, c, more, func(ctx context.Context, address string, wait time.Duration) (roster.Copy, error) {
 		var entries []roster.Entry
 		k, has, err := c.fetch(ctx, address, pathBoxes, question{wait: wait}, func(known) any { return &entries })
 		if err == nil && !has {
@@ -144,38 +146,39 @@
 }
 
 // ask asks one box after the other until one answers. It gives up when none has begun to in time,
-// but goes on for some more time as long as one of them is still reading what is asked for: of
-// hundreds all others would read the source for themselves.
-func ask[T any](ctx context.Context, c *Client, most time.Duration, one func(context.Context, string, time.Duration) (T, error)) (T, error) {
-	begun := time.Now()
+// but may ask again as long as one of them is still reading what is asked for: of hundreds all others
+// would read the source for themselves.
+func ask[T any](ctx context.Context, c *Client, again func() bool, one func(context.Context, string, time.Duration) (T, error)) (T, error) {
 	for {
 		got, err := askOnce(ctx, c, one)
-		if err == nil || !isLoading(err) || ctx.Err() != nil || time.Since(begun) > most {
+		if err == nil || !isLoading(err) || ctx.Err() != nil || !again() {
 			return got, err
 		}
 		pause.For(ctx, loadingPause)
 	}
 }
 
-// tableMost is how long to go on asking for a table: a box that has one asks the source soon.
-func tableMost(least uint64) time.Duration {
-	if least > 0 {
-		return 0
+// again tells whether boxes that are still reading a part are asked once more: for some rounds where
+// it has changed, for some time where a box has nothing.
+func again(least uint64, rounds int) func() bool {
+	if least == 0 {
+		return againAtFirst()
+	}
+	return func() bool {
+		rounds--
+		return rounds >= 0
 	}
-	return firstMost()
 }
 
-// listMost is how long to go on asking for the list of servers.
-func (c *Client) listMost(least uint64) time.Duration {
-	if least > 0 {
-		return listRounds * c.wait()
-	}
-	return firstMost()
+// againAtFirst is true for some time. Boxes draw it, so that where all of them wait in vain a few ask
+// the source first, and the others have it from those.
+func againAtFirst() func() bool {
+	end := time.Now().Add(firstLeast + rand.N(firstSpread))
+	return func() bool { return time.Now().Before(end) }
 }
 
-// firstMost is how long a box that has nothing goes on asking. Boxes draw it, so that where all of
-// them wait in vain a few ask the source first, and the others have it from those.
-func firstMost() time.Duration { return firstLeast + rand.N(firstSpread) }
+// never is for what is asked for once.
+func never() bool { return false }
 
 // isLoading tells whether any box was still reading what it was asked for.
 func isLoading(err error) bool {
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -401,6 +401,8 @@
 type slowChange struct {
 	*source
 	after time.Duration
+	// reads counts how often the table was read.
+	reads atomic.Int32
 }
 
 func (s *slowChange) WatchServers(context.Context, uint64, time.Duration) (directory.ServerChanges, error) {
@@ -408,10 +410,33 @@
 	return directory.ServerChanges{Events: []directory.ServerEvent{{Server: routing.Server{ID: "new"}}}, Revision: 12}, nil
 }
 
-// A box that lacks a change waits some more for one that is reading it.
-func TestChangeIsAwaitedWhereItIsBeingRead(t *testing.T) {
+func (s *slowChange) ReadTable(ctx context.Context) (directory.TableRead, error) {
+	if s.reads.Add(1) == 1 {
+		return s.source.ReadTable(ctx)
+	}
+	time.Sleep(s.after)
+	return directory.TableRead{Table: tableOf(8, 3), Revision: 12, Changed: 12}, nil
+}
+
+// boxReadingChanges is a box that takes a while to read a change of each part.
+func boxReadingChanges(t *testing.T) *directory.Directory {
 	d := follow(t, &slowChange{source: &source{table: tableOf(7, 3), servers: listOf(2), revision: 9}, after: 180 * time.Millisecond}, client(0))
 	require.Eventually(t, d.Loaded, 10*time.Second, time.Millisecond)
+	return d
+}
+
+// A box that lacks a new table waits some more for one that is reading it.
+func TestTableIsAwaitedWhereItIsBeingRead(t *testing.T) {
+	d := boxReadingChanges(t)
+	d.Noticed(directory.Notice{TableChanged: 12})
+	c, err := client(100*time.Millisecond, serve(t, d).address).Table(t.Context(), tableOf(7, 3), 12)
+	require.NoError(t, err)
+	assert.Equal(t, uint64(8), c.Table.Version)
+}
+
+// A box that lacks a change waits some more for one that is reading it.
+func TestChangeIsAwaitedWhereItIsBeingRead(t *testing.T) {
+	d := boxReadingChanges(t)
 	d.Noticed(directory.Notice{ServersChanged: 12})
 	list, err := client(100*time.Millisecond, serve(t, d).address).Servers(t.Context(), 9, 12)
 	require.NoError(t, err)
