forms: what a box of an earlier build has read is not taken by one that acts on more

Cause, found by going through who hands what on to whom: a build that does not know warm-up, regions or evacuations passes over these fields and tells the rest on, with a digest that fits what it holds. A box of this build that learned table or servers from one of so had no warm-up, no regions and no evacuated halls, and a check told by such a box spared it its own, until the next version: rules broken at boxes that could keep them. Now messages and answers name a level; content of a lower one counts as the news that something has changed, its checks spare nobody, and content is had from a box of the level or the store.

An announcement that can't be read is logged (debug).

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -8,15 +8,19 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/sourcegraph/conc"
 
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/forms"
 	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/routing"
 )
@@ -44,6 +48,7 @@
 	// the same others agree; zero for the first.
 	Rank      func() int
 	Directory *directory.Directory
+	Logger    log.Logger
 }
 
 // kind marks the datagrams of this package.
@@ -69,6 +74,8 @@
 // message is one announcement: a check, or a notice of a change. Boxes need not agree
 // on the time of day, so it carries an age.
 type message struct {
+	// Level is that of the forms that the sender reads.
+	Level int           `json:"level,omitempty"`
 	Check *checkMessage `json:"check,omitempty"`
 	Delta *deltaMessage `json:"delta,omitempty"`
 	// TableChanged is the revision of a table that a box has just seen, Table what has
@@ -148,8 +155,13 @@
 }
 
 // take takes a message in. It returns true for a check, which spares this box its
-// own.
+// own. A box that reads less of the store than this one only says that something has changed, and
+// has not looked for all that this one acts on.
 func (c *Checker) take(m message) bool {
+	whole := forms.Whole(m.Level)
+	if !whole {
+		m = m.brief()
+	}
 	c.Directory.Noticed(m.notice())
 	if m.Check == nil {
 		return false
@@ -159,7 +171,7 @@
 		Asked: m.received.Add(-age - flight), Revision: m.Check.Revision,
 		TableChanged: m.Check.TableChanged, ServersChanged: m.Check.ServersChanged,
 	})
-	return true
+	return whole
 }
 
 // notice is what a message tells of changes.
@@ -236,6 +248,7 @@
 // tell sends a message to all other boxes. One that is lost makes its receiver ask for
 // itself, and so does a change that is too long for a datagram.
 func (c *Checker) tell(m message) {
+	m.Level = forms.Level
 	if !c.send(m) {
 		c.send(m.brief())
 	}
@@ -258,8 +271,9 @@
 
 // receive takes a datagram in. While the checker is busy more are dropped.
 func (c *Checker) receive(d datagram.Message) {
-	m, ok := parse(d)
-	if !ok {
+	m, err := parse(d)
+	if err != nil {
+		_ = level.Debug(c.Logger).Log("msg", "announcement dropped", "from", d.Box, "bytes", len(d.Body), "err", err)
 		return
 	}
 	select {
@@ -276,11 +290,19 @@
 	}
 }
 
+// errImpossible is a message that no box can have meant.
+var errImpossible = errors.New("its ages or revisions make no sense")
+
 // parse reads a message.
-func parse(d datagram.Message) (message, bool) {
+func parse(d datagram.Message) (message, error) {
 	m := message{received: d.Received}
-	err := json.Unmarshal(d.Body, &m)
-	return m, err == nil && m.valid()
+	if err := json.Unmarshal(d.Body, &m); err != nil {
+		return m, err
+	}
+	if !m.valid() {
+		return m, errImpossible
+	}
+	return m, nil
 }
 
 func (m message) valid() bool {
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -18,6 +18,8 @@
 
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/forms"
+	"headhill.example/headhill/pkg/forms/formstest"
 	"headhill.example/headhill/pkg/routing"
 )
 
@@ -215,8 +217,8 @@
 	told := make(chan message, 1)
 	p := port(other, c.Port.Conn.LocalAddr().(*net.UDPAddr))
 	p.Handle(kind, func(d datagram.Message) {
-		m, ok := parse(d)
-		assert.True(t, ok)
+		m, err := parse(d)
+		assert.NoError(t, err)
 		told <- m
 	})
 	go p.Listen()
@@ -233,18 +235,97 @@
 	for _, age := range []int64{-1, ageMost.Milliseconds() + 1} {
 		body, err := json.Marshal(message{Check: &checkMessage{AgeMillis: age}})
 		require.NoError(t, err)
-		_, ok := parse(datagram.Message{Body: body})
-		assert.False(t, ok)
+		_, err = parse(datagram.Message{Body: body})
+		assert.ErrorIs(t, err, errImpossible)
 	}
 }
 
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`{"check":{"revision":3,"age_ms":5}}`))
 	f.Add([]byte(`{"delta":{"from":1,"to":2,"events":[{"server":{"ID":"i"},"removed":true}]}}`))
+	for _, body := range formstest.Recorded(f, "announce-*.datagram") {
+		f.Add(body)
+	}
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		c := &Checker{Deps: Deps{Directory: directory.New(log.NewNopLogger())}}
-		if m, ok := parse(datagram.Message{Body: data}); ok {
+		if m, err := parse(datagram.Message{Body: data}); err == nil {
 			c.take(m)
 		}
 	})
 }
+
+// What earlier builds announce is read, but a check of theirs spares nobody, and what has changed is
+// had from elsewhere.
+func TestAnnouncementsOfEarlierBuildsAreRead(t *testing.T) {
+	for name, body := range formstest.Recorded(t, "announce-*.datagram") {
+		m, err := parse(datagram.Message{Body: body})
+		require.NoError(t, err, name)
+		c := checker(t)
+		assert.Equal(t, m.Check != nil && forms.Whole(m.Level), c.take(m), name)
+	}
+}
+
+// emptySource is a store without servers.
+type emptySource struct{ revision uint64 }
+
+func (s emptySource) ReadTable(context.Context) (directory.TableRead, error) {
+	return directory.TableRead{Table: routing.NewTable(routing.Content{Version: 1}), Revision: s.revision, Changed: s.revision}, nil
+}
+
+func (emptySource) WatchTable(ctx context.Context, _ uint64, _ time.Duration, _ int) (directory.TableRead, error) {
+	<-ctx.Done()
+	return directory.TableRead{}, ctx.Err()
+}
+
+func (s emptySource) ReadServers(context.Context, string, bool) (directory.ServersPage, error) {
+	return directory.ServersPage{Revision: s.revision}, nil
+}
+
+func (emptySource) ReadEvacuations(context.Context) (directory.Evacuations, error) {
+	return directory.Evacuations{}, nil
+}
+
+func (emptySource) WatchServers(ctx context.Context, _ uint64, _ time.Duration) (directory.ServerChanges, error) {
+	<-ctx.Done()
+	return directory.ServerChanges{}, ctx.Err()
+}
+
+// directoryAt is a directory that knows an empty list at a revision, and reads nothing more.
+func directoryAt(t *testing.T, revision uint64) *directory.Directory {
+	d := directory.New(log.NewNopLogger())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		d.Follow(ctx, directory.Following{Source: emptySource{revision}, Reader: func() bool { return true }, Timing: directory.Timing{Wait: time.Second, Answer: time.Second, AnswerMost: time.Second}})
+		close(done)
+	}()
+	_, err := d.ListHead(t.Context(), revision)
+	require.NoError(t, err)
+	cancel()
+	<-done
+	return d
+}
+
+// A box of an earlier build leaves out of a server what it does not know, such as until when it warms
+// up: its word is not taken, only that something has changed.
+func TestContentOfAnEarlierBuildIsNotTaken(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		level int
+		taken bool
+	}{
+		{"no level is named", 0, false},
+		{"a lower level", forms.Level - 1, false},
+		{"the same level", forms.Level, true},
+		{"a higher level", forms.Level + 1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := directoryAt(t, 4)
+			checker := New(Deps{Port: port(listen(t)), Directory: d, Logger: log.NewNopLogger()})
+			added := []directory.ServerEvent{{Server: routing.Server{ID: "i-1", Service: "calls"}}}
+			m := message{Level: c.level, Check: &checkMessage{Revision: 5, ServersChanged: 5}, Delta: &deltaMessage{From: 4, To: 5, Events: added}}
+			assert.Equal(t, c.taken, checker.take(m), "it spares a check")
+			assert.Equal(t, c.taken, len(d.View().Listed("calls")) == 1, "the server is listed")
+		})
+	}
+}
--- a/pkg/loadshare/sharer_test.go
+++ b/pkg/loadshare/sharer_test.go
@@ -17,6 +17,7 @@
 
 	"headhill.example/headhill/pkg/balancer"
 	"headhill.example/headhill/pkg/datagram"
+	"headhill.example/headhill/pkg/forms/formstest"
 	"headhill.example/headhill/pkg/loadshare/loadpb"
 	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/routing"
@@ -275,6 +276,9 @@
 	}
 	body, _ := proto.Marshal(placementsMessage("hall", []balancer.Placement{{Server: 1, Parts: []uint64{2}, Prefilled: true}}))
 	f.Add(body)
+	for _, recorded := range formstest.Recorded(f, "[lp]*.datagram") {
+		f.Add(recorded)
+	}
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		s := &Sharer{
 			Deps:    Deps{Box: "box", Hall: "hall", Balancer: balancer.New(log.NewNopLogger())},
--- a/pkg/metering/metering_test.go
+++ b/pkg/metering/metering_test.go
@@ -15,6 +15,7 @@
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/datagram/datagrampb"
 	"headhill.example/headhill/pkg/fleetclock"
+	"headhill.example/headhill/pkg/forms/formstest"
 	"headhill.example/headhill/pkg/metering/usagepb"
 )
 
@@ -211,6 +212,9 @@
 func FuzzUsage(f *testing.F) {
 	body, _ := proto.Marshal(message(1, []*usagepb.Window{{Number: 3, Organisations: []uint64{4}, Counts: []uint32{5}}}))
 	f.Add(body)
+	for _, recorded := range formstest.Recorded(f, "usage-*.datagram") {
+		f.Add(recorded)
+	}
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		m := &usagepb.Usage{}
 		if proto.Unmarshal(data, m) == nil {
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -143,7 +143,7 @@
 	peerLogger := logs.For(logflags.Peer)
 	d.peers = datagram.NewPort(datagram.Deps{Box: s.Box.ID, Conn: d.peerPort, Known: d.roster.Known, Logger: peerLogger})
 	d.checker = announce.New(announce.Deps{
-		Port: d.peers, Timing: d.checkTiming, Check: d.checkStore, Look: d.look, Peers: d.roster.Peers, Rank: d.roster.Rank, Directory: d.directory,
+		Port: d.peers, Timing: d.checkTiming, Check: d.checkStore, Look: d.look, Peers: d.roster.Peers, Rank: d.roster.Rank, Directory: d.directory, Logger: peerLogger,
 	})
 	d.snapshots = snapshot.NewClient(snapshot.ClientDeps{Providers: d.providers, Wait: d.snapshotWait})
 	d.sweeper = roster.NewSweeper(d.roster, d.peers, peerLogger)
@@ -371,6 +371,9 @@
 // ReadyAddress is the address of the readiness port.
 func (d *Daemon) ReadyAddress() string { return d.readyPort.Addr().String() }
 
+// PeerAddress is where other boxes are heard.
+func (d *Daemon) PeerAddress() string { return d.peerPort.LocalAddr().String() }
+
 // MetricsAddress is the address of the metrics port.
 func (d *Daemon) MetricsAddress() string { return d.metricsPort.Addr().String() }
 
--- a/pkg/snapshot/client.go
+++ b/pkg/snapshot/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/forms"
 	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/routing"
@@ -241,7 +242,8 @@
 	return append(answering, silent...)
 }
 
-// note notes whether a box has answered. One that says that it can't serve has.
+// note notes whether a box has answered. One that says that it can't serve has; one of an earlier
+// build is asked after the others.
 func (c *Client) note(address string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -280,6 +282,9 @@
 	if !ok || k.revision < q.least {
 		return known{}, false, &DamagedError{Address: address, Reason: "it does not say up to where it is known, or not as far as was asked"}
 	}
+	if path != pathBoxes && !forms.Whole(k.level) {
+		return known{}, false, &OlderBuildError{Address: address, Level: forms.Of(k.level)}
+	}
 	if resp.StatusCode == http.StatusNoContent {
 		return k, false, nil
 	}
--- a/pkg/snapshot/doc.go
+++ b/pkg/snapshot/doc.go
@@ -6,12 +6,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
 	"time"
 
 	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/forms"
 )
 
 // Paths of the two parts.
@@ -48,6 +50,8 @@
 	// headerEvacuations tells the evacuated halls, as JSON, with the list of servers. It is missing
 	// where the sender does not know them.
 	headerEvacuations = "Belief-Evacuations"
+	// headerLevel is the level of the forms that the sender reads.
+	headerLevel = "Belief-Level"
 )
 
 const (
@@ -73,6 +77,16 @@
 	return fmt.Sprintf("box at %s answered %d: the next one or the source is asked", e.Address, e.Status)
 }
 
+// OlderBuildError is an answer of a box that reads less of the store than this one.
+type OlderBuildError struct {
+	Address string
+	Level   int
+}
+
+func (e *OlderBuildError) Error() string {
+	return fmt.Sprintf("box at %s is of an earlier build, which reads forms of level %d and not of %d: the next one or the source is asked", e.Address, e.Level, forms.Level)
+}
+
 // DamagedError is an answer that is not what its sender has.
 type DamagedError struct {
 	Address string
@@ -89,6 +103,8 @@
 	age               time.Duration
 	// since is the revision after which changes of the list are sent; zero for the whole.
 	since uint64
+	// level is that of the forms that the sender reads; zero where it does not say.
+	level int
 	// evacuations are known with the list of servers only.
 	evacuations directory.Evacuations
 }
@@ -97,6 +113,7 @@
 	h.Set(headerRevision, strconv.FormatUint(k.revision, 10))
 	h.Set(headerChanged, strconv.FormatUint(k.changed, 10))
 	h.Set(headerAge, strconv.FormatInt(k.age.Milliseconds(), 10))
+	h.Set(headerLevel, strconv.Itoa(forms.Level))
 	if k.since > 0 {
 		h.Set(headerSince, strconv.FormatUint(k.since, 10))
 	}
@@ -128,7 +145,15 @@
 	if text := h.Get(headerSince); text != "" {
 		since, err4 = strconv.ParseUint(text, 10, 64)
 	}
+	named := 0
+	var err5 error
+	if text := h.Get(headerLevel); text != "" {
+		named, err5 = strconv.Atoi(text)
+	}
 	evacuations, told := readEvacuations(h)
-	ok := err1 == nil && err2 == nil && err3 == nil && err4 == nil && changed <= revision && told
-	return known{revision: revision, changed: changed, since: since, age: time.Duration(age) * time.Millisecond, evacuations: evacuations}, ok
+	ok := errors.Join(err1, err2, err3, err4, err5) == nil && changed <= revision && told
+	return known{
+		revision: revision, changed: changed, since: since, age: time.Duration(age) * time.Millisecond,
+		level: named, evacuations: evacuations,
+	}, ok
 }
