forms: a form that changes without a level fails its test

The fields of each message, record and answer that boxes share are kept in testdata/forms/shapes with the level; a change of any needs the file written anew, on purpose, and a level where boxes act on what is new.

--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -329,3 +329,5 @@
 		})
 	}
 }
+
+func TestFormOfAnnouncements(t *testing.T) { formstest.CheckShape(t, "announce", message{}) }
--- a/pkg/datagram/port_test.go
+++ b/pkg/datagram/port_test.go
@@ -11,6 +11,8 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"headhill.example/headhill/pkg/datagram/datagrampb"
+	"headhill.example/headhill/pkg/forms/formstest"
 )
 
 const kindWord = "word"
@@ -87,3 +89,5 @@
 		p.receive(data, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 5000})
 	})
 }
+
+func TestFormOfDatagrams(t *testing.T) { formstest.CheckShape(t, "datagram", &datagrampb.Envelope{}) }
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"headhill.example/headhill/pkg/forms/formstest"
+	"headhill.example/headhill/pkg/lease/leasepb"
 	"pgregory.net/rapid"
 )
 
@@ -218,3 +220,7 @@
 	h.takenWithin(t, nil, takenSoon+retryMost)
 	assert.Empty(t, h.broken())
 }
+
+func TestFormOfTheLease(t *testing.T) {
+	formstest.CheckShape(t, "lease", &leasepb.Lease{}, Record{})
+}
--- a/pkg/loadshare/sharer_test.go
+++ b/pkg/loadshare/sharer_test.go
@@ -294,3 +294,7 @@
 		}
 	})
 }
+
+func TestFormOfLoads(t *testing.T) {
+	formstest.CheckShape(t, "loadshare", &loadpb.Loads{}, &loadpb.Placements{})
+}
--- a/pkg/metering/metering_test.go
+++ b/pkg/metering/metering_test.go
@@ -222,3 +222,5 @@
 		}
 	})
 }
+
+func TestFormOfUsage(t *testing.T) { formstest.CheckShape(t, "usage", &usagepb.Usage{}) }
--- a/pkg/quarantine/ledger_test.go
+++ b/pkg/quarantine/ledger_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 
+	"headhill.example/headhill/pkg/forms/formstest"
+	"headhill.example/headhill/pkg/quarantine/quarantinepb"
 	"headhill.example/headhill/pkg/routing"
 )
 
@@ -257,3 +259,7 @@
 		}
 	}
 }
+
+func TestFormOfEvidence(t *testing.T) {
+	formstest.CheckShape(t, "quarantine", &quarantinepb.Evidence{}, Record{})
+}
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -575,3 +575,7 @@
 	require.NoError(t, err)
 	assert.Equal(t, uint64(6), list.revision, "what is encoded is new enough")
 }
+
+func TestFormOfParts(t *testing.T) {
+	formstest.CheckShape(t, "snapshot", routing.Delta{}, directory.ServerEvent{}, directory.Evacuations{}, roster.Entry{})
+}
