--- a/cmd/headhillctl/cmds/routingstatus.go
+++ b/cmd/headhillctl/cmds/routingstatus.go
@@ -35,12 +35,25 @@
 	}
 	fmt.Fprintf(out, "%s in %s, version %s, ready %t, knows %d boxes\n", s.Box, s.Hall, s.Version, s.Ready, s.Boxes)
 	fmt.Fprintf(out, "routing table %d, confirmed %s ago; servers %s ago\n", s.TableVersion, age(s.TableAgeMillis), age(s.ServersAgeMillis))
+	fmt.Fprintln(out, evacuatedLine(&s))
+	fmt.Fprintln(out, formsLine(&s))
+	return nil
+}
+
+// evacuatedLine tells which halls are evacuated.
+func evacuatedLine(s *routerd.Status) string {
 	if len(s.EvacuatedHalls) == 0 {
-		fmt.Fprintf(out, "no hall is evacuated, as of %s ago\n", age(s.EvacuationsAgeMillis))
-		return nil
+		return fmt.Sprintf("no hall is evacuated, as of %s ago", age(s.EvacuationsAgeMillis))
 	}
-	fmt.Fprintf(out, "evacuated halls, as of %s ago: %s\n", age(s.EvacuationsAgeMillis), strings.Join(s.EvacuatedHalls, ", "))
-	return nil
+	return fmt.Sprintf("evacuated halls, as of %s ago: %s", age(s.EvacuationsAgeMillis), strings.Join(s.EvacuatedHalls, ", "))
+}
+
+// formsLine tells which boxes are of an earlier build.
+func formsLine(s *routerd.Status) string {
+	if len(s.EarlierBoxes) == 0 {
+		return fmt.Sprintf("forms of level %d, read by all boxes", s.FormsLevel)
+	}
+	return fmt.Sprintf("forms of level %d, of which some boxes read level %d only: %s", s.FormsLevel, s.LowestFormsLevel, strings.Join(s.EarlierBoxes, ", "))
 }
 
 // age writes milliseconds, of which fewer than none stand for never.
--- a/pkg/roster/read.go
+++ b/pkg/roster/read.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/sourcegraph/conc"
 
+	"headhill.example/headhill/pkg/forms"
 	"headhill.example/headhill/pkg/stall"
 )
 
@@ -196,6 +197,9 @@
 	// Others take a box out that they do not hear any more. One that is alive after
 	// all enters itself again. A stale reading may be older than the entry.
 	r.entered = r.entered && (own || stale)
+	if before, now := lowestLevel(r.entries), lowestLevel(entries); before != now {
+		_ = level.Info(r.logger).Log("msg", "lowest level of forms", "level", now, "before", before, "own", forms.Level, "boxes", len(entries))
+	}
 	if len(entries) != len(r.entries) {
 		_ = level.Info(r.logger).Log("msg", "boxes counted", "count", len(entries), "before", len(r.entries), "revision", revision, "stale", stale)
 	}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -31,6 +31,8 @@
 	LinkMbps float64
 	// Incarnation is drawn anew at each start.
 	Incarnation uint64
+	// Level is that of the forms that the box reads; zero where its entry names none.
+	Level int
 }
 
 // Address is where the box hears from others, nil if it can't be read.
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -22,6 +22,7 @@
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/duties"
+	"headhill.example/headhill/pkg/forms"
 	"headhill.example/headhill/pkg/gateway"
 	"headhill.example/headhill/pkg/lease"
 	"headhill.example/headhill/pkg/loadshare"
@@ -135,7 +136,7 @@
 	}
 	access := StoreAccess{Address: func() string { return d.settings.Load().Store }, Admit: d.calls.admit, LeftOut: unusable.note}
 	d.source = a.Source(access)
-	self := roster.Entry{Box: s.Box.ID, Hall: s.Box.Hall, Peer: d.peerPort.LocalAddr().String(), LinkMbps: s.Limits.LinkMbps}
+	self := roster.Entry{Box: s.Box.ID, Hall: s.Box.Hall, Peer: d.peerPort.LocalAddr().String(), LinkMbps: s.Limits.LinkMbps, Level: forms.Level}
 	d.roster = roster.New(a.Roster(access), self, storeLimits, logs.For(logflags.Directory))
 	balance := balancer.New(logs.For(logflags.Balancer))
 	d.warmUps = warmup.New(s.Box.ID, logs.For(logflags.Balancer))
@@ -157,7 +158,7 @@
 	d.quarantine = quarantine.New(quarantine.Deps{
 		Port: d.peers, Peers: d.roster.Peers, Store: a.Quarantine(access), Timeout: storeLimits.First, Logger: logs.For(logflags.Quarantine),
 	})
-	if err := metrics.AddGauges(quarantineGauge(d.quarantine)); err != nil {
+	if err := metrics.AddGauges(quarantineGauge(d.quarantine), formsGauge(d.roster)); err != nil {
 		return nil, oops.In("telemetry").Wrap(err)
 	}
 	d.budget = retry.NewBudget(d.retryLimits())
--- a/pkg/routerd/gauges.go
+++ b/pkg/routerd/gauges.go
@@ -3,7 +3,9 @@
 import (
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/forms"
 	"headhill.example/headhill/pkg/quarantine"
+	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/telemetry"
 )
 
@@ -32,6 +34,16 @@
 	}
 }
 
+// formsGauge shows the level of the forms that this box reads, and the lowest of all boxes.
+func formsGauge(r *roster.Roster) telemetry.Gauge {
+	return telemetry.Gauge{
+		Name: "headhill_forms_level", Help: "Level of the forms that boxes read.", Attribute: "boxes",
+		Observe: func() map[string]int64 {
+			return map[string]int64{"own": forms.Level, "lowest": int64(r.LowestLevel())}
+		},
+	}
+}
+
 // tableVersion is empty until a table is known.
 func tableVersion(d *directory.Directory) map[string]int64 {
 	t := d.View().Table
--- a/pkg/routerd/status.go
+++ b/pkg/routerd/status.go
@@ -9,6 +9,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/forms"
 	"headhill.example/headhill/pkg/version"
 )
 
@@ -31,8 +32,16 @@
 	// EvacuatedHalls are those whose servers get nothing, as the store said so long ago.
 	EvacuatedHalls       []string `json:"evacuated_halls"`
 	EvacuationsAgeMillis int64    `json:"evacuations_age_ms"`
+	// FormsLevel is the level of the forms that the box reads, LowestFormsLevel the lowest of all
+	// boxes, EarlierBoxes are some of those that read less than this one: an upgrade is on its way.
+	FormsLevel       int      `json:"forms_level"`
+	LowestFormsLevel int      `json:"lowest_forms_level"`
+	EarlierBoxes     []string `json:"earlier_boxes"`
 }
 
+// earlierBoxesMost bounds the boxes of earlier builds that are named.
+const earlierBoxesMost = 20
+
 // Status tells what the box knows.
 func (d *Daemon) Status() Status {
 	s, v, now := d.settings.Load(), d.directory.View(), clock.Now()
@@ -40,6 +49,7 @@
 		Box: s.Box.ID, Hall: s.Box.Hall, Version: version.String(), Ready: d.Ready(), Boxes: d.roster.Count(),
 		TableAgeMillis: millisSince(v.TableRead, now), ServersAgeMillis: millisSince(v.ServersRead, now),
 		EvacuatedHalls: d.directory.Evacuations().Halls, EvacuationsAgeMillis: millisSince(v.EvacuationsRead, now),
+		FormsLevel: forms.Level, LowestFormsLevel: d.roster.LowestLevel(), EarlierBoxes: d.roster.EarlierBoxes(earlierBoxesMost),
 	}
 	if v.Table != nil {
 		status.TableVersion = v.Table.Version
