gateway: answers that are held until they are whole count towards what a box may hold

Cause: each answer up to 512 KiB was read whole before it was passed on, and kept while its caller read it, counted nowhere: a thousand callers that read slowly cost 512 MB, at boxes of 144 MB and more. Now each step is reserved of the quarter of the memory that callers' bodies share; where no room is left an answer is passed on as it comes, as long ones are (no other server can take its place then).

Not bounded here: what the kernel buffers; a stream that is not read stalls its server's connection, and ends with the caller's ten seconds for a piece.

--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -48,13 +48,13 @@
 // never reaches the caller in part.
 func (x *exchange) whole(resp *upstream.Response, lease *balancer.Lease) (*failure, error) {
 	x.noteRun(x.sent)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, answerMost+1))
+	body, complete, err := x.hold(resp.Body)
 	if err != nil {
 		resp.Close(false)
 		return &failure{result: balancer.ResultFailed, broken: true, cause: err}, nil
 	}
 	lease.Begun(clock.Now())
-	if len(body) > answerMost {
+	if !complete {
 		return x.passLong(resp, body)
 	}
 	resp.Close(true)
@@ -85,7 +85,7 @@
 	return nil
 }
 
-// passLong passes on an answer that is too long to be held.
+// passLong passes on an answer that is too long to be held, or for which no room is left.
 func (x *exchange) passLong(resp *upstream.Response, head []byte) (*failure, error) {
 	copyHeader(x.writer.Header(), resp.Header)
 	if resp.Length >= 0 {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -116,7 +116,7 @@
 	} else {
 		err = x.serve()
 	}
-	g.held.Add(-int64(len(x.body)))
+	g.held.Add(-int64(len(x.body)) - x.reserved)
 	x.close(err)
 }
 
@@ -127,7 +127,9 @@
 	request *http.Request
 	arrival time.Time
 	view    *directory.View
-	stop    *Stop
+	// reserved is how many bytes of answers are held until the request ends.
+	reserved int64
+	stop     *Stop
 
 	call         Call
 	body         []byte
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -46,7 +46,8 @@
 	headerMost    = 64 << 10
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
-	// heldShare is the part of the memory that callers' bodies may take.
+	// heldShare is the part of the memory that callers' bodies may take, with answers until they are
+	// passed on.
 	heldShare = 4
 	// callerShare is the part of the descriptors that callers' connections may take;
 	// reservedDescriptors are kept for files and ports.
@@ -174,6 +175,9 @@
 			Denial:   s.Bounds.Apply,
 		},
 	})
+	if err := metrics.AddGauges(heldGauge(d.gateway)); err != nil {
+		return nil, oops.In("telemetry").Wrap(err)
+	}
 	d.quarantine.OnHeld(d.gateway.EndHeld)
 	d.serveHTTP()
 	d.serveSnapshots(logs.For(logflags.Peer))
--- a/pkg/routerd/gauges.go
+++ b/pkg/routerd/gauges.go
@@ -4,6 +4,7 @@
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/forms"
+	"headhill.example/headhill/pkg/gateway"
 	"headhill.example/headhill/pkg/quarantine"
 	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/telemetry"
@@ -34,6 +35,14 @@
 	}
 }
 
+// heldGauge shows how many bytes are held for callers.
+func heldGauge(g *gateway.Gateway) telemetry.Gauge {
+	return telemetry.Gauge{
+		Name: "headhill_held_bytes", Help: "Bytes of requests and answers held for callers.", Attribute: "of",
+		Observe: func() map[string]int64 { return map[string]int64{"callers": g.Held()} },
+	}
+}
+
 // formsGauge shows the level of the forms that this box reads, and the lowest of all boxes.
 func formsGauge(r *roster.Roster) telemetry.Gauge {
 	return telemetry.Gauge{
