--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -27,6 +27,13 @@
 	}
 }
 
+// TableFails tells whether the source gave no answer when it was last asked for the table.
+func (d *Directory) TableFails() bool {
+	d.table.mu.Lock()
+	defer d.table.mu.Unlock()
+	return d.table.failures > 0
+}
+
 func (f *follower) stateOf(read, now time.Time) State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"headhill.example/headhill/pkg/balancer"
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/retry"
 	"headhill.example/headhill/pkg/routing"
 	"headhill.example/headhill/pkg/upstream"
@@ -102,6 +103,16 @@
 	afterStop     = 20 * time.Millisecond
 )
 
+const (
+	// tableWaitMost is how long a request waits for the first table: a box whose store answers has it
+	// a second or two after its start. tableWaitPart is the part of the caller's patience that it may
+	// wait, tableWaitLeast for how short a wait it is refused at once.
+	tableWaitMost  = 1500 * time.Millisecond
+	tableWaitPart  = 4
+	tableWaitLeast = 500 * time.Millisecond
+	tableWaitStep  = 10 * time.Millisecond
+)
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer g.running.Add(-1)
@@ -196,6 +207,9 @@
 
 // findRoute looks the route up, and what follows from it.
 func (x *exchange) findRoute() error {
+	if x.view.Table == nil {
+		x.awaitTable()
+	}
 	table := x.view.Table
 	if table == nil {
 		return &RefusedError{Reason: "no routing table is known yet", After: x.untilTable()}
@@ -217,6 +231,22 @@
 	return nil
 }
 
+// awaitTable lets a request wait at a box that has just started and is about to have its table. Where
+// all boxes start at once a caller that is refused comes back to one that has none either.
+func (x *exchange) awaitTable() {
+	wait := min(tableWaitMost, x.call.Patience/tableWaitPart)
+	if wait < tableWaitLeast {
+		return
+	}
+	ctx := x.request.Context()
+	for end := x.arrival.Add(wait); clock.Now().Before(end) && ctx.Err() == nil && !x.gateway.Directory.TableFails(); {
+		pause.For(ctx, tableWaitStep)
+		if x.view = x.gateway.Directory.View(); x.view.Table != nil {
+			return
+		}
+	}
+}
+
 // untilTable is when to come back to a box that has just started: as long as it has
 // been up, as nothing else tells how long the store will be away.
 func (x *exchange) untilTable() time.Duration {
