--- a/pkg/announce/turns.go
+++ b/pkg/announce/turns.go
@@ -1,10 +1,11 @@
 package announce
 
 import (
+	"math"
+	"math/rand/v2"
 	"time"
 
 	"headhill.example/headhill/pkg/clock"
-	"headhill.example/headhill/pkg/pause"
 )
 
 const (
@@ -16,14 +17,17 @@
 )
 
 // next is the time until this box asks if it hears of no other check. After the first boxes
-// the others draw, so that a handful ask early and spare the rest.
+// the others draw, all of them near the end where they are many: a check that has to read the whole
+// list takes most of the spread, and is not heard before. Waits that are distributed exponentially
+// had 24,200 calls made in place of 4,700 on a day of 985 boxes whose store forgot its history for
+// 14 s.
 func (c *Checker) next() time.Duration {
 	t := c.Timing()
 	if rank := c.Rank(); rank < firstBoxes {
 		return t.Every + time.Duration(float64(t.Spread)*firstShare*float64(rank)/firstBoxes)
 	}
-	turns := time.Duration(firstShare * float64(t.Spread))
-	return t.Every + turns + pause.Suppressed(t.Spread-turns, len(c.Peers())+1)
+	n := float64(len(c.Peers()) + 1)
+	return t.Every + time.Duration(float64(t.Spread)*(firstShare+(1-firstShare)*math.Pow(rand.Float64(), 1/n)))
 }
 
 // turns says when this box checks the store. One check is under way at a time.
