--- a/pkg/routerd/join.go
+++ b/pkg/routerd/join.go
@@ -170,14 +170,13 @@
 // lookFurther looks at as many boxes as the store gives at once, or asks another box for all where
 // there are more.
 func (d *Daemon) lookFurther(ctx context.Context) (bool, error) {
-	if d.roster.Partial() {
-		return d.fetchRoster(ctx, false)
-	}
-	grown, err := d.roster.Look(ctx)
-	if err == nil && d.roster.Partial() {
-		return d.fetchRoster(ctx, false)
+	if !d.roster.Partial() {
+		grown, err := d.roster.Look(ctx)
+		if err != nil || !d.roster.Partial() {
+			return grown, err
+		}
 	}
-	return grown, err
+	return d.fetchRoster(ctx, false)
 }
 
 // providers are the addresses of the boxes that this one asks for what it lacks. While it sees
--- /dev/null
+++ b/pkg/snapshot/earlier_test.go
@@ -0,0 +1,100 @@
+package snapshot
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/forms"
+	"headhill.example/headhill/pkg/forms/formstest"
+	"headhill.example/headhill/pkg/roster"
+	"headhill.example/headhill/pkg/routing"
+)
+
+// otherDigest are builds whose digest covers less of a table: theirs is refused, and the source asked.
+var otherDigest = []string{"48cfb53"}
+
+// The tables and lists that earlier builds serve are read; a table counts only where its digest says
+// that all that its sender had has arrived.
+func TestPartsOfEarlierBuildsAreRead(t *testing.T) {
+	for name, body := range formstest.Recorded(t, "table.gz") {
+		var d routing.Delta
+		require.NoError(t, decode(bytes.NewReader(body), &d), name)
+		table, err := applied(emptyTable, d, name)
+		if slices.Contains(otherDigest, path.Dir(name)) {
+			var damaged *DamagedError
+			assert.ErrorAs(t, err, &damaged, name)
+			continue
+		}
+		require.NoError(t, err, name)
+		assert.NotZero(t, table.Version, name)
+	}
+	for name, body := range formstest.Recorded(t, "servers.gz") {
+		var list []routing.Server
+		require.NoError(t, decode(bytes.NewReader(body), &list), name)
+		require.NotEmpty(t, list, name)
+		for _, s := range list {
+			assert.NotEmpty(t, s.ID, name)
+			assert.NotEmpty(t, s.Address, name)
+			assert.NotEmpty(t, s.Service, name)
+		}
+	}
+}
+
+// A box of an earlier build has read less of the store: what it has is not taken.
+func TestPartsOfEarlierBuildsAreNotTaken(t *testing.T) {
+	d := loaded(t, &source{table: tableOf(7, 3), servers: listOf(4), revision: 9})
+	s := NewServer(ServerDeps{
+		Directory: d, Logger: log.NewNopLogger(), KnownHost: func(netip.Addr) bool { return true },
+		Boxes: func() (roster.Copy, bool) { return roster.Copy{Entries: []roster.Entry{{Box: "box-1"}}}, true },
+	})
+	for level, taken := range map[string]bool{"": false, strconv.Itoa(forms.Level - 1): false, strconv.Itoa(forms.Level): true, strconv.Itoa(forms.Level + 1): true} {
+		earlier := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s.Handler().ServeHTTP(&levelWriter{ResponseWriter: w, level: level}, r)
+		}))
+		c := client(time.Second, strings.TrimPrefix(earlier.URL, "http://"))
+		_, err := c.Table(t.Context(), nil, 9)
+		_, err2 := c.Servers(t.Context(), 0, 9)
+		_, err3 := c.Boxes(t.Context(), false)
+		var older *OlderBuildError
+		assert.Equal(t, !taken, errors.As(err, &older), "table, level %q: %v", level, err)
+		assert.Equal(t, !taken, errors.As(err2, &older), "list, level %q: %v", level, err2)
+		assert.NoError(t, err3, "who is there is the same for all, level %q", level)
+		earlier.Close()
+	}
+}
+
+// levelWriter has an answer name another level, or none.
+type levelWriter struct {
+	http.ResponseWriter
+	level string
+}
+
+func (w *levelWriter) WriteHeader(status int) {
+	w.Header().Del(headerLevel)
+	if w.level != "" {
+		w.Header().Set(headerLevel, w.level)
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *levelWriter) Write(p []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	return w.ResponseWriter.Write(p)
+}
+
+func TestFormOfParts(t *testing.T) {
+	formstest.CheckShape(t, "snapshot", routing.Delta{}, directory.ServerEvent{}, directory.Evacuations{}, roster.Entry{})
+}
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -1,7 +1,6 @@
 package snapshot
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -11,9 +10,6 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"path"
-	"runtime"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -21,12 +17,10 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"headhill.example/headhill/pkg/directory"
-	"headhill.example/headhill/pkg/forms"
 	"headhill.example/headhill/pkg/forms/formstest"
 	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/routing"
@@ -275,78 +269,6 @@
 	assert.Equal(t, []string{"a", "b", "c"}, c.inOrder())
 }
 
-// otherDigest are builds whose digest covers less of a table: theirs is refused, and the source asked.
-var otherDigest = []string{"48cfb53"}
-
-// The tables and lists that earlier builds serve are read; a table counts only where its digest says
-// that all that its sender had has arrived.
-func TestPartsOfEarlierBuildsAreRead(t *testing.T) {
-	for name, body := range formstest.Recorded(t, "table.gz") {
-		var d routing.Delta
-		require.NoError(t, decode(bytes.NewReader(body), &d), name)
-		table, err := applied(emptyTable, d, name)
-		if slices.Contains(otherDigest, path.Dir(name)) {
-			var damaged *DamagedError
-			assert.ErrorAs(t, err, &damaged, name)
-			continue
-		}
-		require.NoError(t, err, name)
-		assert.NotZero(t, table.Version, name)
-	}
-	for name, body := range formstest.Recorded(t, "servers.gz") {
-		var list []routing.Server
-		require.NoError(t, decode(bytes.NewReader(body), &list), name)
-		require.NotEmpty(t, list, name)
-		for _, s := range list {
-			assert.NotEmpty(t, s.ID, name)
-			assert.NotEmpty(t, s.Address, name)
-			assert.NotEmpty(t, s.Service, name)
-		}
-	}
-}
-
-// A box of an earlier build has read less of the store: what it has is not taken.
-func TestPartsOfEarlierBuildsAreNotTaken(t *testing.T) {
-	d := loaded(t, &source{table: tableOf(7, 3), servers: listOf(4), revision: 9})
-	s := NewServer(ServerDeps{
-		Directory: d, Logger: log.NewNopLogger(), KnownHost: func(netip.Addr) bool { return true },
-		Boxes: func() (roster.Copy, bool) { return roster.Copy{Entries: []roster.Entry{{Box: "box-1"}}}, true },
-	})
-	for level, taken := range map[string]bool{"": false, strconv.Itoa(forms.Level - 1): false, strconv.Itoa(forms.Level): true, strconv.Itoa(forms.Level + 1): true} {
-		earlier := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			s.Handler().ServeHTTP(&levelWriter{ResponseWriter: w, level: level}, r)
-		}))
-		c := client(time.Second, strings.TrimPrefix(earlier.URL, "http://"))
-		_, err := c.Table(t.Context(), nil, 9)
-		_, err2 := c.Servers(t.Context(), 0, 9)
-		_, err3 := c.Boxes(t.Context(), false)
-		var older *OlderBuildError
-		assert.Equal(t, !taken, errors.As(err, &older), "table, level %q: %v", level, err)
-		assert.Equal(t, !taken, errors.As(err2, &older), "list, level %q: %v", level, err2)
-		assert.NoError(t, err3, "who is there is the same for all, level %q", level)
-		earlier.Close()
-	}
-}
-
-// levelWriter has an answer name another level, or none.
-type levelWriter struct {
-	http.ResponseWriter
-	level string
-}
-
-func (w *levelWriter) WriteHeader(status int) {
-	w.Header().Del(headerLevel)
-	if w.level != "" {
-		w.Header().Set(headerLevel, w.level)
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
-func (w *levelWriter) Write(p []byte) (int, error) {
-	w.WriteHeader(http.StatusOK)
-	return w.ResponseWriter.Write(p)
-}
-
 func FuzzAnswers(f *testing.F) {
 	body, err := encode(routing.Diff(emptyTable, tableOf(3, 2)))
 	require.NoError(f, err)
@@ -523,94 +445,3 @@
 	require.NotNil(t, list.Delta)
 	assert.Len(t, list.Delta.Events, 1)
 }
-
-// fixedLists is a list at a revision, of which the changes since some revisions are known.
-type fixedLists struct {
-	revision, from uint64
-	servers        []routing.Server
-	copies         int
-}
-
-func (f *fixedLists) ListSince(since uint64) (directory.ListCopy, bool) {
-	if since < f.from {
-		return directory.ListCopy{}, false
-	}
-	d := &directory.Delta{From: since, To: f.revision, Events: []directory.ServerEvent{{Server: routing.Server{ID: "new"}}}}
-	return directory.ListCopy{Revision: f.revision, Delta: d}, true
-}
-
-func (f *fixedLists) ListCopy() directory.ListCopy {
-	f.copies++
-	return directory.ListCopy{Revision: f.revision, Servers: f.servers}
-}
-
-// What is encoded for many askers that know different revisions is bounded.
-func TestEncodedChangesAreBounded(t *testing.T) {
-	var e listEncoder
-	l := &fixedLists{revision: 1000, from: 1}
-	for since := range uint64(10 * listsKept) {
-		list, err := e.from(since+1, 1000, l)
-		require.NoError(t, err)
-		assert.Equal(t, since+1, list.since)
-	}
-	assert.LessOrEqual(t, len(e.lists), listsKept)
-	assert.Zero(t, l.copies)
-}
-
-// The whole list is copied and encoded once for all who can't be told what has changed, whatever they
-// know, also beside many who can.
-func TestWholeListIsEncodedOnce(t *testing.T) {
-	var e listEncoder
-	l := &fixedLists{revision: 1000, from: 500, servers: listOf(3)}
-	for since := range uint64(900) {
-		list, err := e.from(since, 1000, l)
-		require.NoError(t, err)
-		assert.Equal(t, since >= l.from, list.since == since && since > 0)
-	}
-	for since := range uint64(400) {
-		_, err := e.from(since, 1000, l)
-		require.NoError(t, err)
-	}
-	assert.Equal(t, 1, l.copies)
-}
-
-// Boxes that ask for the same list at once cost one copy of it, however many they are.
-func TestOneCopyForAllThatAsk(t *testing.T) {
-	d := loaded(t, &source{table: tableOf(7, 3), servers: listOf(5000), revision: 9})
-	allocated := func(askers int) uint64 {
-		s := NewServer(ServerDeps{Directory: d, Logger: log.NewNopLogger()})
-		var before, after runtime.MemStats
-		runtime.ReadMemStats(&before)
-		var wg conc.WaitGroup
-		for range askers {
-			wg.Go(func() {
-				_, err := s.serveList(t.Context(), question{least: 9})
-				assert.NoError(t, err)
-			})
-		}
-		wg.Wait()
-		runtime.ReadMemStats(&after)
-		return after.TotalAlloc - before.TotalAlloc
-	}
-	one := allocated(1)
-	for _, askers := range []int{50, 100} {
-		assert.Less(t, allocated(askers), 2*one, "%d askers", askers)
-	}
-}
-
-// The newest list is sent, also where an older one is encoded.
-func TestNewestListIsSent(t *testing.T) {
-	var e listEncoder
-	for _, revision := range []uint64{5, 6} {
-		list, err := e.from(0, revision, &fixedLists{revision: revision, from: 100})
-		require.NoError(t, err)
-		assert.Equal(t, revision, list.revision)
-	}
-	list, err := e.from(0, 5, &fixedLists{revision: 7, from: 100})
-	require.NoError(t, err)
-	assert.Equal(t, uint64(6), list.revision, "what is encoded is new enough")
-}
-
-func TestFormOfParts(t *testing.T) {
-	formstest.CheckShape(t, "snapshot", routing.Delta{}, directory.ServerEvent{}, directory.Evacuations{}, roster.Entry{})
-}
