signals: what servers say of themselves in their answers is read and logged

Server-Limit is read at the edge (absent, a number from zero on, of several the lowest, anything else unreadable), kept by life, logged when it changes and counted on the metrics address. No decision reads it yet.

--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -6,6 +6,7 @@
 
 	"headhill.example/headhill/pkg/balancer"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/signals"
 )
 
 // Call is what a caller asks, in the product's own terms.
@@ -46,6 +47,8 @@
 	NotRun bool
 	// Replaced: the server that was meant is gone, another one has its address.
 	Replaced bool
+	// Signals are what the server says of itself.
+	Signals signals.Signals
 }
 
 // Protocol translates between the product's terms and the headers of callers and
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -219,6 +219,9 @@
 		return &failure{result: brokenResult(err), broken: true, cause: err}, nil
 	}
 	reply := x.gateway.Protocol.Reply(resp.Status, resp.Header)
+	if !reply.Replaced {
+		x.gateway.Signals.Note(lease.Server.Life(), reply.Signals, x.sent, clock.Now())
+	}
 	switch {
 	case reply.Replaced:
 		// The server that was meant got nothing, so it does not count as an attempt.
--- a/pkg/routerd/gauges.go
+++ b/pkg/routerd/gauges.go
@@ -7,6 +7,7 @@
 	"headhill.example/headhill/pkg/gateway"
 	"headhill.example/headhill/pkg/quarantine"
 	"headhill.example/headhill/pkg/roster"
+	"headhill.example/headhill/pkg/signals"
 	"headhill.example/headhill/pkg/telemetry"
 )
 
@@ -69,3 +70,11 @@
 		Attribute: "state", Observe: q.Counts,
 	}
 }
+
+// signalsGauge shows how many servers are believed to say what of themselves.
+func signalsGauge(b *signals.Book) telemetry.Gauge {
+	return telemetry.Gauge{
+		Name: "headhill_server_signals", Help: "Servers that are believed to name a signal of themselves in their answers.",
+		Attribute: "signal", Observe: b.Counts,
+	}
+}
