fleetlimit: the limit of servers that warm up is one of several that the boxes of a fleet keep together

pkg/warmup becomes pkg/fleetlimit: a limit says its rate, its keepers and how long a box must have known the others; what a server bears while it warms up is one, the limit that a server names will be the next. Behaviour as before but where a fleet has fewer boxes than keepers: these share the whole part.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log"
 
+	"headhill.example/headhill/pkg/fleetlimit"
 	"headhill.example/headhill/pkg/routing"
 )
 
@@ -38,19 +39,19 @@
 	indexes map[string]*candidateIndex
 	// swept is when servers without calls were last looked for.
 	swept time.Time
-	// warmUps limits what goes to servers that warm up; nil for no limit.
-	warmUps WarmUps
+	// limiter bounds what goes to limited servers; nil for no bound.
+	limiter Limiter
 }
 
-// WarmUps limits what this box sends to servers that warm up.
-type WarmUps interface {
+// Limiter bounds what this box sends to servers that take few requests from all boxes together.
+type Limiter interface {
 	// Allows tells whether a request may go now, Take counts one that goes.
-	Allows(server routing.Life, w routing.WarmUp, now time.Time) bool
-	Take(server routing.Life, w routing.WarmUp, now time.Time)
+	Allows(server routing.Life, l fleetlimit.Limit, now time.Time) bool
+	Take(server routing.Life, l fleetlimit.Limit, now time.Time)
 }
 
-// LimitWarmUps sets what limits requests to servers that warm up. It is set before the first call.
-func (b *Balancer) LimitWarmUps(w WarmUps) { b.warmUps = w }
+// SetLimiter sets what bounds requests to limited servers. It is set before the first call.
+func (b *Balancer) SetLimiter(l Limiter) { b.limiter = l }
 
 // server is what is known of one server.
 type server struct {
@@ -96,8 +97,8 @@
 		balancer: b, state: chosen.state, prefix: p.prefix,
 	}
 	l.state.running++
-	if chosen.warmingUp {
-		b.warmUps.Take(chosen.Life(), q.WarmUp, now)
+	if !chosen.limit.None() {
+		b.limiter.Take(chosen.Life(), chosen.limit, now)
 	}
 	if q.Engine {
 		l.occupy(q, &chosen, &p, now)
--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"headhill.example/headhill/pkg/fleetlimit"
 	"headhill.example/headhill/pkg/routing"
 )
 
@@ -32,8 +33,8 @@
 	transferred int
 	// candidateHome tells that the server may be the home of the prompt's prefix.
 	candidateHome bool
-	// warmingUp tells that the server bears few requests, of which this one would be counted.
-	warmingUp bool
+	// limit is what the server takes from all boxes together.
+	limit fleetlimit.Limit
 }
 
 // toPrefill is how much of the prompt the server has to prefill.
@@ -98,7 +99,7 @@
 }
 
 // usable are the candidates not tried before and not ejected; if all are ejected,
-// all of them. Those that warm up and have had this box's part are left out in any case.
+// all of them. Limited ones that have had this box's part are left out in any case.
 func (b *Balancer) usable(q Query, list shortlist, shared prefix, now time.Time) []choice {
 	fit := make([]choice, 0, len(list.at))
 	var ejected []choice
@@ -109,11 +110,11 @@
 		}
 		s := b.server(KeyOf(c.Life()), now)
 		other := b.other(s.key, now)
-		warmingUp := b.warmingUp(&q, c, s, other, now)
-		if warmingUp && !b.warmUps.Allows(c.Life(), q.WarmUp, now) {
+		limit := b.limitOf(&q, c, s, other, now)
+		if !limit.None() && !b.limiter.Allows(c.Life(), limit, now) {
 			continue
 		}
-		x := choice{Server: c, state: s, failures: s.health.failureShare(other, now), load: s.load().Plus(other), warmingUp: warmingUp, candidateHome: i < list.homes}
+		x := choice{Server: c, state: s, failures: s.health.failureShare(other, now), load: s.load().Plus(other), limit: limit, candidateHome: i < list.homes}
 		x.cached, x.prefilled = s.cached.longest(shared, now)
 		if now.Before(s.health.ejected) || x.ejectedByOthers(other, now) {
 			ejected = append(ejected, x)
--- a/pkg/balancer/warmup.go
+++ b/pkg/balancer/limits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"headhill.example/headhill/pkg/fleetlimit"
 	"headhill.example/headhill/pkg/routing"
 )
 
@@ -10,10 +11,18 @@
 // for which servers warm up: it is down for a while after it was last seen to be.
 const returnMargin = time.Second
 
+// limitOf is what a server takes from all boxes together.
+func (b *Balancer) limitOf(q *Query, c *routing.Server, s *server, others Load, now time.Time) fleetlimit.Limit {
+	if b.limiter != nil && b.warmingUp(q, c, s, others, now) {
+		return fleetlimit.WarmUp(q.WarmUp)
+	}
+	return fleetlimit.Limit{}
+}
+
 // warmingUp tells whether a server is taken to warm up: by its own word, or as it was down a short
 // while ago while nobody hears of starts.
 func (b *Balancer) warmingUp(q *Query, c *routing.Server, s *server, others Load, now time.Time) bool {
-	if b.warmUps == nil || !q.WarmUp.Limited() {
+	if !q.WarmUp.Limited() {
 		return false
 	}
 	if seenDown(s, others, now) {
--- a/pkg/warmup/limiter.go
+++ b/pkg/fleetlimit/limiter.go
@@ -1,4 +1,4 @@
-package warmup
+package fleetlimit
 
 import (
 	"slices"
@@ -13,24 +13,15 @@
 )
 
 const (
-	// keepers is how many boxes may send to a server that warms up. With two it still gets
-	// something where one of them is down.
-	keepers = 2
-	// keptShare is the part of what a server bears that its keepers send together. The rest is
-	// for boxes that do not know yet that it warms up, and for keepers by an older list of boxes.
-	keptShare = 0.5
 	// burst is how many requests a keeper may send at once.
 	burst = 1
-	// settleTime is how long a box must have known the other boxes to be a keeper: those that it
-	// takes the place of hear of it meanwhile.
-	settleTime = 5 * time.Second
 	// forgetAfter is how long a server is remembered after its last request.
 	forgetAfter = time.Minute
 	// sweepEach is after how many new servers those that can be forgotten are looked for.
 	sweepEach = 64
 )
 
-// Limiter is one box's part of the limits of servers that warm up.
+// Limiter is one box's part of the limits of servers.
 type Limiter struct {
 	box    string
 	logger log.Logger
@@ -46,13 +37,15 @@
 
 // allowance is what this box may send to one server.
 type allowance struct {
+	limit  Limit
 	bucket *rate.Limiter
+	// ring is the one by which keeper was worked out.
 	ring   *ring
 	keeper bool
 	used   time.Time
 }
 
-// New returns a limiter of a box that knows no others yet: it sends nothing to servers that warm up.
+// New returns a limiter of a box that knows no others yet: it sends nothing to limited servers.
 func New(box string, logger log.Logger) *Limiter {
 	return &Limiter{box: box, logger: logger, ring: newRing(nil), servers: make(map[routing.Life]*allowance)}
 }
@@ -70,45 +63,52 @@
 	}
 }
 
-// Allows tells whether this box may send a request now to a server that warms up.
-func (l *Limiter) Allows(server routing.Life, w routing.WarmUp, now time.Time) bool {
+// Allows tells whether this box may send a request now to a server with a limit.
+func (l *Limiter) Allows(server routing.Life, limit Limit, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.known.IsZero() || now.Sub(l.known) < settleTime {
+	if l.known.IsZero() || now.Sub(l.known) < limit.Settle {
 		return false
 	}
-	a := l.of(server, w, now)
+	a := l.of(server, limit, now)
 	return a.keeper && a.bucket.TokensAt(now) >= 1
 }
 
-// Take counts a request to a server that warms up.
-func (l *Limiter) Take(server routing.Life, w routing.WarmUp, now time.Time) {
+// Take counts a request to a server with a limit.
+func (l *Limiter) Take(server routing.Life, limit Limit, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a := l.of(server, w, now)
+	a := l.of(server, limit, now)
 	a.used = now
 	a.bucket.AllowN(now, 1)
 }
 
 // of returns the allowance of a server. The caller holds mu.
-func (l *Limiter) of(server routing.Life, w routing.WarmUp, now time.Time) *allowance {
+func (l *Limiter) of(server routing.Life, limit Limit, now time.Time) *allowance {
 	a, ok := l.servers[server]
 	if !ok {
 		l.forget(now)
-		a = &allowance{used: now, bucket: rate.NewLimiter(rate.Limit(w.PerSecond*keptShare/keepers), burst)}
+		a = &allowance{used: now, bucket: rate.NewLimiter(rate.Limit(limit.part(l.ring.boxes)), burst)}
 		l.servers[server] = a
 		l.added++
 	}
-	if a.ring != l.ring {
-		before := a.keeper
-		a.ring, a.keeper = l.ring, l.ring.has(l.box, server.Hash(), keepers)
-		if a.keeper != before {
-			_ = level.Info(l.logger).Log("msg", "keeper of a server that warms up", "server", server, "keeper", a.keeper, "boxes", l.ring.boxes, "per_second", float64(a.bucket.Limit()))
-		}
+	if a.ring != l.ring || a.limit != limit {
+		l.update(a, server, limit, now)
 	}
 	return a
 }
 
+// update works an allowance out anew for a limit and the boxes of now. The caller holds mu.
+func (l *Limiter) update(a *allowance, server routing.Life, limit Limit, now time.Time) {
+	before := a.keeper
+	a.ring, a.limit, a.keeper = l.ring, limit, l.ring.has(l.box, server.Hash(), limit.Keepers)
+	a.bucket.SetLimitAt(now, rate.Limit(limit.part(l.ring.boxes)))
+	if a.keeper != before {
+		_ = level.Info(l.logger).Log("msg", "keeper of a limited server", "server", server, "keeper", a.keeper, "boxes", l.ring.boxes,
+			"keepers", limit.Keepers, "per_second", float64(a.bucket.Limit()))
+	}
+}
+
 // forget drops servers that got nothing for long. The caller holds mu.
 func (l *Limiter) forget(now time.Time) {
 	if l.added < sweepEach {
--- a/pkg/warmup/limiter_test.go
+++ b/pkg/fleetlimit/limiter_test.go
@@ -1,4 +1,4 @@
-package warmup
+package fleetlimit
 
 import (
 	"fmt"
@@ -71,23 +71,23 @@
 				list = all[:cut]
 			}
 			boxes[i] = &box{name: name, list: list}
-			boxes[i].start(now.Add(-2 * settleTime))
+			boxes[i].start(now.Add(-2 * warmUpSettle))
 		}
 		late := &box{name: "box-new", list: append(names(n), "box-new")}
-		late.start(now.Add(-settleTime))
+		late.start(now.Add(-warmUpSettle))
 		boxes = append(boxes, late)
 
 		kill := rapid.Float64Range(0, 0.02).Draw(t, "kills") / float64(n)
 		draw := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 		var sent []time.Time
-		for range int(1.2 * float64(settleTime) / float64(step)) {
+		for range int(1.2 * float64(warmUpSettle) / float64(step)) {
 			now = now.Add(step)
 			for _, b := range boxes {
 				if draw.Float64() < kill {
 					b.start(now)
 				}
-				if b.limiter.Allows(server, w, now) {
-					b.limiter.Take(server, w, now)
+				if b.limiter.Allows(server, WarmUp(w), now) {
+					b.limiter.Take(server, WarmUp(w), now)
 					sent = append(sent, now)
 				}
 			}
@@ -111,13 +111,13 @@
 			keeping := make([]int, servers)
 			for _, name := range all {
 				b := &box{name: name, list: all}
-				b.start(begin.Add(-settleTime))
+				b.start(begin.Add(-warmUpSettle))
 				for s := range servers {
 					life := routing.Life{ID: fmt.Sprintf("i-%d", s)}
 					before := sent[s]
 					for now := begin; now.Before(begin.Add(w.Time)); now = now.Add(step) {
-						if b.limiter.Allows(life, w, now) {
-							b.limiter.Take(life, w, now)
+						if b.limiter.Allows(life, WarmUp(w), now) {
+							b.limiter.Take(life, WarmUp(w), now)
 							sent[s]++
 						}
 					}
@@ -126,8 +126,8 @@
 					}
 				}
 			}
-			kept := min(n, keepers)
-			least := int(w.PerSecond * keptShare / keepers * float64(kept) * w.Time.Seconds())
+			kept := min(n, warmUpKeepers)
+			least := int(w.PerSecond * warmUpShare / warmUpKeepers * float64(kept) * w.Time.Seconds())
 			for s := range servers {
 				assert.Equal(t, kept, keeping[s], "keepers of server %d", s)
 				assert.GreaterOrEqual(t, sent[s], least)
@@ -139,14 +139,14 @@
 // A box that knows nobody, and one that has just learned who is there, sends nothing.
 func TestNewBoxSendsNothing(t *testing.T) {
 	now := time.Now()
-	w, server := routing.WarmUp{Time: time.Second, PerSecond: 1000}, routing.Life{ID: "i-1"}
+	limit, server := WarmUp(routing.WarmUp{Time: time.Second, PerSecond: 1000}), routing.Life{ID: "i-1"}
 	l := New("box-0", log.NewNopLogger())
-	assert.False(t, l.Allows(server, w, now.Add(time.Hour)))
+	assert.False(t, l.Allows(server, limit, now.Add(time.Hour)))
 	l.SetBoxes(names(1), now)
-	assert.False(t, l.Allows(server, w, now.Add(settleTime-step)))
-	assert.True(t, l.Allows(server, w, now.Add(settleTime)))
-	l.Take(server, w, now.Add(settleTime))
-	assert.False(t, l.Allows(server, w, now.Add(settleTime)))
+	assert.False(t, l.Allows(server, limit, now.Add(warmUpSettle-step)))
+	assert.True(t, l.Allows(server, limit, now.Add(warmUpSettle)))
+	l.Take(server, limit, now.Add(warmUpSettle))
+	assert.False(t, l.Allows(server, limit, now.Add(warmUpSettle)))
 }
 
 // A box more changes the keepers of few servers.
@@ -157,12 +157,12 @@
 	for s := range servers {
 		key := routing.Life{ID: fmt.Sprintf("i-%d", s)}.Hash()
 		for _, box := range names(boxes) {
-			if before.has(box, key, keepers) != after.has(box, key, keepers) {
+			if before.has(box, key, warmUpKeepers) != after.has(box, key, warmUpKeepers) {
 				moved++
 			}
 		}
 	}
-	assert.Less(t, moved, 2*keepers*servers/boxes*2)
+	assert.Less(t, moved, 2*warmUpKeepers*servers/boxes*2)
 }
 
 // BenchmarkNewRing is what a change of the boxes costs.
--- a/pkg/warmup/ring.go
+++ b/pkg/fleetlimit/ring.go
@@ -1,4 +1,4 @@
-package warmup
+package fleetlimit
 
 import (
 	"cmp"
@@ -37,19 +37,17 @@
 
 // has tells whether a box is among the first n distinct ones behind a key.
 func (r *ring) has(box string, key uint64, n int) bool {
+	if n >= r.boxes {
+		return slices.ContainsFunc(r.points, func(p point) bool { return p.box == box })
+	}
 	begin, _ := slices.BinarySearchFunc(r.points, key, func(p point, key uint64) int { return cmp.Compare(p.at, key) })
-	var seen [keepers]string
-	found := 0
+	seen := make(map[string]bool, n)
 	for i := range r.points {
 		p := r.points[(begin+i)%len(r.points)]
-		if slices.Contains(seen[:found], p.box) {
-			continue
-		}
 		if p.box == box {
 			return true
 		}
-		seen[found] = p.box
-		if found++; found == min(n, r.boxes) {
+		if seen[p.box] = true; len(seen) == n {
 			return false
 		}
 	}
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -22,6 +22,7 @@
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/duties"
+	"headhill.example/headhill/pkg/fleetlimit"
 	"headhill.example/headhill/pkg/forms"
 	"headhill.example/headhill/pkg/gateway"
 	"headhill.example/headhill/pkg/lease"
@@ -36,7 +37,6 @@
 	"headhill.example/headhill/pkg/stall"
 	"headhill.example/headhill/pkg/telemetry"
 	"headhill.example/headhill/pkg/upstream"
-	"headhill.example/headhill/pkg/warmup"
 )
 
 const (
@@ -98,8 +98,8 @@
 	// quarantine keeps requests of which servers crash away from them.
 	quarantine *quarantine.Quarantine
 	budget     *retry.Budget
-	// warmUps limits what goes to servers that warm up.
-	warmUps *warmup.Limiter
+	// limiter bounds what goes to limited servers.
+	limiter *fleetlimit.Limiter
 	calls   *storeCalls
 	gateway *gateway.Gateway
 	metrics *telemetry.Metrics
@@ -141,8 +141,8 @@
 	self := roster.Entry{Box: s.Box.ID, Hall: s.Box.Hall, Peer: d.peerPort.LocalAddr().String(), LinkMbps: s.Limits.LinkMbps, Level: forms.Level}
 	d.roster = roster.New(a.Roster(access), self, storeLimits, logs.For(logflags.Directory))
 	balance := balancer.New(logs.For(logflags.Balancer))
-	d.warmUps = warmup.New(s.Box.ID, logs.For(logflags.Balancer))
-	balance.LimitWarmUps(d.warmUps)
+	d.limiter = fleetlimit.New(s.Box.ID, logs.For(logflags.Balancer))
+	balance.SetLimiter(d.limiter)
 	book := signals.NewBook(logs.For(logflags.Balancer))
 	peerLogger := logs.For(logflags.Peer)
 	d.peers = datagram.NewPort(datagram.Deps{Box: s.Box.ID, Conn: d.peerPort, Known: d.roster.Known, Logger: peerLogger})
@@ -280,7 +280,7 @@
 	d.budget.SetLimits(d.retryLimits())
 	d.calls.rates.SetBudget(d.settings.Load().Rates.Share(d.roster.Count()))
 	d.duties.orderChanged()
-	d.warmUps.SetBoxes(d.roster.Names(), clock.Now())
+	d.limiter.SetBoxes(d.roster.Names(), clock.Now())
 }
 
 // retryLimits gives this box its part of the fleet's slack.
