signals, loadshare: boxes tell each other with their loads what servers say of themselves

A box that gets nothing from a limited server learns neither that the limit is there nor that it has ended. Builds without the field pass it over, and what a relay of theirs does not pass on lapses the same way; loads hold nothing that was read of the store, so that the level of the forms stays, and the shape is written anew. No decision reads the signals yet. ./pkg/loadshare, ./pkg/signals, ./pkg/balancer green with -race; not run: all others.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -8,6 +8,7 @@
 
 	"headhill.example/headhill/pkg/fleetlimit"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/signals"
 )
 
 const (
@@ -41,6 +42,8 @@
 	swept time.Time
 	// limiter bounds what goes to limited servers; nil for no bound.
 	limiter Limiter
+	// signals are what servers say of themselves.
+	signals *signals.Book
 }
 
 // Limiter bounds what this box sends to servers that take few requests from all boxes together.
@@ -77,12 +80,17 @@
 
 // New returns a balancer that knows nothing yet.
 func New(logger log.Logger) *Balancer {
-	return &Balancer{
+	b := &Balancer{
 		logger: logger, servers: make(map[ServerKey]*server), lanes: make(map[ServiceKey]*lanes),
 		holders: make(map[partKey][]ServerKey), indexes: make(map[string]*candidateIndex),
 	}
+	b.signals = signals.NewBook(logger, b.changed)
+	return b
 }
 
+// Signals are what servers say of themselves in their answers.
+func (b *Balancer) Signals() *signals.Book { return b.signals }
+
 // Pick chooses a server and counts the call there. It returns false if no
 // candidate is left.
 func (b *Balancer) Pick(q Query, now time.Time) (*Lease, bool) {
--- a/pkg/balancer/share.go
+++ b/pkg/balancer/share.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/signals"
 )
 
 const (
@@ -100,6 +101,8 @@
 	Placements []Placement
 	// Demands are by service.
 	Demands map[ServiceKey]Demand
+	// Signals are what this box has heard servers say of themselves.
+	Signals signals.Words
 }
 
 // OnChange sets who learns that there is something to report. It must not block, nor
@@ -110,7 +113,7 @@
 func (b *Balancer) Report(now time.Time) Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := Report{Loads: make(map[ServerKey]Load), Placements: b.placements, Demands: make(map[ServiceKey]Demand)}
+	r := Report{Loads: make(map[ServerKey]Load), Placements: b.placements, Demands: make(map[ServiceKey]Demand), Signals: b.signals.Report(now)}
 	for key, l := range b.lanes {
 		if d := l.report(now); d != (Demand{}) {
 			r.Demands[key] = d
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -19,7 +19,6 @@
 	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/retry"
 	"headhill.example/headhill/pkg/routing"
-	"headhill.example/headhill/pkg/signals"
 	"headhill.example/headhill/pkg/upstream"
 )
 
@@ -44,8 +43,6 @@
 	Balancer  *balancer.Balancer
 	Budget    *retry.Budget
 	Upstream  *upstream.Client
-	// Signals keeps what servers say of themselves in their answers.
-	Signals *signals.Book
 	// Quarantine knows the requests of which servers crash.
 	Quarantine Quarantine
 	Recorder   Recorder
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -220,7 +220,7 @@
 	}
 	reply := x.gateway.Protocol.Reply(resp.Status, resp.Header)
 	if !reply.Replaced {
-		x.gateway.Signals.Note(lease.Server.Life(), reply.Signals, x.sent, clock.Now())
+		x.gateway.Balancer.Signals().Note(lease.Server.Life(), reply.Signals, x.sent, clock.Now())
 	}
 	switch {
 	case reply.Replaced:
--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -2,10 +2,14 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"headhill.example/headhill/pkg/balancer"
 	"headhill.example/headhill/pkg/loadshare/loadpb"
+	"headhill.example/headhill/pkg/signals"
 )
 
 // Kinds of datagrams.
@@ -58,13 +62,19 @@
 type work struct {
 	loads   loads
 	demands demands
+	signals signals.Words
 }
 
-func newWork() work { return work{loads: make(loads), demands: make(demands)} }
+func newWork() work {
+	return work{loads: make(loads), demands: make(demands), signals: make(signals.Words)}
+}
 
 // split cuts a round of loads into messages.
-func split(hall string, round uint32, all work) []*loadpb.Loads {
+func split(hall string, round uint32, all work, now time.Time) []*loadpb.Loads {
 	list := []*loadpb.Loads{{Hall: hall, Round: round}}
+	for key, w := range all.signals {
+		list[0].Signals = append(list[0].Signals, encodeSignal(key, w, now))
+	}
 	for key, d := range all.demands {
 		list[0].Demands = append(list[0].Demands, encodeDemand(key, d))
 	}
@@ -117,9 +127,34 @@
 	return d
 }
 
+func encodeSignal(key signals.Key, w signals.Word, now time.Time) *loadpb.Signal {
+	p := &loadpb.Signal{Server: uint32(key), AgeMs: uint32(min(max(now.Sub(w.Heard).Milliseconds(), 0), signalAgeMostMS))}
+	if w.Named {
+		p.Limit = proto.Float64(w.PerSecond)
+	}
+	return p
+}
+
+// signalAgeMostMS bounds the age of a signal that is told, in milliseconds: none is believed for so long.
+const signalAgeMostMS = 3_600_000
+
+// decodeSignal reads a signal. It returns false for one that can't be meant.
+func decodeSignal(p *loadpb.Signal, received time.Time) (signals.Word, bool) {
+	w := signals.Word{Heard: received.Add(-time.Duration(p.GetAgeMs()) * time.Millisecond)}
+	if p.Limit != nil {
+		w.Limit = signals.Limit{Named: true, PerSecond: p.GetLimit()}
+	}
+	return w, w.PerSecond >= 0 && !math.IsInf(w.PerSecond, 0)
+}
+
 // read adds a message's loads to those of its round.
-func read(m *loadpb.Loads, w work) {
+func read(m *loadpb.Loads, w work, received time.Time) {
 	to := w.loads
+	for _, p := range m.GetSignals() {
+		if word, ok := decodeSignal(p, received); ok {
+			w.signals[signals.Key(p.GetServer())] = word
+		}
+	}
 	for _, d := range m.GetDemands() {
 		w.demands[balancer.ServiceKey(d.GetService())] = decodeDemand(d)
 	}
@@ -178,7 +213,7 @@
 const partsMost = 1000
 
 // add takes a part in. It returns the whole round with its last part.
-func (r rounds) add(sender string, m *loadpb.Loads) (work, bool) {
+func (r rounds) add(sender string, m *loadpb.Loads, received time.Time) (work, bool) {
 	if m.GetParts() > partsMost || m.GetPart() >= m.GetParts() || !wellFormed(m) {
 		return work{}, false
 	}
@@ -188,7 +223,7 @@
 		r[sender] = p
 	}
 	p.parts[m.GetPart()] = true
-	read(m, p.work)
+	read(m, p.work, received)
 	if len(p.parts) < int(m.GetParts()) {
 		return work{}, false
 	}
@@ -240,12 +275,13 @@
 	for key, d := range more.demands {
 		w.demands[key] = w.demands[key].Plus(d)
 	}
+	w.signals.Add(more.signals)
 }
 
 // without is a total less the work of one sender. The total may hold an older word of
-// that sender.
+// that sender. Signals are not added up, so that none is taken off.
 func (w work) without(part work) work {
-	rest := work{loads: maps.Clone(w.loads), demands: maps.Clone(w.demands)}
+	rest := work{loads: maps.Clone(w.loads), demands: maps.Clone(w.demands), signals: w.signals}
 	for key, l := range part.loads {
 		sum := rest.loads[key].Minus(l)
 		if sum == (balancer.Load{}) {
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -164,7 +164,7 @@
 		s.place(in)
 		return
 	}
-	all, whole := s.rounds.add(in.from, in.loads)
+	all, whole := s.rounds.add(in.from, in.loads, in.received)
 	switch {
 	case !whole:
 	case in.kind == kindReport:
@@ -196,11 +196,11 @@
 // report sends this hall's relays what this box does. That it does nothing is sent once.
 func (s *Sharer) report(now time.Time) {
 	r := s.Balancer.Report(now)
-	empty := len(r.Loads) == 0 && len(r.Placements) == 0
+	empty := len(r.Loads) == 0 && len(r.Placements) == 0 && len(r.Signals) == 0
 	if empty && s.idle {
 		return
 	}
-	s.idle, s.reported = empty, work{loads: r.Loads, demands: r.Demands}
+	s.idle, s.reported = empty, work{loads: r.Loads, demands: r.Demands, signals: r.Signals}
 	relays := s.silence.relays(s.members(), s.Hall, now)
 	var others []*net.UDPAddr
 	for _, m := range relays {
@@ -231,7 +231,7 @@
 // sendWork sends a round of loads. It returns the bytes sent.
 func (s *Sharer) sendWork(kind string, all work, to []*net.UDPAddr) (sent int) {
 	s.round++
-	for _, m := range split(s.Hall, s.round, all) {
+	for _, m := range split(s.Hall, s.round, all, clock.Now()) {
 		sent += s.send(kind, m, to)
 	}
 	return sent
@@ -261,6 +261,7 @@
 func (s *Sharer) setOthers(total work, now time.Time) {
 	others := total.without(s.reported)
 	s.Balancer.SetOthers(others.loads, others.demands, now)
+	s.Balancer.Signals().SetTold(total.signals, now)
 }
 
 // members are the boxes of the roster, worked out anew when that has changed.
--- a/pkg/loadshare/sharer_test.go
+++ b/pkg/loadshare/sharer_test.go
@@ -21,6 +21,7 @@
 	"headhill.example/headhill/pkg/loadshare/loadpb"
 	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/signals"
 )
 
 const (
@@ -234,23 +235,27 @@
 		all[balancer.ServerKey(i)] = balancer.Load{Backlog: i + 1}
 	}
 	all[0] = balancer.Load{Backlog: 1, Down: 3}
-	parts := split("hall", 7, work{loads: all, demands: demands{9: {Interactive: 5, Bulk: 6}}})
+	now := time.Now()
+	said := signals.Words{
+		1: {Limit: signals.Limit{Named: true, PerSecond: 2.3}, Heard: now.Add(-time.Second)}, 2: {Heard: now.Add(-2 * time.Second)},
+	}
+	parts := split("hall", 7, work{loads: all, demands: demands{9: {Interactive: 5, Bulk: 6}}, signals: said}, now)
 	require.Len(t, parts, 3)
 	r := make(rounds)
-	_, whole := r.add("box", parts[2])
+	_, whole := r.add("box", parts[2], now)
 	assert.False(t, whole)
-	_, whole = r.add("box", parts[0])
+	_, whole = r.add("box", parts[0], now)
 	assert.False(t, whole)
-	_, whole = r.add("other", parts[1])
+	_, whole = r.add("other", parts[1], now)
 	assert.False(t, whole, "another sender's round")
-	got, whole := r.add("box", parts[1])
+	got, whole := r.add("box", parts[1], now)
 	assert.True(t, whole)
-	assert.Equal(t, work{loads: all, demands: demands{9: {Interactive: 5, Bulk: 6}}}, got)
+	assert.Equal(t, work{loads: all, demands: demands{9: {Interactive: 5, Bulk: 6}}, signals: said}, got)
 	for _, m := range []*loadpb.Loads{{Part: 3, Parts: 3}, {}, {Parts: 1, Servers: []uint32{1}}, {Parts: 1, Down: []uint32{1}}} {
-		_, whole = r.add("box", m)
+		_, whole = r.add("box", m, now)
 		assert.False(t, whole, "%v", m)
 	}
-	assert.Len(t, split("hall", 8, work{}), 1, "that nothing runs is told too")
+	assert.Len(t, split("hall", 8, work{}, now), 1, "that nothing runs is told too")
 }
 
 func TestSumsHoldEachBoxOnce(t *testing.T) {
@@ -261,8 +266,8 @@
 		"old": {work: work{loads: loads{1: {Backlog: 100}}}, heard: now.Add(-believed - time.Second)},
 	}
 	total := table.sum(now)
-	assert.Equal(t, work{loads: loads{1: {Backlog: 7, Down: 1}, 2: {Backlog: 5}}, demands: demands{9: {Interactive: 11, Bulk: 2}}}, total)
-	assert.Equal(t, work{loads: loads{1: {Backlog: 3, Down: 1}}, demands: demands{9: {Interactive: 1, Bulk: 2}}}, total.without(table["b"].work))
+	assert.Equal(t, work{loads: loads{1: {Backlog: 7, Down: 1}, 2: {Backlog: 5}}, demands: demands{9: {Interactive: 11, Bulk: 2}}, signals: signals.Words{}}, total)
+	assert.Equal(t, work{loads: loads{1: {Backlog: 3, Down: 1}}, demands: demands{9: {Interactive: 1, Bulk: 2}}, signals: signals.Words{}}, total.without(table["b"].work))
 	younger := work{loads: loads{1: {Backlog: 8, Down: 2}}}
 	assert.Equal(t, loads{2: {Backlog: 5}}, total.without(younger).loads, "the total holds an older word")
 	table.forget(now)
@@ -270,7 +275,7 @@
 }
 
 func FuzzMessages(f *testing.F) {
-	for _, m := range split("hall", 1, work{loads: loads{1: {Backlog: 5}, 2: {Down: 2}}, demands: demands{3: {Interactive: 1}}}) {
+	for _, m := range split("hall", 1, work{loads: loads{1: {Backlog: 5}, 2: {Down: 2}}, demands: demands{3: {Interactive: 1}}, signals: signals.Words{4: {}}}, time.Now()) {
 		body, _ := proto.Marshal(m)
 		f.Add(body)
 	}
@@ -298,3 +303,22 @@
 func TestFormOfLoads(t *testing.T) {
 	formstest.CheckShape(t, "loadshare", &loadpb.Loads{}, &loadpb.Placements{})
 }
+
+// What one box hears a server say of itself is known to all, as is that it has ceased to.
+func TestAllBoxesKnowTheSignalsOfServers(t *testing.T) {
+	withFleet(t, 12, 3, func(x *fleet) {
+		server := routing.Life{ID: "i-1", Started: 3}
+		limit := signals.Limit{Named: true, PerSecond: 2.3}
+		all := func(expected signals.Limit) func() bool {
+			return func() bool {
+				return !slices.ContainsFunc(x.boxes, func(b *box) bool { return b.balancer.Signals().Limit(server, time.Now()) != expected })
+			}
+		}
+		now := time.Now()
+		x.boxes[4].balancer.Signals().Note(server, signals.Signals{Limit: limit}, now, now)
+		require.Eventually(t, all(limit), soon, check)
+		now = time.Now()
+		x.boxes[5].balancer.Signals().Note(server, signals.Signals{}, now, now.Add(time.Millisecond))
+		require.Eventually(t, all(signals.Limit{}), soon, check)
+	})
+}
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -32,7 +32,6 @@
 	"headhill.example/headhill/pkg/readiness"
 	"headhill.example/headhill/pkg/retry"
 	"headhill.example/headhill/pkg/roster"
-	"headhill.example/headhill/pkg/signals"
 	"headhill.example/headhill/pkg/snapshot"
 	"headhill.example/headhill/pkg/stall"
 	"headhill.example/headhill/pkg/telemetry"
@@ -143,7 +142,6 @@
 	balance := balancer.New(logs.For(logflags.Balancer))
 	d.limiter = fleetlimit.New(s.Box.ID, logs.For(logflags.Balancer))
 	balance.SetLimiter(d.limiter)
-	book := signals.NewBook(logs.For(logflags.Balancer))
 	peerLogger := logs.For(logflags.Peer)
 	d.peers = datagram.NewPort(datagram.Deps{Box: s.Box.ID, Conn: d.peerPort, Known: d.roster.Known, Logger: peerLogger})
 	d.checker = announce.New(announce.Deps{
@@ -161,14 +159,14 @@
 	d.quarantine = quarantine.New(quarantine.Deps{
 		Port: d.peers, Peers: d.roster.Peers, Store: a.Quarantine(access), Timeout: storeLimits.First, Logger: logs.For(logflags.Quarantine),
 	})
-	if err := metrics.AddGauges(quarantineGauge(d.quarantine), formsGauge(d.roster), signalsGauge(book)); err != nil {
+	if err := metrics.AddGauges(quarantineGauge(d.quarantine), formsGauge(d.roster), signalsGauge(balance.Signals())); err != nil {
 		return nil, oops.In("telemetry").Wrap(err)
 	}
 	d.budget = retry.NewBudget(d.retryLimits())
 	d.roster.OnChange(d.setShares)
 	d.gateway = gateway.New(gateway.Deps{
 		Protocol: a.Protocol, Directory: d.directory, Balancer: balance,
-		Budget: d.budget, Upstream: d.upstream, Signals: book, Quarantine: d.quarantine, Recorder: recorder{metrics}, Usage: d.duties, Logger: logs.For(logflags.Gateway),
+		Budget: d.budget, Upstream: d.upstream, Quarantine: d.quarantine, Recorder: recorder{metrics}, Usage: d.duties, Logger: logs.For(logflags.Gateway),
 		Hall: s.Box.Hall, Stop: d.stop.Load, RegionOf: d.regionOf,
 		Bounds: gateway.Bounds{
 			Requests: int64(s.Limits.MemoryMB) * requestsPerMB,
--- a/pkg/routerd/gauges.go
+++ b/pkg/routerd/gauges.go
@@ -75,6 +75,6 @@
 func signalsGauge(b *signals.Book) telemetry.Gauge {
 	return telemetry.Gauge{
 		Name: "headhill_server_signals", Help: "Servers that are believed to name a signal of themselves in their answers.",
-		Attribute: "signal", Observe: b.Counts,
+		Attribute: "signal", Observe: func() map[string]int64 { return b.Counts(clock.Now()) },
 	}
 }
