balancer, gateway: boxes keep together to the limit that a server names

Callers' requests went on to a server that had named how little it can take, at the old share of each box: 56 of 11 allowed in 4 s on 3 boxes, 49 on 14; where all servers named a limit 98 of 29.

Cause: the answer's word of its server was not read; each decision rested on loads only. Seven boxes that each kept to the limit alone would still send seven times as much, so that the limit is the fleet's: 4 keepers of each server and one for each 2 requests a second, by the consistent hash that bounds warm-ups, share 0.8 of the limit. The others leave it to them. Where only limited servers are left, requests queue by rank at the box and are refused at once, with when to come back, if their turn would come later than they may wait. Admission does not count limited servers among those that prefill.

--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -111,7 +111,7 @@
 		s := b.server(KeyOf(c.Life()), now)
 		other := b.other(s.key, now)
 		limit := b.limitOf(&q, c, s, other, now)
-		if !limit.None() && !b.limiter.Allows(c.Life(), limit, now) {
+		if !limit.None() && (q.Yield || !b.limiter.Allows(c.Life(), limit, now)) {
 			continue
 		}
 		x := choice{Server: c, state: s, failures: s.health.failureShare(other, now), load: s.load().Plus(other), limit: limit, candidateHome: i < list.homes}
--- a/pkg/balancer/limits.go
+++ b/pkg/balancer/limits.go
@@ -1,10 +1,12 @@
 package balancer
 
 import (
+	"slices"
 	"time"
 
 	"headhill.example/headhill/pkg/fleetlimit"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/signals"
 )
 
 // returnMargin is how long after a server was seen to be down its return is awaited beyond the time
@@ -13,10 +15,51 @@
 
 // limitOf is what a server takes from all boxes together.
 func (b *Balancer) limitOf(q *Query, c *routing.Server, s *server, others Load, now time.Time) fleetlimit.Limit {
-	if b.limiter != nil && b.warmingUp(q, c, s, others, now) {
-		return fleetlimit.WarmUp(q.WarmUp)
+	limit := fleetlimit.Limit{}
+	if b.limiter == nil {
+		return limit
 	}
-	return fleetlimit.Limit{}
+	if b.warmingUp(q, c, s, others, now) {
+		limit = fleetlimit.WarmUp(q.WarmUp)
+	}
+	if named := b.signals.LimitOf(signals.Key(s.key), now); named.Named {
+		limit = limit.Stricter(fleetlimit.Named(named.Rate()))
+	}
+	return limit
+}
+
+// LimitedRate is how many requests a second this box may send to the candidates that a choice leaves
+// out as they are limited, and how many candidates these are.
+func (b *Balancer) LimitedRate(q Query, now time.Time) (perSecond float64, servers int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range q.Candidates {
+		c := &q.Candidates[i]
+		if slices.Contains(q.Avoid, c.Life()) {
+			continue
+		}
+		s := b.server(KeyOf(c.Life()), now)
+		limit := b.limitOf(&q, c, s, b.other(s.key, now), now)
+		if limit.None() {
+			continue
+		}
+		servers++
+		perSecond += b.limiter.Rate(c.Life(), limit, now)
+	}
+	return perSecond, servers
+}
+
+// Unlimited are those of some servers that name no limit; if all do, all of them.
+func (b *Balancer) Unlimited(servers []routing.Server, now time.Time) []routing.Server {
+	limited := func(s routing.Server) bool { return b.signals.Limit(s.Life(), now).Named }
+	if !slices.ContainsFunc(servers, limited) {
+		return servers
+	}
+	rest := slices.DeleteFunc(slices.Clone(servers), limited)
+	if len(rest) == 0 {
+		return servers
+	}
+	return rest
 }
 
 // warmingUp tells whether a server is taken to warm up: by its own word, or as it was down a short
--- /dev/null
+++ b/pkg/balancer/limits_test.go
@@ -0,0 +1,58 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+
+	"headhill.example/headhill/pkg/fleetlimit"
+	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/signals"
+)
+
+// limitedFleet is a balancer of the only box of a fleet, two servers, and a word that the first names a
+// limit.
+func limitedFleet(now time.Time) (*Balancer, Query) {
+	b := New(log.NewNopLogger())
+	l := fleetlimit.New("box-1", log.NewNopLogger())
+	l.SetBoxes([]string{"box-1"}, now)
+	b.SetLimiter(l)
+	q := Query{Service: "calls", Candidates: []routing.Server{{ID: "i-1"}, {ID: "i-2"}}}
+	b.Signals().Note(q.Candidates[0].Life(), signals.Signals{Limit: signals.Limit{Named: true, PerSecond: 1}}, now, now)
+	return b, q
+}
+
+func pickedOf(b *Balancer, q Query, calls int, now time.Time) map[string]int {
+	picked := make(map[string]int)
+	for range calls {
+		if l, ok := b.Pick(q, now); ok {
+			picked[l.Server.ID]++
+			l.Done(ResultDone, now)
+		}
+	}
+	return picked
+}
+
+func TestLimitedServerGetsItsPartAndTheOthersTheRest(t *testing.T) {
+	now := time.Now()
+	b, q := limitedFleet(now)
+	assert.Equal(t, map[string]int{"i-1": 1, "i-2": 99}, pickedOf(b, q, 100, now))
+	perSecond, servers := b.LimitedRate(q, now)
+	assert.InDelta(t, fleetlimit.Named(1).PerSecond, perSecond, 1e-9)
+	assert.Equal(t, 1, servers)
+	assert.Equal(t, q.Candidates[1:], b.Unlimited(q.Candidates, now))
+}
+
+func TestLimitedServerIsNotUsedBeyondItsPartThoughNoOtherIsLeft(t *testing.T) {
+	now := time.Now()
+	b, q := limitedFleet(now)
+	q.Candidates = q.Candidates[:1]
+	assert.Equal(t, map[string]int{"i-1": 1}, pickedOf(b, q, 100, now))
+	assert.Equal(t, q.Candidates, b.Unlimited(q.Candidates, now), "a service whose servers are all limited has them still")
+	q.Yield = true
+	assert.Empty(t, pickedOf(b, q, 100, now.Add(10*time.Second)), "others wait for it")
+	q.Yield = false
+	assert.Equal(t, map[string]int{"i-1": 1}, pickedOf(b, q, 100, now.Add(10*time.Second)))
+}
--- a/pkg/balancer/query.go
+++ b/pkg/balancer/query.go
@@ -50,6 +50,8 @@
 	Class   string
 	// Pause is the longest pause that the request's stream may have between events.
 	Pause time.Duration
+	// Yield leaves what may go to limited servers to other requests that wait for it.
+	Yield bool
 	// Repeatable requests survive a failure of their server.
 	Repeatable bool
 }
--- a/pkg/fleetlimit/limit.go
+++ b/pkg/fleetlimit/limit.go
@@ -16,6 +16,17 @@
 	// warmUpSettle is how long a box must have known the other boxes to be a keeper of servers that warm
 	// up: those that it takes the place of hear of it meanwhile.
 	warmUpSettle = 5 * time.Second
+	// namedShare is the part of a limit that a server names which its keepers send together. The rest is
+	// for requests that are on their way as the limit comes, and for boxes whose lists differ.
+	namedShare = 0.8
+	// namedKeepers is how many boxes may send to a server that names a limit, whatever it is: a small
+	// fleet sends with all of its boxes. Another keeper for each namedPerKeeper requests a second keeps
+	// the part of each worth having, as a keeper may have one request saved up.
+	namedKeepers   = 4
+	namedPerKeeper = 2
+	// namedBurst is the time whose requests a keeper may save up beside one, so that those which come
+	// close together are not sent elsewhere.
+	namedBurst = 500 * time.Millisecond
 )
 
 // Limit is what a server takes from all boxes together, and how they share it. The zero Limit is none.
@@ -26,6 +37,8 @@
 	Keepers int
 	// Settle is how long a box must have known the other boxes to be a keeper.
 	Settle time.Duration
+	// Burst is the time whose requests a keeper may save up beside one.
+	Burst time.Duration
 }
 
 // WarmUp is the limit of a server that warms up.
@@ -33,6 +46,22 @@
 	return Limit{PerSecond: w.PerSecond * warmUpShare, Keepers: warmUpKeepers, Settle: warmUpSettle}
 }
 
+// Named is the limit of a server that names one in its answers.
+func Named(perSecond float64) Limit {
+	return Limit{PerSecond: perSecond * namedShare, Keepers: namedKeepers + int(min(perSecond, keepersMost)/namedPerKeeper), Burst: namedBurst}
+}
+
+// keepersMost bounds the limit by which keepers are counted: no fleet has as many boxes.
+const keepersMost = 1 << 20
+
+// Stricter is the limit of two that lets less pass; none lets all pass.
+func (l Limit) Stricter(other Limit) Limit {
+	if l.None() || !other.None() && other.PerSecond < l.PerSecond {
+		return other
+	}
+	return l
+}
+
 // None tells whether there is no limit.
 func (l Limit) None() bool { return l == Limit{} }
 
@@ -40,3 +69,6 @@
 func (l Limit) part(boxes int) float64 {
 	return l.PerSecond / float64(max(1, min(l.Keepers, boxes)))
 }
+
+// burst is how many requests one keeper of so many boxes may send at once.
+func (l Limit) burst(boxes int) int { return 1 + int(l.part(boxes)*l.Burst.Seconds()) }
--- a/pkg/fleetlimit/limiter.go
+++ b/pkg/fleetlimit/limiter.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// burst is how many requests a keeper may send at once.
-	burst = 1
 	// forgetAfter is how long a server is remembered after its last request.
 	forgetAfter = time.Minute
 	// sweepEach is after how many new servers those that can be forgotten are looked for.
@@ -83,12 +81,23 @@
 	a.bucket.AllowN(now, 1)
 }
 
+// Rate is how many requests a second this box may send to a server with a limit.
+func (l *Limiter) Rate(server routing.Life, limit Limit, now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.of(server, limit, now)
+	if l.known.IsZero() || now.Sub(l.known) < limit.Settle || !a.keeper {
+		return 0
+	}
+	return float64(a.bucket.Limit())
+}
+
 // of returns the allowance of a server. The caller holds mu.
 func (l *Limiter) of(server routing.Life, limit Limit, now time.Time) *allowance {
 	a, ok := l.servers[server]
 	if !ok {
 		l.forget(now)
-		a = &allowance{used: now, bucket: rate.NewLimiter(rate.Limit(limit.part(l.ring.boxes)), burst)}
+		a = &allowance{used: now, bucket: rate.NewLimiter(rate.Limit(limit.part(l.ring.boxes)), limit.burst(l.ring.boxes))}
 		l.servers[server] = a
 		l.added++
 	}
@@ -103,6 +112,7 @@
 	before := a.keeper
 	a.ring, a.limit, a.keeper = l.ring, limit, l.ring.has(l.box, server.Hash(), limit.Keepers)
 	a.bucket.SetLimitAt(now, rate.Limit(limit.part(l.ring.boxes)))
+	a.bucket.SetBurstAt(now, limit.burst(l.ring.boxes))
 	if a.keeper != before {
 		_ = level.Info(l.logger).Log("msg", "keeper of a limited server", "server", server, "keeper", a.keeper, "boxes", l.ring.boxes,
 			"keepers", limit.Keepers, "per_second", float64(a.bucket.Limit()))
--- a/pkg/fleetlimit/limiter_test.go
+++ b/pkg/fleetlimit/limiter_test.go
@@ -43,16 +43,7 @@
 }
 
 // mostInASecond is the most of some times, in order, that lie within any second.
-func mostInASecond(times []time.Time) int {
-	most, first := 0, 0
-	for i, t := range times {
-		for t.Sub(times[first]) >= time.Second {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
+func mostInASecond(times []time.Time) int { return mostWithin(times, time.Second) }
 
 // Eager boxes stay within what a server bears, though two parts of the fleet have lists of boxes
 // with nothing in common, boxes are killed and start, and one more box is new to most.
--- /dev/null
+++ b/pkg/fleetlimit/named_test.go
@@ -0,0 +1,129 @@
+package fleetlimit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"headhill.example/headhill/pkg/routing"
+)
+
+// What the operators allow a server that names a limit to get within limitWindow.
+const (
+	limitWindow    = 4 * time.Second
+	limitOvershoot = 1.5
+	limitSlack     = 5.0
+)
+
+// mostWithin is the most of some times, in order, that lie within any window.
+func mostWithin(times []time.Time, window time.Duration) int {
+	most, first := 0, 0
+	for i, t := range times {
+		for t.Sub(times[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// sendEagerly has boxes send to a server as often as they may, each as it believes the limit to be: some
+// hear of a change late. Boxes are killed now and then. It returns when requests were sent.
+func sendEagerly(boxes []*box, server routing.Life, limit func(at time.Duration) Limit, lag []time.Duration, length time.Duration, kill float64, draw *rand.Rand) []time.Time {
+	begin := time.Now()
+	var sent []time.Time
+	for at := time.Duration(0); at < length; at += step {
+		now := begin.Add(at)
+		for i, b := range boxes {
+			if draw.Float64() < kill {
+				b.start(now)
+			}
+			l := limit(max(0, at-lag[i]))
+			for b.limiter.Allows(server, l, now) {
+				b.limiter.Take(server, l, now)
+				sent = append(sent, now)
+			}
+		}
+	}
+	return sent
+}
+
+// Guards against a server in need that gets what each box thinks right: eager boxes stay within its
+// limit, though some know a box that others do not know yet, boxes are killed, and the limit changes and
+// is heard of late.
+func TestFleetStaysWithinTheLimitThatAServerNames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{1, 3, 7, 14, 84, 300}).Draw(t, "boxes")
+		draw := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		perSecond := rapid.Float64Range(0, 60).Draw(t, "per second")
+		falls := rapid.Bool().Draw(t, "falls")
+		server := routing.Life{ID: rapid.StringMatching(`i-[0-9a-f]{6}`).Draw(t, "server")}
+		boxes := make([]*box, n+1)
+		lag := make([]time.Duration, n+1)
+		for i := range boxes {
+			list := names(n)
+			if i == n || draw.IntN(4) == 0 {
+				list = append(list, "box-new")
+			}
+			boxes[i] = &box{name: fmt.Sprintf("box-%d", i), list: list}
+			boxes[i].start(time.Now())
+			lag[i] = time.Duration(draw.Int64N(int64(500 * time.Millisecond)))
+		}
+		boxes[n].name = "box-new"
+		boxes[n].start(time.Now())
+		const change = 5 * time.Second
+		limit := func(at time.Duration) Limit {
+			if falls && at < change {
+				return Named(2 * perSecond)
+			}
+			return Named(perSecond)
+		}
+		begin := time.Now()
+		sent := sendEagerly(boxes, server, limit, lag, 3*change, 0.0005/float64(n), draw)
+		// A limit binds some time after it is named, which what has been sent before it can't know of.
+		for i, at := range sent {
+			if at.Sub(begin) > change+3*time.Second {
+				sent = sent[i:]
+				break
+			}
+		}
+		if most, bound := mostWithin(sent, limitWindow), limitOvershoot*perSecond*limitWindow.Seconds()+limitSlack; float64(most) > bound {
+			t.Fatalf("%d requests in %s, allowed are %.1f", most, limitWindow, bound)
+		}
+	})
+}
+
+// A limited server is not starved, however many boxes there are: it gets most of what it takes from
+// boxes that agree.
+func TestLimitedServerGetsMostOfWhatItTakes(t *testing.T) {
+	const length = 20 * time.Second
+	for n, limits := range map[int][]float64{
+		1: {0.5, 1, 2.3, 8, 40}, 3: {0.5, 1, 2.3, 8, 40}, 14: {0.5, 1, 2.3, 8, 40}, 100: {0.5, 1, 2.3, 8, 40}, 985: {2.3},
+	} {
+		for _, perSecond := range limits {
+			t.Run(fmt.Sprintf("boxes=%d/limit=%g", n, perSecond), func(t *testing.T) {
+				boxes := make([]*box, n)
+				list := names(n)
+				for i := range boxes {
+					boxes[i] = &box{name: list[i], list: list}
+					boxes[i].start(time.Now())
+				}
+				limit := func(time.Duration) Limit { return Named(perSecond) }
+				sent := sendEagerly(boxes, routing.Life{ID: "i-1"}, limit, make([]time.Duration, n), length, 0, rand.New(rand.NewPCG(1, 2)))
+				assert.GreaterOrEqual(t, float64(len(sent)), 0.6*perSecond*length.Seconds())
+			})
+		}
+	}
+}
+
+func TestStricterLimitCounts(t *testing.T) {
+	warm := WarmUp(routing.WarmUp{Time: time.Second, PerSecond: 8})
+	assert.Equal(t, warm, Limit{}.Stricter(warm))
+	assert.Equal(t, warm, warm.Stricter(Limit{}))
+	assert.Equal(t, Named(1), warm.Stricter(Named(1)))
+	assert.Equal(t, warm, warm.Stricter(Named(40)))
+}
--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -42,6 +42,7 @@
 		// An outage is waited for.
 		return nil
 	}
+	servers = x.gateway.Balancer.Unlimited(servers, now)
 	turn, known := x.gateway.Balancer.Turn(x.service.Name, x.rank(), len(servers), now)
 	most := x.waitMost()
 	x.expectedWait, x.keepPlaces = turn.Wait, turn.Urgent
--- a/pkg/gateway/errors.go
+++ b/pkg/gateway/errors.go
@@ -56,6 +56,19 @@
 func (e *brokenOffError) Error() string { return "answer broke off: " + e.Cause.Error() }
 func (e *brokenOffError) Unwrap() error { return e.Cause }
 
+// limitedError says that the servers which could take a request take only so many.
+type limitedError struct {
+	// PerSecond is how many requests a second this box may send them.
+	PerSecond float64
+	Servers   int
+}
+
+func (e *limitedError) Error() string {
+	return fmt.Sprintf("%d servers that name a limit are left, to which this box sends %.2f requests a second", e.Servers, e.PerSecond)
+}
+
+func (e *limitedError) Unwrap() error { return errNoServer }
+
 // notRunError says that a server told that it did not run the request.
 type notRunError struct {
 	Server string
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -75,6 +75,7 @@
 	running atomic.Int64
 	held    atomic.Int64
 	outages outages
+	queues  queues
 	started time.Time
 
 	activeMu sync.Mutex
@@ -165,6 +166,8 @@
 	keepPlaces bool
 	// trial says that the request is held, and tried once by this box.
 	trial bool
+	// queueing says that the request waits until it may go to a limited server.
+	queueing bool
 	// begun is set once the head of the answer went to the caller.
 	begun  bool
 	status int
@@ -190,6 +193,7 @@
 	defer context.AfterFunc(x.gateway.ending, func() { giveUp(errEnding) })()
 	defer x.gateway.enter(x, giveUp)()
 	x.gateway.Budget.Request(x.service.Name, x.arrival)
+	defer x.stopQueueing()
 	return x.run(ctx)
 }
 
--- a/pkg/gateway/outage.go
+++ b/pkg/gateway/outage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -55,6 +56,10 @@
 // awaitServer waits a moment for a server that can be reached, or gives the request
 // up once it has waited for its part of the caller's time.
 func (x *exchange) awaitServer(ctx context.Context, f *failure) error {
+	var limited *limitedError
+	if errors.As(f.cause, &limited) {
+		return x.awaitTurn(ctx, f, limited)
+	}
 	now := clock.Now()
 	age := x.gateway.outages.age(x.service.Name, now)
 	if !now.Before(x.awaitEnd()) {
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -146,10 +146,12 @@
 func (x *exchange) attempt(ctx context.Context) (*failure, error) {
 	now := clock.Now()
 	x.sent = now
-	lease, ok := x.gateway.Balancer.Pick(x.query(now), now)
+	q := x.query(now)
+	lease, ok := x.gateway.Balancer.Pick(q, now)
 	if !ok {
-		return &failure{result: balancer.ResultUnreached, notRun: true, unsent: true, cause: errNoServer}, nil
+		return &failure{result: balancer.ResultUnreached, notRun: true, unsent: true, cause: x.noServer(q, now)}, nil
 	}
+	x.stopQueueing()
 	f, err := x.exchangeWith(ctx, lease)
 	result := balancer.ResultDone
 	switch {
@@ -168,6 +170,14 @@
 
 var errNoServer = errors.New("no server of the service can take the request")
 
+// noServer is why a choice found no server.
+func (x *exchange) noServer(q balancer.Query, now time.Time) error {
+	if perSecond, servers := x.gateway.Balancer.LimitedRate(q, now); servers > 0 {
+		return &limitedError{PerSecond: perSecond, Servers: servers}
+	}
+	return errNoServer
+}
+
 func (x *exchange) query(now time.Time) balancer.Query {
 	// Each attempt asks for the list of now, not of the request's arrival.
 	view := x.gateway.Directory.View()
@@ -190,6 +200,7 @@
 		Service:     x.service.Name,
 		Class:       x.route.Name,
 		Pause:       x.route.BetweenTarget,
+		Yield:       x.yields(),
 		Repeatable:  x.route.Repeatable() && len(x.servers)+1 < x.route.MaxAttempts,
 	}
 }
--- a/pkg/signals/book.go
+++ b/pkg/signals/book.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -24,6 +25,8 @@
 	logger log.Logger
 	// onChange is told when there is something new to tell other boxes.
 	onChange func()
+	// any says that there are words. Nearly always there are none, and choices ask for each server.
+	any atomic.Bool
 
 	mu   sync.Mutex
 	own  Words
@@ -74,6 +77,7 @@
 		return
 	}
 	b.own[key] = Word{Limit: l, Heard: now}
+	b.any.Store(true)
 	if l == before.Limit {
 		return
 	}
@@ -90,9 +94,6 @@
 
 // word is the latest word on a server that still says something. The caller holds mu.
 func (b *Book) word(key Key, now time.Time) Word {
-	if len(b.own) == 0 && len(b.told) == 0 {
-		return Word{}
-	}
 	if w := b.own[key].Newer(b.told[key]); w.holds(now) {
 		return w
 	}
@@ -101,9 +102,17 @@
 
 // Limit returns the limit that a server is believed to name.
 func (b *Book) Limit(server routing.Life, now time.Time) Limit {
+	return b.LimitOf(KeyOf(server), now)
+}
+
+// LimitOf returns the limit that a server is believed to name, by its key.
+func (b *Book) LimitOf(key Key, now time.Time) Limit {
+	if !b.any.Load() {
+		return Limit{}
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.word(KeyOf(server), now).Limit
+	return b.word(key, now).Limit
 }
 
 // Report returns what this box has heard itself, for the other boxes.
@@ -125,6 +134,7 @@
 		}
 		before := b.word(key, now)
 		b.told[key] = w
+		b.any.Store(true)
 		if after := b.word(key, now); after.Limit != before.Limit {
 			b.log(key.String(), "boxes", after.Limit, before.Limit, now.Sub(w.Heard))
 		}
@@ -140,6 +150,7 @@
 	for _, words := range []Words{b.own, b.told} {
 		maps.DeleteFunc(words, func(_ Key, w Word) bool { return !w.holds(now) })
 	}
+	b.any.Store(len(b.own)+len(b.told) > 0)
 }
 
 // Counts returns how many servers are believed to name each signal.
