--- a/pkg/balancer/limits.go
+++ b/pkg/balancer/limits.go
@@ -51,15 +51,26 @@
 
 // Unlimited are those of some servers that name no limit; if all do, all of them.
 func (b *Balancer) Unlimited(servers []routing.Server, now time.Time) []routing.Server {
-	limited := func(s routing.Server) bool { return b.signals.Limit(s.Life(), now).Named }
-	if !slices.ContainsFunc(servers, limited) {
+	limited := b.CountLimited(servers, now)
+	if limited == 0 || limited == len(servers) {
 		return servers
 	}
-	rest := slices.DeleteFunc(slices.Clone(servers), limited)
-	if len(rest) == 0 {
-		return servers
+	return slices.DeleteFunc(slices.Clone(servers), func(s routing.Server) bool { return b.namesLimit(&s, now) })
+}
+
+// CountLimited is how many of some servers name a limit.
+func (b *Balancer) CountLimited(servers []routing.Server, now time.Time) int {
+	n := 0
+	for i := range servers {
+		if b.namesLimit(&servers[i], now) {
+			n++
+		}
 	}
-	return rest
+	return n
+}
+
+func (b *Balancer) namesLimit(s *routing.Server, now time.Time) bool {
+	return b.signals.Limit(s.Life(), now).Named
 }
 
 // warmingUp tells whether a server is taken to warm up: by its own word, or as it was down a short
--- a/pkg/routerd/scaledservices.go
+++ b/pkg/routerd/scaledservices.go
@@ -21,8 +21,9 @@
 			continue
 		}
 		servers := v.Listed(s.Name)
+		limited := f.balancer.CountLimited(servers, now)
 		list = append(list, duties.Service{
-			Name: s.Name, Offer: offerOf(s.Scaling), Servers: scaledServers(servers), Load: loadOf(s, f.balancer.Workload(s.Name, servers, now), len(servers)),
+			Name: s.Name, Offer: offerOf(s.Scaling), Servers: scaledServers(servers), Load: loadOf(s, f.balancer.Workload(s.Name, servers, now), len(servers), limited),
 		})
 	}
 	return list
@@ -45,18 +46,18 @@
 }
 
 // loadOf is how many servers would be busy all the time: with prefills, or with places taken,
-// whichever are more.
-func loadOf(s routing.Service, w balancer.Workload, servers int) autoscale.Load {
+// whichever are more. Limited ones are as good as busy.
+func loadOf(s routing.Service, w balancer.Workload, servers, limited int) autoscale.Load {
 	if servers == 0 || w.Slots == 0 {
 		return autoscale.Load{}
 	}
 	l := autoscale.Load{Busy: float64(w.Running) * float64(servers) / float64(w.Slots), Known: true}
-	if !s.Engine {
-		return l
-	}
-	if w.Speed == 0 {
-		return autoscale.Load{}
+	if s.Engine {
+		if w.Speed == 0 {
+			return autoscale.Load{}
+		}
+		l.Busy, l.Speed = max(l.Busy, w.Prefill/w.Speed), w.Speed
 	}
-	l.Busy, l.Speed = max(l.Busy, w.Prefill/w.Speed), w.Speed
+	l.Busy += float64(limited)
 	return l
 }
--- a/pkg/signals/book.go
+++ b/pkg/signals/book.go
@@ -102,6 +102,9 @@
 
 // Limit returns the limit that a server is believed to name.
 func (b *Book) Limit(server routing.Life, now time.Time) Limit {
+	if !b.any.Load() {
+		return Limit{}
+	}
 	return b.LimitOf(KeyOf(server), now)
 }
 
