--- a/pkg/balancer/limits.go
+++ b/pkg/balancer/limits.go
@@ -22,7 +22,7 @@
 	if b.warmingUp(q, c, s, others, now) {
 		limit = fleetlimit.WarmUp(q.WarmUp)
 	}
-	if named := b.signals.LimitOf(signals.Key(s.key), now); named.Named {
+	if named := b.stateOf(c, now).Limit; named.Named {
 		limit = limit.Stricter(fleetlimit.Named(named.Rate()))
 	}
 	return limit
@@ -70,7 +70,12 @@
 }
 
 func (b *Balancer) namesLimit(s *routing.Server, now time.Time) bool {
-	return b.signals.Limit(s.Life(), now).Named
+	return b.stateOf(s, now).Limit.Named
+}
+
+// stateOf is what a server says of itself.
+func (b *Balancer) stateOf(s *routing.Server, now time.Time) signals.State {
+	return b.signals.Of(signals.KeyOf(s.Life()), now)
 }
 
 // warmingUp tells whether a server is taken to warm up: by its own word, or as it was down a short
--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -72,8 +73,8 @@
 // split cuts a round of loads into messages.
 func split(hall string, round uint32, all work, now time.Time) []*loadpb.Loads {
 	list := []*loadpb.Loads{{Hall: hall, Round: round}}
-	for key, w := range all.signals {
-		list[0].Signals = append(list[0].Signals, encodeSignal(key, w, now))
+	for _, key := range latest(all.signals) {
+		list[0].Signals = append(list[0].Signals, encodeSignal(key, all.signals[key], now))
 	}
 	for key, d := range all.demands {
 		list[0].Demands = append(list[0].Demands, encodeDemand(key, d))
@@ -127,10 +128,19 @@
 	return d
 }
 
+// signalsMost bounds the signals of one round: many servers may say at once that they leave.
+const signalsMost = 32
+
+// latest are the servers with the latest words, some at the most.
+func latest(words signals.Words) []signals.Key {
+	keys := slices.SortedFunc(maps.Keys(words), func(a, b signals.Key) int { return words[b].Heard.Compare(words[a].Heard) })
+	return keys[:min(len(keys), signalsMost)]
+}
+
 func encodeSignal(key signals.Key, w signals.Word, now time.Time) *loadpb.Signal {
-	p := &loadpb.Signal{Server: uint32(key), AgeMs: uint32(min(max(now.Sub(w.Heard).Milliseconds(), 0), signalAgeMostMS))}
-	if w.Named {
-		p.Limit = proto.Float64(w.PerSecond)
+	p := &loadpb.Signal{Server: uint32(key), AgeMs: uint32(min(max(now.Sub(w.Heard).Milliseconds(), 0), signalAgeMostMS)), Leaving: w.Leaving}
+	if w.Limit.Named {
+		p.Limit = proto.Float64(w.Limit.PerSecond)
 	}
 	return p
 }
@@ -140,11 +150,11 @@
 
 // decodeSignal reads a signal. It returns false for one that can't be meant.
 func decodeSignal(p *loadpb.Signal, received time.Time) (signals.Word, bool) {
-	w := signals.Word{Heard: received.Add(-time.Duration(p.GetAgeMs()) * time.Millisecond)}
+	w := signals.Word{Heard: received.Add(-time.Duration(p.GetAgeMs()) * time.Millisecond), Leaving: p.GetLeaving()}
 	if p.Limit != nil {
 		w.Limit = signals.Limit{Named: true, PerSecond: p.GetLimit()}
 	}
-	return w, w.PerSecond >= 0 && !math.IsInf(w.PerSecond, 0)
+	return w, w.Limit.PerSecond >= 0 && !math.IsInf(w.Limit.PerSecond, 0)
 }
 
 // read adds a message's loads to those of its round.
--- a/pkg/loadshare/sharer_test.go
+++ b/pkg/loadshare/sharer_test.go
@@ -237,7 +237,7 @@
 	all[0] = balancer.Load{Backlog: 1, Down: 3}
 	now := time.Now()
 	said := signals.Words{
-		1: {Limit: signals.Limit{Named: true, PerSecond: 2.3}, Heard: now.Add(-time.Second)}, 2: {Heard: now.Add(-2 * time.Second)},
+		1: {Limit: signals.Limit{Named: true, PerSecond: 2.3}, Heard: now.Add(-time.Second)}, 2: {Heard: now.Add(-2 * time.Second)}, 3: {Leaving: true, Heard: now},
 	}
 	parts := split("hall", 7, work{loads: all, demands: demands{9: {Interactive: 5, Bulk: 6}}, signals: said}, now)
 	require.Len(t, parts, 3)
@@ -311,7 +311,7 @@
 		limit := signals.Limit{Named: true, PerSecond: 2.3}
 		all := func(expected signals.Limit) func() bool {
 			return func() bool {
-				return !slices.ContainsFunc(x.boxes, func(b *box) bool { return b.balancer.Signals().Limit(server, time.Now()) != expected })
+				return !slices.ContainsFunc(x.boxes, func(b *box) bool { return b.balancer.Signals().Of(signals.KeyOf(server), time.Now()).Limit != expected })
 			}
 		}
 		now := time.Now()
--- a/pkg/signals/book.go
+++ b/pkg/signals/book.go
@@ -13,24 +13,25 @@
 )
 
 const (
-	// wordsMost bounds the servers whose signals are kept.
-	wordsMost = 1 << 16
-	// sweepEvery is how often words that say nothing any more are looked for.
+	// serversMost bounds the servers whose signals are kept.
+	serversMost = 1 << 16
+	// sweepEvery is how often signals that say nothing any more are looked for.
 	sweepEvery = 10 * time.Second
 )
 
 // Book keeps the signals of servers, by their lives: what this box has heard in answers, and what other
-// boxes have told of theirs. Of both the later counts.
+// boxes have told of theirs. That a server wants to rest is meant for this box alone.
 type Book struct {
 	logger log.Logger
 	// onChange is told when there is something new to tell other boxes.
 	onChange func()
-	// any says that there are words. Nearly always there are none, and choices ask for each server.
+	// any says that there are signals. Nearly always there are none, and choices ask for each server.
 	any atomic.Bool
 
-	mu   sync.Mutex
-	own  Words
-	told Words
+	mu    sync.Mutex
+	own   Words
+	told  Words
+	rests rests
 	// unreadable are the servers that have had a signal which can't be read.
 	unreadable map[Key]bool
 	swept      time.Time
@@ -38,24 +39,36 @@
 
 // NewBook returns a book without signals. onChange must neither block nor call the book.
 func NewBook(logger log.Logger, onChange func()) *Book {
-	return &Book{logger: logger, onChange: onChange, own: make(Words), told: make(Words), unreadable: make(map[Key]bool)}
+	return &Book{logger: logger, onChange: onChange, own: make(Words), told: make(Words), rests: make(rests), unreadable: make(map[Key]bool)}
 }
 
 // Note takes in the head of an answer to a request that was sent at a time.
 func (b *Book) Note(server routing.Life, s Signals, sent, now time.Time) {
+	if s == (Signals{}) && !b.any.Load() {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.sweep(now)
+	key := KeyOf(server)
 	if s.Unreadable != nil {
-		b.noteUnreadable(server, s.Unreadable)
-		return
+		b.noteUnreadable(server, key, s.Unreadable)
+	}
+	b.noteRest(server, key, s.Rest, sent, now)
+	before := b.word(key, now)
+	switch {
+	case before.Leaving:
+	case s.Leaving:
+		b.set(server, key, Word{Limit: before.Limit, Leaving: true, Heard: now}, before, now.Sub(sent))
+	case !s.Limit.Unclear:
+		b.noteLimit(server, key, s.Limit, before, sent, now)
 	}
-	b.noteLimit(server, s.Limit, sent, now)
+	b.any.Store(len(b.own)+len(b.told)+len(b.rests) > 0)
 }
 
 // noteUnreadable logs the first of a server's signals that can't be read. The caller holds mu.
-func (b *Book) noteUnreadable(server routing.Life, err error) {
-	key := KeyOf(server)
-	if b.unreadable[key] || len(b.unreadable) >= wordsMost {
+func (b *Book) noteUnreadable(server routing.Life, key Key, err error) {
+	if b.unreadable[key] || len(b.unreadable) >= serversMost {
 		return
 	}
 	b.unreadable[key] = true
@@ -63,59 +76,84 @@
 }
 
 // noteLimit takes in the limit that an answer names, or that it names none. The caller holds mu.
-func (b *Book) noteLimit(server routing.Life, l Limit, sent, now time.Time) {
-	key := KeyOf(server)
-	before := b.word(key, now)
-	if !l.Named && !before.Named {
+func (b *Book) noteLimit(server routing.Life, key Key, l Limit, before Word, sent, now time.Time) {
+	if !l.Named && !before.Limit.Named {
 		return
 	}
-	if l != before.Limit && before.Named && !sent.After(before.Heard) && !l.stricter(before.Limit) {
+	if l != before.Limit && before.Limit.Named && !sent.After(before.Heard) && !l.stricter(before.Limit) {
 		return
 	}
-	b.sweep(now)
-	if len(b.own) >= wordsMost {
+	b.set(server, key, Word{Limit: l, Heard: now}, before, now.Sub(sent))
+}
+
+// set takes in a word from an answer to a request of an age. The caller holds mu.
+func (b *Book) set(server routing.Life, key Key, w, before Word, age time.Duration) {
+	if len(b.own) >= serversMost {
 		return
 	}
-	b.own[key] = Word{Limit: l, Heard: now}
-	b.any.Store(true)
-	if l == before.Limit {
+	b.own[key] = w
+	if w.Limit == before.Limit && w.Leaving == before.Leaving {
 		return
 	}
-	b.log(server.String(), "answer", l, before.Limit, now.Sub(sent))
+	b.log(server.String(), "answer", w, before, age)
 	b.onChange()
 }
 
-// log tells of a limit that is believed from now on. Age is that of the request whose answer said so, or
-// of the other boxes' word.
-func (b *Book) log(server, source string, l, before Limit, age time.Duration) {
-	_ = level.Info(b.logger).Log("msg", "server signal", "signal", "limit", "server", server, "source", source, "named", l.Named,
-		"per_second", l.PerSecond, "before_named", before.Named, "before_per_second", before.PerSecond, "age_ms", age.Milliseconds())
+// noteRest takes in for how long a server wants to rest, or that it has taken a request again. The caller
+// holds mu.
+func (b *Book) noteRest(server routing.Life, key Key, rest time.Duration, sent, now time.Time) {
+	switch {
+	case rest > 0 && b.rests.extend(key, rest, now):
+		_ = level.Info(b.logger).Log("msg", "server signal", "signal", "rest", "server", server, "source", "answer",
+			"rest_ms", rest.Milliseconds(), "until_ms", b.rests[key].Sub(now).Milliseconds(), "age_ms", now.Sub(sent).Milliseconds())
+	case rest == 0 && b.rests.end(key, sent):
+		_ = level.Info(b.logger).Log("msg", "server signal", "signal", "rest", "server", server, "source", "answer",
+			"rest_ms", 0, "age_ms", now.Sub(sent).Milliseconds())
+	}
+}
+
+// log tells of a word that is believed from now on. Age is that of the request whose answer said so, or of
+// the other boxes' word.
+func (b *Book) log(server, source string, w, before Word, age time.Duration) {
+	if w.Leaving != before.Leaving {
+		_ = level.Info(b.logger).Log("msg", "server signal", "signal", "leaving", "server", server, "source", source, "age_ms", age.Milliseconds())
+		return
+	}
+	_ = level.Info(b.logger).Log("msg", "server signal", "signal", "limit", "server", server, "source", source, "named", w.Limit.Named,
+		"per_second", w.Limit.PerSecond, "before_named", before.Limit.Named, "before_per_second", before.Limit.PerSecond, "age_ms", age.Milliseconds())
 }
 
 // word is the latest word on a server that still says something. The caller holds mu.
 func (b *Book) word(key Key, now time.Time) Word {
-	if w := b.own[key].Newer(b.told[key]); w.holds(now) {
+	if w := b.own[key].Merge(b.told[key]); w.holds(now) {
 		return w
 	}
 	return Word{}
 }
 
-// Limit returns the limit that a server is believed to name.
-func (b *Book) Limit(server routing.Life, now time.Time) Limit {
-	if !b.any.Load() {
-		return Limit{}
-	}
-	return b.LimitOf(KeyOf(server), now)
+// State is what is believed of a server.
+type State struct {
+	Limit   Limit
+	Leaving bool
+	Rest    Rest
 }
 
-// LimitOf returns the limit that a server is believed to name, by its key.
-func (b *Book) LimitOf(key Key, now time.Time) Limit {
+// Of returns what is believed of a server.
+func (b *Book) Of(key Key, now time.Time) State {
 	if !b.any.Load() {
-		return Limit{}
+		return State{}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.word(key, now).Limit
+	w := b.word(key, now)
+	return State{Limit: w.Limit, Leaving: w.Leaving, Rest: b.rests.of(key, now)}
+}
+
+// RestEnds is when a server takes requests again, zero for one that does.
+func (b *Book) RestEnds(key Key) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rests[key]
 }
 
 // Report returns what this box has heard itself, for the other boxes.
@@ -123,7 +161,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sweep(now)
-	return maps.Clone(b.own)
+	words := maps.Clone(b.own)
+	maps.DeleteFunc(words, func(_ Key, w Word) bool { return !w.toldOf(now) })
+	return words
 }
 
 // SetTold takes in what other boxes have heard.
@@ -132,19 +172,20 @@
 	defer b.mu.Unlock()
 	b.sweep(now)
 	for key, w := range words {
-		if !w.Heard.After(b.told[key].Heard) || len(b.told) >= wordsMost {
+		known := b.told[key]
+		if known.Merge(w) == known || len(b.told) >= serversMost {
 			continue
 		}
 		before := b.word(key, now)
-		b.told[key] = w
+		b.told[key] = known.Merge(w)
 		b.any.Store(true)
-		if after := b.word(key, now); after.Limit != before.Limit {
-			b.log(key.String(), "boxes", after.Limit, before.Limit, now.Sub(w.Heard))
+		if after := b.word(key, now); after.Limit != before.Limit || after.Leaving != before.Leaving {
+			b.log(key.String(), "boxes", after, before, now.Sub(w.Heard))
 		}
 	}
 }
 
-// sweep drops words that say nothing any more, now and then. The caller holds mu.
+// sweep drops signals that say nothing any more, now and then. The caller holds mu.
 func (b *Book) sweep(now time.Time) {
 	if now.Sub(b.swept) < sweepEvery {
 		return
@@ -153,20 +194,30 @@
 	for _, words := range []Words{b.own, b.told} {
 		maps.DeleteFunc(words, func(_ Key, w Word) bool { return !w.holds(now) })
 	}
-	b.any.Store(len(b.own)+len(b.told) > 0)
+	b.rests.sweep(now)
+	b.any.Store(len(b.own)+len(b.told)+len(b.rests) > 0)
 }
 
-// Counts returns how many servers are believed to name each signal.
+// Counts returns how many servers are believed to give each signal.
 func (b *Book) Counts(now time.Time) map[string]int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	counts := map[string]int64{"limit": 0, "leaving": 0, "rest": 0}
 	all := maps.Clone(b.own)
 	all.Add(b.told)
-	limits := int64(0)
 	for _, w := range all {
-		if w.Named && w.holds(now) {
-			limits++
+		switch {
+		case !w.holds(now):
+		case w.Leaving:
+			counts["leaving"]++
+		case w.Limit.Named:
+			counts["limit"]++
+		}
+	}
+	for key := range b.rests {
+		if b.rests.of(key, now) == Resting {
+			counts["rest"]++
 		}
 	}
-	return map[string]int64{"limit": limits}
+	return counts
 }
