balancer: a server that says in an answer that it leaves gets nothing new

Its entry said ready, as the store took no change, and the entry was the only word that counted.

The word of an answer counts now, for the life that gave it, whatever list or entry say later: such a server is left out of each choice, also where no other is left, stays a source of prefixes, and is no room for admission and orders. Ruled out: requests on their way (they were sent to the box after the word), the list undoing it (red with the store silent too). Ran: ./pkg/balancer, ./pkg/gateway, ./pkg/routerd; not run: all others.

--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -10,6 +10,7 @@
 
 	"headhill.example/headhill/pkg/fleetlimit"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/signals"
 )
 
 // choice is a candidate, what it is believed to have cached of the prompt, and what it
@@ -45,7 +46,7 @@
 func (b *Balancer) choose(q Query, now time.Time) (choice, placing, bool) {
 	shared := prefixOf(q.shared())
 	x := b.indexOf(q)
-	choices := withPlaces(q, b.usable(q, b.look(q, x, shared, now), shared, now))
+	choices := withPlaces(q, b.usable(&q, b.look(q, x, shared, now), shared, now))
 	if len(choices) == 0 {
 		return choice{}, placing{}, false
 	}
@@ -99,8 +100,9 @@
 }
 
 // usable are the candidates not tried before and not ejected; if all are ejected,
-// all of them. Limited ones that have had this box's part are left out in any case.
-func (b *Balancer) usable(q Query, list shortlist, shared prefix, now time.Time) []choice {
+// all of them. Limited ones that have had this box's part and those that say that they leave are left out
+// in any case; the latter are added to the idle servers of the query.
+func (b *Balancer) usable(q *Query, list shortlist, shared prefix, now time.Time) []choice {
 	fit := make([]choice, 0, len(list.at))
 	var ejected []choice
 	for i, at := range list.at {
@@ -109,8 +111,13 @@
 			continue
 		}
 		s := b.server(KeyOf(c.Life()), now)
+		said := b.signals.Of(signals.Key(s.key), now)
+		if said.Leaving {
+			q.Idle = append(slices.Clip(q.Idle), *c)
+			continue
+		}
 		other := b.other(s.key, now)
-		limit := b.limitOf(&q, c, s, other, now)
+		limit := b.limitOf(q, c, s, said, other, now)
 		if !limit.None() && (q.Yield || !b.limiter.Allows(c.Life(), limit, now)) {
 			continue
 		}
--- a/pkg/balancer/limits.go
+++ b/pkg/balancer/limits.go
@@ -14,7 +14,7 @@
 const returnMargin = time.Second
 
 // limitOf is what a server takes from all boxes together.
-func (b *Balancer) limitOf(q *Query, c *routing.Server, s *server, others Load, now time.Time) fleetlimit.Limit {
+func (b *Balancer) limitOf(q *Query, c *routing.Server, s *server, said signals.State, others Load, now time.Time) fleetlimit.Limit {
 	limit := fleetlimit.Limit{}
 	if b.limiter == nil {
 		return limit
@@ -22,8 +22,8 @@
 	if b.warmingUp(q, c, s, others, now) {
 		limit = fleetlimit.WarmUp(q.WarmUp)
 	}
-	if named := b.stateOf(c, now).Limit; named.Named {
-		limit = limit.Stricter(fleetlimit.Named(named.Rate()))
+	if said.Limit.Named {
+		limit = limit.Stricter(fleetlimit.Named(said.Limit.Rate()))
 	}
 	return limit
 }
@@ -39,8 +39,9 @@
 			continue
 		}
 		s := b.server(KeyOf(c.Life()), now)
-		limit := b.limitOf(&q, c, s, b.other(s.key, now), now)
-		if limit.None() {
+		said := b.signals.Of(signals.Key(s.key), now)
+		limit := b.limitOf(&q, c, s, said, b.other(s.key, now), now)
+		if limit.None() || said.Leaving {
 			continue
 		}
 		servers++
@@ -49,32 +50,28 @@
 	return perSecond, servers
 }
 
-// Unlimited are those of some servers that name no limit; if all do, all of them.
-func (b *Balancer) Unlimited(servers []routing.Server, now time.Time) []routing.Server {
-	limited := b.CountLimited(servers, now)
-	if limited == 0 || limited == len(servers) {
-		return servers
-	}
-	return slices.DeleteFunc(slices.Clone(servers), func(s routing.Server) bool { return b.namesLimit(&s, now) })
-}
-
-// CountLimited is how many of some servers name a limit.
-func (b *Balancer) CountLimited(servers []routing.Server, now time.Time) int {
-	n := 0
+// Open are those of some servers that say nothing of themselves which keeps requests away; if none is,
+// those that do not leave.
+func (b *Balancer) Open(servers []routing.Server, now time.Time) []routing.Server {
+	staying, open := make([]routing.Server, 0, len(servers)), make([]routing.Server, 0, len(servers))
 	for i := range servers {
-		if b.namesLimit(&servers[i], now) {
-			n++
+		said := b.Said(&servers[i], now)
+		if said.Leaving {
+			continue
+		}
+		staying = append(staying, servers[i])
+		if !said.Limit.Named {
+			open = append(open, servers[i])
 		}
 	}
-	return n
-}
-
-func (b *Balancer) namesLimit(s *routing.Server, now time.Time) bool {
-	return b.stateOf(s, now).Limit.Named
+	if len(open) == 0 {
+		return staying
+	}
+	return open
 }
 
-// stateOf is what a server says of itself.
-func (b *Balancer) stateOf(s *routing.Server, now time.Time) signals.State {
+// Said is what a server says of itself in its answers.
+func (b *Balancer) Said(s *routing.Server, now time.Time) signals.State {
 	return b.signals.Of(signals.KeyOf(s.Life()), now)
 }
 
--- a/pkg/balancer/limits_test.go
+++ b/pkg/balancer/limits_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"headhill.example/headhill/pkg/fleetlimit"
 	"headhill.example/headhill/pkg/routing"
@@ -42,7 +43,7 @@
 	perSecond, servers := b.LimitedRate(q, now)
 	assert.InDelta(t, fleetlimit.Named(1).PerSecond, perSecond, 1e-9)
 	assert.Equal(t, 1, servers)
-	assert.Equal(t, q.Candidates[1:], b.Unlimited(q.Candidates, now))
+	assert.Equal(t, q.Candidates[1:], b.Open(q.Candidates, now))
 }
 
 func TestLimitedServerIsNotUsedBeyondItsPartThoughNoOtherIsLeft(t *testing.T) {
@@ -50,9 +51,32 @@
 	b, q := limitedFleet(now)
 	q.Candidates = q.Candidates[:1]
 	assert.Equal(t, map[string]int{"i-1": 1}, pickedOf(b, q, 100, now))
-	assert.Equal(t, q.Candidates, b.Unlimited(q.Candidates, now), "a service whose servers are all limited has them still")
+	assert.Equal(t, q.Candidates, b.Open(q.Candidates, now), "a service whose servers are all limited has them still")
 	q.Yield = true
 	assert.Empty(t, pickedOf(b, q, 100, now.Add(10*time.Second)), "others wait for it")
 	q.Yield = false
 	assert.Equal(t, map[string]int{"i-1": 1}, pickedOf(b, q, 100, now.Add(10*time.Second)))
 }
+
+// A prefix can be taken from a server that leaves as long as it is there.
+func TestServerThatLeavesByItsWordGetsNothingAndIsASourceOfPrefixes(t *testing.T) {
+	now := time.Now()
+	b := New(log.NewNopLogger())
+	q := Query{
+		Service: "models", Engine: true, Tokens: 9000, Candidates: []routing.Server{{ID: "i-1", Address: "1"}, {ID: "i-2", Address: "2"}},
+		Parts: []Part{{ID: "shared", Tokens: 8000}, {ID: "own", Tokens: 1000}},
+	}
+	first, ok := b.Pick(q, now)
+	require.True(t, ok)
+	first.Begun(now)
+	first.Done(ResultDone, now)
+	b.Signals().Note(first.Server.Life(), signals.Signals{Leaving: true}, now, now)
+	second, ok := b.Pick(q, now)
+	require.True(t, ok)
+	assert.NotEqual(t, first.Server.ID, second.Server.ID)
+	assert.Equal(t, first.Server.Address, second.Source)
+	q.Avoid = []routing.Life{second.Server.Life()}
+	_, ok = b.Pick(q, now)
+	assert.False(t, ok, "nothing is left")
+	assert.Len(t, b.Open(q.Candidates, now), 1)
+}
--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -38,11 +38,11 @@
 	}
 	now := clock.Now()
 	servers := x.candidates(x.gateway.Directory.View(), now)
+	servers = x.gateway.Balancer.Open(servers, now)
 	if len(servers) == 0 {
 		// An outage is waited for.
 		return nil
 	}
-	servers = x.gateway.Balancer.Unlimited(servers, now)
 	turn, known := x.gateway.Balancer.Turn(x.service.Name, x.rank(), len(servers), now)
 	most := x.waitMost()
 	x.expectedWait, x.keepPlaces = turn.Wait, turn.Urgent
--- a/pkg/routerd/scaledservices.go
+++ b/pkg/routerd/scaledservices.go
@@ -21,9 +21,9 @@
 			continue
 		}
 		servers := v.Listed(s.Name)
-		limited := f.balancer.CountLimited(servers, now)
+		scaled, limited := f.scaledServers(servers, now)
 		list = append(list, duties.Service{
-			Name: s.Name, Offer: offerOf(s.Scaling), Servers: scaledServers(servers), Load: loadOf(s, f.balancer.Workload(s.Name, servers, now), len(servers), limited),
+			Name: s.Name, Offer: offerOf(s.Scaling), Servers: scaled, Load: loadOf(s, f.balancer.Workload(s.Name, servers, now), len(servers), limited),
 		})
 	}
 	return list
@@ -33,16 +33,23 @@
 	return autoscale.Offer{Least: s.Least, Most: s.Most, Boot: s.Boot, SpotPrice: s.SpotPrice, Prices: s.Prices}
 }
 
-func scaledServers(servers []routing.Server) []autoscale.Server {
-	list := make([]autoscale.Server, 0, len(servers))
-	for _, s := range servers {
+// scaledServers are a service's servers as the planner counts them, and how many of those that stay name
+// a limit. That a server leaves may be known from its answers before its entry says so.
+func (f *fleetDuties) scaledServers(servers []routing.Server, now time.Time) (list []autoscale.Server, limited int) {
+	for i := range servers {
+		s := &servers[i]
+		said := f.balancer.Said(s, now)
 		k := autoscale.OnDemand
 		if s.Spot {
 			k = autoscale.Spot
 		}
-		list = append(list, autoscale.Server{Hall: s.Hall, Kind: k, Leaving: s.Leaving})
+		leaving := s.Leaving || said.Leaving
+		if said.Limit.Named && !leaving {
+			limited++
+		}
+		list = append(list, autoscale.Server{Hall: s.Hall, Kind: k, Leaving: leaving})
 	}
-	return list
+	return list, limited
 }
 
 // loadOf is how many servers would be busy all the time: with prefills, or with places taken,
