balancer, gateway: a server that asks for rest gets nothing until then

Cause: Retry-After of a server's refusal was not read; each refusal ejected for 150 ms, any call that ended well cleared that, and where all servers were ejected all were used. The rest is kept beside the ejections now: nothing shortens it but a new life, no choice passes over it, and one request of the box finds out whether it is over (boxes wait up to an eighth, 0.5 s at the most, longer, by chance). Where all servers rest or name limits a request waits if its turn comes within a third of its time, and is refused at once with the true time otherwise, as far as its caller's time allows. Services whose servers warm up are waited for as before.

Ran: ./pkg/balancer, ./pkg/gateway, ./pkg/signals with -race; the tests of limits and warm-ups in ./platform; not run: others.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -71,6 +71,8 @@
 	cached   cachedParts
 	health   health
 	touched  time.Time
+	// trial says that a request is under way that finds out whether the server's rest is over.
+	trial bool
 	// down is when the server was last known to be down, as far as a choice looked at it.
 	down time.Time
 }
@@ -104,9 +106,10 @@
 	}
 	l := &Lease{
 		Server: *chosen.Server, Source: chosen.source, Inputs: b.inputs(q, &chosen, &p, now),
-		balancer: b, state: chosen.state, prefix: p.prefix,
+		balancer: b, state: chosen.state, prefix: p.prefix, trial: chosen.trial,
 	}
 	l.state.running++
+	l.state.trial = l.state.trial || l.trial
 	if !chosen.limit.None() {
 		b.limiter.Take(chosen.Life(), chosen.limit, now)
 	}
--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -36,6 +36,8 @@
 	candidateHome bool
 	// limit is what the server takes from all boxes together.
 	limit fleetlimit.Limit
+	// trial tells that the server has rested, and that this request would find out whether it is over.
+	trial bool
 }
 
 // toPrefill is how much of the prompt the server has to prefill.
@@ -100,8 +102,8 @@
 }
 
 // usable are the candidates not tried before and not ejected; if all are ejected,
-// all of them. Limited ones that have had this box's part and those that say that they leave are left out
-// in any case; the latter are added to the idle servers of the query.
+// all of them. Limited ones that have had this box's part, those that rest and those that say that they
+// leave are left out in any case; the latter are added to the idle servers of the query.
 func (b *Balancer) usable(q *Query, list shortlist, shared prefix, now time.Time) []choice {
 	fit := make([]choice, 0, len(list.at))
 	var ejected []choice
@@ -121,7 +123,10 @@
 		if !limit.None() && (q.Yield || !b.limiter.Allows(c.Life(), limit, now)) {
 			continue
 		}
-		x := choice{Server: c, state: s, failures: s.health.failureShare(other, now), load: s.load().Plus(other), limit: limit, candidateHome: i < list.homes}
+		if said.Rest == signals.Resting || said.Rest == signals.Waking && s.trial {
+			continue
+		}
+		x := choice{Server: c, state: s, failures: s.health.failureShare(other, now), load: s.load().Plus(other), limit: limit, trial: said.Rest == signals.Waking, candidateHome: i < list.homes}
 		x.cached, x.prefilled = s.cached.longest(shared, now)
 		if now.Before(s.health.ejected) || x.ejectedByOthers(other, now) {
 			ejected = append(ejected, x)
--- a/pkg/balancer/lease.go
+++ b/pkg/balancer/lease.go
@@ -59,6 +59,8 @@
 	taken time.Time
 	begun time.Time
 	alone bool
+	// trial says that the call finds out whether the server's rest is over.
+	trial bool
 	done  bool
 }
 
@@ -117,6 +119,9 @@
 	s := l.state
 	s.running--
 	s.memory -= l.memory
+	if l.trial {
+		s.trial = false
+	}
 	l.settle()
 	if l.class != "" && r == ResultDone && !l.begun.IsZero() {
 		b.lanesOf(l.service).classes.ended(l.class, now.Sub(l.begun), now)
--- a/pkg/balancer/limits.go
+++ b/pkg/balancer/limits.go
@@ -28,11 +28,26 @@
 	return limit
 }
 
-// LimitedRate is how many requests a second this box may send to the candidates that a choice leaves
-// out as they are limited, and how many candidates these are.
-func (b *Balancer) LimitedRate(q Query, now time.Time) (perSecond float64, servers int) {
+// Closed is why the candidates that a choice has not tried get no request now.
+type Closed struct {
+	// Limited is how many of them name a limit, PerSecond how many requests this box may send them in a
+	// second.
+	Limited   int
+	PerSecond float64
+	// Warming is how many warm up, and bear few requests until they have.
+	Warming int
+	// Resting is how many want nothing for some time, Wakes when the first of them takes a request again.
+	Resting int
+	Wakes   time.Time
+	// Open is how many of them there are beside those.
+	Open int
+}
+
+// Closed tells why candidates get no request now. Those that leave do not count.
+func (b *Balancer) Closed(q Query, now time.Time) Closed {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	var closed Closed
 	for i := range q.Candidates {
 		c := &q.Candidates[i]
 		if slices.Contains(q.Avoid, c.Life()) {
@@ -41,13 +56,28 @@
 		s := b.server(KeyOf(c.Life()), now)
 		said := b.signals.Of(signals.Key(s.key), now)
 		limit := b.limitOf(&q, c, s, said, b.other(s.key, now), now)
-		if limit.None() || said.Leaving {
-			continue
+		switch {
+		case said.Leaving:
+		case said.Rest != signals.Awake:
+			closed.rests(b.signals.RestEnds(signals.Key(s.key)))
+		case !limit.None() && !said.Limit.Named:
+			closed.Warming++
+		case !limit.None():
+			closed.Limited++
+			closed.PerSecond += b.limiter.Rate(c.Life(), limit, now)
+		default:
+			closed.Open++
 		}
-		servers++
-		perSecond += b.limiter.Rate(c.Life(), limit, now)
 	}
-	return perSecond, servers
+	return closed
+}
+
+// rests counts a server that rests until a time.
+func (c *Closed) rests(until time.Time) {
+	if c.Resting == 0 || until.Before(c.Wakes) {
+		c.Wakes = until
+	}
+	c.Resting++
 }
 
 // Open are those of some servers that say nothing of themselves which keeps requests away; if none is,
@@ -60,7 +90,7 @@
 			continue
 		}
 		staying = append(staying, servers[i])
-		if !said.Limit.Named {
+		if !said.Limit.Named && said.Rest != signals.Resting {
 			open = append(open, servers[i])
 		}
 	}
--- a/pkg/balancer/limits_test.go
+++ b/pkg/balancer/limits_test.go
@@ -40,9 +40,7 @@
 	now := time.Now()
 	b, q := limitedFleet(now)
 	assert.Equal(t, map[string]int{"i-1": 1, "i-2": 99}, pickedOf(b, q, 100, now))
-	perSecond, servers := b.LimitedRate(q, now)
-	assert.InDelta(t, fleetlimit.Named(1).PerSecond, perSecond, 1e-9)
-	assert.Equal(t, 1, servers)
+	assert.Equal(t, Closed{Limited: 1, PerSecond: fleetlimit.Named(1).PerSecond, Open: 1}, b.Closed(q, now))
 	assert.Equal(t, q.Candidates[1:], b.Open(q.Candidates, now))
 }
 
@@ -80,3 +78,30 @@
 	assert.False(t, ok, "nothing is left")
 	assert.Len(t, b.Open(q.Candidates, now), 1)
 }
+
+func TestServerThatRestsIsTriedByOneRequestAfterwards(t *testing.T) {
+	now := time.Now()
+	b := New(log.NewNopLogger())
+	q := Query{Service: "calls", Candidates: []routing.Server{{ID: "i-1"}}}
+	life := q.Candidates[0].Life()
+	b.Signals().Note(life, signals.Signals{Rest: time.Second}, now, now)
+	_, ok := b.Pick(q, now.Add(time.Second/2))
+	assert.False(t, ok, "though no other is left")
+	assert.Equal(t, 1, b.Closed(q, now).Resting)
+
+	now = now.Add(2 * time.Second)
+	trial, ok := b.Pick(q, now)
+	require.True(t, ok)
+	_, ok = b.Pick(q, now)
+	assert.False(t, ok, "the first one finds out")
+	trial.Done(ResultUnreached, now)
+	now = now.Add(ejectMost)
+	trial, ok = b.Pick(q, now)
+	require.True(t, ok, "another one does where it did not")
+	b.Signals().Note(life, signals.Signals{}, now, now)
+	_, ok = b.Pick(q, now)
+	assert.True(t, ok)
+	trial.Done(ResultDone, now)
+	_, ok = b.Pick(q, now)
+	assert.True(t, ok)
+}
--- a/pkg/gateway/limited.go
+++ b/pkg/gateway/closed.go
@@ -2,24 +2,26 @@
 
 import (
 	"context"
+	"math"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"headhill.example/headhill/pkg/balancer"
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/routing"
 )
 
-// queueKey names the requests that wait for the same limited servers.
+// queueKey names the requests that wait for the same servers.
 type queueKey struct {
 	service string
 	// regions are those that the requests are bound to.
 	regions string
 }
 
-// queues count the requests that wait until they may go to a limited server, by rank.
+// queues count the requests that wait until a server that is limited or rests takes them, by rank.
 type queues struct {
 	mu      sync.Mutex
 	waiting map[queueKey]*[routing.RankMost + 1]int
@@ -84,15 +86,15 @@
 	return x.gateway.queues.before(x.queueKey(), x.queueBound()) > 0
 }
 
-// awaitTurn waits a moment until the box may send to a limited server, or refuses a request at once whose
-// turn comes too late.
-func (x *exchange) awaitTurn(ctx context.Context, f *failure, l *limitedError) error {
+// awaitTurn waits a moment until a server takes the request, or refuses it at once if its turn comes too
+// late.
+func (x *exchange) awaitTurn(ctx context.Context, f *failure, c balancer.Closed) error {
 	now := clock.Now()
-	wait, known := x.untilTurn(l)
+	wait, known := x.untilOpen(c, now)
 	if !known || now.Add(wait).After(x.awaitEnd()) {
-		after := x.comeBack(wait)
-		_ = level.Info(x.gateway.Logger).Log("msg", "no turn at limited servers", "id", x.call.ID, "service", x.service.Name, "rank", x.rank(),
-			"servers", l.Servers, "per_second", l.PerSecond, "wait_ms", wait.Milliseconds(), "come_back_ms", after.Milliseconds())
+		after := x.stayAway(wait, now)
+		_ = level.Info(x.gateway.Logger).Log("msg", "no server takes more", "id", x.call.ID, "service", x.service.Name, "rank", x.rank(),
+			"limited", c.Limited, "per_second", c.PerSecond, "resting", c.Resting, "wait_ms", wait.Milliseconds(), "come_back_ms", after.Milliseconds())
 		return &RefusedError{Reason: f.cause.Error(), After: after}
 	}
 	x.queue()
@@ -101,17 +103,25 @@
 		return x.over(ctx, f)
 	case <-time.After(awaitCheck):
 	}
+	x.unreachedServers = nil
 	return nil
 }
 
-// untilTurn estimates when the request may go to a limited server; it returns false where this box sends
-// them nothing.
-func (x *exchange) untilTurn(l *limitedError) (time.Duration, bool) {
-	if l.PerSecond == 0 {
+// untilOpen estimates when the request may go to a server that is limited or rests; it returns false where
+// this box sends them nothing.
+func (x *exchange) untilOpen(c balancer.Closed, now time.Time) (time.Duration, bool) {
+	wait, known := time.Duration(math.MaxInt64), false
+	if c.PerSecond > 0 {
+		before := x.gateway.queues.before(x.queueKey(), x.queueBound())
+		wait, known = time.Duration(float64(before)/c.PerSecond*float64(time.Second)), true
+	}
+	if c.Resting > 0 {
+		wait, known = min(wait, max(0, c.Wakes.Sub(now))), true
+	}
+	if !known {
 		return 0, false
 	}
-	before := x.gateway.queues.before(x.queueKey(), x.queueBound())
-	return time.Duration(float64(before) / l.PerSecond * float64(time.Second)), true
+	return wait, true
 }
 
 // queue counts the request among those that wait.
--- a/pkg/gateway/errors.go
+++ b/pkg/gateway/errors.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"headhill.example/headhill/pkg/balancer"
 )
 
 // CallError says that a request can't be served as it is.
@@ -56,18 +58,14 @@
 func (e *brokenOffError) Error() string { return "answer broke off: " + e.Cause.Error() }
 func (e *brokenOffError) Unwrap() error { return e.Cause }
 
-// limitedError says that the servers which could take a request take only so many.
-type limitedError struct {
-	// PerSecond is how many requests a second this box may send them.
-	PerSecond float64
-	Servers   int
-}
+// closedError says that the servers which could take a request want few or none now.
+type closedError struct{ balancer.Closed }
 
-func (e *limitedError) Error() string {
-	return fmt.Sprintf("%d servers that name a limit are left, to which this box sends %.2f requests a second", e.Servers, e.PerSecond)
+func (e *closedError) Error() string {
+	return fmt.Sprintf("of the servers that are left %d name a limit, to which this box sends %.2f requests a second, and %d want none for now", e.Limited, e.PerSecond, e.Resting)
 }
 
-func (e *limitedError) Unwrap() error { return errNoServer }
+func (e *closedError) Unwrap() error { return errNoServer }
 
 // notRunError says that a server told that it did not run the request.
 type notRunError struct {
--- a/pkg/gateway/outage.go
+++ b/pkg/gateway/outage.go
@@ -56,9 +56,9 @@
 // awaitServer waits a moment for a server that can be reached, or gives the request
 // up once it has waited for its part of the caller's time.
 func (x *exchange) awaitServer(ctx context.Context, f *failure) error {
-	var limited *limitedError
-	if errors.As(f.cause, &limited) {
-		return x.awaitTurn(ctx, f, limited)
+	var closed *closedError
+	if errors.As(f.cause, &closed) {
+		return x.awaitTurn(ctx, f, closed.Closed)
 	}
 	now := clock.Now()
 	age := x.gateway.outages.age(x.service.Name, now)
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -131,7 +131,20 @@
 	case x.mayHaveRun:
 		return &UnknownError{Cause: f.cause}
 	}
-	return &RefusedError{Reason: f.cause.Error(), After: jitter(refusedAfter)}
+	return &RefusedError{Reason: f.cause.Error(), After: x.afterRefusal(clock.Now())}
+}
+
+// afterRefusal is when to come back after a server's refusal: soon to others, or as soon as one takes
+// requests again.
+func (x *exchange) afterRefusal(now time.Time) time.Duration {
+	q := x.query(now)
+	q.Avoid = nil
+	if closed := x.gateway.Balancer.Closed(q, now); closed.Open == 0 {
+		if wait, known := x.untilOpen(closed, now); known {
+			return x.stayAway(wait, now)
+		}
+	}
+	return jitter(refusedAfter)
 }
 
 // tried are the servers that this request does not go to again.
@@ -172,10 +185,11 @@
 
 // noServer is why a choice found no server.
 func (x *exchange) noServer(q balancer.Query, now time.Time) error {
-	if perSecond, servers := x.gateway.Balancer.LimitedRate(q, now); servers > 0 {
-		return &limitedError{PerSecond: perSecond, Servers: servers}
+	closed := x.gateway.Balancer.Closed(q, now)
+	if closed.Warming > 0 || closed.Limited+closed.Resting == 0 {
+		return errNoServer
 	}
-	return errNoServer
+	return &closedError{Closed: closed}
 }
 
 func (x *exchange) query(now time.Time) balancer.Query {
