balancer, gateway: choices among many servers, and failures, say less of what servers signal

From a reading of the fixes: of more than 512 candidates a choice looks at some, and a request was refused where all of those were closed though others are open; a refused request walked all candidates and remembered each; admission copied the list of servers for each request; a request that waited for an open server went on counting as one that waits for a limited one; a failure without a limit ended the limit. Without any signal none of these costs anything now. Tests of the first and the last, green with -race beside those of ./pkg/balancer, ./pkg/gateway, ./pkg/signals and of the signals in ./platform; not run: others.

--- a/pkg/balancer/limits.go
+++ b/pkg/balancer/limits.go
@@ -45,6 +45,9 @@
 
 // Closed tells why candidates get no request now. Those that leave do not count.
 func (b *Balancer) Closed(q Query, now time.Time) Closed {
+	if !b.signals.Any() && !q.WarmUp.Limited() {
+		return Closed{Open: len(q.Candidates)}
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var closed Closed
@@ -53,7 +56,7 @@
 		if slices.Contains(q.Avoid, c.Life()) {
 			continue
 		}
-		s := b.server(KeyOf(c.Life()), now)
+		s := b.known(KeyOf(c.Life()))
 		said := b.signals.Of(signals.Key(s.key), now)
 		limit := b.limitOf(&q, c, s, said, b.other(s.key, now), now)
 		switch {
@@ -72,6 +75,14 @@
 	return closed
 }
 
+// known is what is known of a server, without remembering one that is new.
+func (b *Balancer) known(key ServerKey) *server {
+	if s, ok := b.servers[key]; ok {
+		return s
+	}
+	return &server{key: key}
+}
+
 // rests counts a server that rests until a time.
 func (c *Closed) rests(until time.Time) {
 	if c.Resting == 0 || until.Before(c.Wakes) {
@@ -83,21 +94,18 @@
 // Open are those of some servers that say nothing of themselves which keeps requests away; if none is,
 // those that do not leave.
 func (b *Balancer) Open(servers []routing.Server, now time.Time) []routing.Server {
-	staying, open := make([]routing.Server, 0, len(servers)), make([]routing.Server, 0, len(servers))
-	for i := range servers {
-		said := b.Said(&servers[i], now)
-		if said.Leaving {
-			continue
-		}
-		staying = append(staying, servers[i])
-		if !said.Limit.Named && said.Rest != signals.Resting {
-			open = append(open, servers[i])
-		}
+	if !b.signals.Any() {
+		return servers
+	}
+	leaves := func(s routing.Server) bool { return b.Said(&s, now).Leaving }
+	closed := func(s routing.Server) bool { return b.Said(&s, now).Closed() }
+	if !slices.ContainsFunc(servers, closed) {
+		return servers
 	}
-	if len(open) == 0 {
-		return staying
+	if open := slices.DeleteFunc(slices.Clone(servers), closed); len(open) > 0 {
+		return open
 	}
-	return open
+	return slices.DeleteFunc(slices.Clone(servers), leaves)
 }
 
 // Said is what a server says of itself in its answers.
--- a/pkg/balancer/limits_test.go
+++ b/pkg/balancer/limits_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -105,3 +106,20 @@
 	_, ok = b.Pick(q, now)
 	assert.True(t, ok)
 }
+
+// Of a long list a choice looks at some servers only, which all may be closed.
+func TestOpenServersOfALongListCount(t *testing.T) {
+	now := time.Now()
+	b, _ := limitedFleet(now)
+	q := Query{Service: "calls"}
+	for i := range 2 * lookAtAll {
+		q.Candidates = append(q.Candidates, routing.Server{ID: fmt.Sprintf("i-%d", i)})
+	}
+	for i := range lookAtAll {
+		b.Signals().Note(q.Candidates[i].Life(), signals.Signals{Leaving: i%2 == 0, Rest: time.Minute}, now, now)
+	}
+	closed := b.Closed(q, now)
+	assert.Equal(t, lookAtAll, closed.Open)
+	assert.Equal(t, lookAtAll/2, closed.Resting)
+	assert.Len(t, b.Open(q.Candidates, now), lookAtAll)
+}
--- a/pkg/gateway/closed_test.go
+++ b/pkg/gateway/closed_test.go
@@ -1,9 +1,16 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
+
+	"headhill.example/headhill/pkg/balancer"
+	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/signals"
 )
 
 func TestQueuesCountWhatGoesBefore(t *testing.T) {
@@ -20,3 +27,18 @@
 	assert.Zero(t, q.before(key, 3))
 	assert.Empty(t, q.waiting, "nothing is kept of requests that are gone")
 }
+
+// Guards against a limit that ends as something answers a failure for its server.
+func TestFailureThatNamesNoLimitDoesNotEndOne(t *testing.T) {
+	g := &Gateway{Deps: Deps{Balancer: balancer.New(log.NewNopLogger())}}
+	server := routing.Life{ID: "i-1"}
+	limit := signals.Limit{Named: true, PerSecond: 2}
+	believed := func() signals.Limit { return g.Balancer.Signals().Of(signals.KeyOf(server), clock.Now()).Limit }
+	(&exchange{gateway: g, sent: clock.Now()}).noteSignals(server, http.StatusOK, signals.Signals{Limit: limit})
+	for _, status := range []int{http.StatusInternalServerError, http.StatusServiceUnavailable} {
+		(&exchange{gateway: g, sent: clock.Now()}).noteSignals(server, status, signals.Signals{})
+		assert.Equal(t, limit, believed(), "%d", status)
+	}
+	(&exchange{gateway: g, sent: clock.Now()}).noteSignals(server, http.StatusOK, signals.Signals{})
+	assert.Equal(t, signals.Limit{}, believed())
+}
--- a/pkg/gateway/outage.go
+++ b/pkg/gateway/outage.go
@@ -60,6 +60,7 @@
 	if errors.As(f.cause, &closed) {
 		return x.awaitTurn(ctx, f, closed.Closed)
 	}
+	x.stopQueueing()
 	now := clock.Now()
 	age := x.gateway.outages.age(x.service.Name, now)
 	if !now.Before(x.awaitEnd()) {
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -14,6 +14,7 @@
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/quarantine"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/signals"
 	"headhill.example/headhill/pkg/upstream"
 )
 
@@ -186,7 +187,8 @@
 // noServer is why a choice found no server.
 func (x *exchange) noServer(q balancer.Query, now time.Time) error {
 	closed := x.gateway.Balancer.Closed(q, now)
-	if closed.Warming > 0 || closed.Limited+closed.Resting == 0 {
+	// Of many candidates a choice looks at some: it may miss those that are open.
+	if closed.Open+closed.Warming > 0 || closed.Limited+closed.Resting == 0 {
 		return errNoServer
 	}
 	return &closedError{Closed: closed}
@@ -245,7 +247,7 @@
 	}
 	reply := x.gateway.Protocol.Reply(resp.Status, resp.Header)
 	if !reply.Replaced {
-		x.gateway.Balancer.Signals().Note(lease.Server.Life(), reply.Signals, x.sent, clock.Now())
+		x.noteSignals(lease.Server.Life(), resp.Status, reply.Signals)
 	}
 	switch {
 	case reply.Replaced:
@@ -263,6 +265,15 @@
 	return x.whole(resp, lease)
 }
 
+// noteSignals takes in what a server says of itself. That a failure names no limit does not end one: what
+// answers for a server that fails may not know of it.
+func (x *exchange) noteSignals(server routing.Life, status int, s signals.Signals) {
+	if status >= http.StatusBadRequest && !s.Limit.Named {
+		s.Limit.Unclear = true
+	}
+	x.gateway.Balancer.Signals().Note(server, s, x.sent, clock.Now())
+}
+
 // brokenResult tells a server whose box is silent from one that broke off.
 func brokenResult(err error) balancer.Result {
 	if errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH) {
--- a/pkg/signals/book.go
+++ b/pkg/signals/book.go
@@ -44,7 +44,7 @@
 
 // Note takes in the head of an answer to a request that was sent at a time.
 func (b *Book) Note(server routing.Life, s Signals, sent, now time.Time) {
-	if s == (Signals{}) && !b.any.Load() {
+	if s.nothing() && !b.any.Load() {
 		return
 	}
 	b.mu.Lock()
@@ -138,6 +138,12 @@
 	Rest    Rest
 }
 
+// Closed tells whether anything that the server says keeps requests away.
+func (s State) Closed() bool { return s.Leaving || s.Limit.Named || s.Rest == Resting }
+
+// Any tells whether there are any signals.
+func (b *Book) Any() bool { return b.any.Load() }
+
 // Of returns what is believed of a server.
 func (b *Book) Of(key Key, now time.Time) State {
 	if !b.any.Load() {
--- a/pkg/signals/signals.go
+++ b/pkg/signals/signals.go
@@ -19,6 +19,11 @@
 	Unreadable error
 }
 
+// nothing tells whether an answer says nothing of its server.
+func (s Signals) nothing() bool {
+	return !s.Limit.Named && !s.Leaving && s.Rest == 0 && s.Unreadable == nil
+}
+
 // Limit is how many requests a second a server takes from all boxes together.
 type Limit struct {
 	PerSecond float64
