--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -110,8 +110,8 @@
 	}
 	l.state.running++
 	l.state.trial = l.state.trial || l.trial
-	if !chosen.limit.None() {
-		b.limiter.Take(chosen.Life(), chosen.limit, now)
+	if chosen.limited {
+		b.limiter.Take(chosen.Life(), b.limitNow(&q, chosen.Server, now), now)
 	}
 	if q.Engine {
 		l.occupy(q, &chosen, &p, now)
--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -8,7 +8,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"headhill.example/headhill/pkg/fleetlimit"
 	"headhill.example/headhill/pkg/routing"
 	"headhill.example/headhill/pkg/signals"
 )
@@ -34,8 +33,8 @@
 	transferred int
 	// candidateHome tells that the server may be the home of the prompt's prefix.
 	candidateHome bool
-	// limit is what the server takes from all boxes together.
-	limit fleetlimit.Limit
+	// limited tells that the server takes few requests from all boxes, of which this one would be counted.
+	limited bool
 	// trial tells that the server has rested, and that this request would find out whether it is over.
 	trial bool
 }
@@ -126,7 +125,7 @@
 		if said.Rest == signals.Resting || said.Rest == signals.Waking && s.trial {
 			continue
 		}
-		x := choice{Server: c, state: s, failures: s.health.failureShare(other, now), load: s.load().Plus(other), limit: limit, trial: said.Rest == signals.Waking, candidateHome: i < list.homes}
+		x := choice{Server: c, state: s, failures: s.health.failureShare(other, now), load: s.load().Plus(other), limited: !limit.None(), trial: said.Rest == signals.Waking, candidateHome: i < list.homes}
 		x.cached, x.prefilled = s.cached.longest(shared, now)
 		if now.Before(s.health.ejected) || x.ejectedByOthers(other, now) {
 			ejected = append(ejected, x)
--- a/pkg/balancer/limits.go
+++ b/pkg/balancer/limits.go
@@ -28,6 +28,12 @@
 	return limit
 }
 
+// limitNow is what a server takes from all boxes together.
+func (b *Balancer) limitNow(q *Query, c *routing.Server, now time.Time) fleetlimit.Limit {
+	s := b.known(KeyOf(c.Life()))
+	return b.limitOf(q, c, s, b.signals.Of(signals.Key(s.key), now), b.other(s.key, now), now)
+}
+
 // Closed is why the candidates that a choice has not tried get no request now.
 type Closed struct {
 	// Limited is how many of them name a limit, PerSecond how many requests this box may send them in a
