signals, balancer, gateway, platform: names of the field for what servers signal

From a reading of the diff as a newcomer: Book, Word, told, rest, awake and trial needed explaining; they are a tracker, observations, remote, backoff, half-open and probe now, as in a circuit breaker. What keeps requests from the candidates of a query is in a file of its own (balancer/availability.go).

--- /dev/null
+++ b/pkg/balancer/availability.go
@@ -0,0 +1,86 @@
+package balancer
+
+import (
+	"slices"
+	"time"
+
+	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/signals"
+)
+
+// Availability counts the candidates of a query by what keeps requests from them. Those that leave, and
+// those that were tried before, do not count.
+type Availability struct {
+	// Available is how many nothing keeps requests from.
+	Available int
+	// Limited is how many signal a rate limit, PerSecond how many requests this box may send them all in
+	// a second.
+	Limited   int
+	PerSecond float64
+	// WarmingUp is how many bear few requests until they have warmed up.
+	WarmingUp int
+	// BackingOff is how many get nothing until their Retry-After has passed, NextEnd when that is for the
+	// first of them.
+	BackingOff int
+	NextEnd    time.Time
+}
+
+// Availability tells what keeps requests from the candidates of a query.
+func (b *Balancer) Availability(q Query, now time.Time) Availability {
+	if !b.signals.Any() && !q.WarmUp.Limited() {
+		return Availability{Available: len(q.Candidates)}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var a Availability
+	for i := range q.Candidates {
+		if c := &q.Candidates[i]; !slices.Contains(q.Avoid, c.Life()) {
+			b.count(&a, &q, c, now)
+		}
+	}
+	return a
+}
+
+// count adds one candidate.
+func (b *Balancer) count(a *Availability, q *Query, c *routing.Server, now time.Time) {
+	state := b.SignalsOf(c, now)
+	limit := b.limitNow(q, c, now)
+	switch {
+	case state.Leaving:
+	case state.Backoff != signals.Accepting:
+		end := b.signals.BackoffEnd(signals.KeyOf(c.Life()))
+		if a.BackingOff == 0 || end.Before(a.NextEnd) {
+			a.NextEnd = end
+		}
+		a.BackingOff++
+	case state.Limit.Set:
+		a.Limited++
+		a.PerSecond += b.limiter.Rate(c.Life(), limit, now)
+	case !limit.None():
+		a.WarmingUp++
+	default:
+		a.Available++
+	}
+}
+
+// Unconstrained are those of some servers from which no signal of theirs keeps requests; if there are
+// none, those that do not leave.
+func (b *Balancer) Unconstrained(servers []routing.Server, now time.Time) []routing.Server {
+	if !b.signals.Any() {
+		return servers
+	}
+	leaving := func(s routing.Server) bool { return b.SignalsOf(&s, now).Leaving }
+	constrained := func(s routing.Server) bool { return b.SignalsOf(&s, now).Constrained() }
+	if !slices.ContainsFunc(servers, constrained) {
+		return servers
+	}
+	if rest := slices.DeleteFunc(slices.Clone(servers), constrained); len(rest) > 0 {
+		return rest
+	}
+	return slices.DeleteFunc(slices.Clone(servers), leaving)
+}
+
+// SignalsOf is what a server signals in its answers.
+func (b *Balancer) SignalsOf(s *routing.Server, now time.Time) signals.State {
+	return b.signals.Of(signals.KeyOf(s.Life()), now)
+}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -42,8 +42,8 @@
 	swept time.Time
 	// limiter bounds what goes to limited servers; nil for no bound.
 	limiter Limiter
-	// signals are what servers say of themselves.
-	signals *signals.Book
+	// signals are those of servers in their answers.
+	signals *signals.Tracker
 }
 
 // Limiter bounds what this box sends to servers that take few requests from all boxes together.
@@ -71,8 +71,8 @@
 	cached   cachedParts
 	health   health
 	touched  time.Time
-	// trial says that a request is under way that finds out whether the server's rest is over.
-	trial bool
+	// probing says that a request probes the server, which is half-open.
+	probing bool
 	// down is when the server was last known to be down, as far as a choice looked at it.
 	down time.Time
 }
@@ -88,12 +88,12 @@
 		logger: logger, servers: make(map[ServerKey]*server), lanes: make(map[ServiceKey]*lanes),
 		holders: make(map[partKey][]ServerKey), indexes: make(map[string]*candidateIndex),
 	}
-	b.signals = signals.NewBook(logger, b.changed)
+	b.signals = signals.NewTracker(logger, b.changed)
 	return b
 }
 
-// Signals are what servers say of themselves in their answers.
-func (b *Balancer) Signals() *signals.Book { return b.signals }
+// Signals tracks what servers signal in their answers.
+func (b *Balancer) Signals() *signals.Tracker { return b.signals }
 
 // Pick chooses a server and counts the call there. It returns false if no
 // candidate is left.
@@ -106,10 +106,10 @@
 	}
 	l := &Lease{
 		Server: *chosen.Server, Source: chosen.source, Inputs: b.inputs(q, &chosen, &p, now),
-		balancer: b, state: chosen.state, prefix: p.prefix, trial: chosen.trial,
+		balancer: b, state: chosen.state, prefix: p.prefix, probe: chosen.probe,
 	}
 	l.state.running++
-	l.state.trial = l.state.trial || l.trial
+	l.state.probing = l.state.probing || l.probe
 	if chosen.limited {
 		b.limiter.Take(chosen.Life(), b.limitNow(&q, chosen.Server, now), now)
 	}
--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -35,8 +35,8 @@
 	candidateHome bool
 	// limited tells that the server takes few requests from all boxes, of which this one would be counted.
 	limited bool
-	// trial tells that the server has rested, and that this request would find out whether it is over.
-	trial bool
+	// probe tells that the server is half-open, and that this request would probe it.
+	probe bool
 }
 
 // toPrefill is how much of the prompt the server has to prefill.
@@ -101,8 +101,8 @@
 }
 
 // usable are the candidates not tried before and not ejected; if all are ejected,
-// all of them. Limited ones that have had this box's part, those that rest and those that say that they
-// leave are left out in any case; the latter are added to the idle servers of the query.
+// all of them. Limited ones that have had this box's part, those that back off and those that signal
+// that they leave are left out in any case; the latter are added to the idle servers of the query.
 func (b *Balancer) usable(q *Query, list shortlist, shared prefix, now time.Time) []choice {
 	fit := make([]choice, 0, len(list.at))
 	var ejected []choice
@@ -112,20 +112,23 @@
 			continue
 		}
 		s := b.server(KeyOf(c.Life()), now)
-		said := b.signals.Of(signals.Key(s.key), now)
-		if said.Leaving {
+		state := b.signals.Of(signals.Key(s.key), now)
+		if state.Leaving {
 			q.Idle = append(slices.Clip(q.Idle), *c)
 			continue
 		}
 		other := b.other(s.key, now)
-		limit := b.limitOf(q, c, s, said, other, now)
+		limit := b.limitOf(q, c, s, state, other, now)
 		if !limit.None() && (q.Yield || !b.limiter.Allows(c.Life(), limit, now)) {
 			continue
 		}
-		if said.Rest == signals.Resting || said.Rest == signals.Waking && s.trial {
+		if state.Backoff == signals.BackingOff || state.Backoff == signals.HalfOpen && s.probing {
 			continue
 		}
-		x := choice{Server: c, state: s, failures: s.health.failureShare(other, now), load: s.load().Plus(other), limited: !limit.None(), trial: said.Rest == signals.Waking, candidateHome: i < list.homes}
+		x := choice{
+			Server: c, state: s, failures: s.health.failureShare(other, now), load: s.load().Plus(other), candidateHome: i < list.homes,
+			limited: !limit.None(), probe: state.Backoff == signals.HalfOpen,
+		}
 		x.cached, x.prefilled = s.cached.longest(shared, now)
 		if now.Before(s.health.ejected) || x.ejectedByOthers(other, now) {
 			ejected = append(ejected, x)
--- a/pkg/balancer/lease.go
+++ b/pkg/balancer/lease.go
@@ -59,8 +59,8 @@
 	taken time.Time
 	begun time.Time
 	alone bool
-	// trial says that the call finds out whether the server's rest is over.
-	trial bool
+	// probe says that the call probes a half-open server.
+	probe bool
 	done  bool
 }
 
@@ -119,8 +119,8 @@
 	s := l.state
 	s.running--
 	s.memory -= l.memory
-	if l.trial {
-		s.trial = false
+	if l.probe {
+		s.probing = false
 	}
 	l.settle()
 	if l.class != "" && r == ResultDone && !l.begun.IsZero() {
--- a/pkg/balancer/limits_test.go
+++ b/pkg/balancer/limits_test.go
@@ -14,15 +14,14 @@
 	"headhill.example/headhill/pkg/signals"
 )
 
-// limitedFleet is a balancer of the only box of a fleet, two servers, and a word that the first names a
-// limit.
+// limitedFleet is the balancer of the only box of a fleet, and two servers of which the first is limited.
 func limitedFleet(now time.Time) (*Balancer, Query) {
 	b := New(log.NewNopLogger())
 	l := fleetlimit.New("box-1", log.NewNopLogger())
 	l.SetBoxes([]string{"box-1"}, now)
 	b.SetLimiter(l)
 	q := Query{Service: "calls", Candidates: []routing.Server{{ID: "i-1"}, {ID: "i-2"}}}
-	b.Signals().Note(q.Candidates[0].Life(), signals.Signals{Limit: signals.Limit{Named: true, PerSecond: 1}}, now, now)
+	b.Signals().Observe(q.Candidates[0].Life(), signals.Signals{Limit: signals.Limit{Set: true, PerSecond: 1}}, now, now)
 	return b, q
 }
 
@@ -41,8 +40,8 @@
 	now := time.Now()
 	b, q := limitedFleet(now)
 	assert.Equal(t, map[string]int{"i-1": 1, "i-2": 99}, pickedOf(b, q, 100, now))
-	assert.Equal(t, Closed{Limited: 1, PerSecond: fleetlimit.Named(1).PerSecond, Open: 1}, b.Closed(q, now))
-	assert.Equal(t, q.Candidates[1:], b.Open(q.Candidates, now))
+	assert.Equal(t, Availability{Limited: 1, PerSecond: fleetlimit.Signalled(1).PerSecond, Available: 1}, b.Availability(q, now))
+	assert.Equal(t, q.Candidates[1:], b.Unconstrained(q.Candidates, now))
 }
 
 func TestLimitedServerIsNotUsedBeyondItsPartThoughNoOtherIsLeft(t *testing.T) {
@@ -50,7 +49,7 @@
 	b, q := limitedFleet(now)
 	q.Candidates = q.Candidates[:1]
 	assert.Equal(t, map[string]int{"i-1": 1}, pickedOf(b, q, 100, now))
-	assert.Equal(t, q.Candidates, b.Open(q.Candidates, now), "a service whose servers are all limited has them still")
+	assert.Equal(t, q.Candidates, b.Unconstrained(q.Candidates, now), "a service whose servers are all limited has them still")
 	q.Yield = true
 	assert.Empty(t, pickedOf(b, q, 100, now.Add(10*time.Second)), "others wait for it")
 	q.Yield = false
@@ -58,7 +57,7 @@
 }
 
 // A prefix can be taken from a server that leaves as long as it is there.
-func TestServerThatLeavesByItsWordGetsNothingAndIsASourceOfPrefixes(t *testing.T) {
+func TestServerThatSignalsThatItLeavesIsOnlyASourceOfPrefixes(t *testing.T) {
 	now := time.Now()
 	b := New(log.NewNopLogger())
 	q := Query{
@@ -69,7 +68,7 @@
 	require.True(t, ok)
 	first.Begun(now)
 	first.Done(ResultDone, now)
-	b.Signals().Note(first.Server.Life(), signals.Signals{Leaving: true}, now, now)
+	b.Signals().Observe(first.Server.Life(), signals.Signals{Leaving: true}, now, now)
 	second, ok := b.Pick(q, now)
 	require.True(t, ok)
 	assert.NotEqual(t, first.Server.ID, second.Server.ID)
@@ -77,38 +76,38 @@
 	q.Avoid = []routing.Life{second.Server.Life()}
 	_, ok = b.Pick(q, now)
 	assert.False(t, ok, "nothing is left")
-	assert.Len(t, b.Open(q.Candidates, now), 1)
+	assert.Len(t, b.Unconstrained(q.Candidates, now), 1)
 }
 
-func TestServerThatRestsIsTriedByOneRequestAfterwards(t *testing.T) {
+func TestHalfOpenServerIsProbedByOneRequest(t *testing.T) {
 	now := time.Now()
 	b := New(log.NewNopLogger())
 	q := Query{Service: "calls", Candidates: []routing.Server{{ID: "i-1"}}}
 	life := q.Candidates[0].Life()
-	b.Signals().Note(life, signals.Signals{Rest: time.Second}, now, now)
+	b.Signals().Observe(life, signals.Signals{RetryAfter: time.Second}, now, now)
 	_, ok := b.Pick(q, now.Add(time.Second/2))
 	assert.False(t, ok, "though no other is left")
-	assert.Equal(t, 1, b.Closed(q, now).Resting)
+	assert.Equal(t, 1, b.Availability(q, now).BackingOff)
 
 	now = now.Add(2 * time.Second)
-	trial, ok := b.Pick(q, now)
+	probe, ok := b.Pick(q, now)
 	require.True(t, ok)
 	_, ok = b.Pick(q, now)
 	assert.False(t, ok, "the first one finds out")
-	trial.Done(ResultUnreached, now)
+	probe.Done(ResultUnreached, now)
 	now = now.Add(ejectMost)
-	trial, ok = b.Pick(q, now)
+	probe, ok = b.Pick(q, now)
 	require.True(t, ok, "another one does where it did not")
-	b.Signals().Note(life, signals.Signals{}, now, now)
+	b.Signals().Observe(life, signals.Signals{}, now, now)
 	_, ok = b.Pick(q, now)
 	assert.True(t, ok)
-	trial.Done(ResultDone, now)
+	probe.Done(ResultDone, now)
 	_, ok = b.Pick(q, now)
 	assert.True(t, ok)
 }
 
-// Of a long list a choice looks at some servers only, which all may be closed.
-func TestOpenServersOfALongListCount(t *testing.T) {
+// Of a long list a choice looks at some servers only, and all of these may be unavailable.
+func TestAvailableServersOfALongListCount(t *testing.T) {
 	now := time.Now()
 	b, _ := limitedFleet(now)
 	q := Query{Service: "calls"}
@@ -116,10 +115,10 @@
 		q.Candidates = append(q.Candidates, routing.Server{ID: fmt.Sprintf("i-%d", i)})
 	}
 	for i := range lookAtAll {
-		b.Signals().Note(q.Candidates[i].Life(), signals.Signals{Leaving: i%2 == 0, Rest: time.Minute}, now, now)
+		b.Signals().Observe(q.Candidates[i].Life(), signals.Signals{Leaving: i%2 == 0, RetryAfter: time.Minute}, now, now)
 	}
-	closed := b.Closed(q, now)
-	assert.Equal(t, lookAtAll, closed.Open)
-	assert.Equal(t, lookAtAll/2, closed.Resting)
-	assert.Len(t, b.Open(q.Candidates, now), lookAtAll)
+	a := b.Availability(q, now)
+	assert.Equal(t, lookAtAll, a.Available)
+	assert.Equal(t, lookAtAll/2, a.BackingOff)
+	assert.Len(t, b.Unconstrained(q.Candidates, now), lookAtAll)
 }
--- a/pkg/balancer/query.go
+++ b/pkg/balancer/query.go
@@ -50,7 +50,7 @@
 	Class   string
 	// Pause is the longest pause that the request's stream may have between events.
 	Pause time.Duration
-	// Yield leaves what may go to limited servers to other requests that wait for it.
+	// Yield leaves the rate of limited servers to other requests, which wait for it.
 	Yield bool
 	// Repeatable requests survive a failure of their server.
 	Repeatable bool
--- a/pkg/balancer/share.go
+++ b/pkg/balancer/share.go
@@ -101,8 +101,8 @@
 	Placements []Placement
 	// Demands are by service.
 	Demands map[ServiceKey]Demand
-	// Signals are what this box has heard servers say of themselves.
-	Signals signals.Words
+	// Signals are what this box has observed in servers' answers.
+	Signals signals.Observations
 }
 
 // OnChange sets who learns that there is something to report. It must not block, nor
--- a/pkg/fleetlimit/limit.go
+++ b/pkg/fleetlimit/limit.go
@@ -16,17 +16,17 @@
 	// warmUpSettle is how long a box must have known the other boxes to be a keeper of servers that warm
 	// up: those that it takes the place of hear of it meanwhile.
 	warmUpSettle = 5 * time.Second
-	// namedShare is the part of a limit that a server names which its keepers send together. The rest is
+	// signalledShare is the part of a limit that a server signals which its keepers send together. The rest is
 	// for requests that are on their way as the limit comes, and for boxes whose lists differ.
-	namedShare = 0.8
-	// namedKeepers is how many boxes may send to a server that names a limit, whatever it is: a small
-	// fleet sends with all of its boxes. Another keeper for each namedPerKeeper requests a second keeps
+	signalledShare = 0.8
+	// signalledKeepers is how many boxes may send to a server that signals a limit, whatever it is: a small
+	// fleet sends with all of its boxes. Another keeper for each perKeeper requests a second keeps
 	// the part of each worth having, as a keeper may have one request saved up.
-	namedKeepers   = 4
-	namedPerKeeper = 2
-	// namedBurst is the time whose requests a keeper may save up beside one, so that those which come
+	signalledKeepers = 4
+	perKeeper        = 2
+	// signalledBurst is the time whose requests a keeper may save up beside one, so that those which come
 	// close together are not sent elsewhere.
-	namedBurst = 500 * time.Millisecond
+	signalledBurst = 500 * time.Millisecond
 )
 
 // Limit is what a server takes from all boxes together, and how they share it. The zero Limit is none.
@@ -46,9 +46,9 @@
 	return Limit{PerSecond: w.PerSecond * warmUpShare, Keepers: warmUpKeepers, Settle: warmUpSettle}
 }
 
-// Named is the limit of a server that names one in its answers.
-func Named(perSecond float64) Limit {
-	return Limit{PerSecond: perSecond * namedShare, Keepers: namedKeepers + int(min(perSecond, keepersMost)/namedPerKeeper), Burst: namedBurst}
+// Signalled is the limit of a server that signals one in its answers.
+func Signalled(perSecond float64) Limit {
+	return Limit{PerSecond: perSecond * signalledShare, Keepers: signalledKeepers + int(min(perSecond, keepersMost)/perKeeper), Burst: signalledBurst}
 }
 
 // keepersMost bounds the limit by which keepers are counted: no fleet has as many boxes.
--- a/pkg/fleetlimit/named_test.go
+++ b/pkg/fleetlimit/signalled_test.go
@@ -12,7 +12,7 @@
 	"headhill.example/headhill/pkg/routing"
 )
 
-// What the operators allow a server that names a limit to get within limitWindow.
+// What the operators allow a server that signals a limit to get within limitWindow.
 const (
 	limitWindow    = 4 * time.Second
 	limitOvershoot = 1.5
@@ -55,7 +55,7 @@
 // Guards against a server in need that gets what each box thinks right: eager boxes stay within its
 // limit, though some know a box that others do not know yet, boxes are killed, and the limit changes and
 // is heard of late.
-func TestFleetStaysWithinTheLimitThatAServerNames(t *testing.T) {
+func TestFleetStaysWithinTheLimitOfAServer(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.SampledFrom([]int{1, 3, 7, 14, 84, 300}).Draw(t, "boxes")
 		draw := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
@@ -78,13 +78,13 @@
 		const change = 5 * time.Second
 		limit := func(at time.Duration) Limit {
 			if falls && at < change {
-				return Named(2 * perSecond)
+				return Signalled(2 * perSecond)
 			}
-			return Named(perSecond)
+			return Signalled(perSecond)
 		}
 		begin := time.Now()
 		sent := sendEagerly(boxes, server, limit, lag, 3*change, 0.0005/float64(n), draw)
-		// A limit binds some time after it is named, which what has been sent before it can't know of.
+		// A limit binds some time after it is signalled, which what has been sent before it can't know of.
 		for i, at := range sent {
 			if at.Sub(begin) > change+3*time.Second {
 				sent = sent[i:]
@@ -112,7 +112,7 @@
 					boxes[i] = &box{name: list[i], list: list}
 					boxes[i].start(time.Now())
 				}
-				limit := func(time.Duration) Limit { return Named(perSecond) }
+				limit := func(time.Duration) Limit { return Signalled(perSecond) }
 				sent := sendEagerly(boxes, routing.Life{ID: "i-1"}, limit, make([]time.Duration, n), length, 0, rand.New(rand.NewPCG(1, 2)))
 				assert.GreaterOrEqual(t, float64(len(sent)), 0.6*perSecond*length.Seconds())
 			})
@@ -124,6 +124,6 @@
 	warm := WarmUp(routing.WarmUp{Time: time.Second, PerSecond: 8})
 	assert.Equal(t, warm, Limit{}.Stricter(warm))
 	assert.Equal(t, warm, warm.Stricter(Limit{}))
-	assert.Equal(t, Named(1), warm.Stricter(Named(1)))
-	assert.Equal(t, warm, warm.Stricter(Named(40)))
+	assert.Equal(t, Signalled(1), warm.Stricter(Signalled(1)))
+	assert.Equal(t, warm, warm.Stricter(Signalled(40)))
 }
--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -38,7 +38,7 @@
 	}
 	now := clock.Now()
 	servers := x.candidates(x.gateway.Directory.View(), now)
-	servers = x.gateway.Balancer.Open(servers, now)
+	servers = x.gateway.Balancer.Unconstrained(servers, now)
 	if len(servers) == 0 {
 		// An outage is waited for.
 		return nil
--- a/pkg/gateway/errors.go
+++ b/pkg/gateway/errors.go
@@ -58,14 +58,14 @@
 func (e *brokenOffError) Error() string { return "answer broke off: " + e.Cause.Error() }
 func (e *brokenOffError) Unwrap() error { return e.Cause }
 
-// closedError says that the servers which could take a request want few or none now.
-type closedError struct{ balancer.Closed }
+// unavailableError says that the servers which could take a request are limited or back off.
+type unavailableError struct{ balancer.Availability }
 
-func (e *closedError) Error() string {
-	return fmt.Sprintf("of the servers that are left %d name a limit, to which this box sends %.2f requests a second, and %d want none for now", e.Limited, e.PerSecond, e.Resting)
+func (e *unavailableError) Error() string {
+	return fmt.Sprintf("of the servers that are left %d signal a limit, to which this box sends %.2f requests a second, and %d a Retry-After", e.Limited, e.PerSecond, e.BackingOff)
 }
 
-func (e *closedError) Unwrap() error { return errNoServer }
+func (e *unavailableError) Unwrap() error { return errNoServer }
 
 // notRunError says that a server told that it did not run the request.
 type notRunError struct {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -166,7 +166,7 @@
 	keepPlaces bool
 	// trial says that the request is held, and tried once by this box.
 	trial bool
-	// queueing says that the request waits for a server that is limited or rests.
+	// queueing says that the request waits for servers which are limited or back off.
 	queueing bool
 	// begun is set once the head of the answer went to the caller.
 	begun  bool
--- a/pkg/gateway/outage.go
+++ b/pkg/gateway/outage.go
@@ -56,9 +56,9 @@
 // awaitServer waits a moment for a server that can be reached, or gives the request
 // up once it has waited for its part of the caller's time.
 func (x *exchange) awaitServer(ctx context.Context, f *failure) error {
-	var closed *closedError
-	if errors.As(f.cause, &closed) {
-		return x.awaitTurn(ctx, f, closed.Closed)
+	var unavailable *unavailableError
+	if errors.As(f.cause, &unavailable) {
+		return x.awaitAvailable(ctx, f, unavailable.Availability)
 	}
 	x.stopQueueing()
 	now := clock.Now()
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -47,7 +47,7 @@
 	NotRun bool
 	// Replaced: the server that was meant is gone, another one has its address.
 	Replaced bool
-	// Signals are what the server says of itself.
+	// Signals are those of the server.
 	Signals signals.Signals
 }
 
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -135,13 +135,13 @@
 	return &RefusedError{Reason: f.cause.Error(), After: x.afterRefusal(clock.Now())}
 }
 
-// afterRefusal is when to come back after a server's refusal: soon to others, or as soon as one takes
-// requests again.
+// afterRefusal is when to come back after a server's refusal: soon where others are available, else when
+// one is again.
 func (x *exchange) afterRefusal(now time.Time) time.Duration {
 	q := x.query(now)
 	q.Avoid = nil
-	if closed := x.gateway.Balancer.Closed(q, now); closed.Open == 0 {
-		if wait, known := x.untilOpen(closed, now); known {
+	if a := x.gateway.Balancer.Availability(q, now); a.Available == 0 {
+		if wait, known := x.untilAvailable(a, now); known {
 			return x.stayAway(wait, now)
 		}
 	}
@@ -186,12 +186,12 @@
 
 // noServer is why a choice found no server.
 func (x *exchange) noServer(q balancer.Query, now time.Time) error {
-	closed := x.gateway.Balancer.Closed(q, now)
-	// Of many candidates a choice looks at some: it may miss those that are open.
-	if closed.Open+closed.Warming > 0 || closed.Limited+closed.Resting == 0 {
+	a := x.gateway.Balancer.Availability(q, now)
+	// Of many candidates a choice looks at some, and may miss those that are available.
+	if a.Available+a.WarmingUp > 0 || a.Limited+a.BackingOff == 0 {
 		return errNoServer
 	}
-	return &closedError{Closed: closed}
+	return &unavailableError{Availability: a}
 }
 
 func (x *exchange) query(now time.Time) balancer.Query {
@@ -247,7 +247,7 @@
 	}
 	reply := x.gateway.Protocol.Reply(resp.Status, resp.Header)
 	if !reply.Replaced {
-		x.noteSignals(lease.Server.Life(), resp.Status, reply.Signals)
+		x.observeSignals(lease.Server.Life(), resp.Status, reply.Signals)
 	}
 	switch {
 	case reply.Replaced:
@@ -265,13 +265,13 @@
 	return x.whole(resp, lease)
 }
 
-// noteSignals takes in what a server says of itself. That a failure names no limit does not end one: what
-// answers for a server that fails may not know of it.
-func (x *exchange) noteSignals(server routing.Life, status int, s signals.Signals) {
-	if status >= http.StatusBadRequest && !s.Limit.Named {
-		s.Limit.Unclear = true
+// observeSignals takes in what a server signals. That a failure has no limit does not end one: what answers
+// for a server that fails may not know of it.
+func (x *exchange) observeSignals(server routing.Life, status int, s signals.Signals) {
+	if status >= http.StatusBadRequest && !s.Limit.Set {
+		s.Limit.Malformed = true
 	}
-	x.gateway.Balancer.Signals().Note(server, s, x.sent, clock.Now())
+	x.gateway.Balancer.Signals().Observe(server, s, x.sent, clock.Now())
 }
 
 // brokenResult tells a server whose box is silent from one that broke off.
--- a/pkg/gateway/closed.go
+++ b/pkg/gateway/unavailable.go
@@ -21,7 +21,7 @@
 	regions string
 }
 
-// queues count the requests that wait until a server that is limited or rests takes them, by rank.
+// queues count the requests that wait for servers which are limited or back off, by rank.
 type queues struct {
 	mu      sync.Mutex
 	waiting map[queueKey]*[routing.RankMost + 1]int
@@ -81,20 +81,20 @@
 	return x.rank() + 1
 }
 
-// yields tells whether requests wait which are to have what may go to limited servers.
+// yields tells whether requests wait which have the rate of limited servers before this one.
 func (x *exchange) yields() bool {
 	return x.gateway.queues.before(x.queueKey(), x.queueBound()) > 0
 }
 
-// awaitTurn waits a moment until a server takes the request, or refuses it at once if its turn comes too
-// late.
-func (x *exchange) awaitTurn(ctx context.Context, f *failure, c balancer.Closed) error {
+// awaitAvailable waits a moment for a server that is limited or backs off, or refuses the request at once
+// if it would be too late then.
+func (x *exchange) awaitAvailable(ctx context.Context, f *failure, a balancer.Availability) error {
 	now := clock.Now()
-	wait, known := x.untilOpen(c, now)
+	wait, known := x.untilAvailable(a, now)
 	if !known || now.Add(wait).After(x.awaitEnd()) {
 		after := x.stayAway(wait, now)
-		_ = level.Info(x.gateway.Logger).Log("msg", "no server takes more", "id", x.call.ID, "service", x.service.Name, "rank", x.rank(),
-			"limited", c.Limited, "per_second", c.PerSecond, "resting", c.Resting, "wait_ms", wait.Milliseconds(), "come_back_ms", after.Milliseconds())
+		_ = level.Info(x.gateway.Logger).Log("msg", "no server available", "id", x.call.ID, "service", x.service.Name, "rank", x.rank(),
+			"limited", a.Limited, "per_second", a.PerSecond, "backing_off", a.BackingOff, "wait_ms", wait.Milliseconds(), "come_back_ms", after.Milliseconds())
 		return &RefusedError{Reason: f.cause.Error(), After: after}
 	}
 	x.queue()
@@ -107,16 +107,16 @@
 	return nil
 }
 
-// untilOpen estimates when the request may go to a server that is limited or rests; it returns false where
-// this box sends them nothing.
-func (x *exchange) untilOpen(c balancer.Closed, now time.Time) (time.Duration, bool) {
+// untilAvailable estimates when a server may get the request; it returns false where this box sends them
+// nothing.
+func (x *exchange) untilAvailable(a balancer.Availability, now time.Time) (time.Duration, bool) {
 	wait, known := time.Duration(math.MaxInt64), false
-	if c.PerSecond > 0 {
+	if a.PerSecond > 0 {
 		before := x.gateway.queues.before(x.queueKey(), x.queueBound())
-		wait, known = time.Duration(float64(before)/c.PerSecond*float64(time.Second)), true
+		wait, known = time.Duration(float64(before)/a.PerSecond*float64(time.Second)), true
 	}
-	if c.Resting > 0 {
-		wait, known = min(wait, max(0, c.Wakes.Sub(now))), true
+	if a.BackingOff > 0 {
+		wait, known = min(wait, max(0, a.NextEnd.Sub(now))), true
 	}
 	if !known {
 		return 0, false
--- a/pkg/gateway/closed_test.go
+++ b/pkg/gateway/unavailable_test.go
@@ -29,16 +29,16 @@
 }
 
 // Guards against a limit that ends as something answers a failure for its server.
-func TestFailureThatNamesNoLimitDoesNotEndOne(t *testing.T) {
+func TestFailureWithoutALimitDoesNotEndOne(t *testing.T) {
 	g := &Gateway{Deps: Deps{Balancer: balancer.New(log.NewNopLogger())}}
 	server := routing.Life{ID: "i-1"}
-	limit := signals.Limit{Named: true, PerSecond: 2}
+	limit := signals.Limit{Set: true, PerSecond: 2}
 	believed := func() signals.Limit { return g.Balancer.Signals().Of(signals.KeyOf(server), clock.Now()).Limit }
-	(&exchange{gateway: g, sent: clock.Now()}).noteSignals(server, http.StatusOK, signals.Signals{Limit: limit})
+	(&exchange{gateway: g, sent: clock.Now()}).observeSignals(server, http.StatusOK, signals.Signals{Limit: limit})
 	for _, status := range []int{http.StatusInternalServerError, http.StatusServiceUnavailable} {
-		(&exchange{gateway: g, sent: clock.Now()}).noteSignals(server, status, signals.Signals{})
+		(&exchange{gateway: g, sent: clock.Now()}).observeSignals(server, status, signals.Signals{})
 		assert.Equal(t, limit, believed(), "%d", status)
 	}
-	(&exchange{gateway: g, sent: clock.Now()}).noteSignals(server, http.StatusOK, signals.Signals{})
+	(&exchange{gateway: g, sent: clock.Now()}).observeSignals(server, http.StatusOK, signals.Signals{})
 	assert.Equal(t, signals.Limit{}, believed())
 }
--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -63,11 +63,11 @@
 type work struct {
 	loads   loads
 	demands demands
-	signals signals.Words
+	signals signals.Observations
 }
 
 func newWork() work {
-	return work{loads: make(loads), demands: make(demands), signals: make(signals.Words)}
+	return work{loads: make(loads), demands: make(demands), signals: make(signals.Observations)}
 }
 
 // split cuts a round of loads into messages.
@@ -128,41 +128,41 @@
 	return d
 }
 
-// signalsMost bounds the signals of one round: many servers may say at once that they leave.
+// signalsMost bounds the signals of one round: many servers may leave at once.
 const signalsMost = 32
 
-// latest are the servers with the latest words, some at the most.
-func latest(words signals.Words) []signals.Key {
-	keys := slices.SortedFunc(maps.Keys(words), func(a, b signals.Key) int { return words[b].Heard.Compare(words[a].Heard) })
+// latest are the servers with the latest observations, some at the most.
+func latest(list signals.Observations) []signals.Key {
+	keys := slices.SortedFunc(maps.Keys(list), func(a, b signals.Key) int { return list[b].At.Compare(list[a].At) })
 	return keys[:min(len(keys), signalsMost)]
 }
 
-func encodeSignal(key signals.Key, w signals.Word, now time.Time) *loadpb.Signal {
-	p := &loadpb.Signal{Server: uint32(key), AgeMs: uint32(min(max(now.Sub(w.Heard).Milliseconds(), 0), signalAgeMostMS)), Leaving: w.Leaving}
-	if w.Limit.Named {
-		p.Limit = proto.Float64(w.Limit.PerSecond)
+func encodeSignal(key signals.Key, o signals.Observation, now time.Time) *loadpb.Signal {
+	p := &loadpb.Signal{Server: uint32(key), AgeMs: uint32(min(max(now.Sub(o.At).Milliseconds(), 0), signalAgeMostMS)), Leaving: o.Leaving}
+	if o.Limit.Set {
+		p.Limit = proto.Float64(o.Limit.PerSecond)
 	}
 	return p
 }
 
-// signalAgeMostMS bounds the age of a signal that is told, in milliseconds: none is believed for so long.
+// signalAgeMostMS bounds the age of a signal that is sent, in milliseconds: none is believed for so long.
 const signalAgeMostMS = 3_600_000
 
 // decodeSignal reads a signal. It returns false for one that can't be meant.
-func decodeSignal(p *loadpb.Signal, received time.Time) (signals.Word, bool) {
-	w := signals.Word{Heard: received.Add(-time.Duration(p.GetAgeMs()) * time.Millisecond), Leaving: p.GetLeaving()}
+func decodeSignal(p *loadpb.Signal, received time.Time) (signals.Observation, bool) {
+	o := signals.Observation{At: received.Add(-time.Duration(p.GetAgeMs()) * time.Millisecond), Leaving: p.GetLeaving()}
 	if p.Limit != nil {
-		w.Limit = signals.Limit{Named: true, PerSecond: p.GetLimit()}
+		o.Limit = signals.Limit{Set: true, PerSecond: p.GetLimit()}
 	}
-	return w, w.Limit.PerSecond >= 0 && !math.IsInf(w.Limit.PerSecond, 0)
+	return o, o.Limit.PerSecond >= 0 && !math.IsInf(o.Limit.PerSecond, 0)
 }
 
 // read adds a message's loads to those of its round.
 func read(m *loadpb.Loads, w work, received time.Time) {
 	to := w.loads
 	for _, p := range m.GetSignals() {
-		if word, ok := decodeSignal(p, received); ok {
-			w.signals[signals.Key(p.GetServer())] = word
+		if o, ok := decodeSignal(p, received); ok {
+			w.signals[signals.Key(p.GetServer())] = o
 		}
 	}
 	for _, d := range m.GetDemands() {
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -261,7 +261,7 @@
 func (s *Sharer) setOthers(total work, now time.Time) {
 	others := total.without(s.reported)
 	s.Balancer.SetOthers(others.loads, others.demands, now)
-	s.Balancer.Signals().SetTold(total.signals, now)
+	s.Balancer.Signals().MergeRemote(total.signals, now)
 }
 
 // members are the boxes of the roster, worked out anew when that has changed.
--- a/pkg/loadshare/sharer_test.go
+++ b/pkg/loadshare/sharer_test.go
@@ -236,8 +236,8 @@
 	}
 	all[0] = balancer.Load{Backlog: 1, Down: 3}
 	now := time.Now()
-	said := signals.Words{
-		1: {Limit: signals.Limit{Named: true, PerSecond: 2.3}, Heard: now.Add(-time.Second)}, 2: {Heard: now.Add(-2 * time.Second)}, 3: {Leaving: true, Heard: now},
+	said := signals.Observations{
+		1: {Limit: signals.Limit{Set: true, PerSecond: 2.3}, At: now.Add(-time.Second)}, 2: {At: now.Add(-2 * time.Second)}, 3: {Leaving: true, At: now},
 	}
 	parts := split("hall", 7, work{loads: all, demands: demands{9: {Interactive: 5, Bulk: 6}}, signals: said}, now)
 	require.Len(t, parts, 3)
@@ -266,8 +266,8 @@
 		"old": {work: work{loads: loads{1: {Backlog: 100}}}, heard: now.Add(-believed - time.Second)},
 	}
 	total := table.sum(now)
-	assert.Equal(t, work{loads: loads{1: {Backlog: 7, Down: 1}, 2: {Backlog: 5}}, demands: demands{9: {Interactive: 11, Bulk: 2}}, signals: signals.Words{}}, total)
-	assert.Equal(t, work{loads: loads{1: {Backlog: 3, Down: 1}}, demands: demands{9: {Interactive: 1, Bulk: 2}}, signals: signals.Words{}}, total.without(table["b"].work))
+	assert.Equal(t, work{loads: loads{1: {Backlog: 7, Down: 1}, 2: {Backlog: 5}}, demands: demands{9: {Interactive: 11, Bulk: 2}}, signals: signals.Observations{}}, total)
+	assert.Equal(t, work{loads: loads{1: {Backlog: 3, Down: 1}}, demands: demands{9: {Interactive: 1, Bulk: 2}}, signals: signals.Observations{}}, total.without(table["b"].work))
 	younger := work{loads: loads{1: {Backlog: 8, Down: 2}}}
 	assert.Equal(t, loads{2: {Backlog: 5}}, total.without(younger).loads, "the total holds an older word")
 	table.forget(now)
@@ -275,7 +275,7 @@
 }
 
 func FuzzMessages(f *testing.F) {
-	for _, m := range split("hall", 1, work{loads: loads{1: {Backlog: 5}, 2: {Down: 2}}, demands: demands{3: {Interactive: 1}}, signals: signals.Words{4: {}}}, time.Now()) {
+	for _, m := range split("hall", 1, work{loads: loads{1: {Backlog: 5}, 2: {Down: 2}}, demands: demands{3: {Interactive: 1}}, signals: signals.Observations{4: {}}}, time.Now()) {
 		body, _ := proto.Marshal(m)
 		f.Add(body)
 	}
@@ -304,21 +304,21 @@
 	formstest.CheckShape(t, "loadshare", &loadpb.Loads{}, &loadpb.Placements{})
 }
 
-// What one box hears a server say of itself is known to all, as is that it has ceased to.
+// What one box observes of a server is known to all, as is that it has ended.
 func TestAllBoxesKnowTheSignalsOfServers(t *testing.T) {
 	withFleet(t, 12, 3, func(x *fleet) {
 		server := routing.Life{ID: "i-1", Started: 3}
-		limit := signals.Limit{Named: true, PerSecond: 2.3}
+		limit := signals.Limit{Set: true, PerSecond: 2.3}
 		all := func(expected signals.Limit) func() bool {
 			return func() bool {
 				return !slices.ContainsFunc(x.boxes, func(b *box) bool { return b.balancer.Signals().Of(signals.KeyOf(server), time.Now()).Limit != expected })
 			}
 		}
 		now := time.Now()
-		x.boxes[4].balancer.Signals().Note(server, signals.Signals{Limit: limit}, now, now)
+		x.boxes[4].balancer.Signals().Observe(server, signals.Signals{Limit: limit}, now, now)
 		require.Eventually(t, all(limit), soon, check)
 		now = time.Now()
-		x.boxes[5].balancer.Signals().Note(server, signals.Signals{}, now, now.Add(time.Millisecond))
+		x.boxes[5].balancer.Signals().Observe(server, signals.Signals{}, now, now.Add(time.Millisecond))
 		require.Eventually(t, all(signals.Limit{}), soon, check)
 	})
 }
--- a/pkg/routerd/gauges.go
+++ b/pkg/routerd/gauges.go
@@ -71,10 +71,10 @@
 	}
 }
 
-// signalsGauge shows how many servers are believed to say what of themselves.
-func signalsGauge(b *signals.Book) telemetry.Gauge {
+// signalsGauge shows how many servers signal what.
+func signalsGauge(t *signals.Tracker) telemetry.Gauge {
 	return telemetry.Gauge{
-		Name: "headhill_server_signals", Help: "Servers that are believed to name a signal of themselves in their answers.",
-		Attribute: "signal", Observe: func() map[string]int64 { return b.Counts(clock.Now()) },
+		Name: "headhill_server_signals", Help: "Servers by what they signal in their answers.",
+		Attribute: "signal", Observe: func() map[string]int64 { return t.Counts(clock.Now()) },
 	}
 }
--- a/pkg/routerd/scaledservices.go
+++ b/pkg/routerd/scaledservices.go
@@ -33,18 +33,18 @@
 	return autoscale.Offer{Least: s.Least, Most: s.Most, Boot: s.Boot, SpotPrice: s.SpotPrice, Prices: s.Prices}
 }
 
-// scaledServers are a service's servers as the planner counts them, and how many of those that stay name
-// a limit. That a server leaves may be known from its answers before its entry says so.
+// scaledServers are a service's servers as the planner counts them, and how many of those that stay are
+// limited. A server may signal that it leaves before its entry says so.
 func (f *fleetDuties) scaledServers(servers []routing.Server, now time.Time) (list []autoscale.Server, limited int) {
 	for i := range servers {
 		s := &servers[i]
-		said := f.balancer.Said(s, now)
+		state := f.balancer.SignalsOf(s, now)
 		k := autoscale.OnDemand
 		if s.Spot {
 			k = autoscale.Spot
 		}
-		leaving := s.Leaving || said.Leaving
-		if said.Limit.Named && !leaving {
+		leaving := s.Leaving || state.Leaving
+		if state.Limit.Set && !leaving {
 			limited++
 		}
 		list = append(list, autoscale.Server{Hall: s.Hall, Kind: k, Leaving: leaving})
