--- a/pkg/fleetlimit/limiter_test.go
+++ b/pkg/fleetlimit/limiter_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 
+	"headhill.example/headhill/pkg/fleetlimit/limittest"
 	"headhill.example/headhill/pkg/routing"
 )
 
@@ -43,7 +44,7 @@
 }
 
 // mostInASecond is the most of some times, in order, that lie within any second.
-func mostInASecond(times []time.Time) int { return mostWithin(times, time.Second) }
+func mostInASecond(times []time.Time) int { return limittest.MostWithin(times, time.Second) }
 
 // Eager boxes stay within what a server bears, though two parts of the fleet have lists of boxes
 // with nothing in common, boxes are killed and start, and one more box is new to most.
--- a/pkg/fleetlimit/signalled_test.go
+++ b/pkg/fleetlimit/signalled_test.go
@@ -9,28 +9,10 @@
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 
+	"headhill.example/headhill/pkg/fleetlimit/limittest"
 	"headhill.example/headhill/pkg/routing"
 )
 
-// What the operators allow a server that signals a limit to get within limitWindow.
-const (
-	limitWindow    = 4 * time.Second
-	limitOvershoot = 1.5
-	limitSlack     = 5.0
-)
-
-// mostWithin is the most of some times, in order, that lie within any window.
-func mostWithin(times []time.Time, window time.Duration) int {
-	most, first := 0, 0
-	for i, t := range times {
-		for t.Sub(times[first]) >= window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // sendEagerly has boxes send to a server as often as they may, each as it believes the limit to be: some
 // hear of a change late. Boxes are killed now and then. It returns when requests were sent.
 func sendEagerly(boxes []*box, server routing.Life, limit func(at time.Duration) Limit, lag []time.Duration, length time.Duration, kill float64, draw *rand.Rand) []time.Time {
@@ -86,13 +68,13 @@
 		sent := sendEagerly(boxes, server, limit, lag, 3*change, 0.0005/float64(n), draw)
 		// A limit binds some time after it is signalled, which what has been sent before it can't know of.
 		for i, at := range sent {
-			if at.Sub(begin) > change+3*time.Second {
+			if at.Sub(begin) > change+limittest.Contact {
 				sent = sent[i:]
 				break
 			}
 		}
-		if most, bound := mostWithin(sent, limitWindow), limitOvershoot*perSecond*limitWindow.Seconds()+limitSlack; float64(most) > bound {
-			t.Fatalf("%d requests in %s, allowed are %.1f", most, limitWindow, bound)
+		if most, bound := limittest.MostWithin(sent, limittest.Window), limittest.Allowed(perSecond); float64(most) > bound {
+			t.Fatalf("%d requests in %s, allowed are %.1f", most, limittest.Window, bound)
 		}
 	})
 }
