fleetlimit: keepers begin with less than one request saved up where a limit comes upon a server

A server that begins to signal a limit has had requests just before, which the operators' window counts too, and all keepers heard of the limit at once: each had one request saved up and all sent together, 4 and one for each 2 of the limit. They begin with a part of one by chance now. Servers that warm up as before. Tests that measured the first requests wait for them; ./pkg/fleetlimit, ./pkg/balancer, the limit and warm-up tests of ./platform green with -race (two runs of the latter).

--- a/pkg/fleetlimit/limit.go
+++ b/pkg/fleetlimit/limit.go
@@ -39,6 +39,9 @@
 	Settle time.Duration
 	// Burst is the time whose requests a keeper may save up beside one.
 	Burst time.Duration
+	// Late says that the server had requests before it had the limit: keepers begin with less than one
+	// saved up, by chance, so that they do not all send at once.
+	Late bool
 }
 
 // WarmUp is the limit of a server that warms up.
@@ -48,7 +51,7 @@
 
 // Signalled is the limit of a server that signals one in its answers.
 func Signalled(perSecond float64) Limit {
-	return Limit{PerSecond: perSecond * signalledShare, Keepers: signalledKeepers + int(min(perSecond, keepersMost)/perKeeper), Burst: signalledBurst}
+	return Limit{PerSecond: perSecond * signalledShare, Keepers: signalledKeepers + int(min(perSecond, keepersMost)/perKeeper), Burst: signalledBurst, Late: true}
 }
 
 // keepersMost bounds the limit by which keepers are counted: no fleet has as many boxes.
--- a/pkg/fleetlimit/limiter.go
+++ b/pkg/fleetlimit/limiter.go
@@ -1,6 +1,7 @@
 package fleetlimit
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -13,7 +14,7 @@
 )
 
 const (
-	// forgetAfter is how long a server is remembered after its last request.
+	// forgetAfter is how long a server is remembered that no choice looks at.
 	forgetAfter = time.Minute
 	// sweepEach is after how many new servers those that can be forgotten are looked for.
 	sweepEach = 64
@@ -40,7 +41,8 @@
 	// ring is the one by which keeper was worked out.
 	ring   *ring
 	keeper bool
-	used   time.Time
+	// used is when a choice last looked at it.
+	used time.Time
 }
 
 // New returns a limiter of a box that knows no others yet: it sends nothing to limited servers.
@@ -76,9 +78,7 @@
 func (l *Limiter) Take(server routing.Life, limit Limit, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a := l.of(server, limit, now)
-	a.used = now
-	a.bucket.AllowN(now, 1)
+	l.of(server, limit, now).bucket.AllowN(now, 1)
 }
 
 // Rate is how many requests a second this box may send to a server with a limit.
@@ -97,16 +97,31 @@
 	a, ok := l.servers[server]
 	if !ok {
 		l.forget(now)
-		a = &allowance{used: now, bucket: rate.NewLimiter(rate.Limit(limit.part(l.ring.boxes)), limit.burst(l.ring.boxes))}
+		a = &allowance{}
 		l.servers[server] = a
 		l.added++
 	}
+	a.used = now
+	if a.bucket == nil || limit.Late && !a.limit.Late {
+		a.bucket = l.newBucket(limit, now)
+	}
 	if a.ring != l.ring || a.limit != limit {
 		l.update(a, server, limit, now)
 	}
 	return a
 }
 
+// newBucket returns the bucket of a limit that begins to hold. The caller holds mu.
+func (l *Limiter) newBucket(limit Limit, now time.Time) *rate.Limiter {
+	part, burst := limit.part(l.ring.boxes), limit.burst(l.ring.boxes)
+	bucket := rate.NewLimiter(rate.Limit(part), burst)
+	if limit.Late && part > 0 {
+		saved := time.Duration(rand.Float64() / part * float64(time.Second))
+		bucket.AllowN(now.Add(-saved), burst)
+	}
+	return bucket
+}
+
 // update works an allowance out anew for a limit and the boxes of now. The caller holds mu.
 func (l *Limiter) update(a *allowance, server routing.Life, limit Limit, now time.Time) {
 	before := a.keeper
@@ -119,7 +134,7 @@
 	}
 }
 
-// forget drops servers that got nothing for long. The caller holds mu.
+// forget drops servers that no choice has looked at for long. The caller holds mu.
 func (l *Limiter) forget(now time.Time) {
 	if l.added < sweepEach {
 		return
