balancer, gateway: a request is refused at once where no limited server takes it in time

A request that waited for a limited server with nobody before it was taken to have its turn at once, though this box may send there once in five seconds: it waited a third of its caller's time and was refused then. The limiter tells when the next request may go; what waits already goes first.

--- a/pkg/balancer/availability.go
+++ b/pkg/balancer/availability.go
@@ -14,15 +14,16 @@
 	// Available is how many nothing keeps requests from.
 	Available int
 	// Limited is how many signal a rate limit, PerSecond how many requests this box may send them all in
-	// a second.
+	// a second, NextToken when it may send the next one; zero if it sends them none.
 	Limited   int
 	PerSecond float64
+	NextToken time.Time
 	// WarmingUp is how many bear few requests until they have warmed up.
 	WarmingUp int
-	// BackingOff is how many get nothing until their Retry-After has passed, NextEnd when that is for the
-	// first of them.
+	// BackingOff is how many get nothing until their Retry-After has passed, BackoffEnd when that is for
+	// the first of them.
 	BackingOff int
-	NextEnd    time.Time
+	BackoffEnd time.Time
 }
 
 // Availability tells what keeps requests from the candidates of a query.
@@ -48,14 +49,13 @@
 	switch {
 	case state.Leaving:
 	case state.Backoff != signals.Accepting:
-		end := b.signals.BackoffEnd(signals.KeyOf(c.Life()))
-		if a.BackingOff == 0 || end.Before(a.NextEnd) {
-			a.NextEnd = end
-		}
 		a.BackingOff++
-	case state.Limit.Set:
+		a.BackoffEnd = earlier(a.BackoffEnd, b.signals.BackoffEnd(signals.KeyOf(c.Life())))
+	case state.Limit.Set && !limit.None():
+		perSecond, next := b.limiter.Outlook(c.Life(), limit, now)
 		a.Limited++
-		a.PerSecond += b.limiter.Rate(c.Life(), limit, now)
+		a.PerSecond += perSecond
+		a.NextToken = earlier(a.NextToken, next)
 	case !limit.None():
 		a.WarmingUp++
 	default:
@@ -63,6 +63,14 @@
 	}
 }
 
+// earlier is the earlier of two times, of which zero stands for none.
+func earlier(t, other time.Time) time.Time {
+	if t.IsZero() || !other.IsZero() && other.Before(t) {
+		return other
+	}
+	return t
+}
+
 // Unconstrained are those of some servers from which no signal of theirs keeps requests; if there are
 // none, those that do not leave.
 func (b *Balancer) Unconstrained(servers []routing.Server, now time.Time) []routing.Server {
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -51,8 +51,8 @@
 	// Allows tells whether a request may go now, Take counts one that goes.
 	Allows(server routing.Life, l fleetlimit.Limit, now time.Time) bool
 	Take(server routing.Life, l fleetlimit.Limit, now time.Time)
-	// Rate is how many requests a second may go.
-	Rate(server routing.Life, l fleetlimit.Limit, now time.Time) float64
+	// Outlook is how many requests a second may go, and when the next one may.
+	Outlook(server routing.Life, l fleetlimit.Limit, now time.Time) (perSecond float64, next time.Time)
 }
 
 // SetLimiter sets what bounds requests to limited servers. It is set before the first call.
--- a/pkg/balancer/limits_test.go
+++ b/pkg/balancer/limits_test.go
@@ -42,7 +42,9 @@
 	now := time.Now()
 	b, q := limitedFleet(now)
 	assert.Equal(t, map[string]int{"i-1": 1, "i-2": 99}, pickedOf(b, q, 100, now))
-	assert.Equal(t, Availability{Limited: 1, PerSecond: fleetlimit.Signalled(1).PerSecond, Available: 1}, b.Availability(q, now))
+	a := b.Availability(q, now)
+	assert.WithinDuration(t, now.Add(time.Duration(float64(time.Second)/a.PerSecond)), a.NextToken, time.Millisecond)
+	assert.Equal(t, Availability{Limited: 1, PerSecond: fleetlimit.Signalled(1).PerSecond, NextToken: a.NextToken, Available: 1}, a)
 	assert.Equal(t, q.Candidates[1:], b.Unconstrained(q.Candidates, now))
 }
 
--- a/pkg/fleetlimit/limiter.go
+++ b/pkg/fleetlimit/limiter.go
@@ -81,15 +81,18 @@
 	l.of(server, limit, now).bucket.AllowN(now, 1)
 }
 
-// Rate is how many requests a second this box may send to a server with a limit.
-func (l *Limiter) Rate(server routing.Life, limit Limit, now time.Time) float64 {
+// Outlook is how many requests a second this box may send to a server with a limit, and when the next one
+// may go. The rate is zero for a box that sends it none.
+func (l *Limiter) Outlook(server routing.Life, limit Limit, now time.Time) (perSecond float64, next time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.of(server, limit, now)
-	if l.known.IsZero() || now.Sub(l.known) < limit.Settle || !a.keeper {
-		return 0
+	perSecond = float64(a.bucket.Limit())
+	if l.known.IsZero() || now.Sub(l.known) < limit.Settle || !a.keeper || perSecond == 0 {
+		return 0, time.Time{}
 	}
-	return float64(a.bucket.Limit())
+	missing := max(0, 1-a.bucket.TokensAt(now))
+	return perSecond, now.Add(time.Duration(missing / perSecond * float64(time.Second)))
 }
 
 // of returns the allowance of a server. The caller holds mu.
--- a/pkg/gateway/unavailable.go
+++ b/pkg/gateway/unavailable.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"math"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -107,21 +107,21 @@
 	return nil
 }
 
-// untilAvailable estimates when a server may get the request; it returns false where this box sends them
-// nothing.
+// untilAvailable estimates when a server may get the request, behind those that wait already; it returns
+// false where this box sends them nothing.
 func (x *exchange) untilAvailable(a balancer.Availability, now time.Time) (time.Duration, bool) {
-	wait, known := time.Duration(math.MaxInt64), false
+	var waits []time.Duration
 	if a.PerSecond > 0 {
-		before := x.gateway.queues.before(x.queueKey(), x.queueBound())
-		wait, known = time.Duration(float64(before)/a.PerSecond*float64(time.Second)), true
+		before := float64(x.gateway.queues.before(x.queueKey(), x.queueBound()))
+		waits = append(waits, a.NextToken.Sub(now)+time.Duration(before/a.PerSecond*float64(time.Second)))
 	}
 	if a.BackingOff > 0 {
-		wait, known = min(wait, max(0, a.NextEnd.Sub(now))), true
+		waits = append(waits, max(0, a.BackoffEnd.Sub(now)))
 	}
-	if !known {
+	if len(waits) == 0 {
 		return 0, false
 	}
-	return wait, true
+	return slices.Min(waits), true
 }
 
 // queue counts the request among those that wait.
--- a/pkg/gateway/unavailable_test.go
+++ b/pkg/gateway/unavailable_test.go
@@ -3,12 +3,15 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"headhill.example/headhill/pkg/balancer"
 	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/routing"
 	"headhill.example/headhill/pkg/signals"
 )
@@ -28,6 +31,29 @@
 	assert.Empty(t, q.waiting, "nothing is kept of requests that are gone")
 }
 
+// What waits already goes first, and of two reasons the one that is over sooner counts.
+func TestRequestKnowsWhenAServerIsAvailable(t *testing.T) {
+	now := clock.Now()
+	x := &exchange{
+		gateway: &Gateway{}, service: &routing.Service{Name: "calls"}, route: &routing.Route{}, view: &directory.View{Table: &routing.Table{}},
+	}
+	limited := balancer.Availability{Limited: 1, PerSecond: 0.5, NextToken: now.Add(time.Second)}
+	until := func(a balancer.Availability) time.Duration {
+		wait, known := x.untilAvailable(a, now)
+		require.True(t, known)
+		return wait
+	}
+	assert.Equal(t, time.Second, until(limited))
+	x.gateway.queues.add(x.queueKey(), x.rank(), 2)
+	assert.Equal(t, 5*time.Second, until(limited))
+	limited.BackingOff, limited.BackoffEnd = 1, now.Add(3*time.Second)
+	assert.Equal(t, 3*time.Second, until(limited))
+	limited.BackoffEnd = now.Add(-time.Second)
+	assert.Zero(t, until(limited), "one that is probed")
+	_, known := x.untilAvailable(balancer.Availability{Limited: 1}, now)
+	assert.False(t, known, "of no keeper")
+}
+
 // Guards against a limit that ends as something answers a failure for its server.
 func TestFailureWithoutALimitDoesNotEndOne(t *testing.T) {
 	g := &Gateway{Deps: Deps{Balancer: balancer.New(log.NewNopLogger())}}
