signals: an answer that does not tell whether there is a limit says so by one name

A limit that can't be read and a failure without one were both called malformed. Behaviour the same; ./pkg/signals, ./pkg/gateway, ./pkg/balancer and the header tests of ./platform green.

--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -265,11 +265,11 @@
 	return x.whole(resp, lease)
 }
 
-// observeSignals takes in what a server signals. That a failure has no limit does not end one: what answers
+// observeSignals takes in what a server signals. A failure without a limit does not end one: what answers
 // for a server that fails may not know of it.
 func (x *exchange) observeSignals(server routing.Life, status int, s signals.Signals) {
 	if status >= http.StatusBadRequest && !s.Limit.Set {
-		s.Limit.Malformed = true
+		s.Limit.Unknown = true
 	}
 	x.gateway.Balancer.Signals().Observe(server, s, x.sent, clock.Now())
 }
--- a/pkg/signals/signals.go
+++ b/pkg/signals/signals.go
@@ -30,8 +30,8 @@
 	PerSecond float64
 	// Set is false for a server without a limit.
 	Set bool
-	// Malformed says that the answer has a limit that can't be read.
-	Malformed bool
+	// Unknown says that the answer does not tell whether there is a limit.
+	Unknown bool
 }
 
 // Rate is the requests a second that may go by the limit.
--- a/pkg/signals/tracker.go
+++ b/pkg/signals/tracker.go
@@ -63,7 +63,7 @@
 	case before.Leaving:
 	case s.Leaving:
 		t.set(server, key, Observation{Limit: before.Limit, Leaving: true, At: now}, before, now.Sub(sent))
-	case !s.Limit.Malformed:
+	case !s.Limit.Unknown:
 		t.observeLimit(server, key, s.Limit, before, sent, now)
 	}
 	t.updateAny()
--- a/pkg/signals/tracker_test.go
+++ b/pkg/signals/tracker_test.go
@@ -46,7 +46,7 @@
 	expect(limitOf(1), "a stricter limit is taken from any answer")
 	tracker.Observe(server, limitOf(8), at(2.1), at(2.5))
 	expect(limitOf(8), "")
-	tracker.Observe(server, Signals{Limit: Limit{Malformed: true}, Err: errors.New("malformed")}, at(2.6), at(2.7))
+	tracker.Observe(server, Signals{Limit: Limit{Unknown: true}, Err: errors.New("malformed")}, at(2.6), at(2.7))
 	expect(limitOf(8), "what can't be read changes nothing")
 	tracker.Observe(server, Signals{}, at(2.6), at(3))
 	expect(Signals{}, "")
