--- a/pkg/balancer/availability.go
+++ b/pkg/balancer/availability.go
@@ -44,13 +44,14 @@
 
 // count adds one candidate.
 func (b *Balancer) count(a *Availability, q *Query, c *routing.Server, now time.Time) {
-	state := b.SignalsOf(c, now)
-	limit := b.limitNow(q, c, now)
+	s := b.known(KeyOf(c.Life()))
+	state := b.signals.Of(s.key, now)
+	limit := b.limitOf(q, c, s, state, b.other(s.key, now), now)
 	switch {
 	case state.Leaving:
 	case state.Backoff != signals.Accepting:
 		a.BackingOff++
-		a.BackoffEnd = earlier(a.BackoffEnd, b.signals.BackoffEnd(signals.KeyOf(c.Life())))
+		a.BackoffEnd = earlier(a.BackoffEnd, state.BackoffEnd)
 	case state.Limit.Set && !limit.None():
 		perSecond, next := b.limiter.Outlook(c.Life(), limit, now)
 		a.Limited++
@@ -90,5 +91,5 @@
 
 // SignalsOf is what a server signals in its answers.
 func (b *Balancer) SignalsOf(s *routing.Server, now time.Time) signals.State {
-	return b.signals.Of(signals.KeyOf(s.Life()), now)
+	return b.signals.Of(KeyOf(s.Life()), now)
 }
--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -112,7 +112,7 @@
 			continue
 		}
 		s := b.server(KeyOf(c.Life()), now)
-		state := b.signals.Of(signals.Key(s.key), now)
+		state := b.signals.Of(s.key, now)
 		if state.Leaving {
 			q.Idle = append(slices.Clip(q.Idle), *c)
 			continue
--- a/pkg/balancer/limits.go
+++ b/pkg/balancer/limits.go
@@ -31,7 +31,7 @@
 // limitNow looks up what limitOf rests on.
 func (b *Balancer) limitNow(q *Query, c *routing.Server, now time.Time) fleetlimit.Limit {
 	s := b.known(KeyOf(c.Life()))
-	return b.limitOf(q, c, s, b.signals.Of(signals.Key(s.key), now), b.other(s.key, now), now)
+	return b.limitOf(q, c, s, b.signals.Of(s.key, now), b.other(s.key, now), now)
 }
 
 // known is what is known of a server, without remembering one that is new.
--- a/pkg/balancer/share.go
+++ b/pkg/balancer/share.go
@@ -40,11 +40,11 @@
 
 // ServerKey is a server's life as boxes name it to each other, in short. Two servers may
 // share one: then each counts what the other has to do.
-type ServerKey uint32
+type ServerKey = signals.Key
 
 // KeyOf is the key of a server's life. All that is known of a server hangs on it, so that one that
 // is back under its ID begins with nothing cached, no load and no failures.
-func KeyOf(l routing.Life) ServerKey { return ServerKey(l.Hash()) }
+func KeyOf(l routing.Life) ServerKey { return signals.KeyOf(l) }
 
 // partKey is the ID of a part of a prompt, in short.
 type partKey = uint64
--- a/pkg/fleetlimit/limiter.go
+++ b/pkg/fleetlimit/limiter.go
@@ -67,11 +67,8 @@
 func (l *Limiter) Allows(server routing.Life, limit Limit, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.known.IsZero() || now.Sub(l.known) < limit.Settle {
-		return false
-	}
-	a := l.of(server, limit, now)
-	return a.keeper && a.bucket.TokensAt(now) >= 1
+	a, kept := l.kept(server, limit, now)
+	return kept && a.bucket.TokensAt(now) >= 1
 }
 
 // Take counts a request to a server with a limit.
@@ -86,15 +83,24 @@
 func (l *Limiter) Outlook(server routing.Life, limit Limit, now time.Time) (perSecond float64, next time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a := l.of(server, limit, now)
-	perSecond = float64(a.bucket.Limit())
-	if l.known.IsZero() || now.Sub(l.known) < limit.Settle || !a.keeper || perSecond == 0 {
+	a, kept := l.kept(server, limit, now)
+	if !kept || a.bucket.Limit() == 0 {
 		return 0, time.Time{}
 	}
+	perSecond = float64(a.bucket.Limit())
 	missing := max(0, 1-a.bucket.TokensAt(now))
 	return perSecond, now.Add(time.Duration(missing / perSecond * float64(time.Second)))
 }
 
+// kept returns the allowance of a server, and whether this box is one of its keepers. The caller holds mu.
+func (l *Limiter) kept(server routing.Life, limit Limit, now time.Time) (*allowance, bool) {
+	if l.known.IsZero() || now.Sub(l.known) < limit.Settle {
+		return nil, false
+	}
+	a := l.of(server, limit, now)
+	return a, a.keeper
+}
+
 // of returns the allowance of a server. The caller holds mu.
 func (l *Limiter) of(server routing.Life, limit Limit, now time.Time) *allowance {
 	a, ok := l.servers[server]
--- a/pkg/gateway/outage.go
+++ b/pkg/gateway/outage.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/pause"
 )
 
 const (
@@ -66,10 +67,15 @@
 	if !now.Before(x.awaitEnd()) {
 		return &RefusedError{Reason: f.cause.Error(), After: x.stayAway(age, now)}
 	}
-	select {
-	case <-ctx.Done():
+	return x.lookAgain(ctx, f)
+}
+
+// lookAgain waits a moment before the request looks for a server again, also among those that could not be
+// reached.
+func (x *exchange) lookAgain(ctx context.Context, f *failure) error {
+	pause.For(ctx, awaitCheck)
+	if ctx.Err() != nil {
 		return x.over(ctx, f)
-	case <-time.After(awaitCheck):
 	}
 	x.unreachedServers = nil
 	return nil
--- a/pkg/gateway/unavailable.go
+++ b/pkg/gateway/unavailable.go
@@ -98,13 +98,7 @@
 		return &RefusedError{Reason: f.cause.Error(), After: after}
 	}
 	x.queue()
-	select {
-	case <-ctx.Done():
-		return x.over(ctx, f)
-	case <-time.After(awaitCheck):
-	}
-	x.unreachedServers = nil
-	return nil
+	return x.lookAgain(ctx, f)
 }
 
 // untilAvailable estimates when a server may get the request, behind those that wait already; it returns
--- a/pkg/signals/signals.go
+++ b/pkg/signals/signals.go
@@ -91,7 +91,8 @@
 	return later
 }
 
-// Key is a server's life as boxes name it to each other, in short.
+// Key is a server's life as boxes name it to each other, in short. Two servers may share one: then what is
+// believed of either counts for both.
 type Key uint32
 
 // String implements fmt.Stringer.
--- a/pkg/signals/tracker.go
+++ b/pkg/signals/tracker.go
@@ -138,6 +138,8 @@
 	Limit   Limit
 	Leaving bool
 	Backoff Backoff
+	// BackoffEnd is when a server that does not accept requests may get them again.
+	BackoffEnd time.Time
 }
 
 // Constrained tells whether any signal of the server keeps requests from it.
@@ -154,14 +156,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o := t.observed(key, now)
-	return State{Limit: o.Limit, Leaving: o.Leaving, Backoff: t.backoffs.of(key, now)}
-}
-
-// BackoffEnd is when a server may get requests again, zero for one that may already.
-func (t *Tracker) BackoffEnd(key Key) time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.backoffs[key]
+	return State{Limit: o.Limit, Leaving: o.Leaving, Backoff: t.backoffs.of(key, now), BackoffEnd: t.backoffs[key]}
 }
 
 // Report returns what this box has observed itself, for the other boxes.
