directory, routerd: show the store's era and the announcements that are ignored

Now: a line and a gauge when the era in the store's responses rises, with the revisions known at that time; a counter by part and at most one line a second for announcements about a lower revision. No decision changes.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -120,6 +120,7 @@
 	// table and list follow the two parts of the source.
 	table, list    *follower
 	onNotification func(Notification)
+	outdated       *outdatedMessages
 	// applyMu serialises the changes of each part. It guards pendingDeltas, the table deltas whose
 	// base version is not in force yet.
 	applyMu       sync.Mutex
@@ -149,10 +150,10 @@
 
 // New returns an empty directory.
 func New(logger log.Logger) *Directory {
-	d := &Directory{logger: logger, servers: make(map[string]Server)}
+	d := &Directory{logger: logger, servers: make(map[string]Server), outdated: newOutdatedMessages(logger)}
 	d.view.Store(&View{})
-	d.table = newFollower(partTable, logger, func() bool { return d.View().Table != nil })
-	d.list = newFollower(partServers, logger, func() bool { return !d.View().ServersConfirmedAt.IsZero() })
+	d.table = newFollower(PartTable, logger, func() bool { return d.View().Table != nil })
+	d.list = newFollower(PartServers, logger, func() bool { return !d.View().ServersConfirmedAt.IsZero() })
 	return d
 }
 
--- a/pkg/directory/notifications.go
+++ b/pkg/directory/notifications.go
@@ -54,6 +54,8 @@
 // ApplyCheck applies the check of another box: it confirms a part that has not changed and queries
 // one that has.
 func (d *Directory) ApplyCheck(c Check) {
+	d.outdated.check(d.table, c.Revision)
+	d.outdated.check(d.list, c.Revision)
 	d.table.observe(c.Revision, c.TableChanged)
 	d.list.observe(c.Revision, c.ServersChanged)
 	d.confirm(c.Revision, c.AskedAt)
@@ -146,8 +148,11 @@
 		d.SetEvacuations(*n.Evacuations, n.EvacuationsAskedAt)
 	}
 	if n.ServersDelta != nil {
+		d.outdated.check(d.list, n.ServersDelta.To)
 		d.ApplyDelta(*n.ServersDelta)
 	}
+	d.outdated.check(d.table, n.TableChanged)
+	d.outdated.check(d.list, n.ServersChanged)
 	if n.TableDelta != nil {
 		d.applyTableDelta(tableDelta{Delta: *n.TableDelta, changed: n.TableChanged})
 	}
--- a/pkg/directory/stalled_watch_test.go
+++ b/pkg/directory/stalled_watch_test.go
@@ -52,7 +52,7 @@
 
 // Timeouts of an unavailable source must not count as stalled watches.
 func TestUnavailableSourceDoesNotForceFullRead(t *testing.T) {
-	f := newFollower(partTable, log.NewNopLogger(), func() bool { return true })
+	f := newFollower(PartTable, log.NewNopLogger(), func() bool { return true })
 	f.advance(position{revision: 3})
 	for range 2 * maxStalledWatches {
 		f.recordStall(f.target(), stalledError())
@@ -70,7 +70,7 @@
 
 // A target that is reached, by whatever means, must not be requested again.
 func TestReachedTargetsAreCleared(t *testing.T) {
-	f := newFollower(partTable, log.NewNopLogger(), func() bool { return true })
+	f := newFollower(PartTable, log.NewNopLogger(), func() bool { return true })
 	f.advance(position{revision: 3})
 	f.observe(0, 7)
 	assert.Equal(t, target{revision: 7, changed: 7}, f.target())
--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -4,8 +4,8 @@
 
 // Names of the parts in logs and metrics.
 const (
-	partTable   = "table"
-	partServers = "servers"
+	PartTable   = "table"
+	PartServers = "servers"
 )
 
 // State describes one part for metrics.
@@ -22,8 +22,8 @@
 func (d *Directory) States(now time.Time) map[string]State {
 	v := d.View()
 	return map[string]State{
-		partTable:   d.table.stateAt(v.TableConfirmedAt, now),
-		partServers: d.list.stateAt(v.ServersConfirmedAt, now),
+		PartTable:   d.table.stateAt(v.TableConfirmedAt, now),
+		PartServers: d.list.stateAt(v.ServersConfirmedAt, now),
 	}
 }
 
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -99,6 +99,7 @@
 	// limiter limits the request rate to servers that signal a rate limit.
 	limiter    *fleetlimit.Limiter
 	storeCalls *storeCalls
+	storeEra   *storeEra
 	gateway    *gateway.Gateway
 	metrics    *telemetry.Metrics
 
@@ -130,11 +131,12 @@
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.directory = directory.New(logs.For(logflags.Directory))
 	d.storeCalls = newStoreCalls(s.CallBudget)
+	d.storeEra = &storeEra{logger: d.logger, directory: d.directory}
 	unusable := newUnusableEntries(logs.For(logflags.Directory))
-	if err := metrics.AddGauges(append(directoryGauges(d.directory), d.storeCalls.gauge(), unusable.gauge())...); err != nil {
+	if err := metrics.AddGauges(append(directoryGauges(d.directory), d.storeCalls.gauge(), d.storeEra.gauge(), unusable.gauge())...); err != nil {
 		return nil, oops.In("telemetry").Wrap(err)
 	}
-	access := StoreAccess{Address: func() string { return d.settings.Load().Store }, Admit: d.storeCalls.admit, OnUnusableEntry: unusable.record}
+	access := StoreAccess{Address: func() string { return d.settings.Load().Store }, Admit: d.storeCalls.admit, OnUnusableEntry: unusable.record, OnEra: d.storeEra.observe}
 	d.source = a.Source(access)
 	self := roster.Entry{Box: s.Box.ID, Hall: s.Box.Hall, Peer: d.peerConn.LocalAddr().String(), LinkMbps: s.Limits.LinkMbps, Level: forms.Level}
 	d.roster = roster.New(a.Roster(access), self, storeLimits, logs.For(logflags.Directory))
--- a/pkg/routerd/gauges.go
+++ b/pkg/routerd/gauges.go
@@ -33,6 +33,7 @@
 			func(s directory.State) int64 { return int64(s.Revision) }),
 		partGauge("headhill_store_misses", "Questions of a part that the store has not answered.",
 			func(s directory.State) int64 { return int64(s.Failures) }),
+		{Name: "headhill_outdated_announcements", Help: "Announcements of other boxes that were ignored, as they were about an earlier revision.", Attribute: "part", Observe: d.OutdatedAnnouncements},
 	}
 }
 
--- a/pkg/routerd/storecalls.go
+++ b/pkg/routerd/storecalls.go
@@ -38,6 +38,8 @@
 	// OnUnusableEntry, if not nil, is called for each object that can't be decoded or is invalid.
 	// The name is "" if it can't be decoded.
 	OnUnusableEntry func(object, name string, err error)
+	// OnEra, if not nil, is called with the store's era in each response, zero if it has none.
+	OnEra func(era uint64)
 }
 
 // storeCalls limits this box's calls to its share of the store's call budget and counts them.
