--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -10,6 +10,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -22,6 +23,7 @@
 	"headhill.example/headhill/pkg/forms"
 	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // Timing configures how often the store is checked.
@@ -47,7 +49,9 @@
 	// same roster agree on it.
 	Rank      func() int
 	Directory *directory.Directory
-	Logger    log.Logger
+	// Eras is informed of the store's era in the announcements of other boxes.
+	Eras   *storerev.Tracker
+	Logger log.Logger
 }
 
 // datagramKind is the kind of announcements.
@@ -74,7 +78,10 @@
 // wall clocks differ between boxes.
 type message struct {
 	// Level is the forms level that the sender reads.
-	Level int           `json:"level,omitempty"`
+	Level int `json:"level,omitempty"`
+	// Era is the era of the store to which all revisions in the message belong, except that of the
+	// evacuations.
+	Era   uint64        `json:"era,omitempty"`
 	Check *checkMessage `json:"check,omitempty"`
 	Delta *deltaMessage `json:"delta,omitempty"`
 	// TableChanged is the revision of a new table, Table the delta that leads to it.
@@ -90,7 +97,7 @@
 
 // evacuationsMessage lists all evacuated halls, and the time since they were read from the store.
 type evacuationsMessage struct {
-	directory.Evacuations
+	directory.EvacuationsMessage
 	AgeMillis int64 `json:"age_ms"`
 }
 
@@ -156,6 +163,10 @@
 // A sender with a lower forms level does not read everything that this box does, so its deltas are
 // ignored and its checks do not replace those of this box.
 func (c *Checker) handle(m message) bool {
+	if err := c.Eras.Observe(m.Era); err != nil {
+		_ = level.Debug(c.Logger).Log("msg", "announcement of an earlier era ignored", "era", m.Era, "err", err)
+		return false
+	}
 	complete := forms.Complete(m.Level)
 	if !complete {
 		m = m.withoutDeltas()
@@ -164,23 +175,40 @@
 	if m.Check == nil {
 		return false
 	}
-	age := time.Duration(m.Check.AgeMillis) * time.Millisecond
-	c.Directory.ApplyCheck(directory.Check{
-		AskedAt: m.received.Add(-age - maxTransitTime), Revision: m.Check.Revision,
-		TableChanged: m.Check.TableChanged, ServersChanged: m.Check.ServersChanged,
-	})
+	c.Directory.ApplyCheck(m.check())
 	return complete
 }
 
+// check returns the check announced by a message.
+func (m message) check() directory.Check {
+	age := time.Duration(m.Check.AgeMillis) * time.Millisecond
+	return directory.Check{
+		AskedAt: m.received.Add(-age - maxTransitTime), Revision: m.revision(m.Check.Revision),
+		TableChanged: m.revision(m.Check.TableChanged), ServersChanged: m.revision(m.Check.ServersChanged),
+	}
+}
+
+// revision returns the revision with a number in the message. Zero stands for none.
+func (m message) revision(number uint64) storerev.Revision {
+	if number == 0 {
+		return 0
+	}
+	// Valid messages hold no revision that is out of range.
+	r, _ := storerev.New(m.Era, number)
+	return r
+}
+
 // notification returns the changes announced by a message.
 func (m message) notification() directory.Notification {
-	n := directory.Notification{TableChanged: m.TableChanged, TableDelta: m.Table, ServersChanged: m.ServersChanged}
+	n := directory.Notification{TableChanged: m.revision(m.TableChanged), TableDelta: m.Table, ServersChanged: m.revision(m.ServersChanged)}
 	if m.Delta != nil {
-		n.ServersDelta = &directory.Delta{From: m.Delta.From, To: m.Delta.To, Events: m.Delta.Events}
+		n.ServersDelta = &directory.Delta{From: m.revision(m.Delta.From), To: m.revision(m.Delta.To), Events: m.Delta.Events}
 	}
 	if m.Evacuations != nil {
 		age := time.Duration(m.Evacuations.AgeMillis) * time.Millisecond
-		n.Evacuations, n.EvacuationsAskedAt = &m.Evacuations.Evacuations, m.received.Add(-age-maxTransitTime)
+		// Valid messages hold no revision that is out of range.
+		evacuations, _ := m.Evacuations.Evacuations()
+		n.Evacuations, n.EvacuationsAskedAt = &evacuations, m.received.Add(-age-maxTransitTime)
 	}
 	return n
 }
@@ -215,9 +243,9 @@
 const repeatDelay = 30 * time.Millisecond
 
 func (c *Checker) announceCheck(check directory.Check) {
-	c.broadcast(message{Check: &checkMessage{
-		AgeMillis: clock.Since(check.AskedAt).Milliseconds(), Revision: check.Revision,
-		TableChanged: check.TableChanged, ServersChanged: check.ServersChanged,
+	c.broadcast(message{Era: check.Revision.Era(), Check: &checkMessage{
+		AgeMillis: clock.Since(check.AskedAt).Milliseconds(), Revision: check.Revision.Number(),
+		TableChanged: check.TableChanged.Number(), ServersChanged: check.ServersChanged.Number(),
 	}, Evacuations: c.evacuations()})
 }
 
@@ -228,16 +256,16 @@
 		return nil
 	}
 	age := clock.Since(c.Directory.EvacuationsConfirmedAt())
-	return &evacuationsMessage{Evacuations: e, AgeMillis: age.Milliseconds()}
+	return &evacuationsMessage{EvacuationsMessage: e.Message(), AgeMillis: age.Milliseconds()}
 }
 
 func (c *Checker) announceNotification(n directory.Notification) {
-	m := message{TableChanged: n.TableChanged, Table: n.TableDelta}
+	m := message{Era: n.Era(), TableChanged: n.TableChanged.Number(), Table: n.TableDelta, ServersChanged: n.ServersChanged.Number()}
 	if n.Evacuations != nil {
 		m.Evacuations = c.evacuations()
 	}
 	if n.ServersDelta != nil {
-		m.Delta = &deltaMessage{From: n.ServersDelta.From, To: n.ServersDelta.To, Events: n.ServersDelta.Events}
+		m.Delta = &deltaMessage{From: n.ServersDelta.From.Number(), To: n.ServersDelta.To.Number(), Events: n.ServersDelta.Events}
 	}
 	c.broadcast(m)
 }
@@ -306,5 +334,26 @@
 	if m.Evacuations != nil && (m.Evacuations.AgeMillis < 0 || m.Evacuations.Revision == 0) {
 		return false
 	}
+	if !m.revisionsInRange() {
+		return false
+	}
 	return m.Check == nil || m.Check.AgeMillis >= 0 && m.Check.AgeMillis <= maxAge.Milliseconds()
 }
+
+// revisionsInRange reports whether all revisions in the message can be represented.
+func (m message) revisionsInRange() bool {
+	numbers := []uint64{m.TableChanged, m.ServersChanged}
+	if m.Check != nil {
+		numbers = append(numbers, m.Check.Revision, m.Check.TableChanged, m.Check.ServersChanged)
+	}
+	if m.Delta != nil {
+		numbers = append(numbers, m.Delta.From, m.Delta.To)
+	}
+	if m.Evacuations != nil {
+		if _, err := m.Evacuations.Evacuations(); err != nil {
+			return false
+		}
+	}
+	_, err := storerev.New(m.Era, slices.Max(numbers))
+	return err == nil
+}
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -21,6 +21,7 @@
 	"headhill.example/headhill/pkg/forms"
 	"headhill.example/headhill/pkg/forms/formstest"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 func listen(t *testing.T) *net.UDPConn {
@@ -263,13 +264,13 @@
 }
 
 // emptySource is a store without servers.
-type emptySource struct{ revision uint64 }
+type emptySource struct{ revision storerev.Revision }
 
 func (s emptySource) ReadTable(context.Context) (directory.TableResult, error) {
 	return directory.TableResult{Table: routing.NewTable(routing.Content{Version: 1}), Revision: s.revision, Changed: s.revision}, nil
 }
 
-func (emptySource) WatchTable(ctx context.Context, _ uint64, _ time.Duration, _ int) (directory.TableResult, error) {
+func (emptySource) WatchTable(ctx context.Context, _ storerev.Revision, _ time.Duration, _ int) (directory.TableResult, error) {
 	<-ctx.Done()
 	return directory.TableResult{}, ctx.Err()
 }
@@ -282,13 +283,13 @@
 	return directory.Evacuations{}, nil
 }
 
-func (emptySource) WatchServers(ctx context.Context, _ uint64, _ time.Duration) (directory.ServerChanges, error) {
+func (emptySource) WatchServers(ctx context.Context, _ storerev.Revision, _ time.Duration) (directory.ServerChanges, error) {
 	<-ctx.Done()
 	return directory.ServerChanges{}, ctx.Err()
 }
 
 // directoryAt returns a directory with an empty list at a revision. It is not following its source.
-func directoryAt(t *testing.T, revision uint64) *directory.Directory {
+func directoryAt(t *testing.T, revision storerev.Revision) *directory.Directory {
 	d := directory.New(log.NewNopLogger())
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
--- a/pkg/directory/bench_test.go
+++ b/pkg/directory/bench_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // BenchmarkChange measures one change of the list of servers at one box.
@@ -24,7 +25,7 @@
 			for i := range b.N {
 				s := serverIn("east", i%n)
 				s.Leaving = i%2 == 0
-				d.ApplyDelta(Delta{From: uint64(i + 1), To: uint64(i + 2), Events: []ServerEvent{{Server: s}}})
+				d.ApplyDelta(Delta{From: storerev.Revision(i + 1), To: storerev.Revision(i + 2), Events: []ServerEvent{{Server: s}}})
 			}
 		})
 	}
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // Server is a backend server and its state in the list.
@@ -188,15 +189,16 @@
 	d.view.Store(&v)
 }
 
-// confirm advances the confirmation time of each part that has reached a revision.
-func (d *Directory) confirm(revision uint64, askedAt time.Time) {
+// confirm advances the confirmation time of each part that has reached a revision in its era. A
+// revision of an earlier era confirms nothing.
+func (d *Directory) confirm(revision storerev.Revision, askedAt time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	v := *d.view.Load()
-	if d.table.position().revision >= revision {
+	if d.table.confirmedBy(revision) {
 		v.TableConfirmedAt = laterIfSet(v.TableConfirmedAt, askedAt)
 	}
-	if d.list.position().revision >= revision {
+	if d.list.confirmedBy(revision) {
 		v.ServersConfirmedAt = laterIfSet(v.ServersConfirmedAt, askedAt)
 	}
 	d.view.Store(&v)
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -15,6 +15,7 @@
 
 	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // fakeSource is a Source whose history is a list of events.
@@ -30,7 +31,7 @@
 	// staleLag is the number of events by which stale pages lag behind.
 	staleLag int
 	// compacted is the revision up to which the history has been compacted.
-	compacted   uint64
+	compacted   storerev.Revision
 	evacuations Evacuations
 }
 
@@ -38,15 +39,15 @@
 	return TableResult{Table: routing.NewTable(routing.Content{Version: 1}), Revision: s.revision(), Changed: 1}, nil
 }
 
-func (s *fakeSource) WatchTable(ctx context.Context, _ uint64, wait time.Duration, _ int) (TableResult, error) {
+func (s *fakeSource) WatchTable(ctx context.Context, _ storerev.Revision, wait time.Duration, _ int) (TableResult, error) {
 	pause.For(ctx, wait)
 	return TableResult{Revision: s.revision()}, ctx.Err()
 }
 
-func (s *fakeSource) revision() uint64 {
+func (s *fakeSource) revision() storerev.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return uint64(len(s.events) + 1)
+	return storerev.Revision(len(s.events) + 1)
 }
 
 func (s *fakeSource) ReadServers(_ context.Context, from string, stale bool) (ServersPage, error) {
@@ -65,11 +66,11 @@
 	}
 	list := replay(events)
 	if s.pageSize == 0 || len(list) == 0 {
-		return ServersPage{Servers: list, Revision: uint64(len(events) + 1)}, nil
+		return ServersPage{Servers: list, Revision: storerev.Revision(len(events) + 1)}, nil
 	}
 	begin, _ := strconv.Atoi(from)
 	end := min(begin+s.pageSize, len(list))
-	page := ServersPage{Servers: list[min(begin, len(list)):max(end, min(begin, len(list)))], Revision: uint64(len(events) + 1)}
+	page := ServersPage{Servers: list[min(begin, len(list)):max(end, min(begin, len(list)))], Revision: storerev.Revision(len(events) + 1)}
 	if end < len(list) {
 		page.Next = strconv.Itoa(end)
 	}
@@ -120,7 +121,7 @@
 	return s.evacuations, ctx.Err()
 }
 
-func (s *fakeSource) WatchServers(ctx context.Context, after uint64, wait time.Duration) (ServerChanges, error) {
+func (s *fakeSource) WatchServers(ctx context.Context, after storerev.Revision, wait time.Duration) (ServerChanges, error) {
 	pause.For(ctx, wait)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -128,7 +129,7 @@
 	if after < s.compacted {
 		return ServerChanges{}, ErrHistoryLost
 	}
-	return ServerChanges{Events: append([]ServerEvent(nil), s.events[after-1:]...), Revision: uint64(len(s.events) + 1)}, ctx.Err()
+	return ServerChanges{Events: append([]ServerEvent(nil), s.events[after-1:]...), Revision: storerev.Revision(len(s.events) + 1)}, ctx.Err()
 }
 
 // replay returns the list after some events.
@@ -180,7 +181,7 @@
 		for range rapid.IntRange(0, 40).Draw(t, "deltas") {
 			from := rapid.IntRange(0, len(events)).Draw(t, "from")
 			to := rapid.IntRange(from, len(events)).Draw(t, "to")
-			d.ApplyDelta(Delta{From: uint64(from + 1), To: uint64(to + 1), Events: events[from:to]})
+			d.ApplyDelta(Delta{From: storerev.Revision(from + 1), To: storerev.Revision(to + 1), Events: events[from:to]})
 			at := int(d.list.position().revision) - 1
 			want := make(map[string]routing.Server)
 			for _, s := range replay(events[:at]) {
@@ -231,7 +232,7 @@
 		source.mu.Unlock()
 		d.ApplyCheck(Check{AskedAt: time.Now(), Revision: 2, TableChanged: 1, ServersChanged: 2})
 		assert.Eventually(t, func() bool { return len(d.listed()) == 1 }, 5*time.Second, time.Millisecond)
-		assert.Equal(t, uint64(2), d.table.position().revision, "an unchanged part is confirmed without a query")
+		assert.Equal(t, storerev.Revision(2), d.table.position().revision, "an unchanged part is confirmed without a query")
 	})
 }
 
@@ -243,8 +244,8 @@
 		source.mu.Unlock()
 		check, ok := d.Verify(ctx, 2, time.Now(), testTiming())
 		assert.True(t, ok)
-		assert.Equal(t, uint64(2), check.ServersChanged)
-		assert.Equal(t, uint64(1), check.TableChanged)
+		assert.Equal(t, storerev.Revision(2), check.ServersChanged)
+		assert.Equal(t, storerev.Revision(1), check.TableChanged)
 		assert.Len(t, d.listed(), 1)
 		_, ok = d.Verify(ctx, 99, time.Now(), Timing{MaxLag: 50 * time.Millisecond})
 		assert.False(t, ok, "no check is returned for a revision that was not reached")
--- a/pkg/directory/evacuations.go
+++ b/pkg/directory/evacuations.go
@@ -9,13 +9,32 @@
 	"github.com/go-kit/log/level"
 
 	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // Evacuations is the set of halls whose servers must not get work, at a revision of the source.
 type Evacuations struct {
-	Halls []string `json:"halls"`
+	Halls []string
 	// Revision is the revision of the source; zero if the halls were never read.
-	Revision uint64 `json:"revision"`
+	Revision storerev.Revision
+}
+
+// EvacuationsMessage is the form in which boxes exchange evacuated halls.
+type EvacuationsMessage struct {
+	Halls    []string `json:"halls"`
+	Revision uint64   `json:"revision"`
+	Era      uint64   `json:"era,omitempty"`
+}
+
+// Message returns the evacuations in the form for other boxes.
+func (e Evacuations) Message() EvacuationsMessage {
+	return EvacuationsMessage{Halls: e.Halls, Revision: e.Revision.Number(), Era: e.Revision.Era()}
+}
+
+// Evacuations returns the evacuations in a message. The error is a *storerev.RangeError.
+func (m EvacuationsMessage) Evacuations() (Evacuations, error) {
+	revision, err := storerev.New(m.Era, m.Revision)
+	return Evacuations{Halls: m.Halls, Revision: revision}, err
 }
 
 func (e Evacuations) hallSet() map[string]bool {
--- a/pkg/directory/evacuations_test.go
+++ b/pkg/directory/evacuations_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 func serverIn(hall string, i int) routing.Server {
@@ -80,7 +81,7 @@
 			hall := rapid.SampledFrom(halls).Draw(t, "hall")
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0:
-				e := Evacuations{Halls: rapid.SliceOfNDistinct(rapid.SampledFrom(halls), 0, 3, rapid.ID).Draw(t, "halls"), Revision: rapid.Uint64Range(0, 20).Draw(t, "revision")}
+				e := Evacuations{Halls: rapid.SliceOfNDistinct(rapid.SampledFrom(halls), 0, 3, rapid.ID).Draw(t, "halls"), Revision: storerev.Revision(rapid.Uint64Range(0, 20).Draw(t, "revision"))}
 				// A revision has only one set of halls.
 				if e.Revision == highest.Revision {
 					continue
--- a/pkg/directory/follow.go
+++ b/pkg/directory/follow.go
@@ -87,6 +87,9 @@
 		switch {
 		case needsFullRead(err):
 			f.requireFullRead()
+			if n := f.countLostHistory(err); n > 1 {
+				pause.For(ctx, backoff(t, n))
+			}
 		case interrupted:
 		case err == nil:
 			f.batchChanges(ctx, t)
@@ -153,12 +156,13 @@
 		return withCause(ctx, err)
 	}
 	f.advance(pos)
+	f.resetLostHistory()
 	return nil
 }
 
 // needsFullRead reports whether an error requires a full read.
 func needsFullRead(err error) bool {
-	return errors.Is(err, ErrHistoryLost) || errors.Is(err, ErrHistoryTooLong)
+	return errors.Is(err, ErrHistoryLost) || errors.Is(err, ErrHistoryTooLong) || errors.Is(err, ErrRestored)
 }
 
 // withCause adds the cancellation cause of a context to an error that lacks it.
--- a/pkg/directory/follow_test.go
+++ b/pkg/directory/follow_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"headhill.example/headhill/pkg/pause"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // unresponsiveSource is a Source that does not answer before availableFrom, and then with latency.
@@ -98,7 +99,7 @@
 	return c.Source.ReadTable(ctx)
 }
 
-func (c *countingSource) WatchTable(ctx context.Context, after uint64, wait time.Duration, maxBytes int) (TableResult, error) {
+func (c *countingSource) WatchTable(ctx context.Context, after storerev.Revision, wait time.Duration, maxBytes int) (TableResult, error) {
 	c.calls.Add(1)
 	return c.Source.WatchTable(ctx, after, wait, maxBytes)
 }
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -8,13 +8,14 @@
 	"github.com/go-kit/log"
 
 	"headhill.example/headhill/pkg/stall"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // position is how far a part is synchronised: the source revision, and the last revision at which
 // the part changed, zero if no change was seen.
 type position struct {
-	revision uint64
-	changed  uint64
+	revision storerev.Revision
+	changed  storerev.Revision
 }
 
 // follower keeps one part of the directory in sync with the source.
@@ -24,7 +25,7 @@
 	wake   chan struct{}
 	// loaded reports whether the part has been read.
 	loaded      func() bool
-	lastBatched uint64
+	lastBatched storerev.Revision
 
 	mu  sync.Mutex
 	pos position
@@ -36,6 +37,8 @@
 	// stalledWatches counts consecutive watches that sent no first byte in time although the source
 	// has changes to report.
 	stalledWatches int
+	// lostHistories counts consecutive watches whose history was lost.
+	lostHistories int
 	// totalFailures counts the failed requests since the start.
 	totalFailures int
 	// longPoll is the watch that waits for the next change, or nil.
@@ -48,11 +51,11 @@
 type target struct {
 	// revision is one that the source is known to have reached, changed one at which the part is
 	// known to have changed. Zero stands for none.
-	revision, changed uint64
+	revision, changed storerev.Revision
 }
 
 // unreached returns the target without the revisions up to the given one.
-func (t target) unreached(revision uint64) target {
+func (t target) unreached(revision storerev.Revision) target {
 	if t.revision <= revision {
 		t.revision = 0
 	}
@@ -91,7 +94,7 @@
 }
 
 // requireRevision triggers a query if the part is behind a revision of the source.
-func (f *follower) requireRevision(revision uint64) {
+func (f *follower) requireRevision(revision storerev.Revision) {
 	f.mu.Lock()
 	behind := f.pos.revision < revision
 	var w *longPoll
@@ -110,9 +113,13 @@
 	}
 }
 
-// observe records that, as of revision, the part last changed at revision changed.
-func (f *follower) observe(revision, changed uint64) {
+// observe records that, as of revision, the part last changed at revision changed. A part that was
+// not read in the era of the revision counts as changed.
+func (f *follower) observe(revision, changed storerev.Revision) {
 	f.mu.Lock()
+	if start := storerev.StartOf(revision.Era()); f.pos.revision < start {
+		changed = max(changed, start)
+	}
 	behind := f.pos.revision < changed
 	switch {
 	case behind:
@@ -126,6 +133,12 @@
 	}
 }
 
+// confirmedBy reports whether the part is at or past a revision of the same era.
+func (f *follower) confirmedBy(revision storerev.Revision) bool {
+	pos := f.position().revision
+	return pos >= revision && pos.SameEra(revision)
+}
+
 func (f *follower) target() target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -186,10 +199,11 @@
 	f.advanceLocked(pos)
 }
 
-// advanceLocked moves the position forward. The caller holds mu.
+// advanceLocked moves the position forward. The first position in an era counts as a change. The
+// caller holds mu.
 func (f *follower) advanceLocked(pos position) {
 	f.pos.revision = max(f.pos.revision, pos.revision)
-	f.pos.changed = max(f.pos.changed, pos.changed)
+	f.pos.changed = max(f.pos.changed, pos.changed, storerev.StartOf(f.pos.revision.Era()))
 	f.pending = f.pending.unreached(f.pos.revision)
 }
 
@@ -216,8 +230,26 @@
 	return f.stalledWatches >= maxStalledWatches
 }
 
-// extendedBy reports whether a delta continues the current position without a gap.
+// countLostHistory counts a watch that failed because its history was lost, and returns how many did
+// in a row.
+func (f *follower) countLostHistory(err error) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !errors.Is(err, ErrHistoryTooLong) {
+		f.lostHistories++
+	}
+	return f.lostHistories
+}
+
+func (f *follower) resetLostHistory() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lostHistories = 0
+}
+
+// extendedBy reports whether a delta continues the current position without a gap. A delta that leads
+// from one era to another does not, as the changes lost in between are not part of it.
 func (f *follower) extendedBy(delta Delta) bool {
 	pos := f.position()
-	return pos.revision > 0 && delta.From <= pos.revision && pos.revision < delta.To
+	return pos.revision > 0 && delta.From <= pos.revision && pos.revision < delta.To && delta.From.SameEra(delta.To)
 }
--- a/pkg/directory/history.go
+++ b/pkg/directory/history.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // maxHistoryEvents bounds the list changes kept for boxes that lag behind. It covers the
@@ -13,7 +14,7 @@
 // listHistory keeps the most recent changes of the list of servers.
 type listHistory struct {
 	// from is the revision after which all changes are known.
-	from    uint64
+	from    storerev.Revision
 	entries []historyEntry
 	events  int
 }
@@ -30,7 +31,7 @@
 func (d historyEntry) size() int { return max(1, len(d.Events)) }
 
 // reset starts the history at the revision of a first list.
-func (h *listHistory) reset(revision uint64) { *h = listHistory{from: revision} }
+func (h *listHistory) reset(revision storerev.Revision) { *h = listHistory{from: revision} }
 
 // addFullRead records the difference to a list that was read in full.
 func (h *listHistory) addFullRead(d Delta) {
@@ -58,7 +59,7 @@
 
 // since returns the last change of each server after a revision, or false if these are not all
 // known.
-func (h *listHistory) since(revision uint64) ([]ServerEvent, bool) {
+func (h *listHistory) since(revision storerev.Revision) ([]ServerEvent, bool) {
 	if h.from == 0 || revision < h.from {
 		return nil, false
 	}
@@ -88,7 +89,7 @@
 	// Servers is the whole list; nil if Delta is set.
 	Servers           []routing.Server
 	Delta             *Delta
-	Revision, Changed uint64
+	Revision, Changed storerev.Revision
 	ConfirmedAt       time.Time
 	Evacuations       Evacuations
 }
--- a/pkg/directory/history_test.go
+++ b/pkg/directory/history_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // listedServers returns the servers that are listed.
@@ -39,7 +40,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Now()
 		first, second := New(log.NewNopLogger()), New(log.NewNopLogger())
-		revision := uint64(1)
+		revision := storerev.Revision(1)
 		first.applyList(nil, revision, now)
 		second.applyList(nil, revision, now)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
@@ -74,7 +75,7 @@
 }
 
 // watch applies the changes up to a revision.
-func (r replica) watch(to uint64) {
+func (r replica) watch(to storerev.Revision) {
 	from := r.directory.list.position().revision
 	if from < to {
 		r.directory.ApplyDelta(Delta{From: from, To: to, Events: (*r.events)[from-1 : to-1]})
@@ -82,7 +83,7 @@
 }
 
 // read applies the whole list at a revision.
-func (r replica) read(at uint64) {
+func (r replica) read(at storerev.Revision) {
 	r.directory.applyList(replay((*r.events)[:at-1]), at, time.Now())
 }
 
@@ -98,16 +99,16 @@
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			b := boxes[rapid.IntRange(0, 2).Draw(t, "box")]
-			newest := uint64(len(events) + 1)
+			newest := storerev.Revision(len(events) + 1)
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			default:
 				s := routing.Server{ID: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"), Slots: rapid.IntRange(1, 2).Draw(t, "slots")}
 				events = append(events, ServerEvent{Server: s, Removed: rapid.IntRange(0, 3).Draw(t, "removed") == 0})
 				continue
 			case 2:
-				b.watch(rapid.Uint64Range(1, newest).Draw(t, "to"))
+				b.watch(storerev.Revision(rapid.Uint64Range(1, uint64(newest)).Draw(t, "to")))
 			case 3:
-				b.read(rapid.Uint64Range(1, newest).Draw(t, "at"))
+				b.read(storerev.Revision(rapid.Uint64Range(1, uint64(newest)).Draw(t, "at")))
 			case 4, 5:
 				other := boxes[rapid.IntRange(0, 2).Draw(t, "other")].directory
 				if !other.list.loaded() {
@@ -167,7 +168,7 @@
 func TestHistoryIsBounded(t *testing.T) {
 	var h listHistory
 	h.reset(1)
-	for i := range uint64(maxHistoryEvents + 10) {
+	for i := range storerev.Revision(maxHistoryEvents + 10) {
 		h.add(Delta{From: i + 1, To: i + 2, Events: []ServerEvent{{Server: serverIn("east", int(i))}}})
 	}
 	assert.Equal(t, maxHistoryEvents, h.events)
@@ -181,7 +182,7 @@
 }
 
 // copySince returns the copy for a box that knows the list at a revision.
-func copySince(d *Directory, since uint64) ListCopy {
+func copySince(d *Directory, since storerev.Revision) ListCopy {
 	if c, ok := d.ListSince(since); ok {
 		return c
 	}
--- a/pkg/directory/notifications.go
+++ b/pkg/directory/notifications.go
@@ -7,6 +7,7 @@
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // Check is the result of a verification: the source's revision, and the revision at which each part
@@ -14,21 +15,21 @@
 type Check struct {
 	// AskedAt is when the source was queried, so its answer is at least as recent.
 	AskedAt        time.Time
-	Revision       uint64
-	TableChanged   uint64
-	ServersChanged uint64
+	Revision       storerev.Revision
+	TableChanged   storerev.Revision
+	ServersChanged storerev.Revision
 }
 
 // Delta holds the changes of the list of servers between two revisions.
 type Delta struct {
-	From, To uint64
+	From, To storerev.Revision
 	Events   []ServerEvent
 }
 
 // Verify brings both parts up to a revision that the source had at askedAt, and notifies the other
 // boxes of changes. It returns the check to broadcast, or false if the parts did not get there
 // within MaxLag.
-func (d *Directory) Verify(ctx context.Context, revision uint64, askedAt time.Time, t Timing) (Check, bool) {
+func (d *Directory) Verify(ctx context.Context, revision storerev.Revision, askedAt time.Time, t Timing) (Check, bool) {
 	d.verifications.Add(1)
 	defer d.verifications.Add(-1)
 	for _, f := range []*follower{d.table, d.list} {
@@ -87,19 +88,31 @@
 // Notification announces a change of the table or of the list to the other boxes.
 type Notification struct {
 	// TableChanged is the revision of the new table, zero for none.
-	TableChanged uint64
+	TableChanged storerev.Revision
 	// TableDelta leads from the previous table to the new one; nil if there was none.
 	TableDelta *routing.Delta
 	// ServersDelta holds the changes of the list. If it is nil, ServersChanged may still name the
 	// revision at which the list changed.
 	ServersDelta   *Delta
-	ServersChanged uint64
+	ServersChanged storerev.Revision
 	// Evacuations is the whole set of evacuated halls as of EvacuationsAskedAt; nil for no
 	// information.
 	Evacuations        *Evacuations
 	EvacuationsAskedAt time.Time
 }
 
+// Era returns the era of the source in which the changes were made.
+func (n Notification) Era() uint64 {
+	latest := max(n.TableChanged, n.ServersChanged)
+	if n.ServersDelta != nil {
+		latest = max(latest, n.ServersDelta.To)
+	}
+	if n.Evacuations != nil {
+		latest = max(latest, n.Evacuations.Revision)
+	}
+	return latest.Era()
+}
+
 // OnNotification sets the function that broadcasts the changes this box sees first.
 func (d *Directory) OnNotification(f func(Notification)) { d.onNotification = f }
 
@@ -108,7 +121,7 @@
 	if result.Table == nil || !d.shouldNotify(wait) {
 		return
 	}
-	n := Notification{TableChanged: result.Changed}
+	n := Notification{TableChanged: max(result.Changed, storerev.StartOf(result.Revision.Era()))}
 	if before != nil && before.Version < result.Table.Version {
 		delta := routing.Diff(before, result.Table)
 		n.TableDelta = &delta
@@ -116,6 +129,14 @@
 	d.onNotification(n)
 }
 
+// notifyEra announces that this box has read a part in a later era than before, so that the other
+// boxes copy it.
+func (d *Directory) notifyEra(n Notification, before, revision storerev.Revision) {
+	if d.onNotification != nil && before > 0 && before < storerev.StartOf(revision.Era()) {
+		d.onNotification(n)
+	}
+}
+
 // notifyServers announces changes of the list that the other boxes may not know yet.
 func (d *Directory) notifyServers(delta Delta, wait time.Duration) {
 	if len(delta.Events) > 0 && d.shouldNotify(wait) {
@@ -123,6 +144,13 @@
 	}
 }
 
+// ObserveEra brings both parts to an era of the source that was seen in a response.
+func (d *Directory) ObserveEra(era uint64) {
+	start := storerev.StartOf(era)
+	d.table.observe(0, start)
+	d.list.observe(0, start)
+}
+
 // ReadEvacuations reads the evacuated halls from a source and notifies the other boxes if they
 // changed.
 func (d *Directory) ReadEvacuations(ctx context.Context, source Source, askedAt time.Time) error {
--- a/pkg/directory/notifications_test.go
+++ b/pkg/directory/notifications_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 func tableOf(version uint64, routes ...string) *routing.Table {
@@ -21,7 +22,7 @@
 }
 
 // directoryAt returns a directory with a table and an empty list at a revision.
-func directoryAt(t *routing.Table, revision uint64) *Directory {
+func directoryAt(t *routing.Table, revision storerev.Revision) *Directory {
 	d := New(log.NewNopLogger())
 	d.setTable(t, time.Now())
 	d.setServers(nil, time.Now())
@@ -89,6 +90,6 @@
 	calls := source.calls
 	receiver.ApplyNotification(received[0])
 	assert.Equal(t, sender.listed(), receiver.listed())
-	assert.Equal(t, uint64(5), receiver.list.position().revision)
+	assert.Equal(t, storerev.Revision(5), receiver.list.position().revision)
 	assert.Equal(t, calls, source.calls)
 }
--- a/pkg/directory/outdated.go
+++ b/pkg/directory/outdated.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // outdatedLogInterval limits the log lines about outdated messages of each part.
@@ -29,7 +30,7 @@
 }
 
 // check counts a message about a part if its revision is outdated. Revision zero stands for none.
-func (o *outdatedMessages) check(f *follower, revision uint64) {
+func (o *outdatedMessages) check(f *follower, revision storerev.Revision) {
 	known := f.position().revision
 	if revision == 0 || revision >= known {
 		return
--- a/pkg/directory/parts.go
+++ b/pkg/directory/parts.go
@@ -10,6 +10,7 @@
 	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/routing"
 	"headhill.example/headhill/pkg/stall"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // part is one part of the directory: the routing table or the list of servers.
@@ -20,9 +21,9 @@
 	// read reads the whole part from the source.
 	read(ctx context.Context, askedAt time.Time) (position, error)
 	// watch applies the changes after a revision.
-	watch(ctx context.Context, after uint64, wait time.Duration) (position, error)
+	watch(ctx context.Context, after storerev.Revision, wait time.Duration) (position, error)
 	// fetch copies the part from another box that knows it at minRevision or later.
-	fetch(ctx context.Context, minRevision uint64) (position, error)
+	fetch(ctx context.Context, minRevision storerev.Revision) (position, error)
 }
 
 type tablePart struct {
@@ -67,7 +68,7 @@
 	return p.applyResult(result, askedAt, wait), nil
 }
 
-func (p *tablePart) watch(ctx context.Context, after uint64, wait time.Duration) (position, error) {
+func (p *tablePart) watch(ctx context.Context, after storerev.Revision, wait time.Duration) (position, error) {
 	result, err := p.source.WatchTable(ctx, after, wait, p.maxHistoryBytes())
 	if needsFullRead(err) {
 		p.failedWatchWait = wait
@@ -83,8 +84,11 @@
 	if result.Table != nil {
 		p.lastTableBytes = result.Bytes
 	}
+	known := p.directory.table.position().revision
 	before := p.directory.applyTable(result, at)
 	p.directory.notifyTable(before, result, wait)
+	start := storerev.StartOf(result.Revision.Era())
+	p.directory.notifyEra(Notification{TableChanged: max(result.Changed, start)}, known, result.Revision)
 	return position{revision: result.Revision, changed: result.Changed}
 }
 
@@ -109,8 +113,8 @@
 	if err == nil && list.stale {
 		err = p.catchUp(ctx, &list)
 	}
-	if errors.Is(err, ErrHistoryLost) {
-		// The changes since the stale pages are compacted.
+	if needsFullRead(err) || isOlderEra(err) {
+		// The changes since the stale pages are compacted, or the pages are of different eras.
 		list, err = p.readPages(ctx, false)
 	}
 	if err != nil {
@@ -118,7 +122,8 @@
 	}
 	before := p.directory.list.position().revision
 	events := p.directory.applyList(list.servers, list.revision, askedAt)
-	if before > 0 {
+	p.directory.notifyEra(Notification{ServersChanged: list.revision}, before, list.revision)
+	if before > 0 && before.SameEra(list.revision) {
 		p.directory.notifyServers(Delta{From: before, To: list.revision, Events: events}, pollWait)
 	}
 	// A list does not show when servers were removed.
@@ -139,7 +144,7 @@
 // pagedList is a list assembled from pages, none of them older than its revision.
 type pagedList struct {
 	servers  []routing.Server
-	revision uint64
+	revision storerev.Revision
 	stale    bool
 }
 
@@ -156,6 +161,9 @@
 		if err != nil {
 			return pagedList{}, err
 		}
+		if !page.Revision.SameEra(firstPage.Revision) {
+			return pagedList{}, ErrRestored
+		}
 		list.stale = stale
 		list.servers = append(list.servers, page.Servers...)
 		if stale {
@@ -184,6 +192,12 @@
 	return nil
 }
 
+// isOlderEra reports whether an answer was rejected because its era has ended.
+func isOlderEra(err error) bool {
+	var older *storerev.OlderEraError
+	return errors.As(err, &older)
+}
+
 // maxPageAttempts bounds the attempts for each page. Retrying a page instead of the whole list lets
 // the read complete when the source rejects many calls.
 const maxPageAttempts = 12
@@ -191,7 +205,7 @@
 func (p *serversPart) readPage(ctx context.Context, from string, stale bool) (page ServersPage, err error) {
 	for attempt := range maxPageAttempts {
 		page, err = p.readPageOnce(ctx, from, stale, p.directory.list.answerTimeout(p.timing))
-		if err == nil || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil || isOlderEra(err) {
 			return page, err
 		}
 		p.directory.list.countFailure()
@@ -206,7 +220,7 @@
 	return p.source.ReadServers(ctx, from, stale)
 }
 
-func (p *serversPart) watch(ctx context.Context, after uint64, wait time.Duration) (position, error) {
+func (p *serversPart) watch(ctx context.Context, after storerev.Revision, wait time.Duration) (position, error) {
 	changes, err := p.source.WatchServers(ctx, after, wait)
 	if err != nil {
 		return position{}, err
--- a/pkg/directory/providers.go
+++ b/pkg/directory/providers.go
@@ -12,6 +12,7 @@
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // ErrNoProvider is returned if there is no other box to query.
@@ -28,7 +29,7 @@
 	Table *routing.Table
 	// Revision is the revision up to which the table is known, Changed the one at which it last
 	// changed.
-	Revision, Changed uint64
+	Revision, Changed storerev.Revision
 	// ConfirmedAt is when the source confirmed the table.
 	ConfirmedAt time.Time
 }
@@ -37,10 +38,10 @@
 type Providers interface {
 	// Table requests a table known at minRevision or later. The table in force, which may be nil,
 	// need not be sent again.
-	Table(ctx context.Context, inForce *routing.Table, minRevision uint64) (TableCopy, error)
+	Table(ctx context.Context, inForce *routing.Table, minRevision storerev.Revision) (TableCopy, error)
 	// Servers requests the list known at minRevision or later. If since is not zero, a delta from
 	// that revision is sufficient.
-	Servers(ctx context.Context, since, minRevision uint64) (ListCopy, error)
+	Servers(ctx context.Context, since, minRevision storerev.Revision) (ListCopy, error)
 }
 
 // shouldQueryProviders reports whether to query other boxes before the source: a box that is no
@@ -65,7 +66,7 @@
 }
 
 // fetch implements part.
-func (p *tablePart) fetch(ctx context.Context, minRevision uint64) (position, error) {
+func (p *tablePart) fetch(ctx context.Context, minRevision storerev.Revision) (position, error) {
 	c, err := p.providers.Table(ctx, p.directory.View().Table, minRevision)
 	if err != nil {
 		return position{}, err
@@ -75,7 +76,7 @@
 }
 
 // fetch implements part.
-func (p *serversPart) fetch(ctx context.Context, minRevision uint64) (position, error) {
+func (p *serversPart) fetch(ctx context.Context, minRevision storerev.Revision) (position, error) {
 	c, err := p.providers.Servers(ctx, p.deltaBase(), minRevision)
 	if err != nil {
 		return position{}, err
@@ -91,7 +92,7 @@
 
 // deltaBase returns the revision to which a delta of the list can be applied, or zero if the whole
 // list is needed.
-func (p *serversPart) deltaBase() uint64 {
+func (p *serversPart) deltaBase() storerev.Revision {
 	if !p.directory.list.canWatch() {
 		return 0
 	}
@@ -100,7 +101,7 @@
 
 // applyList replaces the list with one known at a revision, and returns the differences. It rejects
 // a list that changes received in the meantime have overtaken.
-func (d *Directory) applyList(list []routing.Server, revision uint64, at time.Time) []ServerEvent {
+func (d *Directory) applyList(list []routing.Server, revision storerev.Revision, at time.Time) []ServerEvent {
 	d.applyMu.Lock()
 	defer d.applyMu.Unlock()
 	if pos := d.list.position(); pos.revision > revision {
@@ -109,7 +110,7 @@
 	}
 	before := d.list.position().revision
 	events := d.setServers(list, at)
-	if before == 0 {
+	if before == 0 || !before.SameEra(revision) {
 		d.history.reset(revision)
 	} else {
 		d.history.addFullRead(Delta{From: before, To: revision, Events: events})
@@ -123,7 +124,7 @@
 
 // TableCopy returns this box's table once it has reached minRevision. If ctx ends first, the error
 // is ErrBehind or ErrLoading.
-func (d *Directory) TableCopy(ctx context.Context, minRevision uint64) (TableCopy, error) {
+func (d *Directory) TableCopy(ctx context.Context, minRevision storerev.Revision) (TableCopy, error) {
 	if err := d.table.awaitRevision(ctx, minRevision); err != nil {
 		return TableCopy{}, err
 	}
@@ -135,7 +136,7 @@
 
 // ListMetadata returns a copy of the list without servers or delta, once it has reached
 // minRevision. If ctx ends first, the error is ErrBehind or ErrLoading.
-func (d *Directory) ListMetadata(ctx context.Context, minRevision uint64) (ListCopy, error) {
+func (d *Directory) ListMetadata(ctx context.Context, minRevision storerev.Revision) (ListCopy, error) {
 	if err := d.list.awaitRevision(ctx, minRevision); err != nil {
 		return ListCopy{}, err
 	}
@@ -153,7 +154,7 @@
 }
 
 // ListSince returns the changes of the list since a revision, or false if they are not all known.
-func (d *Directory) ListSince(since uint64) (ListCopy, bool) {
+func (d *Directory) ListSince(since storerev.Revision) (ListCopy, bool) {
 	d.applyMu.Lock()
 	defer d.applyMu.Unlock()
 	d.mu.Lock()
@@ -184,7 +185,7 @@
 
 // awaitRevision blocks until the part is loaded and has reached minRevision, at which the caller
 // knows that it changed. If ctx ends first, the error is ErrLoading or ErrBehind.
-func (f *follower) awaitRevision(ctx context.Context, minRevision uint64) error {
+func (f *follower) awaitRevision(ctx context.Context, minRevision storerev.Revision) error {
 	if minRevision > 0 {
 		f.observe(0, minRevision)
 	}
--- a/pkg/directory/providers_test.go
+++ b/pkg/directory/providers_test.go
@@ -13,16 +13,17 @@
 	"github.com/stretchr/testify/require"
 
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // noProviders are the providers of a box without peers.
 type noProviders struct{}
 
-func (noProviders) Table(context.Context, *routing.Table, uint64) (TableCopy, error) {
+func (noProviders) Table(context.Context, *routing.Table, storerev.Revision) (TableCopy, error) {
 	return TableCopy{}, ErrNoProvider
 }
 
-func (noProviders) Servers(context.Context, uint64, uint64) (ListCopy, error) {
+func (noProviders) Servers(context.Context, storerev.Revision, storerev.Revision) (ListCopy, error) {
 	return ListCopy{}, ErrNoProvider
 }
 
@@ -37,13 +38,13 @@
 	timeout time.Duration
 }
 
-func (p oneProvider) Table(ctx context.Context, _ *routing.Table, minRevision uint64) (TableCopy, error) {
+func (p oneProvider) Table(ctx context.Context, _ *routing.Table, minRevision storerev.Revision) (TableCopy, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 	return p.TableCopy(ctx, minRevision)
 }
 
-func (p oneProvider) Servers(ctx context.Context, since, minRevision uint64) (ListCopy, error) {
+func (p oneProvider) Servers(ctx context.Context, since, minRevision storerev.Revision) (ListCopy, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 	if _, err := p.ListMetadata(ctx, minRevision); err != nil {
@@ -60,7 +61,7 @@
 func (failingSource) ReadTable(context.Context) (TableResult, error) {
 	return TableResult{}, errSourceFailed
 }
-func (failingSource) WatchTable(context.Context, uint64, time.Duration, int) (TableResult, error) {
+func (failingSource) WatchTable(context.Context, storerev.Revision, time.Duration, int) (TableResult, error) {
 	return TableResult{}, errSourceFailed
 }
 func (failingSource) ReadServers(context.Context, string, bool) (ServersPage, error) {
@@ -70,7 +71,7 @@
 	return Evacuations{}, errSourceFailed
 }
 
-func (failingSource) WatchServers(context.Context, uint64, time.Duration) (ServerChanges, error) {
+func (failingSource) WatchServers(context.Context, storerev.Revision, time.Duration) (ServerChanges, error) {
 	return ServerChanges{}, errSourceFailed
 }
 
@@ -135,13 +136,13 @@
 	assert.Len(t, d.listed(), 1)
 	assert.Len(t, d.applyList(nil, 9, time.Now()), 1)
 	assert.Empty(t, d.listed())
-	assert.Equal(t, uint64(9), d.list.position().revision)
+	assert.Equal(t, storerev.Revision(9), d.list.position().revision)
 }
 
 // noHistorySource rejects all watches as too long.
 type noHistorySource struct{ *simulatedBox }
 
-func (s noHistorySource) WatchTable(ctx context.Context, after uint64, wait time.Duration, _ int) (TableResult, error) {
+func (s noHistorySource) WatchTable(ctx context.Context, after storerev.Revision, wait time.Duration, _ int) (TableResult, error) {
 	if _, err := s.simulatedBox.WatchTable(ctx, after, wait, math.MaxInt); err != nil {
 		return TableResult{}, err
 	}
@@ -168,7 +169,7 @@
 		sim.store.change(tableOf(2, "second"))
 		time.Sleep(time.Second)
 		require.Len(t, received, 1)
-		assert.Equal(t, uint64(2), (<-received).TableChanged)
+		assert.Equal(t, storerev.Revision(2), (<-received).TableChanged)
 		cancel()
 		<-done
 	})
--- a/pkg/directory/simulation_test.go
+++ b/pkg/directory/simulation_test.go
@@ -18,6 +18,7 @@
 	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/routing"
 	"headhill.example/headhill/pkg/stall"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 const (
@@ -57,7 +58,7 @@
 // version is one version of the table.
 type version struct {
 	table     *routing.Table
-	revision  uint64
+	revision  storerev.Revision
 	createdAt time.Time
 }
 
@@ -92,12 +93,12 @@
 func (s *store) change(table *routing.Table) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.versions = append(s.versions, version{table: table, revision: uint64(len(s.versions) + 1), createdAt: time.Now()})
+	s.versions = append(s.versions, version{table: table, revision: storerev.Revision(len(s.versions) + 1), createdAt: time.Now()})
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-func (s *store) since(revision uint64) ([]version, chan struct{}) {
+func (s *store) since(revision storerev.Revision) ([]version, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.versions[min(int(revision), len(s.versions)):], s.changed
@@ -213,7 +214,7 @@
 	return TableResult{Table: v.table, Revision: v.revision, Changed: v.revision, Bytes: bytes}, b.transferAnswer(ctx, bytes)
 }
 
-func (b *simulatedBox) WatchTable(ctx context.Context, after uint64, wait time.Duration, maxBytes int) (TableResult, error) {
+func (b *simulatedBox) WatchTable(ctx context.Context, after storerev.Revision, wait time.Duration, maxBytes int) (TableResult, error) {
 	if err := b.roundTrip(ctx); err != nil {
 		return TableResult{}, err
 	}
@@ -247,7 +248,7 @@
 	return Evacuations{}, ctx.Err()
 }
 
-func (b *simulatedBox) WatchServers(ctx context.Context, after uint64, wait time.Duration) (ServerChanges, error) {
+func (b *simulatedBox) WatchServers(ctx context.Context, after storerev.Revision, wait time.Duration) (ServerChanges, error) {
 	if err := b.roundTrip(ctx); err != nil {
 		return ServerChanges{}, err
 	}
@@ -256,7 +257,7 @@
 }
 
 // Table implements Providers.
-func (b *simulatedBox) Table(ctx context.Context, _ *routing.Table, minRevision uint64) (TableCopy, error) {
+func (b *simulatedBox) Table(ctx context.Context, _ *routing.Table, minRevision storerev.Revision) (TableCopy, error) {
 	return queryInTurn(ctx, b, func(ctx context.Context, p *simulatedBox, d *Directory) (TableCopy, error) {
 		c, err := d.TableCopy(ctx, minRevision)
 		if err != nil {
@@ -272,7 +273,7 @@
 }
 
 // Servers implements Providers.
-func (b *simulatedBox) Servers(ctx context.Context, since, minRevision uint64) (ListCopy, error) {
+func (b *simulatedBox) Servers(ctx context.Context, since, minRevision storerev.Revision) (ListCopy, error) {
 	return queryInTurn(ctx, b, func(ctx context.Context, _ *simulatedBox, d *Directory) (ListCopy, error) {
 		if _, err := d.ListMetadata(ctx, minRevision); err != nil {
 			return ListCopy{}, err
--- a/pkg/directory/source.go
+++ b/pkg/directory/source.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // ErrHistoryLost is returned if the source has compacted the changes since a revision.
@@ -14,13 +15,17 @@
 // ErrHistoryTooLong is returned if the changes since a revision exceed the caller's limit.
 var ErrHistoryTooLong = errors.New("changes since that revision exceed the size limit: full read required")
 
+// ErrRestored is returned by a watch if the source was restored from an older copy: changes since a
+// revision are defined only within an era.
+var ErrRestored = errors.New("the source was restored from an older copy: full read required")
+
 // TableResult is the routing table at a revision of the source.
 type TableResult struct {
 	// Table is nil if there is none yet, or if it has not changed.
 	Table    *routing.Table
-	Revision uint64
+	Revision storerev.Revision
 	// Changed is the revision at which the table changed, zero if Table is nil.
-	Changed uint64
+	Changed storerev.Revision
 	// Bytes is the length of the answer.
 	Bytes int
 }
@@ -28,7 +33,7 @@
 // ServersPage is a page of the list of servers, read at a revision of the source.
 type ServersPage struct {
 	Servers  []routing.Server
-	Revision uint64
+	Revision storerev.Revision
 	// Next is the start of the next page; empty for the last one.
 	Next string
 }
@@ -42,7 +47,7 @@
 // ServerChanges holds the changes of the list up to a revision, in order.
 type ServerChanges struct {
 	Events   []ServerEvent
-	Revision uint64
+	Revision storerev.Revision
 }
 
 // Source provides the routing table and the list of servers. Watches return when there is a change
@@ -51,11 +56,11 @@
 	ReadTable(ctx context.Context) (TableResult, error)
 	// WatchTable returns ErrHistoryTooLong if the answer would exceed maxBytes, as the changes since
 	// a revision may hold many whole tables.
-	WatchTable(ctx context.Context, after uint64, wait time.Duration, maxBytes int) (TableResult, error)
+	WatchTable(ctx context.Context, after storerev.Revision, wait time.Duration, maxBytes int) (TableResult, error)
 	// ReadServers reads the page that starts at from; empty for the first one. A stale page may lag
 	// behind the source, but does not count against its rate limit.
 	ReadServers(ctx context.Context, from string, stale bool) (ServersPage, error)
-	WatchServers(ctx context.Context, after uint64, wait time.Duration) (ServerChanges, error)
+	WatchServers(ctx context.Context, after storerev.Revision, wait time.Duration) (ServerChanges, error)
 	// ReadEvacuations reads the evacuated halls.
 	ReadEvacuations(ctx context.Context) (Evacuations, error)
 }
--- a/pkg/directory/stalled_watch_test.go
+++ b/pkg/directory/stalled_watch_test.go
@@ -10,12 +10,13 @@
 	"github.com/stretchr/testify/assert"
 
 	"headhill.example/headhill/pkg/stall"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // stallingSource sends no first byte for a watch that has changes to report, but serves full reads.
 type stallingSource struct{ *simulatedBox }
 
-func (s stallingSource) WatchTable(ctx context.Context, after uint64, wait time.Duration, maxBytes int) (TableResult, error) {
+func (s stallingSource) WatchTable(ctx context.Context, after storerev.Revision, wait time.Duration, maxBytes int) (TableResult, error) {
 	if s.sim.store.newest().revision > after {
 		<-ctx.Done()
 		return TableResult{}, ctx.Err()
--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -1,6 +1,10 @@
 package directory
 
-import "time"
+import (
+	"time"
+
+	"headhill.example/headhill/pkg/storerev"
+)
 
 // Names of the parts in logs and metrics.
 const (
@@ -11,7 +15,7 @@
 // State describes one part for metrics.
 type State struct {
 	// Revision is the source revision up to which the part is known.
-	Revision uint64
+	Revision storerev.Revision
 	// Age is the time since the source last confirmed the part; zero if it never has.
 	Age time.Duration
 	// Failures counts the failed requests to the source.
--- a/pkg/directory/table_deltas.go
+++ b/pkg/directory/table_deltas.go
@@ -6,13 +6,14 @@
 
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // tableDelta leads from one version of the table to another.
 type tableDelta struct {
 	routing.Delta
 	// changed is the source revision at which the table changed.
-	changed uint64
+	changed storerev.Revision
 }
 
 // maxPendingDeltas bounds the deltas kept until their base version arrives.
@@ -34,11 +35,14 @@
 }
 
 // applyTable publishes a table that was read, applies the pending deltas, and returns the previous
-// table.
+// table. It ignores one of an earlier era.
 func (d *Directory) applyTable(result TableResult, at time.Time) *routing.Table {
 	d.applyMu.Lock()
 	defer d.applyMu.Unlock()
 	before := d.View().Table
+	if result.Revision < storerev.StartOf(d.table.position().revision.Era()) {
+		return before
+	}
 	d.setTable(result.Table, at)
 	d.applyPendingDeltas()
 	return before
--- a/pkg/forms/forms.go
+++ b/pkg/forms/forms.go
@@ -16,10 +16,12 @@
 	// LevelEvacuations adds evacuated halls, the warm-up of services and servers, and the regions
 	// of routes and organisations.
 	LevelEvacuations = 2
+	// LevelEras adds the era of the store to its revisions.
+	LevelEras = 3
 )
 
 // Level is the level of this build. It is raised with each field that boxes act on and forward.
-const Level = LevelEvacuations
+const Level = LevelEras
 
 // EffectiveLevel returns the level of a message's sender. Zero means that the message carries none.
 func EffectiveLevel(level int) int { return max(LevelFirst, level) }
--- a/pkg/lease/announce.go
+++ b/pkg/lease/announce.go
@@ -6,6 +6,7 @@
 
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/lease/leasepb"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // datagramKind is the kind of lease announcements.
@@ -19,7 +20,7 @@
 
 // announce sends a record to the other boxes.
 func (m *Manager) announce(s VersionedRecord) {
-	msg := &leasepb.Lease{Holder: s.Holder, Incarnation: s.Incarnation, Fence: s.Fence, Revision: s.Revision}
+	msg := &leasepb.Lease{Holder: s.Holder, Incarnation: s.Incarnation, Fence: s.Fence, Revision: s.Revision.Number(), Era: s.Revision.Era(), WrittenEra: s.Era}
 	if s.Holder == m.Box {
 		msg.Fence, msg.Told = max(s.Fence, m.heldFence()), m.Announcement()
 	}
@@ -36,7 +37,12 @@
 		_ = level.Debug(m.Logger).Log("msg", "dropped malformed lease announcement", "from", d.Box, "err", err)
 		return
 	}
-	s := VersionedRecord{Revision: msg.GetRevision(), Record: Record{Holder: msg.GetHolder(), Incarnation: msg.GetIncarnation(), Fence: msg.GetFence()}}
+	revision, err := storerev.New(msg.GetEra(), msg.GetRevision())
+	if err != nil {
+		_ = level.Debug(m.Logger).Log("msg", "dropped malformed lease announcement", "from", d.Box, "err", err)
+		return
+	}
+	s := VersionedRecord{Revision: revision, Record: Record{Holder: msg.GetHolder(), Incarnation: msg.GetIncarnation(), Fence: msg.GetFence(), Era: msg.GetWrittenEra()}}
 	m.mu.Lock()
 	previous := m.elector.Latest().Holder
 	m.elector.ObserveAnnounced(s, d.Received)
--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -1,6 +1,10 @@
 package lease
 
-import "time"
+import (
+	"time"
+
+	"headhill.example/headhill/pkg/storerev"
+)
 
 // Elector is the state machine that decides when a box reads, acquires and renews the lease. It
 // performs no I/O: results of reads and writes and announcements are passed to it with their time.
@@ -18,6 +22,10 @@
 	// recordKnown is set once the record, or its absence, is known.
 	startedAt   time.Time
 	recordKnown bool
+	// eraStart is the start of the latest era known of the store, eraSince is when this box learned of
+	// it.
+	eraStart storerev.Revision
+	eraSince time.Time
 	// fence is the revision at which this box acquired the lease, or zero; heldUntil is how long it
 	// may use the lease. lastHeldAt is when this box may last have made a call as the holder.
 	fence      uint64
@@ -42,9 +50,20 @@
 
 // ownsLatest reports whether the newest record was written by this process.
 func (e *Elector) ownsLatest() bool {
-	return e.latest.Revision > 0 && e.latest.Holder == e.box && e.latest.Incarnation == e.incarnation
+	return e.latest.exists() && e.latest.Holder == e.box && e.latest.Incarnation == e.incarnation
+}
+
+// ObserveEra processes an era of the store that was seen in a response. Records of earlier eras are
+// read again.
+func (e *Elector) ObserveEra(era uint64, now time.Time) {
+	if start := storerev.StartOf(era); start > e.eraStart {
+		e.eraStart, e.eraSince = start, now
+	}
 }
 
+// eraUnread reports whether no record of the latest era is known.
+func (e *Elector) eraUnread() bool { return e.latest.Revision < e.eraStart }
+
 // ObserveRead processes a record that was read from the store.
 func (e *Elector) ObserveRead(s VersionedRecord, now time.Time) {
 	if !e.recordKnown {
@@ -72,11 +91,17 @@
 	}
 	e.latest = s
 	e.stateKnown = e.stateKnown || withState
-	if e.fence > 0 && !e.ownsLatest() {
+	if e.fence > 0 && !e.ownsLatest() && !e.latest.restored() {
 		e.endHolding(now)
 	}
 }
 
+// holdsAcrossRestore reports whether the lease of this box is valid although the newest record, which
+// was restored, does not name it. No other box acquires the lease before it has expired.
+func (e *Elector) holdsAcrossRestore(now time.Time) bool {
+	return e.fence > 0 && e.latest.restored() && now.Before(e.heldUntil)
+}
+
 // endHolding records that this box no longer holds the lease.
 func (e *Elector) endHolding(now time.Time) {
 	e.fence = 0
@@ -101,17 +126,26 @@
 // Next returns the next step and, for StepWait, when to ask again. The delay, which differs between
 // boxes, is added to the time after which an expired lease is acquired.
 func (e *Elector) Next(delay time.Duration, now time.Time) (Step, time.Time) {
-	if e.fence > 0 && e.ownsLatest() {
+	switch {
+	case e.fence > 0 && e.eraUnread():
+		return StepRead, now
+	case e.holdsAcrossRestore(now) && !e.ownsLatest():
+		return StepRenew, now
+	case e.fence > 0 && e.ownsLatest():
 		return e.nextRenewal(now)
 	}
+	e.endHolding(now)
 	due := e.startedAt.Add(delay)
-	if e.recordKnown {
+	switch {
+	case e.eraUnread():
+		due = e.eraSince.Add(delay)
+	case e.recordKnown:
 		due = e.takeoverTime(delay)
 	}
 	switch {
 	case now.Before(due):
 		return StepWait, due
-	case !e.recordKnown || e.latest.Revision > 0 && !e.stateKnown:
+	case !e.recordKnown || e.eraUnread() || e.latest.exists() && !e.stateKnown:
 		return StepRead, now
 	}
 	return StepAcquire, now
@@ -128,7 +162,10 @@
 // takeoverTime returns when this box may acquire the lease.
 func (e *Elector) takeoverTime(delay time.Duration) time.Time {
 	switch {
-	case e.latest.Revision == 0:
+	case e.latest.restored():
+		// A holder whose record was lost may use the lease until it expires.
+		return later(e.latestSince.Add(e.timing.TakeoverDelay+delay), e.lastHeldAt.Add(e.timing.Cooldown))
+	case !e.latest.exists():
 		// The lease has never been held.
 		return e.latestSince.Add(delay)
 	case e.latest.Holder == e.box:
@@ -143,7 +180,7 @@
 // AcquireRecord returns the record that acquires the lease.
 func (e *Elector) AcquireRecord() Record {
 	r := e.latest.Record
-	r.Holder, r.Incarnation, r.Fence = e.box, e.incarnation, 0
+	r.Holder, r.Incarnation, r.Fence, r.Era = e.box, e.incarnation, 0, e.latest.Revision.Era()
 	r.Renewals++
 	return r
 }
@@ -151,7 +188,8 @@
 // RenewRecord returns the record that renews the lease.
 func (e *Elector) RenewRecord(state []byte) Record {
 	r := e.latest.Record
-	r.Fence, r.State = e.fence, state
+	r.Holder, r.Incarnation, r.Fence, r.Era = e.box, e.incarnation, e.fence, e.latest.Revision.Era()
+	r.State = state
 	r.Renewals++
 	return r
 }
@@ -166,7 +204,7 @@
 // Acquired records that AcquireRecord was written. sent is the time before the write was sent.
 func (e *Elector) Acquired(s VersionedRecord, sent, now time.Time) {
 	e.update(s, true, now)
-	e.fence = s.Revision
+	e.fence = uint64(s.Revision)
 	e.heldUntil = sent.Add(e.timing.Validity)
 }
 
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -1,13 +1,15 @@
 // Package lease elects the one box that performs the duties of the fleet. The lease is a record in
 // the store that is only written conditionally on the revision last read. The revision at which a
-// box acquired the lease is the fencing token of its calls; it is unique and grows with each
-// acquisition. All times are elapsed times of package clock.
+// box acquired the lease, with the era of the store, is the fencing token of its calls; it is unique
+// and grows with each acquisition. All times are elapsed times of package clock.
 package lease
 
 import (
 	"context"
 	"fmt"
 	"time"
+
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // Record is the stored lease.
@@ -18,32 +20,42 @@
 	Incarnation uint64 `json:"incarnation"`
 	// Fence is the fencing token of the holder, zero until its first renewal.
 	Fence uint64 `json:"fence"`
+	// Era is the era of the store in which the record was written.
+	Era uint64 `json:"era,omitempty"`
 	// Renewals counts the writes, so that each one changes the record.
 	Renewals uint64 `json:"renewals"`
 	// State is the state of the duties that is passed from holder to holder.
 	State []byte `json:"state,omitempty"`
 }
 
-// VersionedRecord is a record and its revision in the store, zero if there is no record.
+// VersionedRecord is a record and its revision in the store, which is the start of an era if there is
+// no record.
 type VersionedRecord struct {
 	Record
-	Revision uint64
+	Revision storerev.Revision
 }
 
+// exists reports whether there is a record.
+func (r VersionedRecord) exists() bool { return r.Revision.Number() > 0 }
+
+// restored reports whether the record comes from the copy from which the store was restored, or is
+// missing in it. A later record, and with it a later holder, may have been lost.
+func (r VersionedRecord) restored() bool { return r.Era < r.Revision.Era() }
+
 // Store stores the record.
 type Store interface {
 	Read(ctx context.Context) (VersionedRecord, error)
-	// Write replaces the record at the given revision, or creates it if the revision is zero. It
-	// returns a *ConflictError if the record has another revision. After any other error the write
-	// may have taken effect, or may do so seconds later.
-	Write(ctx context.Context, r Record, revision uint64) (VersionedRecord, error)
+	// Write replaces the record at the given revision, or creates it if the revision is the start of
+	// an era. It returns a *ConflictError if the record has another revision. After any other error the
+	// write may have taken effect, or may do so seconds later.
+	Write(ctx context.Context, r Record, revision storerev.Revision) (VersionedRecord, error)
 }
 
 // ConflictError is returned if the record has changed since it was read.
-type ConflictError struct{ Revision uint64 }
+type ConflictError struct{ Revision storerev.Revision }
 
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("lease record is no longer at revision %d: read it again", e.Revision)
+	return fmt.Sprintf("lease record is no longer at revision %s: read it again", e.Revision)
 }
 
 // Timing holds the durations that govern a lease.
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -12,6 +12,7 @@
 
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/datagram"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // Deps are the dependencies of a Manager.
@@ -153,6 +154,14 @@
 	return m.lastSaved
 }
 
+// ObserveEra processes an era of the store that was seen in a response.
+func (m *Manager) ObserveEra(era uint64) {
+	m.mu.Lock()
+	m.elector.ObserveEra(era, clock.NowExact())
+	m.mu.Unlock()
+	m.Wake()
+}
+
 // Wake makes the manager reconsider its next step, for example after the ranks have changed.
 func (m *Manager) Wake() {
 	select {
@@ -289,7 +298,7 @@
 }
 
 // write writes a record. After a conflict, it reads the current one.
-func (m *Manager) write(ctx context.Context, r Record, revision uint64) (VersionedRecord, error) {
+func (m *Manager) write(ctx context.Context, r Record, revision storerev.Revision) (VersionedRecord, error) {
 	writeCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	s, err := m.Store.Write(writeCtx, r, revision)
--- a/pkg/lease/simulation_test.go
+++ b/pkg/lease/simulation_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // leaseDuration is the duration of the simulated lease. lateCallAllowance is how long after its
@@ -43,7 +45,7 @@
 type delayedWrite struct {
 	at       time.Time
 	record   Record
-	revision uint64
+	revision storerev.Revision
 }
 
 // cloudCall is a call received by the cloud.
@@ -84,7 +86,7 @@
 	conflict  bool
 	submitted bool
 	record    Record
-	revision  uint64
+	revision  storerev.Revision
 }
 
 func newSimulation(seed uint64, boxes int, timing Timing) *simulation {
@@ -147,11 +149,11 @@
 }
 
 // write performs a conditional write.
-func (sim *simulation) write(r Record, revision uint64) bool {
+func (sim *simulation) write(r Record, revision storerev.Revision) bool {
 	if sim.store.stored.Revision != revision {
 		return false
 	}
-	sim.store.stored = VersionedRecord{Record: r, Revision: revision + 1 + uint64(sim.random.IntN(5))}
+	sim.store.stored = VersionedRecord{Record: r, Revision: revision + 1 + storerev.Revision(sim.random.IntN(5))}
 	return true
 }
 
--- a/pkg/quarantine/gossiper_test.go
+++ b/pkg/quarantine/gossiper_test.go
@@ -17,6 +17,7 @@
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/quarantine/quarantinepb"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 func evidenceItem(digest []byte, ended, ages, excused int) *quarantinepb.Item {
@@ -42,7 +43,7 @@
 	return s, nil
 }
 
-func (m *memoryStore) Write(_ context.Context, r Record, revision uint64) error {
+func (m *memoryStore) Write(_ context.Context, r Record, revision storerev.Revision) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if revision != m.stored.Revision {
--- a/pkg/quarantine/persister.go
+++ b/pkg/quarantine/persister.go
@@ -14,6 +14,7 @@
 
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/pause"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // HeldRequest is the entry of a held request in the stored record.
@@ -41,25 +42,26 @@
 	})
 }
 
-// Stored is the record with its revision in the store; revision zero if there is no record.
+// Stored is the record with its revision in the store, which is the start of an era if there is no
+// record.
 type Stored struct {
 	Record   Record
-	Revision uint64
+	Revision storerev.Revision
 }
 
 // Store reads and writes the record.
 type Store interface {
 	Read(ctx context.Context) (Stored, error)
-	// Write replaces the record at the given revision; zero creates it. The error is a *ConflictError if
+	// Write replaces the record at the given revision; the start of an era creates it. The error is a *ConflictError if
 	// the store has another revision.
-	Write(ctx context.Context, r Record, revision uint64) error
+	Write(ctx context.Context, r Record, revision storerev.Revision) error
 }
 
 // ConflictError reports that the record changed since it was read.
-type ConflictError struct{ Revision uint64 }
+type ConflictError struct{ Revision storerev.Revision }
 
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("record of held requests changed since revision %d: read it again", e.Revision)
+	return fmt.Sprintf("record of held requests changed since revision %s: read it again", e.Revision)
 }
 
 const (
--- a/pkg/roster/refresh.go
+++ b/pkg/roster/refresh.go
@@ -9,11 +9,12 @@
 
 	"headhill.example/headhill/pkg/forms"
 	"headhill.example/headhill/pkg/stall"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // Refresh registers this box if necessary, reads all entries, and returns the revision of the
 // store.
-func (r *Roster) Refresh(ctx context.Context) (uint64, error) {
+func (r *Roster) Refresh(ctx context.Context) (storerev.Revision, error) {
 	r.register(ctx)
 	return r.readAll(ctx, false)
 }
@@ -44,7 +45,7 @@
 // RefreshByRank registers this box if necessary and returns the revision of the store. The first
 // boxes by rank read all entries. The others, which check the store only if they receive no
 // announcement, read one page.
-func (r *Roster) RefreshByRank(ctx context.Context) (uint64, error) {
+func (r *Roster) RefreshByRank(ctx context.Context) (storerev.Revision, error) {
 	if r.Rank() < fullReadRanks {
 		return r.Refresh(ctx)
 	}
@@ -60,7 +61,7 @@
 	return r.Count() > before, err
 }
 
-func (r *Roster) readPage(ctx context.Context, stale bool) (uint64, error) {
+func (r *Roster) readPage(ctx context.Context, stale bool) (storerev.Revision, error) {
 	ctx, cancel := stall.WithLimits(ctx, r.limits)
 	defer cancel()
 	entries, more, revision, err := r.store.ListPage(ctx, stale)
@@ -128,7 +129,7 @@
 // Snapshot is the roster of one box as sent to another.
 type Snapshot struct {
 	Entries  []Entry
-	Revision uint64
+	Revision storerev.Revision
 }
 
 // ApplySnapshot applies the roster of another box. It reports whether the number of known boxes
@@ -140,7 +141,7 @@
 	return r.Count() > before
 }
 
-func (r *Roster) readAll(ctx context.Context, stale bool) (uint64, error) {
+func (r *Roster) readAll(ctx context.Context, stale bool) (storerev.Revision, error) {
 	ctx, cancel := stall.WithLimits(ctx, r.limits)
 	defer cancel()
 	entries, revision, err := r.store.List(ctx, stale)
@@ -152,6 +153,16 @@
 	return revision, nil
 }
 
+// ObserveEra processes an era of the store that was seen in a response. The store may have lost the
+// entry of this box, so it is registered again with the next check.
+func (r *Roster) ObserveEra(era uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.revision < storerev.StartOf(era) {
+		r.registered = false
+	}
+}
+
 // register writes the entry of this box if necessary. Until it succeeds, the other boxes do not
 // know this one, and it checks the store itself.
 func (r *Roster) register(ctx context.Context) {
@@ -173,7 +184,7 @@
 }
 
 // setEntries replaces all entries. A read older than the current revision is ignored.
-func (r *Roster) setEntries(entries []Entry, revision uint64, stale bool) {
+func (r *Roster) setEntries(entries []Entry, revision storerev.Revision, stale bool) {
 	r.mu.Lock()
 	old := revision < r.revision || stale && revision == r.revision
 	r.complete = true
@@ -184,7 +195,7 @@
 }
 
 // apply replaces the entries and everything derived from them.
-func (r *Roster) apply(entries []Entry, revision uint64, stale bool) {
+func (r *Roster) apply(entries []Entry, revision storerev.Revision, stale bool) {
 	listed := indexOf(entries, r.self) >= 0
 	if !listed {
 		entries = append(entries, r.self)
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -19,6 +19,7 @@
 
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/stall"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // Entry describes one box.
@@ -52,9 +53,9 @@
 	Deregister(ctx context.Context, e Entry) error
 	// List returns all entries and the revision of the store. A stale list may be seconds old,
 	// but is cheap and not rate limited.
-	List(ctx context.Context, stale bool) (entries []Entry, revision uint64, err error)
+	List(ctx context.Context, stale bool) (entries []Entry, revision storerev.Revision, err error)
 	// ListPage returns the first page of entries, and whether there are more.
-	ListPage(ctx context.Context, stale bool) (entries []Entry, more bool, revision uint64, err error)
+	ListPage(ctx context.Context, stale bool) (entries []Entry, more bool, revision storerev.Revision, err error)
 }
 
 // Roster is the view that this box has of all boxes.
@@ -68,7 +69,7 @@
 	mu      sync.Mutex
 	entries []Entry
 	// revision is the revision of the store at which the entries were read.
-	revision uint64
+	revision storerev.Revision
 	// hasFreshRead is set after the first read that was not stale.
 	hasFreshRead bool
 	// complete is set once all entries have been read.
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"headhill.example/headhill/pkg/stall"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // fakeStore keeps entries in memory. Calls fail with the given error, if any.
@@ -24,7 +25,7 @@
 	err           error
 	registrations int
 	// revision is returned by reads. Zero means 7.
-	revision uint64
+	revision storerev.Revision
 }
 
 func (s *fakeStore) Register(_ context.Context, e Entry) error {
@@ -47,12 +48,12 @@
 	return s.err
 }
 
-func (s *fakeStore) ListPage(ctx context.Context, stale bool) ([]Entry, bool, uint64, error) {
+func (s *fakeStore) ListPage(ctx context.Context, stale bool) ([]Entry, bool, storerev.Revision, error) {
 	entries, revision, err := s.List(ctx, stale)
 	return entries, false, revision, err
 }
 
-func (s *fakeStore) List(_ context.Context, _ bool) ([]Entry, uint64, error) {
+func (s *fakeStore) List(_ context.Context, _ bool) ([]Entry, storerev.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := make([]Entry, 0, len(s.entries))
@@ -105,7 +106,7 @@
 	store.revision = 8
 	revision, err := b.Refresh(context.Background())
 	require.NoError(t, err)
-	assert.Equal(t, uint64(8), revision)
+	assert.Equal(t, storerev.Revision(8), revision)
 	assert.True(t, b.IsReader(), "a single box is a reader")
 }
 
@@ -210,13 +211,13 @@
 	fullReads int
 }
 
-func (s *pagedStore) ListPage(ctx context.Context, stale bool) ([]Entry, bool, uint64, error) {
+func (s *pagedStore) ListPage(ctx context.Context, stale bool) ([]Entry, bool, storerev.Revision, error) {
 	entries, revision, err := s.fakeStore.List(ctx, stale)
 	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Box, b.Box) })
 	return entries[:min(s.pageSize, len(entries))], len(entries) > s.pageSize, revision, err
 }
 
-func (s *pagedStore) List(ctx context.Context, stale bool) ([]Entry, uint64, error) {
+func (s *pagedStore) List(ctx context.Context, stale bool) ([]Entry, storerev.Revision, error) {
 	s.fullReads++
 	return s.fakeStore.List(ctx, stale)
 }
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -34,6 +34,7 @@
 	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/snapshot"
 	"headhill.example/headhill/pkg/stall"
+	"headhill.example/headhill/pkg/storerev"
 	"headhill.example/headhill/pkg/telemetry"
 	"headhill.example/headhill/pkg/upstream"
 )
@@ -99,9 +100,10 @@
 	// limiter limits the request rate to servers that signal a rate limit.
 	limiter    *fleetlimit.Limiter
 	storeCalls *storeCalls
-	storeEra   *storeEra
-	gateway    *gateway.Gateway
-	metrics    *telemetry.Metrics
+	// eras tracks the era of the store.
+	eras    *storerev.Tracker
+	gateway *gateway.Gateway
+	metrics *telemetry.Metrics
 
 	callerServer, readyServer, metricsServer, snapshotServer         *http.Server
 	conns                                                            *connTracker
@@ -131,12 +133,12 @@
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.directory = directory.New(logs.For(logflags.Directory))
 	d.storeCalls = newStoreCalls(s.CallBudget)
-	d.storeEra = &storeEra{logger: d.logger, directory: d.directory}
+	d.eras = storerev.NewTracker(d.onEraRise)
 	unusable := newUnusableEntries(logs.For(logflags.Directory))
-	if err := metrics.AddGauges(append(directoryGauges(d.directory), d.storeCalls.gauge(), d.storeEra.gauge(), unusable.gauge())...); err != nil {
+	if err := metrics.AddGauges(append(directoryGauges(d.directory), d.storeCalls.gauge(), storeEraGauge(d.eras), unusable.gauge())...); err != nil {
 		return nil, oops.In("telemetry").Wrap(err)
 	}
-	access := StoreAccess{Address: func() string { return d.settings.Load().Store }, Admit: d.storeCalls.admit, OnUnusableEntry: unusable.record, OnEra: d.storeEra.observe}
+	access := StoreAccess{Address: func() string { return d.settings.Load().Store }, Admit: d.storeCalls.admit, OnUnusableEntry: unusable.record, Eras: d.eras}
 	d.source = a.Source(access)
 	self := roster.Entry{Box: s.Box.ID, Hall: s.Box.Hall, Peer: d.peerConn.LocalAddr().String(), LinkMbps: s.Limits.LinkMbps, Level: forms.Level}
 	d.roster = roster.New(a.Roster(access), self, storeLimits, logs.For(logflags.Directory))
@@ -146,7 +148,7 @@
 	peerLogger := logs.For(logflags.Peer)
 	d.peers = datagram.NewPort(datagram.Deps{Box: s.Box.ID, Conn: d.peerConn, IsPeer: d.roster.IsPeer, Logger: peerLogger})
 	d.checker = announce.New(announce.Deps{
-		Port: d.peers, Timing: d.checkTiming, Check: d.checkStore, RefreshRoster: d.discoverBoxes, Peers: d.roster.Peers, Rank: d.roster.Rank, Directory: d.directory, Logger: peerLogger,
+		Port: d.peers, Timing: d.checkTiming, Check: d.checkStore, RefreshRoster: d.discoverBoxes, Peers: d.roster.Peers, Rank: d.roster.Rank, Directory: d.directory, Eras: d.eras, Logger: peerLogger,
 	})
 	d.snapshots = snapshot.NewClient(snapshot.ClientDeps{Providers: d.providers, ResponseTimeout: d.snapshotTimeout})
 	d.sweeper = roster.NewSweeper(d.roster, d.peers, peerLogger)
@@ -204,7 +206,7 @@
 	return d.directory.Verify(ctx, revision, start, d.directoryTiming())
 }
 
-func (d *Daemon) logStoreState(revision uint64, err error) {
+func (d *Daemon) logStoreState(revision storerev.Revision, err error) {
 	if err != nil {
 		_ = level.Warn(d.logger).Log("msg", "store unreachable", "err", err, "outcome", "cached routing data stays in use")
 		return
--- a/pkg/routerd/fleetduties.go
+++ b/pkg/routerd/fleetduties.go
@@ -119,6 +119,13 @@
 	}
 }
 
+// observeEra must be called when the era of the store rises.
+func (f *fleetDuties) observeEra(era uint64) {
+	if f.hasDuties() {
+		f.leaseManager.ObserveEra(era)
+	}
+}
+
 // rosterChanged must be called after a change of the boxes or their order.
 func (f *fleetDuties) rosterChanged() {
 	if f.hasDuties() {
--- a/pkg/routerd/join_test.go
+++ b/pkg/routerd/join_test.go
@@ -14,23 +14,24 @@
 	"headhill.example/headhill/pkg/logflags"
 	"headhill.example/headhill/pkg/quarantine"
 	"headhill.example/headhill/pkg/roster"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // staticRoster is a roster store with fixed entries. Each read returns a higher revision.
 type staticRoster struct {
 	entries  []roster.Entry
-	revision uint64
+	revision storerev.Revision
 	err      error
 }
 
 func (r *staticRoster) Register(context.Context, roster.Entry) error   { return r.err }
 func (r *staticRoster) Deregister(context.Context, roster.Entry) error { return r.err }
-func (r *staticRoster) ListPage(ctx context.Context, stale bool) ([]roster.Entry, bool, uint64, error) {
+func (r *staticRoster) ListPage(ctx context.Context, stale bool) ([]roster.Entry, bool, storerev.Revision, error) {
 	entries, revision, err := r.List(ctx, stale)
 	return entries, false, revision, err
 }
 
-func (r *staticRoster) List(context.Context, bool) ([]roster.Entry, uint64, error) {
+func (r *staticRoster) List(context.Context, bool) ([]roster.Entry, storerev.Revision, error) {
 	r.revision++
 	return r.entries, r.revision, r.err
 }
--- a/pkg/routerd/storecalls.go
+++ b/pkg/routerd/storecalls.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"headhill.example/headhill/pkg/callrate"
+	"headhill.example/headhill/pkg/storerev"
 	"headhill.example/headhill/pkg/telemetry"
 )
 
@@ -38,8 +39,8 @@
 	// OnUnusableEntry, if not nil, is called for each object that can't be decoded or is invalid.
 	// The name is "" if it can't be decoded.
 	OnUnusableEntry func(object, name string, err error)
-	// OnEra, if not nil, is called with the store's era in each response, zero if it has none.
-	OnEra func(era uint64)
+	// Eras is informed of the store's era in each response, zero if it has none. It may be nil.
+	Eras *storerev.Tracker
 }
 
 // storeCalls limits this box's calls to its share of the store's call budget and counts them.
--- a/pkg/snapshot/client.go
+++ b/pkg/snapshot/client.go
@@ -17,6 +17,7 @@
 	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/routing"
 	"headhill.example/headhill/pkg/stall"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 const (
@@ -75,7 +76,7 @@
 }
 
 // Table implements directory.Providers.
-func (c *Client) Table(ctx context.Context, current *routing.Table, minRevision uint64) (directory.TableCopy, error) {
+func (c *Client) Table(ctx context.Context, current *routing.Table, minRevision storerev.Revision) (directory.TableCopy, error) {
 	if current == nil {
 		current = emptyTable
 	}
@@ -107,7 +108,7 @@
 }
 
 // Servers implements directory.Providers.
-func (c *Client) Servers(ctx context.Context, since, minRevision uint64) (directory.ListCopy, error) {
+func (c *Client) Servers(ctx context.Context, since, minRevision storerev.Revision) (directory.ListCopy, error) {
 	return ask(ctx, c, retryPolicy(minRevision, listRetries), func(ctx context.Context, address string, wait time.Duration) (directory.ListCopy, error) {
 		var list directory.ListCopy
 		m, hasBody, err := c.fetch(ctx, address, pathServers, request{minRevision: minRevision, since: since, wait: wait}, func(m metadata) any {
@@ -156,7 +157,7 @@
 
 // retryPolicy returns a function that reports whether to retry while other boxes are loading. The
 // retries are limited by count for a change, and by time for a box that has no data yet.
-func retryPolicy(minRevision uint64, retries int) func() bool {
+func retryPolicy(minRevision storerev.Revision, retries int) func() bool {
 	if minRevision == 0 {
 		return startupRetry()
 	}
@@ -256,9 +257,11 @@
 	ctx, cancel := stall.WithLimits(ctx, stall.Limits{FirstByte: params.wait + maxRoundTrip, Idle: stallTimeout, Total: maxResponseTime})
 	defer cancel()
 	values := url.Values{
-		paramMinRevision:  {strconv.FormatUint(params.minRevision, 10)},
+		paramMinRevision:  {formatNumber(params.minRevision)},
+		paramMinEra:       {strconv.FormatUint(params.minRevision.Era(), 10)},
 		paramTableVersion: {strconv.FormatUint(params.tableVersion, 10)},
-		paramSince:        {strconv.FormatUint(params.since, 10)},
+		paramSince:        {formatNumber(params.since)},
+		paramSinceEra:     {strconv.FormatUint(params.since.Era(), 10)},
 		paramWait:         {strconv.FormatInt(params.wait.Milliseconds(), 10)},
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path+"?"+values.Encode(), nil)
--- a/pkg/snapshot/doc.go
+++ b/pkg/snapshot/doc.go
@@ -13,6 +13,7 @@
 
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/forms"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 const (
@@ -23,12 +24,15 @@
 
 // Query parameters.
 const (
-	// paramMinRevision is the minimum revision of the response.
+	// paramMinRevision is the minimum revision of the response, paramMinEra its era.
 	paramMinRevision = "least"
+	paramMinEra      = "least-era"
 	// paramTableVersion is the version of the requester's table, or zero for none.
 	paramTableVersion = "in-force"
-	// paramSince is the revision of the requester's server list, or zero for none.
-	paramSince = "since"
+	// paramSince is the revision of the requester's server list, or zero for none, paramSinceEra its
+	// era.
+	paramSince    = "since"
+	paramSinceEra = "since-era"
 	// paramWait is how long to wait for the minimum revision, in milliseconds.
 	paramWait = "wait-ms"
 )
@@ -36,8 +40,10 @@
 // Response headers. Times are sent as ages, since wall clocks differ between boxes.
 const (
 	headerRevision = "Belief-Revision"
-	headerChanged  = "Belief-Changed"
-	headerAge      = "Belief-Age-Ms"
+	// headerEra is the era of all revisions in the headers, zero if it is missing.
+	headerEra     = "Belief-Era"
+	headerChanged = "Belief-Changed"
+	headerAge     = "Belief-Age-Ms"
 	// headerLoading is set if the sender is still loading the requested data.
 	headerLoading = "Belief-Loading"
 	// headerSince is set if the body holds only the changes of the server list since a revision.
@@ -94,11 +100,11 @@
 // metadata holds the contents of the response headers.
 type metadata struct {
 	// revision is the revision at which the data was confirmed, changed that of its last change.
-	revision, changed uint64
+	revision, changed storerev.Revision
 	// age is the time since the data was confirmed.
 	age time.Duration
 	// since is the revision from which the body holds changes, or zero for the full list.
-	since uint64
+	since storerev.Revision
 	// level is the forms level that the sender reads, or zero if the header is missing.
 	level int
 	// evacuations are set only with the server list.
@@ -106,16 +112,19 @@
 }
 
 func (m metadata) write(h http.Header) {
-	h.Set(headerRevision, strconv.FormatUint(m.revision, 10))
-	h.Set(headerChanged, strconv.FormatUint(m.changed, 10))
+	h.Set(headerRevision, formatNumber(m.revision))
+	h.Set(headerChanged, formatNumber(m.changed))
+	if era := m.revision.Era(); era > 0 {
+		h.Set(headerEra, strconv.FormatUint(era, 10))
+	}
 	h.Set(headerAge, strconv.FormatInt(m.age.Milliseconds(), 10))
 	h.Set(headerLevel, strconv.Itoa(forms.Level))
 	if m.since > 0 {
-		h.Set(headerSince, strconv.FormatUint(m.since, 10))
+		h.Set(headerSince, formatNumber(m.since))
 	}
 	if m.evacuations.Revision > 0 {
 		// Encoding a plain struct does not fail.
-		text, _ := json.Marshal(m.evacuations)
+		text, _ := json.Marshal(m.evacuations.Message())
 		h.Set(headerEvacuations, string(text))
 	}
 }
@@ -126,27 +135,50 @@
 	if text == "" {
 		return e, true
 	}
-	err := json.Unmarshal([]byte(text), &e)
+	var message directory.EvacuationsMessage
+	if err := json.Unmarshal([]byte(text), &message); err != nil {
+		return e, false
+	}
+	e, err := message.Evacuations()
 	return e, err == nil
 }
 
+func formatNumber(r storerev.Revision) string { return strconv.FormatUint(r.Number(), 10) }
+
+// parseRevision parses a number in an era. A missing number is zero, which stands for no revision.
+func parseRevision(number string, era uint64) (storerev.Revision, error) {
+	if number == "" || number == "0" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(number, 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	return storerev.New(era, n)
+}
+
+// parseEra parses an era, which is zero if it is missing.
+func parseEra(text string) (uint64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	return strconv.ParseUint(text, 10, 64)
+}
+
 // parseMetadata parses the response headers. It returns false if one is missing or invalid.
 func parseMetadata(h http.Header) (metadata, bool) {
-	revision, err1 := strconv.ParseUint(h.Get(headerRevision), 10, 64)
-	changed, err2 := strconv.ParseUint(h.Get(headerChanged), 10, 64)
+	era, err0 := parseEra(h.Get(headerEra))
+	revision, err1 := parseRevision(h.Get(headerRevision), era)
+	changed, err2 := parseRevision(h.Get(headerChanged), era)
 	age, err3 := strconv.ParseUint(h.Get(headerAge), 10, 32)
-	since := uint64(0)
-	var err4 error
-	if text := h.Get(headerSince); text != "" {
-		since, err4 = strconv.ParseUint(text, 10, 64)
-	}
+	since, err4 := parseRevision(h.Get(headerSince), era)
 	level := 0
 	var err5 error
 	if text := h.Get(headerLevel); text != "" {
 		level, err5 = strconv.Atoi(text)
 	}
 	evacuations, valid := parseEvacuations(h)
-	ok := errors.Join(err1, err2, err3, err4, err5) == nil && changed <= revision && valid
+	ok := errors.Join(err0, err1, err2, err3, err4, err5) == nil && h.Get(headerRevision) != "" && h.Get(headerChanged) != "" && changed <= revision && valid
 	return metadata{
 		revision: revision, changed: changed, since: since, age: time.Duration(age) * time.Millisecond,
 		level: level, evacuations: evacuations,
--- a/pkg/snapshot/encode.go
+++ b/pkg/snapshot/encode.go
@@ -11,6 +11,7 @@
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // emptyTable is the table of a box that has none yet.
@@ -66,29 +67,29 @@
 // encodedList is an encoded server list.
 type encodedList struct {
 	// revision is the revision of the list, changed that of its last change.
-	revision, changed uint64
+	revision, changed storerev.Revision
 	// since is the revision from which the body holds changes, or zero for the full list.
-	since uint64
+	since storerev.Revision
 	body  []byte
 }
 
 // listEncoder encodes the newest server list and caches the encodings by base revision.
 type listEncoder struct {
 	mu       sync.Mutex
-	revision uint64
-	lists    map[uint64]encodedList
+	revision storerev.Revision
+	lists    map[storerev.Revision]encodedList
 }
 
 // listSource provides the newest server list.
 type listSource interface {
-	ListSince(since uint64) (directory.ListCopy, bool)
+	ListSince(since storerev.Revision) (directory.ListCopy, bool)
 	ListCopy() directory.ListCopy
 }
 
 // get returns the encoded changes since a revision, or the full list if these are not available or
 // since is zero. A cached encoding is used if its revision is at least minRevision. Concurrent requests
 // share one copy and one encoding of the list, which bounds memory and time when many boxes ask at once.
-func (e *listEncoder) get(since, minRevision uint64, source listSource) (encodedList, error) {
+func (e *listEncoder) get(since, minRevision storerev.Revision, source listSource) (encodedList, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if list, ok := e.lookup(since, minRevision); ok {
@@ -107,7 +108,7 @@
 }
 
 // lookup returns the cached encoding for a base revision, if it is recent enough.
-func (e *listEncoder) lookup(since, minRevision uint64) (encodedList, bool) {
+func (e *listEncoder) lookup(since, minRevision storerev.Revision) (encodedList, bool) {
 	if e.revision < minRevision {
 		return encodedList{}, false
 	}
@@ -122,7 +123,7 @@
 	}
 	if e.revision != list.revision || len(e.lists) >= maxEncodedLists {
 		full, ok := e.lookup(0, list.revision)
-		e.revision, e.lists = list.revision, make(map[uint64]encodedList)
+		e.revision, e.lists = list.revision, make(map[storerev.Revision]encodedList)
 		if ok {
 			e.lists[0] = full
 		}
@@ -134,7 +135,7 @@
 // rosterEncoder encodes the roster and caches the encoding.
 type rosterEncoder struct {
 	mu       sync.Mutex
-	revision uint64
+	revision storerev.Revision
 	boxes    int
 	encoded  []byte
 }
--- a/pkg/snapshot/encode_test.go
+++ b/pkg/snapshot/encode_test.go
@@ -10,16 +10,17 @@
 	"github.com/stretchr/testify/require"
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // fakeListSource is a server list whose changes are available from some revision on.
 type fakeListSource struct {
-	revision, from uint64
+	revision, from storerev.Revision
 	servers        []routing.Server
 	copies         int
 }
 
-func (f *fakeListSource) ListSince(since uint64) (directory.ListCopy, bool) {
+func (f *fakeListSource) ListSince(since storerev.Revision) (directory.ListCopy, bool) {
 	if since < f.from {
 		return directory.ListCopy{}, false
 	}
@@ -36,7 +37,7 @@
 func TestEncodedChangesAreBounded(t *testing.T) {
 	var e listEncoder
 	l := &fakeListSource{revision: 1000, from: 1}
-	for since := range uint64(10 * maxEncodedLists) {
+	for since := range storerev.Revision(10 * maxEncodedLists) {
 		list, err := e.get(since+1, 1000, l)
 		require.NoError(t, err)
 		assert.Equal(t, since+1, list.since)
@@ -50,12 +51,12 @@
 func TestFullListIsEncodedOnce(t *testing.T) {
 	var e listEncoder
 	l := &fakeListSource{revision: 1000, from: 500, servers: listOf(3)}
-	for since := range uint64(900) {
+	for since := range storerev.Revision(900) {
 		list, err := e.get(since, 1000, l)
 		require.NoError(t, err)
 		assert.Equal(t, since >= l.from, list.since == since && since > 0)
 	}
-	for since := range uint64(400) {
+	for since := range storerev.Revision(400) {
 		_, err := e.get(since, 1000, l)
 		require.NoError(t, err)
 	}
@@ -89,12 +90,12 @@
 // A cached list is replaced by a newer one.
 func TestNewestListIsSent(t *testing.T) {
 	var e listEncoder
-	for _, revision := range []uint64{5, 6} {
+	for _, revision := range []storerev.Revision{5, 6} {
 		list, err := e.get(0, revision, &fakeListSource{revision: revision, from: 100})
 		require.NoError(t, err)
 		assert.Equal(t, revision, list.revision)
 	}
 	list, err := e.get(0, 5, &fakeListSource{revision: 7, from: 100})
 	require.NoError(t, err)
-	assert.Equal(t, uint64(6), list.revision, "the cached list is recent enough")
+	assert.Equal(t, storerev.Revision(6), list.revision, "the cached list is recent enough")
 }
--- a/pkg/snapshot/server.go
+++ b/pkg/snapshot/server.go
@@ -16,6 +16,7 @@
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/roster"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 // Server serves snapshots of this box.
@@ -60,27 +61,39 @@
 
 // request holds the parameters of a request.
 type request struct {
-	// minRevision is the minimum revision of the response, tableVersion the version of the
-	// requester's table, or zero for none.
-	minRevision, tableVersion uint64
+	// minRevision is the minimum revision of the response.
+	minRevision storerev.Revision
+	// tableVersion is the version of the requester's table, or zero for none.
+	tableVersion uint64
 	// since is the revision of the requester's server list, or zero for none.
-	since uint64
+	since storerev.Revision
 	wait  time.Duration
 }
 
 func parseRequest(r *http.Request) (request, error) {
 	values := r.URL.Query()
-	minRevision, err1 := strconv.ParseUint(values.Get(paramMinRevision), 10, 64)
+	minEra, err0 := parseEra(values.Get(paramMinEra))
+	minRevision, err1 := parseMinRevision(values.Get(paramMinRevision), minEra)
 	tableVersion, err2 := strconv.ParseUint(values.Get(paramTableVersion), 10, 64)
 	wait, err3 := strconv.ParseUint(values.Get(paramWait), 10, 32)
 	// Boxes with older builds do not send this parameter and get the full list.
-	since, err := strconv.ParseUint(values.Get(paramSince), 10, 64)
-	if err != nil {
+	sinceEra, err := parseEra(values.Get(paramSinceEra))
+	since, err4 := parseRevision(values.Get(paramSince), sinceEra)
+	if errors.Join(err, err4) != nil {
 		since = 0
 	}
 	return request{
 		minRevision: minRevision, tableVersion: tableVersion, since: since, wait: min(time.Duration(wait)*time.Millisecond, maxWait),
-	}, errors.Join(err1, err2, err3)
+	}, errors.Join(err0, err1, err2, err3)
+}
+
+// parseMinRevision parses a minimum revision. Unlike other revisions, it may be the start of an era.
+func parseMinRevision(number string, era uint64) (storerev.Revision, error) {
+	n, err := strconv.ParseUint(number, 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	return storerev.New(era, n)
 }
 
 // response holds the headers and the body of a response.
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -25,6 +25,7 @@
 	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/routing"
 	"headhill.example/headhill/pkg/stall"
+	"headhill.example/headhill/pkg/storerev"
 )
 
 func tableOf(version uint64, routes int) *routing.Table {
@@ -52,7 +53,7 @@
 type source struct {
 	table       *routing.Table
 	servers     []routing.Server
-	revision    uint64
+	revision    storerev.Revision
 	evacuations directory.Evacuations
 }
 
@@ -60,7 +61,7 @@
 	return directory.TableResult{Table: s.table, Revision: s.revision, Changed: s.revision}, nil
 }
 
-func (s *source) WatchTable(ctx context.Context, _ uint64, _ time.Duration, _ int) (directory.TableResult, error) {
+func (s *source) WatchTable(ctx context.Context, _ storerev.Revision, _ time.Duration, _ int) (directory.TableResult, error) {
 	<-ctx.Done()
 	return directory.TableResult{}, ctx.Err()
 }
@@ -73,7 +74,7 @@
 	return s.evacuations, ctx.Err()
 }
 
-func (s *source) WatchServers(ctx context.Context, _ uint64, _ time.Duration) (directory.ServerChanges, error) {
+func (s *source) WatchServers(ctx context.Context, _ storerev.Revision, _ time.Duration) (directory.ServerChanges, error) {
 	<-ctx.Done()
 	return directory.ServerChanges{}, ctx.Err()
 }
@@ -142,7 +143,7 @@
 	assert.Equal(t, uint64(7), table.Table.Version)
 	_, found := table.Table.OrganisationByKey("key")
 	assert.True(t, found)
-	assert.Equal(t, uint64(9), table.Revision)
+	assert.Equal(t, storerev.Revision(9), table.Revision)
 	_, err = third.ListMetadata(t.Context(), 9)
 	require.NoError(t, err)
 	list := third.ListCopy()
@@ -405,7 +406,7 @@
 	reads atomic.Int32
 }
 
-func (s *slowChangeSource) WatchServers(context.Context, uint64, time.Duration) (directory.ServerChanges, error) {
+func (s *slowChangeSource) WatchServers(context.Context, storerev.Revision, time.Duration) (directory.ServerChanges, error) {
 	time.Sleep(s.after)
 	return directory.ServerChanges{Events: []directory.ServerEvent{{Server: routing.Server{ID: "new"}}}, Revision: 12}, nil
 }
