directory: what boxes know and a restored store does not stays in force for a time

After a restore the copy lists servers that have left since, lacks those that were added, and may lack an evacuation.

Now: restored entries of servers that were leaving, or whose entries were removed while the store was in order, are withheld, by incarnation: one minute for the former (their entries are written again or expire long before), 5 s for the latter (an entry that nobody renews has expired by then, a server that lives is used again). Servers missing in the copy stay in use for 2 s, as after an outage. Evacuated halls stay so for 15 s; status shows them.

--- /dev/null
+++ b/pkg/directory/departed_test.go
@@ -0,0 +1,106 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/storerev"
+)
+
+func revisionIn(t require.TestingT, era, number uint64) storerev.Revision {
+	r, err := storerev.New(era, number)
+	require.NoError(t, err)
+	return r
+}
+
+func candidateIDs(d *Directory, now time.Time) []string {
+	var ids []string
+	for _, s := range d.View().Candidates("calls", now, 0) {
+		ids = append(ids, s.ID)
+	}
+	return ids
+}
+
+func ready(id string, started int64) routing.Server {
+	return routing.Server{ID: id, Started: started, Service: "calls"}
+}
+
+// Guards against use of a server that left before a restore, and against a hold on its next incarnation.
+func TestRestoredEntriesOfDepartedServersAreWithheld(t *testing.T) {
+	now := time.Now()
+	d := New(log.NewNopLogger())
+	all := []routing.Server{ready("draining", 1), ready("removed", 1), ready("restarted", 1), ready("staying", 1)}
+	d.applyList(all, revisionIn(t, 0, 10), now)
+	leaving := ready("draining", 1)
+	leaving.Leaving = true
+	leaves := []ServerEvent{{Server: leaving}, {Server: routing.Server{ID: "removed"}, Removed: true}, {Server: routing.Server{ID: "restarted"}, Removed: true}}
+	d.ApplyDelta(Delta{From: 10, To: 13, Events: leaves})
+
+	all[2].Started = 2
+	d.applyList(all, revisionIn(t, 1, 8), now)
+	assert.Equal(t, []string{"restarted", "staying"}, candidateIDs(d, now))
+	assert.Contains(t, candidateIDs(d, now.Add(removedEntryRetention)), "removed", "its entry has not expired, so it runs")
+	assert.NotContains(t, candidateIDs(d, now.Add(removedEntryRetention)), "draining")
+	assert.Contains(t, candidateIDs(d, now.Add(leavingRetention)), "draining")
+
+	d.ApplyDelta(Delta{From: revisionIn(t, 1, 8), To: revisionIn(t, 1, 9), Events: []ServerEvent{{Server: leaving}}})
+	assert.NotContains(t, candidateIDs(d, now.Add(leavingRetention)), "draining", "it has written its entry again")
+}
+
+// Guards against a service without servers while those that were added before a restore write their
+// entries again.
+func TestServersMissingAfterRestoreStayInUse(t *testing.T) {
+	now := time.Now()
+	d := New(log.NewNopLogger())
+	d.applyList([]routing.Server{ready("old", 1), ready("new", 1)}, revisionIn(t, 0, 10), now)
+	d.applyList([]routing.Server{ready("old", 1)}, revisionIn(t, 1, 8), now)
+	assert.ElementsMatch(t, []string{"old", "new"}, candidateIDs(d, now))
+	assert.Equal(t, []string{"old"}, candidateIDs(d, now.Add(recoveryGrace)))
+}
+
+// Guards against answers of an ended era that arrive late.
+func TestAnswersOfEarlierEraChangeNothing(t *testing.T) {
+	now := time.Now()
+	d := New(log.NewNopLogger())
+	d.applyTable(TableResult{Table: tableOf(3, "first"), Revision: revisionIn(t, 1, 8), Changed: revisionIn(t, 1, 8)}, now)
+	d.table.advance(position{revision: revisionIn(t, 1, 8)})
+	d.applyList([]routing.Server{ready("a", 1)}, revisionIn(t, 1, 8), now)
+	d.SetEvacuations(Evacuations{Halls: []string{"hall-1"}, Revision: revisionIn(t, 1, 8)}, now)
+
+	d.applyTable(TableResult{Table: tableOf(9, "lost"), Revision: 40, Changed: 40}, now.Add(time.Second))
+	d.applyTableDelta(tableDelta{Delta: routing.Diff(tableOf(3, "first"), tableOf(9, "lost")), changed: 40})
+	d.applyList(nil, 40, now)
+	d.ApplyDelta(Delta{From: 7, To: 41, Events: []ServerEvent{{Server: ready("lost", 1)}}})
+	d.SetEvacuations(Evacuations{Revision: 41}, now)
+	d.confirm(41, now.Add(time.Minute))
+	assert.Equal(t, uint64(3), d.View().Table.Version)
+	assert.Equal(t, now, d.View().TableConfirmedAt)
+	assert.Equal(t, now, d.View().ServersConfirmedAt)
+	assert.Equal(t, []string{"a"}, candidateIDs(d, now))
+	assert.Equal(t, []string{"hall-1"}, d.EvacuatedHalls())
+}
+
+// Guards against a delta from one era to another that is applied to a list which lacks lost changes.
+func TestDeltaAcrossErasIsNotApplied(t *testing.T) {
+	d := New(log.NewNopLogger())
+	d.applyList(nil, 40, time.Now())
+	d.ApplyDelta(Delta{From: 40, To: revisionIn(t, 1, 41), Events: []ServerEvent{{Server: ready("a", 1)}}})
+	assert.Equal(t, storerev.Revision(40), d.list.position().revision)
+}
+
+// Guards against evacuations that end because a restore lost them, or that outlast it for good.
+func TestEvacuationsAreRetainedAfterRestore(t *testing.T) {
+	now := time.Now()
+	d := New(log.NewNopLogger())
+	d.SetEvacuations(Evacuations{Halls: []string{"east"}, Revision: 41}, now)
+	d.SetEvacuations(Evacuations{Revision: revisionIn(t, 1, 37)}, now)
+	assert.Equal(t, []string{"east"}, d.EvacuatedHalls())
+	d.restoredHalls["east"] = now
+	d.SetEvacuations(Evacuations{Revision: revisionIn(t, 1, 38)}, now)
+	assert.Empty(t, d.EvacuatedHalls())
+}
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -21,6 +21,9 @@
 	// GraceEnd is set if the entry expired during an outage of the source: until then the server
 	// is used as if it were listed.
 	GraceEnd time.Time
+	// WithheldUntil is set if the server had left before the source was restored: until then it gets no
+	// work although it is listed as ready.
+	WithheldUntil time.Time
 	// WarmUpEnd is when the server finishes its warm-up, according to its entry.
 	WarmUpEnd time.Time
 }
@@ -50,8 +53,8 @@
 // ServersAge returns the time since the source last confirmed the list of servers.
 func (v *View) ServersAge(now time.Time) time.Duration { return now.Sub(v.ServersConfirmedAt) }
 
-// Candidates returns the servers of a service that may get new work: those that are listed and not
-// draining, plus those whose entry expired in an outage and that are within their recovery grace. If
+// Candidates returns the servers of a service that may get new work: those that are listed, not
+// draining and not withheld, plus those whose entry expired in an outage and that are within their recovery grace. If
 // there are none, it returns those removed less than grace ago.
 //
 // The caller must not modify the result.
@@ -61,6 +64,11 @@
 		return nil
 	}
 	listed := p.ready
+	for _, s := range p.withheld {
+		if !now.Before(s.WithheldUntil) {
+			listed = append(slices.Clip(listed), s.Server)
+		}
+	}
 	var removed []routing.Server
 	for _, s := range p.removed {
 		switch {
@@ -137,7 +145,14 @@
 	prunedAt time.Time
 	// recoveredAt is when the source last recovered from an outage.
 	recoveredAt time.Time
+	// departed holds the servers that had left before the source was last restored.
+	departed    departedServers
 	evacuations Evacuations
+	// effectiveHalls are the halls whose servers get no work. restoredHalls are those that were
+	// evacuated before the source was last restored, with the time until which they count as evacuated
+	// whatever the source says.
+	effectiveHalls map[string]bool
+	restoredHalls  map[string]time.Time
 }
 
 const (
@@ -220,11 +235,15 @@
 	return b
 }
 
-// setServers replaces the whole list and returns the differences.
-func (d *Directory) setServers(list []routing.Server, at time.Time) []ServerEvent {
+// setServers replaces the whole list and returns the differences. newEra is set if the source was
+// restored since the last list.
+func (d *Directory) setServers(list []routing.Server, at time.Time, newEra bool) []ServerEvent {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.detectRecovery(at)
+	if newEra {
+		d.beginEra(at)
+	}
 	bulk := d.view.Load().ServersConfirmedAt.IsZero()
 	var events []ServerEvent
 	listed := make(map[string]bool, len(list))
@@ -281,12 +300,12 @@
 	if exists && old.RemovedAt.IsZero() && old.Server == s {
 		return false
 	}
+	listed := Server{Server: s, WithheldUntil: d.departed.withheldUntil(s, at)}
 	line := level.Info(d.logger)
 	if bulk {
 		line = level.Debug(d.logger)
 	}
-	_ = line.Log("msg", "server listed", "server", s.ID, "service", s.Service, "address", s.Address, "hall", s.Hall, "leaving", s.Leaving, "known", exists, "warm_up_ms", s.WarmUpRemaining.Milliseconds())
-	listed := Server{Server: s}
+	_ = line.Log("msg", "server listed", "server", s.ID, "service", s.Service, "address", s.Address, "hall", s.Hall, "leaving", s.Leaving, "known", exists, "warm_up_ms", s.WarmUpRemaining.Milliseconds(), "withheld", !listed.WithheldUntil.IsZero())
 	if s.WarmUpRemaining > 0 {
 		listed.WarmUpEnd = at.Add(s.WarmUpRemaining)
 	}
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -257,7 +257,7 @@
 	askedAt := time.Now()
 	before := askedAt.Add(-time.Minute)
 	d.setTable(routing.NewTable(routing.Content{Version: 1}), before)
-	d.setServers(nil, before)
+	d.setServers(nil, before, false)
 	d.list.advance(position{revision: 5})
 	d.table.advance(position{revision: 5})
 	d.ApplyCheck(Check{AskedAt: askedAt, Revision: 7, TableChanged: 5, ServersChanged: 6})
@@ -288,7 +288,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := New(log.NewNopLogger())
-			d.setServers(list, now)
+			d.setServers(list, now, false)
 			recoveredAt := now.Add(c.outage)
 			removals := []ServerEvent{{Server: routing.Server{ID: "b"}, Removed: true}, {Server: routing.Server{ID: "leaving"}, Removed: true}}
 			d.changeServers(removals, recoveredAt)
--- a/pkg/directory/evacuations.go
+++ b/pkg/directory/evacuations.go
@@ -52,6 +52,14 @@
 	return d.evacuations
 }
 
+// EvacuatedHalls returns the names of the halls whose servers get no work, which includes those that
+// were evacuated before a restore of the source and may still be.
+func (d *Directory) EvacuatedHalls() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.effectiveHalls))
+}
+
 // EvacuationsConfirmedAt returns when the source last confirmed the evacuated halls.
 func (d *Directory) EvacuationsConfirmedAt() time.Time { return d.View().EvacuationsConfirmedAt }
 
@@ -64,14 +72,18 @@
 	if e.Revision == 0 || e.Revision < d.evacuations.Revision {
 		return false
 	}
-	before := d.evacuations
-	d.evacuations = e
+	now := clock.Now()
+	if !e.Revision.SameEra(d.evacuations.Revision) {
+		d.retainEvacuations(now)
+	}
+	before, after := d.effectiveHalls, d.hallsInEffect(e, now)
+	d.evacuations, d.effectiveHalls = e, after
 	v := *d.view.Load()
 	v.EvacuationsConfirmedAt = laterOf(v.EvacuationsConfirmedAt, askedAt)
-	changed := !maps.Equal(before.hallSet(), e.hallSet())
+	changed := !maps.Equal(before, after)
 	if changed {
-		v.restored = updateRestored(v.restored, before, e, clock.Now())
-		d.logEvacuations(before, e, askedAt)
+		v.restored = updateRestored(v.restored, before, after, now)
+		d.logEvacuations(before, after, e.Revision, askedAt)
 	}
 	d.view.Store(&v)
 	if changed && !v.ServersConfirmedAt.IsZero() {
@@ -80,9 +92,34 @@
 	return changed
 }
 
-func (d *Directory) logEvacuations(before, after Evacuations, askedAt time.Time) {
-	_ = level.Info(d.logger).Log("msg", "evacuated halls changed", "halls", strings.Join(after.Halls, ","), "before", strings.Join(before.Halls, ","),
-		"revision", after.Revision, "age_ms", clock.Since(askedAt).Milliseconds(), "outcome", "servers in these halls get no new requests")
+// evacuationRetention is how long a hall that was evacuated before a restore counts as evacuated, so
+// that the evacuation can be written again.
+const evacuationRetention = 15 * time.Second
+
+// retainEvacuations keeps the halls that are evacuated in effect when the source is restored. The
+// caller holds mu.
+func (d *Directory) retainEvacuations(now time.Time) {
+	d.restoredHalls = make(map[string]time.Time)
+	for hall := range d.effectiveHalls {
+		d.restoredHalls[hall] = now.Add(evacuationRetention)
+	}
+}
+
+// hallsInEffect returns the evacuated halls, with those retained after a restore. The caller holds mu.
+func (d *Directory) hallsInEffect(e Evacuations, now time.Time) map[string]bool {
+	halls := e.hallSet()
+	for hall, until := range d.restoredHalls {
+		if now.Before(until) {
+			halls[hall] = true
+		}
+	}
+	return halls
+}
+
+func (d *Directory) logEvacuations(before, after map[string]bool, revision storerev.Revision, askedAt time.Time) {
+	names := func(halls map[string]bool) string { return strings.Join(slices.Sorted(maps.Keys(halls)), ",") }
+	_ = level.Info(d.logger).Log("msg", "evacuated halls changed", "halls", names(after), "before", names(before),
+		"revision", revision, "age_ms", clock.Since(askedAt).Milliseconds(), "outcome", "servers in these halls get no new requests")
 }
 
 // restoredRetention is how long after the end of its evacuation a hall counts as restored. It
@@ -91,15 +128,15 @@
 
 // updateRestored returns the restored halls with the time of their restoration, after a change of
 // the evacuated halls.
-func updateRestored(earlier map[string]time.Time, before, after Evacuations, at time.Time) map[string]time.Time {
+func updateRestored(earlier map[string]time.Time, before, after map[string]bool, at time.Time) map[string]time.Time {
 	halls := make(map[string]time.Time)
 	for hall, since := range earlier {
 		if at.Sub(since) < restoredRetention {
 			halls[hall] = since
 		}
 	}
-	for _, hall := range before.Halls {
-		if !slices.Contains(after.Halls, hall) {
+	for hall := range before {
+		if !after[hall] {
 			halls[hall] = at
 		}
 	}
--- a/pkg/directory/evacuations_test.go
+++ b/pkg/directory/evacuations_test.go
@@ -33,7 +33,7 @@
 	for _, hall := range []string{"east", "north", "west"} {
 		list = append(list, serverIn(hall, 0), serverIn(hall, 1))
 	}
-	d.setServers(list, now)
+	d.setServers(list, now, false)
 	return d
 }
 
@@ -95,7 +95,7 @@
 			case 2:
 				d.changeServers([]ServerEvent{{Server: serverIn(hall, rapid.IntRange(0, 4).Draw(t, "server")), Removed: true}}, now)
 			case 3:
-				d.setServers([]routing.Server{serverIn("east", 0), serverIn("north", 0), serverIn("west", 0)}, now)
+				d.setServers([]routing.Server{serverIn("east", 0), serverIn("north", 0), serverIn("west", 0)}, now, false)
 			}
 			for _, grace := range []time.Duration{0, time.Second} {
 				for in := range hallsOf(d.View().Candidates("models", now, grace)) {
--- a/pkg/directory/notifications_test.go
+++ b/pkg/directory/notifications_test.go
@@ -25,7 +25,7 @@
 func directoryAt(t *routing.Table, revision storerev.Revision) *Directory {
 	d := New(log.NewNopLogger())
 	d.setTable(t, time.Now())
-	d.setServers(nil, time.Now())
+	d.setServers(nil, time.Now(), false)
 	d.table.advance(position{revision: revision, changed: revision})
 	d.list.advance(position{revision: revision, changed: revision})
 	return d
--- a/pkg/directory/pools.go
+++ b/pkg/directory/pools.go
@@ -22,10 +22,11 @@
 
 // pool holds the servers of a service. It is immutable once it is part of a view.
 type pool struct {
-	// ready are listed and get work, ordered by ID; draining are listed and get none; removed are no
-	// longer listed.
+	// ready are listed and get work, ordered by ID; draining are listed and get none; withheld are
+	// listed and get none for a time; removed are no longer listed.
 	ready    []routing.Server
 	draining []routing.Server
+	withheld []Server
 	removed  []Server
 }
 
@@ -36,6 +37,8 @@
 	case stopped && s.RemovedAt.IsZero():
 		p.draining = append(p.draining, s.Server)
 	case stopped:
+	case s.RemovedAt.IsZero() && !s.WithheldUntil.IsZero():
+		p.withheld = append(p.withheld, s)
 	case s.RemovedAt.IsZero():
 		p.ready = append(p.ready, s.Server)
 	default:
@@ -52,6 +55,7 @@
 	return &pool{
 		ready:    slices.DeleteFunc(cloneWithSpare(p.ready, len(ids)), func(s routing.Server) bool { return ids[s.ID] }),
 		draining: slices.DeleteFunc(cloneWithSpare(p.draining, len(ids)), func(s routing.Server) bool { return ids[s.ID] }),
+		withheld: slices.DeleteFunc(cloneWithSpare(p.withheld, len(ids)), func(s Server) bool { return ids[s.ID] }),
 		removed:  slices.DeleteFunc(cloneWithSpare(p.removed, len(ids)), func(s Server) bool { return ids[s.ID] }),
 	}
 }
@@ -78,7 +82,7 @@
 	v := *d.view.Load()
 	v.ServersConfirmedAt = at
 	v.warmUpEnds = make(map[routing.Incarnation]time.Time)
-	v.evacuated = d.evacuations.hallSet()
+	v.evacuated = d.effectiveHalls
 	v.pools = make(map[string]*pool)
 	for id, s := range d.servers {
 		if !s.RemovedAt.IsZero() && at.Sub(s.RemovedAt) > removedRetention {
--- a/pkg/directory/providers.go
+++ b/pkg/directory/providers.go
@@ -109,8 +109,9 @@
 		return nil
 	}
 	before := d.list.position().revision
-	events := d.setServers(list, at)
-	if before == 0 || !before.SameEra(revision) {
+	newEra := before > 0 && !before.SameEra(revision)
+	events := d.setServers(list, at, newEra)
+	if before == 0 || newEra {
 		d.history.reset(revision)
 	} else {
 		d.history.addFullRead(Delta{From: before, To: revision, Events: events})
--- a/pkg/directory/providers_test.go
+++ b/pkg/directory/providers_test.go
@@ -95,7 +95,7 @@
 func TestBoxLoadsFromProvider(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		provider := directoryAt(tableOf(3, "a"), 5)
-		provider.setServers([]routing.Server{{ID: "s", Service: "x"}, {ID: "t", Service: "x", Leaving: true}}, time.Now())
+		provider.setServers([]routing.Server{{ID: "s", Service: "x"}, {ID: "t", Service: "x", Leaving: true}}, time.Now(), false)
 		followProvider(t, provider, func(d *Directory) {
 			time.Sleep(time.Second)
 			require.True(t, d.Loaded())
@@ -103,7 +103,7 @@
 			assert.Equal(t, provider.listed(), d.listed())
 			assert.Equal(t, provider.View().TableConfirmedAt, d.View().TableConfirmedAt, "a copy keeps its confirmation time")
 			provider.setTable(tableOf(9, "b"), time.Now())
-			provider.setServers([]routing.Server{{ID: "u", Service: "x"}}, time.Now())
+			provider.setServers([]routing.Server{{ID: "u", Service: "x"}}, time.Now(), false)
 			go func() {
 				time.Sleep(300 * time.Millisecond)
 				provider.table.advance(position{revision: 7, changed: 7})
--- a/pkg/routerd/status.go
+++ b/pkg/routerd/status.go
@@ -52,7 +52,7 @@
 	status := Status{
 		Box: s.Box.ID, Hall: s.Box.Hall, Version: version.String(), Ready: d.Ready(), Reader: d.roster.IsReader(), Boxes: d.roster.Count(),
 		TableAgeMillis: millisSince(v.TableConfirmedAt, now), ServersAgeMillis: millisSince(v.ServersConfirmedAt, now),
-		EvacuatedHalls: d.directory.Evacuations().Halls, EvacuationsAgeMillis: millisSince(v.EvacuationsConfirmedAt, now),
+		EvacuatedHalls: d.directory.EvacuatedHalls(), EvacuationsAgeMillis: millisSince(v.EvacuationsConfirmedAt, now),
 		FormsLevel: forms.Level, LowestFormsLevel: d.roster.LowestLevel(), EarlierBoxes: d.roster.OlderBuilds(maxEarlierBoxes),
 	}
 	if v.Table != nil {
