quarantine, roster: what boxes wrote and a restore lost is written again

A restored record may lack held requests or list released ones, which a restart of all boxes would then release or hold. At a new era each box that knows any compares the record with its ledger, at a random time within 5 s; the first one repairs it in one conditional write, the others find nothing to do.

A box registers again with its next check after a restore: where the boxes fill several pages, it never reads one that tells that its entry is missing. Red with the call taken out: TestBoxRegistersAgainAfterRestore. TestRosterOfLaterEraIsApplied covers the order of rosters.

--- a/pkg/quarantine/persister.go
+++ b/pkg/quarantine/persister.go
@@ -108,6 +108,8 @@
 	mu sync.Mutex
 	// pendingWrites holds the requests whose state has to be written.
 	pendingWrites map[Fingerprint]pendingWrite
+	// reconcileAt is when to compare the record with the ledger; zero for not at all.
+	reconcileAt time.Time
 	// lastTrialRequest is when the store was last asked for a trial.
 	lastTrialRequest time.Time
 }
@@ -138,6 +140,11 @@
 	p.mu.Lock()
 	p.pendingWrites[f] = w
 	p.mu.Unlock()
+	p.signal()
+}
+
+// signal wakes Run.
+func (p *Persister) signal() {
 	select {
 	case p.wake <- struct{}{}:
 	default:
@@ -156,6 +163,7 @@
 		case <-p.wake:
 		case <-timer.C:
 		}
+		p.reconcileIfDue(ctx, clock.Now())
 		p.writePending(ctx, clock.Now())
 		if wait, more := p.untilNextWrite(clock.Now()); more {
 			timer.Reset(wait)
@@ -163,10 +171,13 @@
 	}
 }
 
-// untilNextWrite returns the time until the next scheduled write; false if there is none.
+// untilNextWrite returns the time until the next scheduled write or comparison; false if there is none.
 func (p *Persister) untilNextWrite(now time.Time) (wait time.Duration, more bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.reconcileAt.IsZero() {
+		wait, more = max(0, p.reconcileAt.Sub(now)), true
+	}
 	for _, w := range p.pendingWrites {
 		if left := max(0, w.at.Sub(now)); !more || left < wait {
 			wait, more = left, true
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -63,6 +63,9 @@
 	wg.Wait()
 }
 
+// ObserveEra must be called when the store has been restored from an older copy.
+func (q *Quarantine) ObserveEra() { q.persister.ObserveEra() }
+
 // MaySuspect reports whether a request may be a suspect. If not, its fingerprint is not needed.
 func (q *Quarantine) MaySuspect(r *Request) bool {
 	return !q.ledger.Empty() && q.ledger.MaySuspect(OutlineOf(r))
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -260,3 +260,33 @@
 		assert.True(t, boxes[n-1].Complete())
 	}
 }
+
+// Guards against a box that stays unknown to the others because a restore of the store lost its entry and
+// the box only reads pages that may be stale.
+func TestBoxRegistersAgainAfterRestore(t *testing.T) {
+	store := &fakeStore{entries: make(map[string]Entry)}
+	b := box(store, 1)
+	_, err := b.Refresh(context.Background())
+	require.NoError(t, err)
+	delete(store.entries, "box-01")
+	store.revision = storerev.StartOf(1) + 5
+	b.ObserveEra(1)
+	_, err = b.RefreshPageStale(context.Background())
+	require.NoError(t, err)
+	assert.Contains(t, store.entries, "box-01")
+}
+
+// Guards against a roster that ignores the boxes of a restored store, as its revisions are lower.
+func TestRosterOfLaterEraIsApplied(t *testing.T) {
+	store := &fakeStore{entries: make(map[string]Entry), revision: 40}
+	b := box(store, 1)
+	_, err := b.Refresh(context.Background())
+	require.NoError(t, err)
+	store.entries["box-02"] = Entry{Box: "box-02", Peer: "127.0.0.1:6002"}
+	store.revision = storerev.StartOf(1) + 5
+	_, err = b.Refresh(context.Background())
+	require.NoError(t, err)
+	assert.Equal(t, 2, b.Count())
+	b.ApplySnapshot(Snapshot{Entries: []Entry{{Box: "box-01"}}, Revision: 41})
+	assert.Equal(t, 2, b.Count(), "a roster of an earlier era is ignored")
+}
--- a/pkg/routerd/storeera.go
+++ b/pkg/routerd/storeera.go
@@ -9,15 +9,21 @@
 	"headhill.example/headhill/pkg/telemetry"
 )
 
-// onEraRise is called when the era of the store rises because it was restored from an older copy.
+// onEraRise is called when the era of the store rises because it was restored from an older copy, and
+// for the first response of a store that was restored before this box started.
 func (d *Daemon) onEraRise(era, before uint64) {
 	states := d.directory.States(clock.Now())
-	_ = level.Warn(d.logger).Log("msg", "store era has risen", "era", era, "before", before,
+	line := level.Warn(d.logger)
+	if !d.directory.Loaded() {
+		line = level.Info(d.logger)
+	}
+	_ = line.Log("msg", "store era has risen", "era", era, "before", before,
 		"table_revision", states[directory.PartTable].Revision, "servers_revision", states[directory.PartServers].Revision,
 		"outcome", "table, servers, boxes and duties are read again; what the store has lost stays in use for a time")
 	d.directory.ObserveEra(era)
 	d.roster.ObserveEra(era)
 	d.duties.observeEra(era)
+	d.quarantine.ObserveEra()
 }
 
 // storeEraGauge returns the gauge for the latest known era of the store.
