lease: a lease that has expired is not renewed on a restored record

Renewing an own record after the lease has expired rests on the condition of the write, which a restore undoes. Now a restored record is written again only while the lease is valid; else it is taken over like another box's.

--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -96,8 +96,9 @@
 	}
 }
 
-// holdsAcrossRestore reports whether the lease of this box is valid although the newest record, which
-// was restored, does not name it. No other box acquires the lease before it has expired.
+// holdsAcrossRestore reports whether the lease of this box is valid although the newest record was
+// restored. No other box acquires the lease before it has expired. Once it has, a restored record does
+// not show whether another box did, even if it names this one.
 func (e *Elector) holdsAcrossRestore(now time.Time) bool {
 	return e.fence > 0 && e.latest.restored() && now.Before(e.heldUntil)
 }
@@ -129,9 +130,9 @@
 	switch {
 	case e.fence > 0 && e.eraUnread():
 		return StepRead, now
-	case e.holdsAcrossRestore(now) && !e.ownsLatest():
+	case e.holdsAcrossRestore(now):
 		return StepRenew, now
-	case e.fence > 0 && e.ownsLatest():
+	case e.fence > 0 && e.ownsLatest() && !e.latest.restored():
 		return e.nextRenewal(now)
 	}
 	e.endHolding(now)
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -35,6 +35,57 @@
 	})
 }
 
+// Guards against two holders, or a fencing token that falls, after the store was restored from a copy that
+// lacks the latest holder, and against a lease that nobody can acquire any more.
+func TestRestoredStoreKeepsLeaseRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 7).Draw(t, "boxes"), TimingFor(leaseDuration))
+		sim.restoreStore = true
+		sim.run(time.Minute, sim.randomFaults(rapid.IntRange(20, 300).Draw(t, "every")))
+		require.Empty(t, sim.violation())
+		sim.noLostResponses, sim.datagramLoss, sim.storeDownUntil = true, false, sim.now
+		for _, b := range sim.boxes {
+			b.frozenUntil, b.storeCutUntil, b.peersCutUntil, b.cloudCutUntil, b.deadUntil = sim.now, sim.now, sim.now, sim.now, sim.now
+		}
+		sim.run(maxWriteDelay+2*maxTakeoverTime, nil)
+		require.Empty(t, sim.violation())
+		require.NotNil(t, sim.holder(), "no box holds the lease after all faults have ended")
+	})
+}
+
+// If restored records counted as current, the simulation would detect it.
+func TestIgnoringRestoresBreaksLeaseRules(t *testing.T) {
+	violations := 0
+	for seed := range uint64(100) {
+		sim := newSimulation(seed, 4, TimingFor(leaseDuration))
+		sim.restoreStore, sim.ignoreWrittenEra = true, true
+		sim.run(3*time.Minute, sim.randomFaults(100))
+		if sim.violation() != "" {
+			violations++
+		}
+	}
+	t.Logf("%d of 100 simulations violated a rule", violations)
+	assert.Positive(t, violations)
+}
+
+// Guards against duties that pause because a valid lease ends when a restore loses its record.
+func TestHolderKeepsLeaseAcrossRestore(t *testing.T) {
+	for seed := range uint64(50) {
+		sim := newSimulation(seed, 4, TimingFor(leaseDuration))
+		sim.noLostResponses = true
+		sim.run(2*leaseDuration, nil)
+		holder := sim.holder()
+		require.NotNil(t, holder)
+		sim.restore()
+		sim.storeDownUntil = sim.now.Add(leaseDuration / 10)
+		for range 2 * leaseDuration / tickInterval {
+			sim.run(tickInterval, nil)
+			require.Same(t, holder, sim.holder(), "seed %d", seed)
+		}
+		require.Empty(t, sim.violation())
+	}
+}
+
 // A holder whose machine was suspended must not make calls under a lease that another box has
 // acquired meanwhile, as its clock includes the suspension.
 func TestSuspendedHoldersKeepLeaseRules(t *testing.T) {
--- a/pkg/lease/simulation_test.go
+++ b/pkg/lease/simulation_test.go
@@ -34,12 +34,23 @@
 	// boxes do not advance during a suspension.
 	suspendMachines bool
 	monotonicClock  bool
+	// restoreStore adds restores of the store from an older copy to the faults. With ignoreWrittenEra
+	// the boxes take each record for one that was written in the current era.
+	restoreStore     bool
+	ignoreWrittenEra bool
 }
 
 type simulatedStore struct {
 	stored VersionedRecord
-	// delayedWrites are executed later, if the revision still matches.
+	// delayedWrites are executed later, if the number of the revision still matches.
 	delayedWrites []delayedWrite
+	// copies holds the records of the last maxCopyAge.
+	copies []recordCopy
+}
+
+type recordCopy struct {
+	at     time.Time
+	record VersionedRecord
 }
 
 type delayedWrite struct {
@@ -69,6 +80,8 @@
 	clockLag time.Duration
 	// pending is the store call in flight.
 	pending *pendingCall
+	// knownEra is the latest era in a response.
+	knownEra uint64
 	// checkedFence is the fence of a call that is not sent yet though the lease was checked for it.
 	checkedFence uint64
 	nextCall     time.Time
@@ -102,7 +115,7 @@
 func (sim *simulation) startBox(b *simulatedBox) {
 	b.incarnation = sim.random.Uint64()
 	b.elector = NewElector(b.name, b.incarnation, sim.timing, sim.elapsed(b))
-	b.dead, b.stopped, b.pending, b.checkedFence = false, false, nil, 0
+	b.dead, b.stopped, b.pending, b.checkedFence, b.knownEra = false, false, nil, 0, 0
 }
 
 // elapsed returns the time of the box's clock.
@@ -126,6 +139,7 @@
 
 func (sim *simulation) run(d time.Duration, fault func()) {
 	for end := sim.now.Add(d); sim.now.Before(end); sim.now = sim.now.Add(tickInterval) {
+		sim.copyRecord()
 		if fault != nil {
 			fault()
 		}
@@ -148,13 +162,36 @@
 	sim.store.delayedWrites = left
 }
 
-// write performs a conditional write.
-func (sim *simulation) write(r Record, revision storerev.Revision) bool {
-	if sim.store.stored.Revision != revision {
+// write performs a conditional write. The store compares only the number of the revision, so the caller
+// has to check that it is of the same era.
+func (sim *simulation) write(r Record, revision storerev.Revision) (sameEra bool) {
+	stored := sim.store.stored.Revision
+	if stored.Number() != revision.Number() {
 		return false
 	}
-	sim.store.stored = VersionedRecord{Record: r, Revision: revision + 1 + storerev.Revision(sim.random.IntN(5))}
-	return true
+	sim.store.stored = VersionedRecord{Record: r, Revision: stored + 1 + storerev.Revision(sim.random.IntN(5))}
+	return stored.SameEra(revision)
+}
+
+// maxCopyAge is the maximum age of the copy from which the store is restored.
+const maxCopyAge = 5 * time.Second
+
+// copyRecord copies the record, so that it can be restored.
+func (sim *simulation) copyRecord() {
+	for len(sim.store.copies) > 0 && sim.now.Sub(sim.store.copies[0].at) > maxCopyAge {
+		sim.store.copies = sim.store.copies[1:]
+	}
+	sim.store.copies = append(sim.store.copies, recordCopy{at: sim.now, record: sim.store.stored})
+}
+
+// restore restores the record from a copy and starts the next era.
+func (sim *simulation) restore() {
+	era := sim.store.stored.Revision.Era() + 1
+	restored := sim.store.copies[sim.random.IntN(len(sim.store.copies))].record
+	restored.Revision = storerev.StartOf(era) + storerev.Revision(restored.Revision.Number())
+	sim.store.stored = restored
+	sim.store.copies = []recordCopy{{at: sim.now, record: restored}}
+	sim.storeDownUntil = sim.now.Add(time.Duration(sim.random.IntN(2000)) * time.Millisecond)
 }
 
 func (sim *simulation) step(b *simulatedBox, rank int) {
@@ -219,6 +256,11 @@
 		}
 		return
 	}
+	if p.step != StepRead && p.revision.Era() < b.knownEra {
+		// The client does not send the write, and the record is read again.
+		p.conflict, p.result, p.answered = true, sim.store.stored, true
+		return
+	}
 	responseLost := !sim.noLostResponses && sim.random.IntN(20) == 0
 	if p.step == StepRead {
 		p.result, p.answered = sim.store.stored, !responseLost
@@ -233,6 +275,16 @@
 
 // handleResponse passes the response of the store to the elector, as Manager does.
 func (sim *simulation) handleResponse(b *simulatedBox, p *pendingCall) {
+	if era := p.result.Revision.Era(); era < b.knownEra {
+		b.retryAt = sim.now.Add(minRetryDelay)
+		return
+	} else if era > b.knownEra {
+		b.knownEra = era
+		b.elector.ObserveEra(era, sim.elapsed(b))
+	}
+	if sim.ignoreWrittenEra {
+		p.result.Era = p.result.Revision.Era()
+	}
 	switch {
 	case p.step == StepRead || p.conflict:
 		b.elector.ObserveRead(p.result, sim.elapsed(b))
@@ -253,6 +305,9 @@
 		}
 		announced := s
 		announced.State = nil
+		if sim.ignoreWrittenEra {
+			announced.Era = announced.Revision.Era()
+		}
 		b.elector.ObserveAnnounced(announced, sim.elapsed(b))
 	}
 }
@@ -348,6 +403,10 @@
 		sim.suspend(b, time.Duration(500+sim.random.IntN(59_500))*time.Millisecond)
 		return
 	}
+	if sim.restoreStore && sim.random.IntN(4) == 0 {
+		sim.restore()
+		return
+	}
 	switch sim.random.IntN(10) {
 	case 0:
 		sim.kill(b, time.Duration(sim.random.IntN(3000))*time.Millisecond)
