duties: usage windows that a lost holder closed are not reported with other counts

The holder announces the first window that it has not closed; a box that takes over from a restored record skips the windows before it, or goes on with its own ledger if it was the last holder. Skipped windows are logged. Not reporting them is the lesser harm: their usage is in the request log.

--- a/pkg/duties/duties.go
+++ b/pkg/duties/duties.go
@@ -183,8 +183,9 @@
 	return data
 }
 
-// Restore loads the state of the previous holder.
-func (r *Runner) Restore(data []byte) {
+// Restore loads the state of the previous holder. If restored is set, it comes from an older copy of
+// the store.
+func (r *Runner) Restore(data []byte, restored bool) {
 	var s savedState
 	if len(data) > 0 {
 		if err := json.Unmarshal(data, &s); err != nil {
@@ -193,7 +194,7 @@
 		}
 	}
 	if r.Reporter != nil {
-		r.Reporter.restore(s.Metering)
+		r.Reporter.restore(s.Metering, restored)
 	}
 	if r.Scaler != nil {
 		r.Scaler.restore(s.Ordered)
--- a/pkg/duties/duties_test.go
+++ b/pkg/duties/duties_test.go
@@ -161,7 +161,7 @@
 
 // acquireLease gives the lease to the box.
 func (b *testBox) acquireLease(fence uint64, d time.Duration, state []byte) {
-	b.duties.Restore(state)
+	b.duties.Restore(state, false)
 	b.lease.update(func(l *fakeLease) { l.fence, l.until = fence, time.Now().Add(d) })
 }
 
@@ -332,7 +332,7 @@
 
 func TestUndecodableStateIsDropped(t *testing.T) {
 	b := newBox(&fakeCloud{})
-	b.duties.Restore([]byte("{"))
+	b.duties.Restore([]byte("{"), false)
 	assert.Zero(t, b.duties.Reporter.Ledger().Next)
 	assert.Empty(t, b.duties.Scaler.Ordered())
 }
--- a/pkg/duties/reporter.go
+++ b/pkg/duties/reporter.go
@@ -33,8 +33,10 @@
 	ledger mutexed[metering.Ledger]
 	// requiredSave is the save request whose state includes all closed windows.
 	requiredSave atomic.Uint64
-	retryAt      time.Time
-	status       mutexed[ReporterStatus]
+	// announcedNext is the first window that no holder has closed, as announced by the holders.
+	announcedNext atomic.Int64
+	retryAt       time.Time
+	status        mutexed[ReporterStatus]
 }
 
 // ReporterStatus describes the reports made so far, for operators.
@@ -69,14 +71,34 @@
 	return s
 }
 
-// restore loads the ledger of the previous holder. It is stored already.
-func (r *Reporter) restore(l *metering.Ledger) {
+// ObserveNext records the first window that the holder has not closed.
+func (r *Reporter) ObserveNext(w metering.Window) {
+	for {
+		known := r.announcedNext.Load()
+		if int64(w) <= known || r.announcedNext.CompareAndSwap(known, int64(w)) {
+			return
+		}
+	}
+}
+
+// restore loads the ledger of the previous holder. It is stored already. If restored is set, it comes
+// from an older copy of the store: a window that was closed since may have been reported, and must not
+// be reported again with other counts.
+func (r *Reporter) restore(l *metering.Ledger, restored bool) {
+	skipped := 0
 	r.ledger.with(func(current *metering.Ledger) {
+		own := *current
 		*current = metering.Ledger{}
 		if l != nil {
 			*current = *l
 		}
+		if restored {
+			skipped = current.CatchUp(own, metering.Window(r.announcedNext.Load()))
+		}
 	})
+	if skipped > 0 {
+		_ = level.Error(r.logger).Log("msg", "skipped usage windows", "count", skipped, "reason", "the store lost which of them were reported", "outcome", "usage of these windows is only in the request log")
+	}
 	r.requiredSave.Store(0)
 }
 
--- a/pkg/lease/announce.go
+++ b/pkg/lease/announce.go
@@ -23,6 +23,7 @@
 	msg := &leasepb.Lease{Holder: s.Holder, Incarnation: s.Incarnation, Fence: s.Fence, Revision: s.Revision.Number(), Era: s.Revision.Era(), WrittenEra: s.Era}
 	if s.Holder == m.Box {
 		msg.Fence, msg.Told = max(s.Fence, m.heldFence()), m.Announcement()
+		msg.Progress = m.Progress()
 	}
 	body, err := proto.Marshal(msg)
 	if err != nil || !m.Port.Send(datagramKind, body, m.Peers()...) {
@@ -51,6 +52,9 @@
 	if d.Box == msg.GetHolder() && len(msg.GetTold()) > 0 {
 		m.OnAnnouncement(msg.GetTold(), d.Received)
 	}
+	if d.Box == msg.GetHolder() && msg.GetProgress() > 0 {
+		m.OnProgress(msg.GetProgress())
+	}
 	if changed {
 		m.OnHolderChange(s.Holder)
 		_ = level.Debug(m.Logger).Log("msg", "lease holder changed", "holder", s.Holder, "fence", s.Fence, "revision", s.Revision)
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -32,12 +32,17 @@
 	// State returns the state of the duties. It is called before each renewal.
 	State func() []byte
 	// OnAcquired is called on each acquisition with the state of the previous holder, before the
-	// lease is used.
-	OnAcquired func(state []byte)
+	// lease is used. If restored is set, the state comes from an older copy of the store, so that a
+	// later holder and its state may have been lost.
+	OnAcquired func(state []byte, restored bool)
 	// Announcement returns the payload that the holder announces with each renewal, OnAnnouncement
 	// receives it on the other boxes.
 	Announcement   func() []byte
 	OnAnnouncement func(payload []byte, received time.Time)
+	// Progress tells how far this box has got with the duties, in their own terms. It is announced
+	// with each renewal; OnProgress receives it on the other boxes.
+	Progress   func() uint64
+	OnProgress func(progress uint64)
 	// OnHolderChange is called when another box announces a new holder.
 	OnHolderChange func(box string)
 	Logger         log.Logger
@@ -265,12 +270,12 @@
 	if err != nil {
 		return err
 	}
-	m.OnAcquired(previous.State)
+	m.OnAcquired(previous.State, previous.restored())
 	m.mu.Lock()
 	m.elector.Acquired(s, sent, clock.NowExact())
 	m.status.Acquisitions++
 	m.mu.Unlock()
-	_ = level.Info(m.Logger).Log("msg", "lease acquired", "fence", s.Revision, "before", previous.Holder, "before_revision", previous.Revision, "after", clock.Since(sent))
+	_ = level.Info(m.Logger).Log("msg", "lease acquired", "fence", s.Revision, "before", previous.Holder, "before_revision", previous.Revision, "restored", previous.restored(), "after", clock.Since(sent))
 	m.announce(s)
 	return nil
 }
--- a/pkg/metering/ledger.go
+++ b/pkg/metering/ledger.go
@@ -53,6 +53,23 @@
 	return closed, skipped
 }
 
+// CatchUp brings a ledger from an older copy of the store up to date. own is the ledger of this box from
+// when it last held the lease, next the first window that no other holder has closed. The later of the
+// two ledgers counts. If that is another holder's, which was lost, the windows that it had closed are
+// skipped; CatchUp returns their number.
+func (l *Ledger) CatchUp(own Ledger, next Window) (skipped int) {
+	switch {
+	case own.Next > max(l.Next, next):
+		*l = own
+	case next > l.Next:
+		if l.Next > 0 {
+			skipped = int(next - l.Next)
+		}
+		l.Next = next
+	}
+	return skipped
+}
+
 // NextReport returns the oldest unreported window. It returns false if there is none.
 func (l *Ledger) NextReport() (Report, bool) {
 	if len(l.Closed) == 0 {
--- a/pkg/metering/metering_test.go
+++ b/pkg/metering/metering_test.go
@@ -223,3 +223,27 @@
 }
 
 func TestUsageWireForm(t *testing.T) { formstest.CheckShape(t, "usage", &usagepb.Usage{}) }
+
+// Guards against windows that are reported twice, with other counts, after a restore lost the ledger of the
+// last holder.
+func TestLedgerCatchesUpAfterRestore(t *testing.T) {
+	report := func(w Window, n int) Report { return Report{Window: w, Counts: map[string]int{"alpha": n}} }
+	for name, c := range map[string]struct {
+		restored, own, want Ledger
+		next                Window
+		skipped             int
+	}{
+		"this box held the lease last": {restored: Ledger{Next: 5}, own: Ledger{Next: 8, Closed: []Report{report(7, 3)}}, next: 5, want: Ledger{Next: 8, Closed: []Report{report(7, 3)}}},
+		"another box held it last": {restored: Ledger{Next: 5, Closed: []Report{report(4, 2)}}, own: Ledger{Next: 3, Closed: []Report{report(2, 1)}}, next: 8,
+			want: Ledger{Next: 8, Closed: []Report{report(4, 2)}}, skipped: 3},
+		"another box may have closed the same windows": {restored: Ledger{Next: 5}, own: Ledger{Next: 8, Closed: []Report{report(7, 3)}}, next: 8, want: Ledger{Next: 8}, skipped: 3},
+		"nothing was lost":                             {restored: Ledger{Next: 9}, own: Ledger{Next: 3}, next: 8, want: Ledger{Next: 9}},
+		"no ledger in the copy":                        {next: 8, want: Ledger{Next: 8}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := c.restored
+			assert.Equal(t, c.skipped, l.CatchUp(c.own, c.next))
+			assert.Equal(t, c.want, l)
+		})
+	}
+}
--- a/pkg/routerd/fleetduties.go
+++ b/pkg/routerd/fleetduties.go
@@ -74,7 +74,8 @@
 	f.leaseManager = lease.NewManager(lease.Deps{
 		Box: s.Box.ID, Incarnation: d.roster.Incarnation(), Timing: lease.TimingFor(s.Duties.Lease),
 		Store: a.Lease(access), Port: d.peers, Peers: d.roster.Peers, Rank: d.roster.Rank, NoPeers: func() bool { return d.roster.Count() == 1 },
-		State: f.state, OnAcquired: f.restoreState, Announcement: f.clockAnnouncement, OnAnnouncement: f.onClockAnnouncement, OnHolderChange: f.onHolderChange, Logger: logger,
+		State: f.state, OnAcquired: f.restoreState, Announcement: f.clockAnnouncement, OnAnnouncement: f.onClockAnnouncement,
+		Progress: f.progress, OnProgress: f.onProgress, OnHolderChange: f.onHolderChange, Logger: logger,
 	})
 	if s.Duties.Has(DutyMetering) {
 		f.reporter = duties.NewReporter(duties.ReporterDeps{WindowLength: s.Duties.Window, Clock: f.clock.Now, Collector: f.collector, OrganisationNames: f.organisationNames})
@@ -151,7 +152,22 @@
 func (f *fleetDuties) state() []byte { return f.duties.State() }
 
 // restoreState restores the state stored by the previous holder.
-func (f *fleetDuties) restoreState(state []byte) { f.duties.Restore(state) }
+func (f *fleetDuties) restoreState(state []byte, restored bool) { f.duties.Restore(state, restored) }
+
+// progress returns the first usage window that this box has not closed, zero for none.
+func (f *fleetDuties) progress() uint64 {
+	if f.reporter == nil {
+		return 0
+	}
+	return uint64(f.reporter.Ledger().Next)
+}
+
+// onProgress records the first usage window that the holder has not closed.
+func (f *fleetDuties) onProgress(next uint64) {
+	if f.reporter != nil {
+		f.reporter.ObserveNext(metering.Window(next))
+	}
+}
 
 // clockAnnouncement encodes the holder's clock estimate for the other boxes.
 func (f *fleetDuties) clockAnnouncement() []byte {
