--- a/pkg/directory/departed.go
+++ b/pkg/directory/departed.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"headhill.example/headhill/pkg/routing"
 )
 
@@ -50,5 +48,4 @@
 func (d *Directory) beginEra(now time.Time) {
 	d.departed = newDepartedServers(d.servers, now)
 	d.recoveredAt = now
-	_ = level.Info(d.logger).Log("msg", "server list of a new era", "departed", len(d.departed), "outcome", "restored entries of departed servers are withheld for a time")
 }
--- a/pkg/directory/departed_test.go
+++ b/pkg/directory/departed_test.go
@@ -104,3 +104,15 @@
 	d.SetEvacuations(Evacuations{Revision: revisionIn(t, 1, 38)}, now)
 	assert.Empty(t, d.EvacuatedHalls())
 }
+
+// Guards against boxes that all read a restored source when they start together, because they ask each other
+// only as long as for a change.
+func TestEraDoesNotHurryStartingBox(t *testing.T) {
+	d := New(log.NewNopLogger())
+	d.ObserveEra(1)
+	assert.Zero(t, d.table.target())
+	d.applyList(nil, 40, time.Now())
+	d.ObserveEra(1)
+	assert.Equal(t, storerev.StartOf(1), d.list.target().changed)
+	assert.Zero(t, d.table.target())
+}
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -54,8 +54,8 @@
 func (v *View) ServersAge(now time.Time) time.Duration { return now.Sub(v.ServersConfirmedAt) }
 
 // Candidates returns the servers of a service that may get new work: those that are listed, not
-// draining and not withheld, plus those whose entry expired in an outage and that are within their recovery grace. If
-// there are none, it returns those removed less than grace ago.
+// draining and not withheld, plus those whose entry expired in an outage and that are within their
+// recovery grace. If there are none, it returns those removed less than grace ago.
 //
 // The caller must not modify the result.
 func (v *View) Candidates(service string, now time.Time, grace time.Duration) []routing.Server {
--- a/pkg/directory/notifications.go
+++ b/pkg/directory/notifications.go
@@ -144,11 +144,15 @@
 	}
 }
 
-// ObserveEra brings both parts to an era of the source that was seen in a response.
+// ObserveEra brings the parts that were read in an earlier era to one that was seen in a response of the
+// source.
 func (d *Directory) ObserveEra(era uint64) {
-	start := storerev.StartOf(era)
-	d.table.observe(0, start)
-	d.list.observe(0, start)
+	for _, f := range []*follower{d.table, d.list} {
+		// A part that is not loaded yet is read anyway, with the patience of a start.
+		if f.position().revision > 0 {
+			f.observe(0, storerev.StartOf(era))
+		}
+	}
 }
 
 // ReadEvacuations reads the evacuated halls from a source and notifies the other boxes if they
--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -135,7 +135,10 @@
 	case e.fence > 0 && e.ownsLatest() && !e.latest.restored():
 		return e.nextRenewal(now)
 	}
-	e.endHolding(now)
+	if e.fence > 0 {
+		// The lease has expired, and a restored record does not show whether another box holds it.
+		e.endHolding(now)
+	}
 	due := e.startedAt.Add(delay)
 	switch {
 	case e.eraUnread():
--- a/pkg/metering/metering_test.go
+++ b/pkg/metering/metering_test.go
@@ -237,8 +237,8 @@
 		"another box held it last": {restored: Ledger{Next: 5, Closed: []Report{report(4, 2)}}, own: Ledger{Next: 3, Closed: []Report{report(2, 1)}}, next: 8,
 			want: Ledger{Next: 8, Closed: []Report{report(4, 2)}}, skipped: 3},
 		"another box may have closed the same windows": {restored: Ledger{Next: 5}, own: Ledger{Next: 8, Closed: []Report{report(7, 3)}}, next: 8, want: Ledger{Next: 8}, skipped: 3},
-		"nothing was lost":                             {restored: Ledger{Next: 9}, own: Ledger{Next: 3}, next: 8, want: Ledger{Next: 9}},
-		"no ledger in the copy":                        {next: 8, want: Ledger{Next: 8}},
+		"nothing was lost":      {restored: Ledger{Next: 9}, own: Ledger{Next: 3}, next: 8, want: Ledger{Next: 9}},
+		"no ledger in the copy": {next: 8, want: Ledger{Next: 8}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := c.restored
--- a/pkg/storerev/tracker.go
+++ b/pkg/storerev/tracker.go
@@ -9,7 +9,7 @@
 type OlderEraError struct{ Era, Latest uint64 }
 
 func (e *OlderEraError) Error() string {
-	return fmt.Sprintf("response is of era %d of the store, which is now in era %d: the call has to be made again", e.Era, e.Latest)
+	return fmt.Sprintf("response is of era %d of the store, which is now in era %d: the call is made again; if this lasts, check the address of the store", e.Era, e.Latest)
 }
 
 // Tracker keeps the latest era that is known of a store. A nil Tracker accepts all eras.
