duties: a holder that has just started asks what a restore lost before it closes windows

Trace: the holder reported the window, was killed and started again, the store was restored to a copy without it, and the same box took the lease from the restored record: it had just started, so nobody had announced to it how far it had got itself. Now every box tells the first window that no holder has closed with its counts, at least each 2 s, and a box that takes over from a restored record closes and reports nothing for 2.5 s. Not covered: a fleet whose boxes all restart then.

--- a/pkg/duties/reporter.go
+++ b/pkg/duties/reporter.go
@@ -33,8 +33,10 @@
 	ledger mutexed[metering.Ledger]
 	// requiredSave is the save request whose state includes all closed windows.
 	requiredSave atomic.Uint64
-	// announcedNext is the first window that no holder has closed, as announced by the holders.
+	// announcedNext is the first window that no other holder has closed, as far as other boxes know.
 	announcedNext atomic.Int64
+	// catchUp is set while the ledger from an older copy of the store has to be brought up to date.
+	catchUp mutexed[*pendingCatchUp]
 	retryAt       time.Time
 	status        mutexed[ReporterStatus]
 }
@@ -71,7 +73,22 @@
 	return s
 }
 
-// ObserveNext records the first window that the holder has not closed.
+// pendingCatchUp is a ledger that is brought up to date at a time.
+type pendingCatchUp struct {
+	// own is the ledger of this box from when it last held the lease.
+	own metering.Ledger
+	at  time.Time
+}
+
+// catchUpDelay lets each other box send what it knows of closed windows, as this box may just have started.
+const catchUpDelay = metering.MaxPublishInterval + 500*time.Millisecond
+
+// NextWindow returns the first window that no holder has closed, as far as this box knows.
+func (r *Reporter) NextWindow() metering.Window {
+	return max(r.Ledger().Next, metering.Window(r.announcedNext.Load()))
+}
+
+// ObserveNext records the first window that no holder has closed, as far as another box knows.
 func (r *Reporter) ObserveNext(w metering.Window) {
 	for {
 		known := r.announcedNext.Load()
@@ -85,26 +102,51 @@
 // from an older copy of the store: a window that was closed since may have been reported, and must not
 // be reported again with other counts.
 func (r *Reporter) restore(l *metering.Ledger, restored bool) {
-	skipped := 0
+	var pending *pendingCatchUp
 	r.ledger.with(func(current *metering.Ledger) {
-		own := *current
+		if restored {
+			pending = &pendingCatchUp{own: *current, at: clock.Now().Add(catchUpDelay)}
+		}
 		*current = metering.Ledger{}
 		if l != nil {
 			*current = *l
 		}
-		if restored {
-			skipped = current.CatchUp(own, metering.Window(r.announcedNext.Load()))
+	})
+	r.catchUp.with(func(p **pendingCatchUp) { *p = pending })
+	r.requiredSave.Store(0)
+}
+
+// caughtUp brings a ledger from an older copy of the store up to date when that is due. It reports whether
+// the ledger is up to date.
+func (r *Reporter) caughtUp(now time.Time) bool {
+	var pending *pendingCatchUp
+	r.catchUp.with(func(p **pendingCatchUp) {
+		if pending = *p; pending != nil && !now.Before(pending.at) {
+			*p = nil
 		}
 	})
+	if pending == nil {
+		return true
+	}
+	if now.Before(pending.at) {
+		return false
+	}
+	skipped := 0
+	r.ledger.with(func(l *metering.Ledger) {
+		skipped = l.CatchUp(pending.own, metering.Window(r.announcedNext.Load()))
+	})
 	if skipped > 0 {
 		_ = level.Error(r.logger).Log("msg", "skipped usage windows", "count", skipped, "reason", "the store lost which of them were reported", "outcome", "usage of these windows is only in the request log")
 	}
-	r.requiredSave.Store(0)
+	return true
 }
 
 // step closes the windows that have ended and reports the next stored one.
 func (r *Reporter) step(ctx context.Context) {
 	now := clock.Now()
+	if !r.caughtUp(now) {
+		return
+	}
 	if r.closeWindows(r.Clock(now)) {
 		r.requiredSave.Store(r.calls.lease.RequestSave())
 	}
--- a/pkg/metering/metering_test.go
+++ b/pkg/metering/metering_test.go
@@ -110,6 +110,7 @@
 	counter := NewCounter(windowLength, trueTime)
 	var collectors []*net.UDPAddr
 	publisher := NewPublisher(PublisherDeps{
+		NextWindow: func() Window { return 0 }, OnNextWindow: func(Window) {},
 		Box: "a", Port: datagram.NewPort(datagram.Deps{Box: "a", Conn: conn, Logger: log.NewNopLogger()}), Counter: counter,
 		Collector: NewCollector(), Clock: fleetclock.New(), Logger: log.NewNopLogger(),
 		CollectorAddrs: func() []*net.UDPAddr { return collectors },
--- a/pkg/metering/publisher.go
+++ b/pkg/metering/publisher.go
@@ -23,8 +23,8 @@
 	// publishInterval is the interval at which changed counts are published. Counts since the last
 	// message are lost if the box dies.
 	publishInterval = 500 * time.Millisecond
-	// maxPublishInterval is the interval at which a box without changes publishes its wall clock.
-	maxPublishInterval = 2 * time.Second
+	// MaxPublishInterval is the interval at which a box without changes publishes its wall clock.
+	MaxPublishInterval = 2 * time.Second
 	// maxEntriesPerDatagram limits the number of counts per message; each takes up to 11 bytes.
 	maxEntriesPerDatagram = 500
 )
@@ -39,7 +39,11 @@
 	Clock       *fleetclock.Clock
 	// CollectorAddrs returns the addresses of the other boxes that collect counts.
 	CollectorAddrs func() []*net.UDPAddr
-	Logger         log.Logger
+	// NextWindow returns the first window that no lease holder has closed, as far as this box knows.
+	// OnNextWindow receives what other boxes know.
+	NextWindow   func() Window
+	OnNextWindow func(Window)
+	Logger       log.Logger
 }
 
 // Publisher sends the counts of this box to the collecting boxes, and merges the counts that it
@@ -71,6 +75,7 @@
 	}
 	p.Clock.AddReading(d.Box, m.GetWallMs(), d.Received)
 	p.Collector.Merge(d.Box, m)
+	p.OnNextWindow(Window(m.GetNextWindow()))
 }
 
 // Wake makes the publisher check for new collecting boxes at once, as after a change of the lease
@@ -113,7 +118,7 @@
 	if len(uninformed) > 0 {
 		p.send(p.Counter.All(), now, uninformed)
 	}
-	if len(windows) > 0 || now.Sub(p.lastPublished) >= maxPublishInterval {
+	if len(windows) > 0 || now.Sub(p.lastPublished) >= MaxPublishInterval {
 		p.lastPublished = now
 		p.send(windows, now, informed)
 	}
@@ -136,7 +141,7 @@
 }
 
 func (p *Publisher) message(windows []*usagepb.Window, now time.Time) *usagepb.Usage {
-	return &usagepb.Usage{Incarnation: p.Incarnation, WallMs: fleetclock.WallMillis(now), Windows: windows}
+	return &usagepb.Usage{Incarnation: p.Incarnation, WallMs: fleetclock.WallMillis(now), Windows: windows, NextWindow: int64(p.NextWindow())}
 }
 
 // send sends counts to the given boxes.
--- a/pkg/routerd/fleetduties.go
+++ b/pkg/routerd/fleetduties.go
@@ -69,7 +69,7 @@
 	}
 	f.publisher = metering.NewPublisher(metering.PublisherDeps{
 		Box: s.Box.ID, Incarnation: d.roster.Incarnation(), Port: d.peers, Counter: f.counter, Collector: f.collector, Clock: f.clock,
-		CollectorAddrs: f.collectorAddrs, Logger: logger,
+		CollectorAddrs: f.collectorAddrs, NextWindow: f.nextWindow, OnNextWindow: f.onNextWindow, Logger: logger,
 	})
 	f.leaseManager = lease.NewManager(lease.Deps{
 		Box: s.Box.ID, Incarnation: d.roster.Incarnation(), Timing: lease.TimingFor(s.Duties.Lease),
@@ -154,21 +154,27 @@
 // restoreState restores the state stored by the previous holder.
 func (f *fleetDuties) restoreState(state []byte, restored bool) { f.duties.Restore(state, restored) }
 
-// progress returns the first usage window that this box has not closed, zero for none.
-func (f *fleetDuties) progress() uint64 {
+// nextWindow returns the first usage window that no lease holder has closed, as far as this box knows;
+// zero if it knows of none.
+func (f *fleetDuties) nextWindow() metering.Window {
 	if f.reporter == nil {
 		return 0
 	}
-	return uint64(f.reporter.Ledger().Next)
+	return f.reporter.NextWindow()
 }
 
-// onProgress records the first usage window that the holder has not closed.
-func (f *fleetDuties) onProgress(next uint64) {
+// onNextWindow records what another box knows of it.
+func (f *fleetDuties) onNextWindow(next metering.Window) {
 	if f.reporter != nil {
-		f.reporter.ObserveNext(metering.Window(next))
+		f.reporter.ObserveNext(next)
 	}
 }
 
+// progress is announced by the lease holder, which has closed all windows before the next one.
+func (f *fleetDuties) progress() uint64 { return uint64(f.nextWindow()) }
+
+func (f *fleetDuties) onProgress(next uint64) { f.onNextWindow(metering.Window(next)) }
+
 // clockAnnouncement encodes the holder's clock estimate for the other boxes.
 func (f *fleetDuties) clockAnnouncement() []byte {
 	return binary.BigEndian.AppendUint64(nil, uint64(f.clock.EstimateMillis(clock.Now())))
