--- a/pkg/duties/reporter.go
+++ b/pkg/duties/reporter.go
@@ -37,8 +37,8 @@
 	announcedNext atomic.Int64
 	// catchUp is set while the ledger from an older copy of the store has to be brought up to date.
 	catchUp mutexed[*pendingCatchUp]
-	retryAt       time.Time
-	status        mutexed[ReporterStatus]
+	retryAt time.Time
+	status  mutexed[ReporterStatus]
 }
 
 // ReporterStatus describes the reports made so far, for operators.
