--- a/pkg/storerev/tracker.go
+++ b/pkg/storerev/tracker.go
@@ -24,11 +24,15 @@
 // not call the Tracker.
 func NewTracker(onRise func(era, before uint64)) *Tracker { return &Tracker{onRise: onRise} }
 
-// Observe processes the era of a response. It returns an *OlderEraError if a later era is known.
+// Observe processes the era of a response. It returns an *OlderEraError if a later era is known, and a
+// *RangeError if the era cannot be represented.
 func (t *Tracker) Observe(era uint64) error {
 	if t == nil {
 		return nil
 	}
+	if era > maxEra {
+		return &RangeError{Era: era}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if era < t.latest {
--- a/pkg/storerev/tracker_test.go
+++ b/pkg/storerev/tracker_test.go
@@ -16,6 +16,8 @@
 	var older *OlderEraError
 	require.ErrorAs(t, tracker.Observe(2), &older)
 	assert.Equal(t, OlderEraError{Era: 2, Latest: 3}, *older)
+	var outOfRange *RangeError
+	require.ErrorAs(t, tracker.Observe(maxEra+1), &outOfRange)
 	assert.Equal(t, uint64(3), tracker.Latest())
 	assert.Equal(t, [][2]uint64{{1, 0}, {3, 1}}, rises)
 }
