duties: windows without counts are skipped after a restore, not reported empty

Trace: both boxes had restarted when the store came back from a copy without the report, so that nobody could tell that the window was closed; it was closed again with boxes=0 requests=0. A window for which no running box has counts can't be told truly anyway: in this case it is skipped and logged. Red before: TestWindowsWithoutCountsAreSkippedAfterRestore.

--- a/pkg/duties/reporter.go
+++ b/pkg/duties/reporter.go
@@ -116,6 +116,16 @@
 	r.requiredSave.Store(0)
 }
 
+// firstCertainWindow returns the first window that no other holder can have closed: one that is not known to
+// be closed and for which a running box has counts. If all boxes have restarted, nobody knows more.
+func (r *Reporter) firstCertainWindow() metering.Window {
+	next := metering.Window(r.announcedNext.Load())
+	if counted, ok := r.Collector.FirstWindow(); ok {
+		next = max(next, counted)
+	}
+	return next
+}
+
 // caughtUp brings a ledger from an older copy of the store up to date when that is due. It reports whether
 // the ledger is up to date.
 func (r *Reporter) caughtUp(now time.Time) bool {
@@ -133,7 +143,7 @@
 	}
 	skipped := 0
 	r.ledger.with(func(l *metering.Ledger) {
-		skipped = l.CatchUp(pending.own, metering.Window(r.announcedNext.Load()))
+		skipped = l.CatchUp(pending.own, r.firstCertainWindow())
 	})
 	if skipped > 0 {
 		_ = level.Error(r.logger).Log("msg", "skipped usage windows", "count", skipped, "reason", "the store lost which of them were reported", "outcome", "usage of these windows is only in the request log")
--- a/pkg/duties/reporter_restore_test.go
+++ b/pkg/duties/reporter_restore_test.go
@@ -8,12 +8,13 @@
 
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/metering"
+	"headhill.example/headhill/pkg/metering/usagepb"
 )
 
 // Guards against windows that a holder closes a second time because it has just started, so that it learns
 // only from other boxes what a restore of the store has lost.
 func TestRestoredLedgerWaitsForOtherBoxes(t *testing.T) {
-	r := NewReporter(ReporterDeps{})
+	r := NewReporter(ReporterDeps{Collector: metering.NewCollector()})
 	r.attach(nil, nil, log.NewNopLogger())
 	now := clock.Now()
 	r.restore(&metering.Ledger{Next: 5}, true)
@@ -26,10 +27,21 @@
 }
 
 func TestLedgerOfPreviousHolderIsUsedAtOnce(t *testing.T) {
-	r := NewReporter(ReporterDeps{})
+	r := NewReporter(ReporterDeps{Collector: metering.NewCollector()})
 	r.attach(nil, nil, log.NewNopLogger())
 	r.ObserveNext(8)
 	r.restore(&metering.Ledger{Next: 5}, false)
 	assert.True(t, r.caughtUp(clock.Now()))
 	assert.Equal(t, metering.Window(5), r.Ledger().Next)
 }
+
+// Guards against empty reports of windows that a holder reported before all boxes restarted.
+func TestWindowsWithoutCountsAreSkippedAfterRestore(t *testing.T) {
+	c := metering.NewCollector()
+	r := NewReporter(ReporterDeps{Collector: c})
+	r.attach(nil, nil, log.NewNopLogger())
+	r.restore(&metering.Ledger{Next: 5}, true)
+	c.Merge("a", &usagepb.Usage{Windows: []*usagepb.Window{{Number: 7, Organisations: []uint64{1}, Counts: []uint32{2}}}})
+	assert.True(t, r.caughtUp(clock.Now().Add(2*catchUpDelay)))
+	assert.Equal(t, metering.Window(7), r.Ledger().Next)
+}
