--- a/pkg/directory/departed_test.go
+++ b/pkg/directory/departed_test.go
@@ -100,7 +100,7 @@
 	d.SetEvacuations(Evacuations{Halls: []string{"east"}, Revision: 41}, now)
 	d.SetEvacuations(Evacuations{Revision: revisionIn(t, 1, 37)}, now)
 	assert.Equal(t, []string{"east"}, d.EvacuatedHalls())
-	d.restoredHalls["east"] = now
+	d.retainedHalls["east"] = now
 	d.SetEvacuations(Evacuations{Revision: revisionIn(t, 1, 38)}, now)
 	assert.Empty(t, d.EvacuatedHalls())
 }
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -148,11 +148,11 @@
 	// departed holds the servers that had left before the source was last restored.
 	departed    departedServers
 	evacuations Evacuations
-	// effectiveHalls are the halls whose servers get no work. restoredHalls are those that were
+	// effectiveHalls are the halls whose servers get no work. retainedHalls are those that were
 	// evacuated before the source was last restored, with the time until which they count as evacuated
 	// whatever the source says.
 	effectiveHalls map[string]bool
-	restoredHalls  map[string]time.Time
+	retainedHalls  map[string]time.Time
 }
 
 const (
--- a/pkg/directory/evacuations.go
+++ b/pkg/directory/evacuations.go
@@ -99,16 +99,16 @@
 // retainEvacuations keeps the halls that are evacuated in effect when the source is restored. The
 // caller holds mu.
 func (d *Directory) retainEvacuations(now time.Time) {
-	d.restoredHalls = make(map[string]time.Time)
+	d.retainedHalls = make(map[string]time.Time)
 	for hall := range d.effectiveHalls {
-		d.restoredHalls[hall] = now.Add(evacuationRetention)
+		d.retainedHalls[hall] = now.Add(evacuationRetention)
 	}
 }
 
 // hallsInEffect returns the evacuated halls, with those retained after a restore. The caller holds mu.
 func (d *Directory) hallsInEffect(e Evacuations, now time.Time) map[string]bool {
 	halls := e.hallSet()
-	for hall, until := range d.restoredHalls {
+	for hall, until := range d.retainedHalls {
 		if now.Before(until) {
 			halls[hall] = true
 		}
--- a/pkg/duties/reporter.go
+++ b/pkg/duties/reporter.go
@@ -126,9 +126,9 @@
 	return next
 }
 
-// caughtUp brings a ledger from an older copy of the store up to date when that is due. It reports whether
+// ensureCaughtUp brings a ledger from an older copy of the store up to date when that is due. It reports whether
 // the ledger is up to date.
-func (r *Reporter) caughtUp(now time.Time) bool {
+func (r *Reporter) ensureCaughtUp(now time.Time) bool {
 	var pending *pendingCatchUp
 	r.catchUp.with(func(p **pendingCatchUp) {
 		if pending = *p; pending != nil && !now.Before(pending.at) {
@@ -154,7 +154,7 @@
 // step closes the windows that have ended and reports the next stored one.
 func (r *Reporter) step(ctx context.Context) {
 	now := clock.Now()
-	if !r.caughtUp(now) {
+	if !r.ensureCaughtUp(now) {
 		return
 	}
 	if r.closeWindows(r.Clock(now)) {
--- a/pkg/duties/reporter_restore_test.go
+++ b/pkg/duties/reporter_restore_test.go
@@ -18,12 +18,12 @@
 	r.attach(nil, nil, log.NewNopLogger())
 	now := clock.Now()
 	r.restore(&metering.Ledger{Next: 5}, true)
-	assert.False(t, r.caughtUp(now))
+	assert.False(t, r.ensureCaughtUp(now))
 	r.ObserveNext(8)
-	assert.False(t, r.caughtUp(now))
-	assert.True(t, r.caughtUp(now.Add(2*catchUpDelay)))
+	assert.False(t, r.ensureCaughtUp(now))
+	assert.True(t, r.ensureCaughtUp(now.Add(2*catchUpDelay)))
 	assert.Equal(t, metering.Window(8), r.Ledger().Next)
-	assert.True(t, r.caughtUp(now), "the ledger is brought up to date once")
+	assert.True(t, r.ensureCaughtUp(now), "the ledger is brought up to date once")
 }
 
 func TestLedgerOfPreviousHolderIsUsedAtOnce(t *testing.T) {
@@ -31,7 +31,7 @@
 	r.attach(nil, nil, log.NewNopLogger())
 	r.ObserveNext(8)
 	r.restore(&metering.Ledger{Next: 5}, false)
-	assert.True(t, r.caughtUp(clock.Now()))
+	assert.True(t, r.ensureCaughtUp(clock.Now()))
 	assert.Equal(t, metering.Window(5), r.Ledger().Next)
 }
 
@@ -42,6 +42,6 @@
 	r.attach(nil, nil, log.NewNopLogger())
 	r.restore(&metering.Ledger{Next: 5}, true)
 	c.Merge("a", &usagepb.Usage{Windows: []*usagepb.Window{{Number: 7, Organisations: []uint64{1}, Counts: []uint32{2}}}})
-	assert.True(t, r.caughtUp(clock.Now().Add(2*catchUpDelay)))
+	assert.True(t, r.ensureCaughtUp(clock.Now().Add(2*catchUpDelay)))
 	assert.Equal(t, metering.Window(7), r.Ledger().Next)
 }
