--- a/pkg/directory/departed_test.go
+++ b/pkg/directory/departed_test.go
@@ -52,8 +52,7 @@
 	assert.NotContains(t, candidateIDs(d, now.Add(leavingRetention)), "draining", "it has written its entry again")
 }
 
-// Guards against a service without servers while those that were added before a restore write their
-// entries again.
+// Guards against a service without servers until those that a restore lost write their entries again.
 func TestServersMissingAfterRestoreStayInUse(t *testing.T) {
 	now := time.Now()
 	d := New(log.NewNopLogger())
@@ -105,9 +104,8 @@
 	assert.Empty(t, d.EvacuatedHalls())
 }
 
-// Guards against boxes that all read a restored source when they start together, because they ask each other
-// only as long as for a change.
-func TestEraDoesNotHurryStartingBox(t *testing.T) {
+// Guards against boxes that, started together, all read a restored source because they retry others too briefly.
+func TestEraDoesNotLimitRetriesOfStartingBox(t *testing.T) {
 	d := New(log.NewNopLogger())
 	d.ObserveEra(1)
 	assert.Zero(t, d.table.target())
--- a/pkg/directory/eras_test.go
+++ b/pkg/directory/eras_test.go
@@ -148,8 +148,7 @@
 	return boxes
 }
 
-// Guards against lists that keep lost changes, or lack later ones, after the source was restored: once all
-// boxes have read, they know what the source says, whatever arrived before and in which order.
+// Guards against lists that keep lost changes, or lack later ones, after the source was restored.
 func TestBoxesAgreeWithRestoredSource(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newEraSimulation(rapid.Uint64().Draw(t, "seed"))
--- a/pkg/directory/notifications.go
+++ b/pkg/directory/notifications.go
@@ -148,7 +148,7 @@
 // source.
 func (d *Directory) ObserveEra(era uint64) {
 	for _, f := range []*follower{d.table, d.list} {
-		// A part that is not loaded yet is read anyway, with the patience of a start.
+		// A part that is not loaded yet is read anyway. A target would limit the retries at other boxes.
 		if f.position().revision > 0 {
 			f.observe(0, storerev.StartOf(era))
 		}
--- a/pkg/duties/reporter_restore_test.go
+++ b/pkg/duties/reporter_restore_test.go
@@ -11,8 +11,7 @@
 	"headhill.example/headhill/pkg/metering/usagepb"
 )
 
-// Guards against windows that a holder closes a second time because it has just started, so that it learns
-// only from other boxes what a restore of the store has lost.
+// Guards against windows that a holder closes again because it started after a restore lost the last ledger.
 func TestRestoredLedgerWaitsForOtherBoxes(t *testing.T) {
 	r := NewReporter(ReporterDeps{Collector: metering.NewCollector()})
 	r.attach(nil, nil, log.NewNopLogger())
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -35,8 +35,7 @@
 	})
 }
 
-// Guards against two holders, or a fencing token that falls, after the store was restored from a copy that
-// lacks the latest holder, and against a lease that nobody can acquire any more.
+// Guards against two holders, a falling fencing token, or no holder at all, after the store was restored.
 func TestRestoredStoreKeepsLeaseRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 7).Draw(t, "boxes"), TimingFor(leaseDuration))
--- a/pkg/metering/metering_test.go
+++ b/pkg/metering/metering_test.go
@@ -225,8 +225,7 @@
 
 func TestUsageWireForm(t *testing.T) { formstest.CheckShape(t, "usage", &usagepb.Usage{}) }
 
-// Guards against windows that are reported twice, with other counts, after a restore lost the ledger of the
-// last holder.
+// Guards against windows that are reported again with other counts after a restore lost the last ledger.
 func TestLedgerCatchesUpAfterRestore(t *testing.T) {
 	report := func(w Window, n int) Report { return Report{Window: w, Counts: map[string]int{"alpha": n}} }
 	for name, c := range map[string]struct {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -261,8 +261,7 @@
 	}
 }
 
-// Guards against a box that stays unknown to the others because a restore of the store lost its entry and
-// the box only reads pages that may be stale.
+// Guards against a box that stays unknown to the others because a restore of the store lost its entry.
 func TestBoxRegistersAgainAfterRestore(t *testing.T) {
 	store := &fakeStore{entries: make(map[string]Entry)}
 	b := box(store, 1)
