directory, routerd: show when a box has read a restored store

headhill_store_era told that a box knew of a restore, and headhill_belief_revision shows the number alone, so that an operator could not tell when all boxes were over it. Now headhill_belief_era by part, and a line of each part once it is of the new era.

--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"headhill.example/headhill/pkg/stall"
 	"headhill.example/headhill/pkg/storerev"
@@ -195,8 +196,13 @@
 
 func (f *follower) advance(pos position) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	before := f.pos.revision
 	f.advanceLocked(pos)
+	after := f.pos.revision
+	f.mu.Unlock()
+	if before > 0 && !before.SameEra(after) {
+		_ = level.Info(f.logger).Log("msg", "part is up to date with the restored source", "part", f.name, "revision", after, "before", before)
+	}
 }
 
 // advanceLocked moves the position forward. The first position in an era counts as a change. The
--- a/pkg/routerd/gauges.go
+++ b/pkg/routerd/gauges.go
@@ -31,6 +31,8 @@
 			func(s directory.State) int64 { return s.Age.Milliseconds() }),
 		partGauge("headhill_belief_revision", "Revision of the store up to which this box knows a part.",
 			func(s directory.State) int64 { return int64(s.Revision.Number()) }),
+		partGauge("headhill_belief_era", "Era of the store up to which this box knows a part; below headhill_store_era until a restored store is read.",
+			func(s directory.State) int64 { return int64(s.Revision.Era()) }),
 		partGauge("headhill_store_misses", "Questions of a part that the store has not answered.",
 			func(s directory.State) int64 { return int64(s.Failures) }),
 		{Name: "headhill_outdated_announcements", Help: "Announcements of other boxes that were ignored, as they were about an earlier revision.", Attribute: "part", Observe: d.OutdatedAnnouncements},
