serverpath: a box logs that it has lost its links to the servers

Change: direct dials are counted by how they end (headhill_server_dials), a box to which three servers in a row are unreachable says so (log line, headhill_box_state), and an ejection is logged once while it lasts. No decision changes.

--- a/pkg/balancer/lease.go
+++ b/pkg/balancer/lease.go
@@ -140,11 +140,14 @@
 	if l.class != "" && r == ResultDone && !l.prefilledAt.IsZero() {
 		b.statsOf(l.service).classes.recordStreamEnd(l.class, now.Sub(l.prefilledAt), now)
 	}
+	wasEjected := now.Before(s.health.ejectedUntil)
 	ejected := s.health.record(r, now)
 	if ejected > 0 && s.health.unreachable || r == ResultFailed {
 		b.notifyChange()
 	}
-	if ejected > 0 {
+	// While all servers are ejected, requests still go there. Their failures are in the lines of the
+	// attempts.
+	if ejected > 0 && !wasEjected {
 		_ = level.Info(b.logger).Log("msg", "server ejected", "server", l.Server.ID, "address", l.Server.Address,
 			"result", r, "in_a_row", s.health.consecutiveFailures, "failures", s.health.failures, "for", ejected)
 	}
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -33,6 +33,7 @@
 	"headhill.example/headhill/pkg/readiness"
 	"headhill.example/headhill/pkg/retry"
 	"headhill.example/headhill/pkg/roster"
+	"headhill.example/headhill/pkg/serverpath"
 	"headhill.example/headhill/pkg/snapshot"
 	"headhill.example/headhill/pkg/stall"
 	"headhill.example/headhill/pkg/storerev"
@@ -76,6 +77,8 @@
 	Quarantine func(StoreAccess) quarantine.Store
 	// Cloud returns the client for the calls that fleet duties make.
 	Cloud func(address func() string) duties.Cloud
+	// DialServer opens a direct connection to a server; nil for a TCP connection.
+	DialServer func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Daemon is a routing box.
@@ -96,7 +99,9 @@
 	// readingRoster is set while completeRoster reads the full roster.
 	readingRoster atomic.Bool
 	balancer      *balancer.Balancer
-	upstream      *upstream.Client
+	// paths tells which servers this box reaches.
+	paths    *serverpath.Tracker
+	upstream *upstream.Client
 	duties        *fleetDuties
 	// quarantine holds back requests that crash servers.
 	quarantine  *quarantine.Quarantine
@@ -128,7 +133,8 @@
 	if err != nil {
 		return nil, oops.In("telemetry").Wrap(err)
 	}
-	d := &Daemon{logger: logs.For(logflags.Box), metrics: metrics, upstream: upstream.NewClient(serverDialTimeout), shares: fairshare.NewTracker()}
+	d := &Daemon{logger: logs.For(logflags.Box), metrics: metrics, paths: serverpath.NewTracker(logs.For(logflags.Balancer)), shares: fairshare.NewTracker()}
+	d.upstream = upstream.NewClientWithDialer(serverpath.NewDialer(d.paths, directDialer(a)))
 	d.settings.Store(&s)
 	d.updateFairShares()
 	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryMB<<20) * memoryLimitShare))
@@ -169,7 +175,7 @@
 	d.quarantine = quarantine.New(quarantine.Deps{
 		Port: d.peers, Peers: d.roster.Peers, Store: a.Quarantine(access), Timeout: storeLimits.FirstByte, Logger: logs.For(logflags.Quarantine),
 	})
-	if err := metrics.AddGauges(quarantineGauge(d.quarantine), formsGauge(d.roster), signalsGauge(balance.Signals()), slownessGauge(balance), arrivalsGauge(balance), connectionsGauge(d.upstream)); err != nil {
+	if err := metrics.AddGauges(quarantineGauge(d.quarantine), formsGauge(d.roster), signalsGauge(balance.Signals()), slownessGauge(balance), arrivalsGauge(balance), connectionsGauge(d.upstream), pathsGauge(d.paths), readyGauge(d)); err != nil {
 		return nil, oops.In("telemetry").Wrap(err)
 	}
 	d.retryBudget = retry.NewBudget(d.retryLimits())
--- a/pkg/routerd/gauges.go
+++ b/pkg/routerd/gauges.go
@@ -9,6 +9,7 @@
 	"headhill.example/headhill/pkg/quarantine"
 	"headhill.example/headhill/pkg/readahead"
 	"headhill.example/headhill/pkg/roster"
+	"headhill.example/headhill/pkg/serverpath"
 	"headhill.example/headhill/pkg/signals"
 	"headhill.example/headhill/pkg/telemetry"
 	"headhill.example/headhill/pkg/upstream"
@@ -129,3 +130,29 @@
 		Attribute: "connection", Observe: c.ConnectionCounts,
 	}
 }
+
+// pathsGauge returns the gauge for direct connections to servers by how they ended.
+func pathsGauge(t *serverpath.Tracker) telemetry.Gauge {
+	return telemetry.Gauge{
+		Name: "headhill_server_dials", Help: "Direct connections to servers that were opened, found nobody (silent) or were refused, since the start.",
+		Attribute: "result", Observe: t.Dials,
+	}
+}
+
+// readyGauge returns the gauge for what this box tells the load balancer, and whether it reaches the
+// servers.
+func readyGauge(d *Daemon) telemetry.Gauge {
+	return telemetry.Gauge{
+		Name: "headhill_box_state", Help: "1 if the box is ready for callers, and if it has lost its links to the servers.", Attribute: "state",
+		Observe: func() map[string]int64 {
+			return map[string]int64{"ready": asInt(d.Ready()), "isolated": asInt(d.paths.Isolated())}
+		},
+	}
+}
+
+func asInt(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/serverpath/tracker_test.go
@@ -0,0 +1,40 @@
+package serverpath
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+)
+
+// A few servers that fail are no evidence against the box.
+func TestIsolationNeedsSeveralServers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker(log.NewNopLogger())
+	for range 10 {
+		tracker.RecordFailed("a", FailureSilent, now)
+		tracker.RecordFailed("b", FailureRefused, now)
+	}
+	assert.False(t, tracker.Isolated())
+	tracker.RecordConnected("c", now)
+	tracker.RecordFailed("d", FailureSilent, now)
+	assert.False(t, tracker.Isolated(), "a success in between shows that the box has its links")
+	for i := range minUnreached {
+		tracker.RecordFailed(fmt.Sprint(i), FailureSilent, now)
+	}
+	assert.True(t, tracker.Isolated())
+	tracker.RecordConnected("a", now.Add(time.Second))
+	assert.False(t, tracker.Isolated())
+	assert.Equal(t, map[string]int64{"connected": 2, "silent": 14, "refused": 10}, tracker.Dials())
+}
+
+func TestFailureOf(t *testing.T) {
+	assert.Equal(t, FailureRefused, FailureOf(fmt.Errorf("dial: %w", syscall.ECONNREFUSED)))
+	assert.Equal(t, FailureRefused, FailureOf(syscall.ECONNRESET))
+	assert.Equal(t, FailureSilent, FailureOf(context.DeadlineExceeded))
+	assert.Equal(t, FailureSilent, FailureOf(syscall.EHOSTUNREACH))
+}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -51,11 +51,17 @@
 // responses and responses to earlier requests are skipped.
 const maxStaleResponses = 4
 
+// Dialer opens connections to servers.
+type Dialer interface {
+	// Dial opens a connection to a server. The key identifies the incarnation of the server.
+	Dial(ctx context.Context, serverKey, address string) (net.Conn, error)
+}
+
 // Client sends requests to servers over pooled connections.
 type Client struct {
-	pool        *pool
-	probes      *probes
-	dialTimeout time.Duration
+	pool   *pool
+	probes *probes
+	dialer Dialer
 	// reused and dialed count the connections over which requests were sent.
 	reused, dialed atomic.Int64
 }
@@ -65,9 +71,14 @@
 	return map[string]int64{"idle": c.reused.Load(), "new": c.dialed.Load()}
 }
 
-// NewClient returns a client that dials with the given timeout.
+// NewClient returns a client that opens all connections directly, with the given timeout.
 func NewClient(dialTimeout time.Duration) *Client {
-	return &Client{pool: newPool(), probes: &probes{byServer: make(map[string]*Probe)}, dialTimeout: dialTimeout}
+	return NewClientWithDialer(directDialer{timeout: dialTimeout})
+}
+
+// NewClientWithDialer returns a client that opens connections with a dialer.
+func NewClientWithDialer(d Dialer) *Client {
+	return &Client{pool: newPool(), probes: &probes{byServer: make(map[string]*Probe)}, dialer: d}
 }
 
 // Do sends a request and returns once the response header has been read. The error is a
@@ -99,7 +110,7 @@
 			return pooled, nil
 		}
 	}
-	raw, err := dialer(c.dialTimeout).DialContext(ctx, "tcp", r.Address)
+	raw, err := c.dialer.Dial(ctx, r.ServerKey, r.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"math"
 	"net"
@@ -52,6 +53,19 @@
 	return http.ReadResponse(c.reader, &http.Request{Method: method})
 }
 
+// directDialer opens direct connections.
+type directDialer struct{ timeout time.Duration }
+
+// Dial implements Dialer.
+func (d directDialer) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	return DialDirect(ctx, address, d.timeout)
+}
+
+// DialDirect opens a TCP connection that detects an unresponsive peer.
+func DialDirect(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	return dialer(timeout).DialContext(ctx, "tcp", address)
+}
+
 // dialer returns a dialer whose connections detect an unresponsive peer.
 func dialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
