--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -102,7 +102,7 @@
 	// paths tells which servers this box reaches.
 	paths    *serverpath.Tracker
 	upstream *upstream.Client
-	duties        *fleetDuties
+	duties   *fleetDuties
 	// quarantine holds back requests that crash servers.
 	quarantine  *quarantine.Quarantine
 	retryBudget *retry.Budget
