--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -134,7 +134,7 @@
 		return nil, oops.In("telemetry").Wrap(err)
 	}
 	d := &Daemon{logger: logs.For(logflags.Box), metrics: metrics, paths: serverpath.NewTracker(logs.For(logflags.Balancer)), shares: fairshare.NewTracker()}
-	d.upstream = upstream.NewClientWithDialer(serverpath.NewDialer(d.paths, directDialer(a)))
+	d.upstream = upstream.NewClientWithDialer(serverpath.NewDialer(d.paths, a.dialServer(), serverDialTimeout))
 	d.settings.Store(&s)
 	d.updateFairShares()
 	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryMB<<20) * memoryLimitShare))
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -55,6 +55,8 @@
 type Dialer interface {
 	// Dial opens a connection to a server. The key identifies the incarnation of the server.
 	Dial(ctx context.Context, serverKey, address string) (net.Conn, error)
+	// Probe checks whether the process of a server still runs, by opening a connection.
+	Probe(ctx context.Context, serverKey, address string) State
 }
 
 // Client sends requests to servers over pooled connections.
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -58,18 +58,24 @@
 
 // Dial implements Dialer.
 func (d directDialer) Dial(ctx context.Context, _, address string) (net.Conn, error) {
-	return DialDirect(ctx, address, d.timeout)
+	ctx, cancel := context.WithTimeout(ctx, d.timeout)
+	defer cancel()
+	return DialDirect(ctx, address)
+}
+
+// Probe implements Dialer.
+func (d directDialer) Probe(ctx context.Context, _, address string) State {
+	return StateOf(DialDirect(ctx, address))
 }
 
 // DialDirect opens a TCP connection that detects an unresponsive peer.
-func DialDirect(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	return dialer(timeout).DialContext(ctx, "tcp", address)
+func DialDirect(ctx context.Context, address string) (net.Conn, error) {
+	return dialer().DialContext(ctx, "tcp", address)
 }
 
 // dialer returns a dialer whose connections detect an unresponsive peer.
-func dialer(timeout time.Duration) *net.Dialer {
+func dialer() *net.Dialer {
 	return &net.Dialer{
-		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
--- a/pkg/upstream/probe.go
+++ b/pkg/upstream/probe.go
@@ -1,7 +1,9 @@
 package upstream
 
 import (
+	"context"
 	"errors"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -55,7 +57,9 @@
 	p := &Probe{Done: make(chan struct{})}
 	c.probes.byServer[server] = p
 	go func() {
-		p.State = c.probeAddress(address)
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		p.State = c.dialer.Probe(ctx, server, address)
 		close(p.Done)
 		time.AfterFunc(probeCacheTTL, func() { c.probes.remove(server) })
 	}()
@@ -68,8 +72,9 @@
 	delete(p.byServer, server)
 }
 
-func (c *Client) probeAddress(address string) State {
-	conn, err := dialer(probeTimeout).Dial("tcp", address)
+// StateOf returns the state of a server's process as shown by the result of a dial. It closes the
+// connection.
+func StateOf(conn net.Conn, err error) State {
 	switch {
 	case err == nil:
 		_ = conn.Close()
