serverpath, tunnel: a box that lacks the link to a server connects to it by way of another box

Cause: a box had one way to a server. It took each failed dial for a fault of that server, ejected one after the other at 300 ms each, and had nothing else to try, though it reached boxes that reached all servers. Change: pkg/tunnel carries connections to listed servers for boxes of the roster (HTTP CONNECT on the peer port; the end of the server differs from the loss of the relay). pkg/serverpath decides which way a dial takes: the direct one first, other boxes after a multiple of the connect time or as soon as it fails; where only others connect, they first, and the direct way again at a bounded rate. Below the request nothing changes: attempts, identity checks, deadlines, closes and budgets stay with the box that took it.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -1,6 +1,8 @@
 package directory
 
 import (
+	"iter"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -111,6 +113,47 @@
 	return list
 }
 
+// ServerAt returns a server with an address: one in the list, or one that was removed recently and may
+// still be used.
+func (v *View) ServerAt(address string) (routing.Server, bool) {
+	for s := range v.all() {
+		if s.Address == address {
+			return s, true
+		}
+	}
+	return routing.Server{}, false
+}
+
+// AnyOther returns a listed server that gets new work and has another address.
+func (v *View) AnyOther(address string) (routing.Server, bool) {
+	for _, p := range v.pools {
+		for _, i := range rand.Perm(len(p.ready)) {
+			if p.ready[i].Address != address {
+				return p.ready[i], true
+			}
+		}
+	}
+	return routing.Server{}, false
+}
+
+// all iterates over the servers of all services, including those that were removed.
+func (v *View) all() iter.Seq[routing.Server] {
+	return func(yield func(routing.Server) bool) {
+		for _, p := range v.pools {
+			for _, s := range slices.Concat(p.ready, p.draining) {
+				if !yield(s) {
+					return
+				}
+			}
+			for _, s := range slices.Concat(p.withheld, p.removed) {
+				if !yield(s.Server) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // HallEvacuated reports whether a hall is evacuated.
 func (v *View) HallEvacuated(hall string) bool { return v.evacuated[hall] }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -166,8 +166,10 @@
 	organisation *routing.Organisation
 	deadline     time.Time
 
-	// attemptStart is the start of the latest attempt.
+	// attemptStart is the start of the latest attempt, via the address of the box by way of which it was
+	// sent, "" if it was sent directly.
 	attemptStart time.Time
+	via          string
 	// attempted lists the servers that received the request, in order. unreachable lists those that
 	// did not, as the connection failed or another server had their address.
 	attempted   []routing.Incarnation
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -52,7 +52,7 @@
 	body, complete, err := x.bufferResponse(resp.Body)
 	if err != nil {
 		resp.Close(false)
-		return &failure{result: balancer.ResultFailed, disconnected: true, cause: err}, nil
+		return &failure{result: resultOfError(err), disconnected: true, cause: err}, nil
 	}
 	lease.PrefillDone(clock.Now())
 	if !complete {
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -235,6 +235,7 @@
 // send sends the request to a server and forwards the response.
 func (x *exchange) send(ctx context.Context, lease *balancer.Lease) (*failure, error) {
 	resp, err := x.gateway.Upstream.Do(ctx, x.upstreamRequest(lease))
+	x.via = viaOf(resp, err)
 	if upstream.IsNotSent(err) {
 		x.unreachable = append(x.unreachable, lease.Server.Incarnation())
 		return &failure{result: balancer.ResultUnreached, notExecuted: true, notSent: true, cause: err}, nil
@@ -274,9 +275,25 @@
 	x.gateway.Balancer.Signals().Observe(server, s, x.attemptStart, clock.Now())
 }
 
+// viaOf returns the address of the box by way of which a request was sent, "" if it was sent directly.
+func viaOf(resp *upstream.Response, err error) string {
+	var interrupted *upstream.InterruptedError
+	switch {
+	case resp != nil:
+		return resp.Via
+	case errors.As(err, &interrupted):
+		return interrupted.Via
+	}
+	return ""
+}
+
 // resultOfError distinguishes a server whose machine does not respond from one whose connection
-// broke.
+// broke. A connection that was lost at another box says nothing of the server.
 func resultOfError(err error) balancer.Result {
+	var lost *upstream.PathLostError
+	if errors.As(err, &lost) {
+		return balancer.ResultAbandoned
+	}
 	if errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH) {
 		return balancer.ResultUnreached
 	}
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -38,6 +38,7 @@
 	"headhill.example/headhill/pkg/stall"
 	"headhill.example/headhill/pkg/storerev"
 	"headhill.example/headhill/pkg/telemetry"
+	"headhill.example/headhill/pkg/tunnel"
 	"headhill.example/headhill/pkg/upstream"
 )
 
@@ -99,8 +100,11 @@
 	// readingRoster is set while completeRoster reads the full roster.
 	readingRoster atomic.Bool
 	balancer      *balancer.Balancer
-	// paths tells which servers this box reaches.
-	paths    *serverpath.Tracker
+	// paths tells which servers this box reaches, serverDialer opens connections to them.
+	paths        *serverpath.Tracker
+	serverDialer *serverpath.Dialer
+	// tunnels opens connections to servers for other boxes.
+	tunnels  *tunnel.Server
 	upstream *upstream.Client
 	duties   *fleetDuties
 	// quarantine holds back requests that crash servers.
@@ -133,8 +137,8 @@
 	if err != nil {
 		return nil, oops.In("telemetry").Wrap(err)
 	}
-	d := &Daemon{logger: logs.For(logflags.Box), metrics: metrics, paths: serverpath.NewTracker(logs.For(logflags.Balancer)), shares: fairshare.NewTracker()}
-	d.upstream = upstream.NewClientWithDialer(serverpath.NewDialer(d.paths, a.dialServer(), serverDialTimeout))
+	d := &Daemon{logger: logs.For(logflags.Box), metrics: metrics, shares: fairshare.NewTracker()}
+	d.openServerPaths(a, s.Box.Hall, logs.For(logflags.Balancer))
 	d.settings.Store(&s)
 	d.updateFairShares()
 	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryMB<<20) * memoryLimitShare))
@@ -175,7 +179,7 @@
 	d.quarantine = quarantine.New(quarantine.Deps{
 		Port: d.peers, Peers: d.roster.Peers, Store: a.Quarantine(access), Timeout: storeLimits.FirstByte, Logger: logs.For(logflags.Quarantine),
 	})
-	if err := metrics.AddGauges(quarantineGauge(d.quarantine), formsGauge(d.roster), signalsGauge(balance.Signals()), slownessGauge(balance), arrivalsGauge(balance), connectionsGauge(d.upstream), pathsGauge(d.paths), readyGauge(d)); err != nil {
+	if err := metrics.AddGauges(quarantineGauge(d.quarantine), formsGauge(d.roster), signalsGauge(balance.Signals()), slownessGauge(balance), arrivalsGauge(balance), connectionsGauge(d.upstream), pathsGauge(d.paths), readyGauge(d), relaysGauge(d.serverDialer)); err != nil {
 		return nil, oops.In("telemetry").Wrap(err)
 	}
 	d.retryBudget = retry.NewBudget(d.retryLimits())
@@ -197,7 +201,10 @@
 	}
 	d.quarantine.OnHeld(d.gateway.CancelQuarantined)
 	d.serveHTTP()
-	d.serveSnapshots(logs.For(logflags.Peer))
+	d.servePeers(logs.For(logflags.Peer))
+	if err := metrics.AddGauges(tunnelsGauge(d.tunnels)); err != nil {
+		return nil, oops.In("telemetry").Wrap(err)
+	}
 	return d, nil
 }
 
--- a/pkg/routerd/gauges.go
+++ b/pkg/routerd/gauges.go
@@ -12,6 +12,7 @@
 	"headhill.example/headhill/pkg/serverpath"
 	"headhill.example/headhill/pkg/signals"
 	"headhill.example/headhill/pkg/telemetry"
+	"headhill.example/headhill/pkg/tunnel"
 	"headhill.example/headhill/pkg/upstream"
 )
 
@@ -139,6 +140,22 @@
 	}
 }
 
+// relaysGauge returns the gauge for the other boxes by way of which this one reaches servers.
+func relaysGauge(d *serverpath.Dialer) telemetry.Gauge {
+	return telemetry.Gauge{
+		Name: "headhill_server_relays", Help: "Other boxes that opened tunnels to servers for this one (proven) or did not (failed) lately, and the tunnels that are open (tunnels) or were opened since the start (opened).",
+		Attribute: "state", Observe: d.RelayCounts,
+	}
+}
+
+// tunnelsGauge returns the gauge for the tunnels that this box opened for others.
+func tunnelsGauge(s *tunnel.Server) telemetry.Gauge {
+	return telemetry.Gauge{
+		Name: "headhill_tunnels", Help: "Tunnels to servers that are open for other boxes, and since the start those opened and refused, by reason, and the bytes copied.",
+		Attribute: "state", Observe: s.Counts,
+	}
+}
+
 // readyGauge returns the gauge for what this box tells the load balancer, and whether it reaches the
 // servers.
 func readyGauge(d *Daemon) telemetry.Gauge {
--- a/pkg/routerd/join.go
+++ b/pkg/routerd/join.go
@@ -16,6 +16,7 @@
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/snapshot"
+	"headhill.example/headhill/pkg/tunnel"
 )
 
 const (
@@ -61,13 +62,18 @@
 	return err
 }
 
-// serveSnapshots creates the server from which other boxes fetch snapshots.
-func (d *Daemon) serveSnapshots(logger log.Logger) {
+// servePeers creates the server from which other boxes fetch snapshots and that opens tunnels for them.
+func (d *Daemon) servePeers(logger log.Logger) {
 	server := snapshot.NewServer(snapshot.ServerDeps{
 		Directory: d.directory, IsPeerHost: d.roster.IsPeerHost, OnUnknownHost: d.checker.RequestRosterRefresh, Boxes: d.roster.Snapshot, Logger: logger,
 	})
-	d.snapshotListener = netutil.LimitListener(d.snapshotListener, maxSnapshotConns)
-	d.snapshotServer = &http.Server{Handler: server.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	limits := d.settings.Load().Limits
+	d.tunnels = tunnel.NewServer(tunnel.ServerDeps{
+		IsPeerHost: d.roster.IsPeerHost, IsServer: d.isServer, Dial: d.serverDialer.DialDirect, ReachesOthers: d.serverDialer.ReachesOthers, Isolated: d.paths.Isolated,
+		Busy: d.needsCapacity, MaxTunnels: maxTunnels(limits), Logger: logger,
+	})
+	d.snapshotListener = netutil.LimitListener(d.snapshotListener, maxSnapshotConns+maxTunnels(limits))
+	d.snapshotServer = &http.Server{Handler: d.tunnels.Wrap(server.Handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
 
 // joinAndSync joins the fleet and then keeps the directory up to date until the daemon stops. It
--- a/pkg/routerd/stop.go
+++ b/pkg/routerd/stop.go
@@ -31,7 +31,8 @@
 	// Close keep-alive connections once they are idle, so that callers send their next request to
 	// another box.
 	d.conns.closeIdle()
-	_ = level.Info(d.logger).Log("msg", "stopping", "in_progress", d.gateway.InProgress())
+	d.tunnels.Stop()
+	_ = level.Info(d.logger).Log("msg", "stopping", "in_progress", d.gateway.InProgress(), "tunnels", d.tunnels.Open())
 	d.duties.handOver()
 	d.waitUntilIdle(start.Add(min(balancerNoticeTime, clock.Until(deadline))), deadline)
 	cancelled := d.gateway.InProgress()
@@ -51,11 +52,11 @@
 	_ = level.Info(d.logger).Log("msg", "stopped", "given_up", cancelled, "after", clock.Since(start))
 }
 
-// waitUntilIdle waits until no request is in flight, but at least until earliest and at most until
+// waitUntilIdle waits until no request is in flight here or in a tunnel of another box, but at least until earliest and at most until
 // latest.
 func (d *Daemon) waitUntilIdle(earliest, latest time.Time) {
 	for now := clock.Now(); now.Before(latest); now = clock.Now() {
-		if now.After(earliest) && d.gateway.InProgress() == 0 {
+		if now.After(earliest) && d.gateway.InProgress() == 0 && d.tunnels.Open() == 0 {
 			return
 		}
 		time.Sleep(idlePollInterval)
--- /dev/null
+++ b/pkg/serverpath/plan_test.go
@@ -0,0 +1,79 @@
+package serverpath
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+)
+
+// A server that is down must not be taken for a lost path, as no other way leads to it.
+func TestPlanDependsOnOtherBoxes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker(log.NewNopLogger())
+	assert.Equal(t, Plan{Direct: true, RelayAfter: maxHeadStart}, tracker.Plan("a", now))
+	tracker.RecordFailed("a", FailureSilent, now)
+	tracker.RecordRelayed("a", false, now)
+	assert.Equal(t, Plan{Direct: true, RelayAfter: maxHeadStart}, tracker.Plan("a", now), "no other box reaches it")
+	tracker.RecordRelayed("a", true, now)
+	assert.Equal(t, Plan{}, tracker.Plan("a", now), "only the other boxes")
+	assert.Equal(t, Plan{Direct: true, RelayAfter: maxHeadStart}, tracker.Plan("b", now), "another server")
+	assert.Equal(t, Plan{Direct: true}, tracker.Plan("a", now.Add(probeInterval)), "both ways, as the direct one may be back")
+	assert.Equal(t, Plan{}, tracker.Plan("a", now.Add(probeInterval)), "one request probes")
+	tracker.RecordConnected("a", time.Millisecond, now.Add(probeInterval))
+	assert.True(t, tracker.Plan("a", now.Add(probeInterval)).Direct)
+	assert.Equal(t, minHeadStart, tracker.Plan("a", now.Add(probeInterval)).RelayAfter, "a multiple of the connect time")
+}
+
+// An isolated box uses other boxes also for servers that it has not tried, and probes at a bounded rate.
+func TestIsolatedBoxAsksOthersAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker(log.NewNopLogger())
+	var changes []bool
+	tracker.OnChange(func(isolated bool) { changes = append(changes, isolated) })
+	for _, address := range []string{"a", "b"} {
+		tracker.RecordFailed(address, FailureRefused, now)
+		assert.False(t, tracker.Isolated(), "a server that refuses may have exited")
+		tracker.RecordRelayed(address, true, now)
+	}
+	assert.True(t, tracker.Isolated())
+	probes := 0
+	for i := range 1000 {
+		plan := tracker.Plan(fmt.Sprint(i), now.Add(time.Duration(i)*time.Millisecond))
+		assert.Zero(t, plan.RelayAfter)
+		if plan.Direct {
+			probes++
+		}
+	}
+	assert.Equal(t, int(time.Second/boxProbeInterval), probes)
+	tracker.RecordConnected("c", time.Millisecond, now.Add(time.Second))
+	assert.False(t, tracker.Isolated())
+	assert.Equal(t, []bool{true, false}, changes)
+}
+
+// Data on an open connection shows that a silent link is back, but not that new connections are accepted.
+func TestDataShowsThatLinksAreBack(t *testing.T) {
+	for failure, isolated := range map[Failure]bool{FailureSilent: false, FailureRefused: true} {
+		now := time.Unix(1000, 0)
+		tracker := NewTracker(log.NewNopLogger())
+		for _, address := range []string{"a", "b"} {
+			tracker.RecordFailed(address, failure, now)
+			tracker.RecordRelayed(address, true, now)
+		}
+		assert.True(t, tracker.Isolated())
+		assert.Equal(t, failure == FailureRefused, tracker.directFit("c"), "open connections live on only if others are refused")
+		tracker.RecordHeard(now.Add(time.Second))
+		assert.Equal(t, isolated, tracker.Isolated(), failure)
+	}
+}
+
+func TestFailedPathsAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker(log.NewNopLogger())
+	for i := range 1000 {
+		tracker.RecordFailed(fmt.Sprint(i), FailureRefused, now.Add(time.Duration(i)*time.Second))
+	}
+	assert.LessOrEqual(t, len(tracker.failed), int(pathRetention/time.Second)+2)
+}
--- a/pkg/serverpath/tracker.go
+++ b/pkg/serverpath/tracker.go
@@ -10,9 +10,26 @@
 	"github.com/go-kit/log/level"
 )
 
-// minUnreached is the number of servers to which direct connections fail, with no success in between,
-// from which on this box rather than the servers is taken to be the cause.
-const minUnreached = 3
+const (
+	// minBypassed is the number of servers that this box can't reach although others can, and
+	// minUnreached the number of servers that it can't reach at all, from which on the box rather than
+	// the servers is taken to be the cause.
+	minBypassed  = 2
+	minUnreached = 3
+	// probeInterval is the minimum time between two direct connections to a server that can't be
+	// reached directly, boxProbeInterval that between two of an isolated box to any servers.
+	probeInterval    = 500 * time.Millisecond
+	boxProbeInterval = 100 * time.Millisecond
+	// pathRetention is how long a failed path without further attempts is remembered.
+	pathRetention = time.Minute
+	// minHeadStart and maxHeadStart bound the time that a direct connection has before another way is
+	// tried as well, headStartFactor is that time in multiples of the mean connect time.
+	minHeadStart    = 40 * time.Millisecond
+	maxHeadStart    = 150 * time.Millisecond
+	headStartFactor = 8
+	// connectWeight is the weight of the latest connect time in the mean.
+	connectWeight = 0.1
+)
 
 // Failure is the manner in which a direct connection failed.
 type Failure int
@@ -36,60 +53,238 @@
 	return FailureSilent
 }
 
-// Tracker records which servers this box reaches by direct connections.
+// path is the state of the direct path to an address to which a connection has failed.
+type path struct {
+	failure  Failure
+	failedAt time.Time
+	// relayed is set if another box has connected to the address since, serverDown if it could not
+	// either.
+	relayed    bool
+	serverDown bool
+	nextProbe  time.Time
+}
+
+// Tracker records which servers this box reaches by direct connections. Paths are identified by the
+// address of the server.
 type Tracker struct {
-	logger log.Logger
+	logger   log.Logger
+	onChange func(isolated bool)
 
 	mu sync.Mutex
-	// unreached holds the servers to which direct connections failed since the last success.
-	unreached map[string]bool
+	// failed holds the paths on which the last direct connection failed.
+	failed map[string]*path
+	// connectedAt is when a direct connection was last opened, heardAt when one last carried data from
+	// a server.
+	connectedAt, heardAt time.Time
 	// isolatedSince is when the box lost its links to the servers; zero while it has them.
 	isolatedSince time.Time
-	reached       int64
+	nextBoxProbe  time.Time
+	connectTime   time.Duration
+	connected     int64
 	failures      map[Failure]int64
 }
 
 // NewTracker returns a tracker of a box that reaches all servers.
 func NewTracker(logger log.Logger) *Tracker {
-	return &Tracker{logger: logger, unreached: make(map[string]bool), failures: make(map[Failure]int64)}
+	return &Tracker{logger: logger, onChange: func(bool) {}, failed: make(map[string]*path), failures: make(map[Failure]int64)}
+}
+
+// OnChange sets a function that is called when the box becomes isolated or ceases to be. It must be set
+// before the first connection.
+func (t *Tracker) OnChange(f func(isolated bool)) { t.onChange = f }
+
+// Plan tells how to open a connection to a server.
+type Plan struct {
+	// Direct is set if a direct connection is tried.
+	Direct bool
+	// RelayAfter is how long the direct connection has before another way is tried as well.
+	RelayAfter time.Duration
 }
 
-// RecordConnected records that a direct connection to a server was opened.
-func (t *Tracker) RecordConnected(server string, now time.Time) {
+// Plan returns how to open a connection to an address now.
+func (t *Tracker) Plan(address string, now time.Time) Plan {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.reached++
-	clear(t.unreached)
-	if !t.isolatedSince.IsZero() {
-		_ = level.Info(t.logger).Log("msg", "servers reachable again", "server", server, "after", now.Sub(t.isolatedSince))
-		t.isolatedSince = time.Time{}
+	p := t.failed[address]
+	isolated := t.isolated()
+	if !isolated && (p == nil || !p.relayed) {
+		return Plan{Direct: true, RelayAfter: t.headStart()}
 	}
+	return Plan{Direct: t.takeProbe(p, isolated, now)}
 }
 
-// RecordFailed records that a direct connection to a server failed.
-func (t *Tracker) RecordFailed(server string, f Failure, now time.Time) {
+// takeProbe reports whether a path that has failed is to be tried again now, and counts the attempt.
+func (t *Tracker) takeProbe(p *path, isolated bool, now time.Time) bool {
+	if p != nil && now.Before(p.nextProbe) || isolated && now.Before(t.nextBoxProbe) {
+		return false
+	}
+	if p != nil {
+		p.nextProbe = now.Add(probeInterval)
+	}
+	t.nextBoxProbe = now.Add(boxProbeInterval)
+	return true
+}
+
+func (t *Tracker) headStart() time.Duration {
+	if t.connectTime == 0 {
+		return maxHeadStart
+	}
+	return min(max(headStartFactor*t.connectTime, minHeadStart), maxHeadStart)
+}
+
+// RecordConnected records that a direct connection to an address was opened, and how long that took.
+func (t *Tracker) RecordConnected(address string, took time.Duration, now time.Time) {
+	t.update(now, func() {
+		t.connected++
+		if t.isolated() {
+			// The links to the other servers are probably back as well.
+			clear(t.failed)
+		}
+		t.connectedAt = now
+		delete(t.failed, address)
+		if t.connectTime == 0 {
+			t.connectTime = took
+		}
+		t.connectTime += time.Duration(connectWeight * float64(took-t.connectTime))
+	})
+}
+
+// RecordFailed records that a direct connection to an address failed.
+func (t *Tracker) RecordFailed(address string, f Failure, now time.Time) {
+	t.update(now, func() {
+		t.failures[f]++
+		p := t.failed[address]
+		if p == nil {
+			t.evictStale(now)
+			p = &path{}
+			t.failed[address] = p
+		}
+		p.failure, p.failedAt, p.nextProbe = f, now, now.Add(probeInterval)
+	})
+}
+
+// RecordRelayed records whether another box could connect to an address to which this box could not.
+func (t *Tracker) RecordRelayed(address string, connected bool, now time.Time) {
+	t.update(now, func() {
+		if p := t.failed[address]; p != nil {
+			p.relayed, p.serverDown = connected, !connected
+		}
+	})
+}
+
+// RecordHeard records that a direct connection carried data from a server.
+func (t *Tracker) RecordHeard(now time.Time) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.failures[f]++
-	t.unreached[server] = true
-	if t.isolatedSince.IsZero() && len(t.unreached) >= minUnreached {
+	t.heardAt = now
+	wasIsolated := !t.isolatedSince.IsZero()
+	t.mu.Unlock()
+	if wasIsolated {
+		t.update(now, func() {})
+	}
+}
+
+// evictStale forgets the paths that were not tried within pathRetention.
+func (t *Tracker) evictStale(now time.Time) {
+	for address, p := range t.failed {
+		if now.Sub(p.failedAt) > pathRetention {
+			delete(t.failed, address)
+		}
+	}
+}
+
+// update changes the state and reports a change of isolation.
+func (t *Tracker) update(now time.Time, change func()) {
+	t.mu.Lock()
+	change()
+	before, isolated := !t.isolatedSince.IsZero(), t.isolated()
+	switch {
+	case isolated && !before:
 		t.isolatedSince = now
-		_ = level.Warn(t.logger).Log("msg", "no server reachable from this box", "servers", len(t.unreached), "last", server, "failure", f)
+		_ = level.Warn(t.logger).Log("msg", "no server reachable from this box", "servers", len(t.failed), "bypassed", t.bypassed(), "outcome", "connections lead through other boxes")
+	case before && !isolated:
+		_ = level.Info(t.logger).Log("msg", "servers reachable again", "after", now.Sub(t.isolatedSince))
+		t.isolatedSince = time.Time{}
+	}
+	t.mu.Unlock()
+	if isolated != before {
+		t.onChange(isolated)
+	}
+}
+
+// isolated reports whether the box itself has lost its links. Tracker.mu must be held.
+func (t *Tracker) isolated() bool {
+	bypassed, unreached := 0, 0
+	for _, p := range t.failed {
+		switch {
+		case p.serverDown || !p.failedAt.After(t.connectedAt):
+		case p.relayed && (p.failure == FailureRefused || p.failedAt.After(t.heardAt)):
+			bypassed++
+			unreached++
+		case p.failure == FailureSilent && p.failedAt.After(t.heardAt):
+			unreached++
+		}
 	}
+	return bypassed >= minBypassed || unreached >= minUnreached
+}
+
+// bypassed returns the number of servers that only other boxes reach. Tracker.mu must be held.
+func (t *Tracker) bypassed() (n int) {
+	for _, p := range t.failed {
+		if p.relayed {
+			n++
+		}
+	}
+	return n
 }
 
 // Isolated reports whether the box has lost its links to the servers.
 func (t *Tracker) Isolated() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.isolatedSince.IsZero()
+	return t.isolated()
+}
+
+// Bypassed returns the number of servers that this box does not reach although other boxes do.
+func (t *Tracker) Bypassed() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.bypassed()
+}
+
+// directFit reports whether an open direct connection to an address may carry a further exchange.
+func (t *Tracker) directFit(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.failed[address]; p != nil && p.relayed {
+		return p.failure == FailureRefused
+	}
+	return !t.isolated() || t.onlyRefused()
+}
+
+// onlyRefused reports whether all failed paths refuse new connections, so that open ones may live on.
+func (t *Tracker) onlyRefused() bool {
+	for _, p := range t.failed {
+		if p.failure != FailureRefused {
+			return false
+		}
+	}
+	return true
+}
+
+// tunnelFit reports whether a tunnel to an address may carry a further exchange, as there is no direct
+// path.
+func (t *Tracker) tunnelFit(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.failed[address]
+	return p != nil && p.relayed || t.isolated()
 }
 
 // Dials returns the number of direct connections by how they ended, since the start.
 func (t *Tracker) Dials() map[string]int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	counts := map[string]int64{"connected": t.reached}
+	counts := map[string]int64{"connected": t.connected}
 	for _, f := range []Failure{FailureSilent, FailureRefused} {
 		counts[f.String()] = t.failures[f]
 	}
--- a/pkg/serverpath/tracker_test.go
+++ b/pkg/serverpath/tracker_test.go
@@ -20,14 +20,15 @@
 		tracker.RecordFailed("b", FailureRefused, now)
 	}
 	assert.False(t, tracker.Isolated())
-	tracker.RecordConnected("c", now)
+	tracker.RecordConnected("c", time.Millisecond, now)
+	now = now.Add(time.Second)
 	tracker.RecordFailed("d", FailureSilent, now)
 	assert.False(t, tracker.Isolated(), "a success in between shows that the box has its links")
 	for i := range minUnreached {
 		tracker.RecordFailed(fmt.Sprint(i), FailureSilent, now)
 	}
 	assert.True(t, tracker.Isolated())
-	tracker.RecordConnected("a", now.Add(time.Second))
+	tracker.RecordConnected("a", time.Millisecond, now.Add(time.Second))
 	assert.False(t, tracker.Isolated())
 	assert.Equal(t, map[string]int64{"connected": 2, "silent": 14, "refused": 10}, tracker.Dials())
 }
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -42,6 +42,8 @@
 	// Length is the length of the body, or -1 if the header does not declare it.
 	Length int64
 	Body   io.Reader
+	// Via is the address of the box by way of which the connection leads, "" for a direct one.
+	Via string
 
 	exchange *exchange
 	raw      *http.Response
@@ -100,9 +102,9 @@
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
-		return nil, &InterruptedError{Address: r.Address, Cause: err}
+		return nil, &InterruptedError{Address: r.Address, Via: conn.via(), Cause: err}
 	}
-	return &Response{Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, Body: raw.Body, exchange: x, raw: raw}, nil
+	return &Response{Via: conn.via(), Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, Body: raw.Body, exchange: x, raw: raw}, nil
 }
 
 func (c *Client) acquireConn(ctx context.Context, r Request) (*conn, error) {
@@ -217,13 +219,20 @@
 func (x *exchange) returnToPool(h http.Header) {
 	x.conn.idleSince = clock.Now()
 	x.conn.idleTimeout = idleTimeout(h)
-	if x.conn.idleTimeout <= 0 || x.conn.reader.Buffered() > 0 {
+	if x.conn.idleTimeout <= 0 || x.conn.reader.Buffered() > 0 || !x.conn.fit() {
 		x.conn.Close()
 		return
 	}
 	x.client.pool.put(x.serverKey, x.conn)
 }
 
+// AddIdle adds an open connection to a server, over which nothing was sent, to the pool.
+func (c *Client) AddIdle(serverKey string, raw net.Conn) {
+	idle := newConn(raw)
+	idle.idleSince, idle.idleTimeout = clock.Now(), defaultIdleTimeout
+	c.pool.put(serverKey, idle)
+}
+
 // idleTimeout returns how long a connection may stay idle after a response with header h.
 func idleTimeout(h http.Header) time.Duration {
 	for _, v := range h.Values("Keep-Alive") {
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"math"
 	"net"
@@ -88,16 +89,48 @@
 	}
 }
 
+// ReusableConn is a connection that may be unfit for a further exchange although it is open.
+type ReusableConn interface{ Reusable() bool }
+
+// ErrNoDescriptor is returned by SyscallConn of a connection without a file descriptor.
+var ErrNoDescriptor = errors.New("the connection has no file descriptor")
+
+// ViaConn is a connection that leads through another box.
+type ViaConn interface {
+	// Via returns the address of the other box.
+	Via() string
+}
+
+// via returns the address of the box through which the connection leads, "" for a direct one.
+func (c *conn) via() string {
+	if v, ok := c.Conn.(ViaConn); ok {
+		return v.Via()
+	}
+	return ""
+}
+
+// fit reports whether the connection itself considers a further exchange possible.
+func (c *conn) fit() bool {
+	r, ok := c.Conn.(ReusableConn)
+	return !ok || r.Reusable()
+}
+
 // reusable reports whether an idle connection is still open and has received no unsolicited data.
 func (c *conn) reusable() bool {
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	if !c.fit() {
+		return false
+	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
 	raw, err := sc.SyscallConn()
+	if errors.Is(err, ErrNoDescriptor) {
+		return true
+	}
 	if err != nil {
 		return false
 	}
--- a/pkg/upstream/errors.go
+++ b/pkg/upstream/errors.go
@@ -21,7 +21,9 @@
 // written, so that the request may have run.
 type InterruptedError struct {
 	Address string
-	Cause   error
+	// Via is the address of the box by way of which the connection led, "" for a direct one.
+	Via   string
+	Cause error
 }
 
 func (e *InterruptedError) Error() string {
@@ -42,3 +44,16 @@
 	var e *NotSentError
 	return errors.As(err, &e)
 }
+
+// PathLostError is returned if the connection to a server was lost at another box, by way of which it
+// led. It says nothing of the server.
+type PathLostError struct {
+	Relay string
+	Cause error
+}
+
+func (e *PathLostError) Error() string {
+	return fmt.Sprintf("the connection by way of the box at %s was lost: %v: use another way", e.Relay, e.Cause)
+}
+
+func (e *PathLostError) Unwrap() error { return e.Cause }
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -74,14 +74,15 @@
 	}
 }
 
-// sweep closes the connections that have reached their idle timeout.
+// sweep closes the connections that have reached their idle timeout, and those by way of other boxes that
+// can't be reused, as a box that is shutting down waits for them.
 func (p *pool) sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for key, conns := range p.idle {
 		kept := conns[:0]
 		for _, c := range conns {
-			if !c.expired(now) {
+			if !c.expired(now) && (c.via() == "" || c.reusable()) {
 				kept = append(kept, c)
 				continue
 			}
