serverpath, balancer: lost links of a box are no evidence against servers and requests

What callers saw: when the links of boxes are reset, each request in flight whose server then refused a connection counted as one under which the server had crashed; with two such boxes a harmless request could be held, and other boxes avoided servers that were well for the failures they were told. Change: a server counts as exited only if other boxes, which reach other servers at that time, are refused as well; a box without links reports no failures and forgets those of before.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -53,6 +53,8 @@
 	// signals tracks what servers signal in their responses.
 	signals *signals.Tracker
 	policy  Policy
+	// isolated is set while this box has lost its links to the servers.
+	isolated bool
 }
 
 // Limiter enforces this box's share of the fleet-wide rate limits of servers.
@@ -130,6 +132,20 @@
 	return b
 }
 
+// SetIsolated sets whether this box has lost its links to the servers. The failures seen until then are
+// taken for those of the links, and no further ones are reported to other boxes meanwhile.
+func (b *Balancer) SetIsolated(isolated bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.isolated = isolated
+	if isolated {
+		for _, s := range b.servers {
+			s.health = health{lastSuccess: s.health.lastSuccess}
+		}
+		b.notifyChange()
+	}
+}
+
 // Signals returns the tracker of the signals in servers' responses.
 func (b *Balancer) Signals() *signals.Tracker { return b.signals }
 
--- a/pkg/balancer/report.go
+++ b/pkg/balancer/report.go
@@ -121,10 +121,12 @@
 	b.placements = nil
 	for _, s := range b.servers {
 		load := s.load()
-		if s.health.down(now) {
-			load.DownReports = 1
+		if !b.isolated {
+			if s.health.down(now) {
+				load.DownReports = 1
+			}
+			s.health.addTo(&load, b.peerLoad(s.key, now).FailureReports > 0, now)
 		}
-		s.health.addTo(&load, b.peerLoad(s.key, now).FailureReports > 0, now)
 		s.reported = load
 		if load != (Load{}) {
 			r.Loads[s.key] = load
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -162,6 +162,7 @@
 	d.balancer = balance
 	d.limiter = fleetlimit.New(s.Box.ID, logs.For(logflags.Balancer))
 	balance.SetLimiter(d.limiter)
+	d.paths.OnChange(balance.SetIsolated)
 	peerLogger := logs.For(logflags.Peer)
 	d.peers = datagram.NewPort(datagram.Deps{Box: s.Box.ID, Conn: d.peerConn, IsPeer: d.roster.IsPeer, Logger: peerLogger})
 	d.checker = announce.New(announce.Deps{
--- a/pkg/serverpath/dialer.go
+++ b/pkg/serverpath/dialer.go
@@ -85,9 +85,33 @@
 	return r.run()
 }
 
-// Probe implements upstream.Dialer.
+// Probe implements upstream.Dialer. A server to which the connection is refused has exited only if no
+// other box reaches it either.
 func (d *Dialer) Probe(ctx context.Context, _, address string) upstream.State {
-	return upstream.StateOf(d.DialDirect(ctx, address))
+	state := upstream.StateOf(d.DialDirect(ctx, address))
+	if state != upstream.StateExited {
+		return state
+	}
+	relays := d.relayOrder(address)
+	if len(relays) == 0 {
+		return state
+	}
+	refusals := 0
+	for _, relay := range relays[:min(len(relays), maxRelays)] {
+		conn, err := d.dialRelay(ctx, relay, address)
+		if err == nil {
+			d.Tracker.RecordRelayed(address, true, clock.Now())
+			_ = conn.Close()
+			return upstream.StateUp
+		}
+		if isServerRefusal(err) {
+			refusals++
+		}
+		if refusals == min(maxRefusals, len(relays)) {
+			return upstream.StateExited
+		}
+	}
+	return upstream.StateUnknown
 }
 
 // isServerRefusal reports whether a relay could not connect to the server as its machine refused that.
--- a/pkg/serverpath/histories_test.go
+++ b/pkg/serverpath/histories_test.go
@@ -228,6 +228,20 @@
 	})
 }
 
+// The process of a server must not count as exited because boxes have lost their links.
+func TestProbeOfCutBoxes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for cut := 1; cut <= 7; cut++ {
+			n := newNetwork(7, 3)
+			n.setLinks(rand.Perm(7)[:cut], FailureRefused, allServers)
+			for i := range n.boxes {
+				assert.NotEqual(t, upstream.StateExited, n.boxes[i].Probe(t.Context(), "s1", "s1"), "%d cut", cut)
+			}
+			n.waitForDials()
+		}
+	})
+}
+
 // A box that is suspended costs later connections nothing.
 func TestSuspendedRelayIsAvoided(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
