upstream: a reset that ends a request does not pass for the end of its response

What callers saw: none reported. A response without a length ends with its connection. If the server reset the connection while the box was still sending the request, the box took the response for complete. Cause: the kernel reports the error of a connection once. A blocked write got it, and the next read returned zero bytes, as after an orderly close. Found by TestSilentServerIsNoticed (new), which got an unexpected EOF instead of ETIMEDOUT; TestResetWhileSendingIsNoEndOfResponse was red before. TCP_USER_TIMEOUT, which also decides when keep-alive probes give up, is 1.9 s instead of 1.5 s, so that a pause of 1.5 s keeps its connections with and without data in flight (TestConnectionOutlastsPauseOfServer).

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -151,12 +151,22 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	// The body is not copied, as a server that reads slowly would make the box hold it twice.
-	parts := net.Buffers{b.Bytes(), r.Body}
-	_, err := parts.WriteTo(x.conn.Conn)
+	if len(r.Body) <= maxCopiedBody {
+		b.Write(r.Body)
+		_, err := x.conn.Conn.Write(b.Bytes())
+		return err
+	}
+	if _, err := x.conn.Conn.Write(b.Bytes()); err != nil {
+		return err
+	}
+	_, err := x.conn.Conn.Write(r.Body)
 	return err
 }
 
+// maxCopiedBody is the size up to which a body is copied to be sent together with the header. A server
+// that reads slowly would make the box hold a longer one twice.
+const maxCopiedBody = 4 << 10
+
 // readHead reads response headers until one matches the request, and discards the bodies of the
 // others.
 func (x *exchange) readHead(r Request) (*http.Response, error) {
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -15,12 +15,13 @@
 )
 
 const (
-	// keepAliveIdle, keepAliveInterval and keepAliveCount detect an unresponsive peer while a
-	// response is awaited, tcpUserTimeout while sent data is unacknowledged.
+	// keepAliveIdle and keepAliveInterval are those of the probes that detect an unresponsive peer while
+	// a response is awaited. tcpUserTimeout applies while sent data is unacknowledged, and also decides
+	// when the probes give up, so that their count has no effect. A server may pause for a second or so.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
-	tcpUserTimeout    = 1500 * time.Millisecond
+	tcpUserTimeout    = 1900 * time.Millisecond
 
 	readBufferBytes = 4 << 10
 	// maxHeaderBytes is the maximum size of a response header.
@@ -71,7 +72,11 @@
 
 // DialDirect opens a TCP connection that detects an unresponsive peer.
 func DialDirect(ctx context.Context, address string) (net.Conn, error) {
-	return dialer().DialContext(ctx, "tcp", address)
+	c, err := dialer().DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &checkedConn{Conn: c}, nil
 }
 
 // dialer returns a dialer whose connections detect an unresponsive peer.
--- /dev/null
+++ b/pkg/upstream/silence_test.go
@@ -0,0 +1,144 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// setSilent makes the kernel drop all that arrives at a connection, so that its peer gets no
+// acknowledgement, or ends that.
+func setSilent(t *testing.T, c net.Conn, silent bool) {
+	t.Helper()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	var setErr error
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		if !silent {
+			setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+			return
+		}
+		dropAll := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
+		setErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll[0]})
+	}))
+	require.NoError(t, setErr)
+}
+
+// withSilentServer sends a request to a server and calls f with the server's end of the connection once
+// the server has the request. f makes the server silent and may let it respond. withSilentServer returns
+// the error of the request and the time that it took.
+func withSilentServer(t *testing.T, body int, f func(c net.Conn)) (took time.Duration, err error) {
+	t.Helper()
+	withServer(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			f(c)
+		}
+		time.Sleep(5 * time.Second)
+	}, func(client *Client, r Request) {
+		r.Method, r.Body = http.MethodPost, make([]byte, body)
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		start := time.Now()
+		var resp *Response
+		if resp, err = client.Do(ctx, r); err == nil {
+			_, err = io.ReadAll(resp.Body)
+			resp.Close(false)
+		}
+		took = time.Since(start)
+	})
+	return took, err
+}
+
+// Bounds on how long silence stays unnoticed. A server that is silent for up to maxPause must keep its
+// connections, and one that is silent for good must lose them before maxNotice.
+const (
+	maxPause  = 1500 * time.Millisecond
+	maxNotice = 3 * time.Second
+)
+
+// Guards against connections that are lost because a server falls silent for a second or so, with and
+// without data in flight: TCP_USER_TIMEOUT also decides when keep-alive probes give up.
+func TestConnectionOutlastsPauseOfServer(t *testing.T) {
+	for name, body := range map[string]int{"idle": 0, "data in flight": 8 << 20} {
+		t.Run(name, func(t *testing.T) {
+			_, err := withSilentServer(t, body, func(c net.Conn) {
+				setSilent(t, c, true)
+				time.Sleep(maxPause)
+				setSilent(t, c, false)
+				go func() { _, _ = io.Copy(io.Discard, c) }()
+				// Retransmissions are seconds apart by now.
+				time.Sleep(500 * time.Millisecond)
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			})
+			assert.NoError(t, err)
+		})
+	}
+}
+
+// Guards against connections to a server that went silent for good that stay open.
+func TestSilentServerIsNoticed(t *testing.T) {
+	for name, body := range map[string]int{"idle": 0, "data in flight": 8 << 20} {
+		t.Run(name, func(t *testing.T) {
+			took, err := withSilentServer(t, body, func(c net.Conn) { setSilent(t, c, true) })
+			var interrupted *InterruptedError
+			require.ErrorAs(t, err, &interrupted)
+			assert.True(t, errors.Is(err, syscall.ETIMEDOUT), err)
+			t.Logf("noticed after %s", took.Round(time.Millisecond))
+			assert.Less(t, took, maxNotice)
+			assert.Greater(t, took, maxPause)
+		})
+	}
+}
+
+// Guards against a response without a length that passes for complete because the error that ended its
+// connection was reported to the goroutine which sends the request.
+func TestResetWhileSendingIsNoEndOfResponse(t *testing.T) {
+	for range 30 {
+		withServer(t, func(c net.Conn) {
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nthe first half")
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}, func(client *Client, r Request) {
+			r.Method, r.Body = http.MethodPost, make([]byte, 16<<20)
+			resp, err := client.Do(t.Context(), r)
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+				resp.Close(false)
+			}
+			assert.Error(t, err)
+		})
+	}
+}
+
+// A server may end a response without a length before it has read the whole request.
+func TestEndOfResponseWhileSending(t *testing.T) {
+	withServer(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 413 Too Large\r\n\r\ntoo long")
+		_ = c.(*net.TCPConn).CloseWrite()
+		time.Sleep(time.Second)
+	}, func(client *Client, r Request) {
+		r.Method, r.Body = http.MethodPost, make([]byte, 16<<20)
+		resp, err := client.Do(t.Context(), r)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		assert.NoError(t, err)
+		assert.Equal(t, "too long", string(body))
+		resp.Close(false)
+	})
+}
