serverpath, tunnel: servers that are down cost few connections

Cause: each request to a server that had exited asked other boxes again, each of which dialed it and others. Change: a server to which two boxes were refused as well is tried directly only, for 1 s and twice as long each time up to 8 s; a box that could not connect answers the same for 200 ms.

--- a/pkg/serverpath/dialer.go
+++ b/pkg/serverpath/dialer.go
@@ -120,12 +120,6 @@
 	return errors.As(err, &refused) && refused.Reason == tunnel.ReasonServerRefused
 }
 
-// isServerDown reports whether a relay tried to connect to the server and failed.
-func isServerDown(err error) bool {
-	var refused *tunnel.RefusedError
-	return errors.As(err, &refused) && (refused.Reason == tunnel.ReasonServerRefused || refused.Reason == tunnel.ReasonServerSilent)
-}
-
 // DialDirect opens a direct connection and records how that ended.
 func (d *Dialer) DialDirect(ctx context.Context, address string) (net.Conn, error) {
 	start := clock.Now()
--- a/pkg/serverpath/histories_test.go
+++ b/pkg/serverpath/histories_test.go
@@ -219,7 +219,8 @@
 			_, err := n.boxes[0].Dial(t.Context(), "s0", "s0")
 			assert.Error(t, err)
 		}
-		assert.LessOrEqual(t, n.dials-dialsBefore, dials*(1+maxRelays*(1+maxControls)))
+		asks := 2 // within minDownTime others are asked once; the dials of a refused connection take little time
+		assert.LessOrEqual(t, n.dials-dialsBefore, dials+asks*maxRelays*(1+maxControls))
 		assert.Equal(t, upstream.StateExited, n.boxes[0].Probe(t.Context(), "s1", "s1"))
 		assert.Equal(t, upstream.StateUp, n.boxes[0].Probe(t.Context(), "s9", "s9"))
 		for _, b := range n.boxes {
--- a/pkg/serverpath/race.go
+++ b/pkg/serverpath/race.go
@@ -31,7 +31,6 @@
 	// asked is the number of boxes that were asked, refusals that of those to which the server's machine
 	// refused the connection.
 	asked, refusals int
-	serverDown      bool
 	directErr       error
 	relayErr        error
 }
@@ -57,11 +56,12 @@
 	if r.plan.Direct {
 		r.startDirect()
 	}
-	if r.plan.RelayAfter == 0 && r.startRelay() {
+	if !r.plan.DirectOnly && r.plan.RelayAfter == 0 && r.startRelay() {
 		next.Reset(relayStagger)
 	}
 	for {
 		if r.pending == 0 && !r.startRelay() && !r.startDirect() {
+			r.recordDown()
 			return nil, r.err()
 		}
 		select {
@@ -103,6 +103,9 @@
 
 // startRelay asks the next box for a tunnel. It returns false if none is left.
 func (r *race) startRelay() bool {
+	if r.plan.DirectOnly {
+		return false
+	}
 	if !r.chosen {
 		r.chosen, r.relays = true, r.relayOrder(r.address)
 	}
@@ -129,9 +132,13 @@
 		if isServerRefusal(a.err) {
 			r.refusals++
 		}
-		r.serverDown = r.serverDown || isServerDown(a.err)
 	}
-	if r.directErr != nil && r.serverDown {
+}
+
+// recordDown records that the server's machine refuses the connections of other boxes as well, if enough
+// have tried. A relay that got no answer may have lost its links, too.
+func (r *race) recordDown() {
+	if r.directErr != nil && r.refusals >= min(maxRefusals, max(r.asked, 1)) {
 		r.Tracker.RecordRelayed(r.address, false, clock.Now())
 	}
 }
--- a/pkg/serverpath/tracker.go
+++ b/pkg/serverpath/tracker.go
@@ -20,6 +20,10 @@
 	// reached directly, boxProbeInterval that between two of an isolated box to any servers.
 	probeInterval    = 500 * time.Millisecond
 	boxProbeInterval = 100 * time.Millisecond
+	// A server to which no other box could connect either is tried directly only, for minDownTime and
+	// twice as long each further time, up to maxDownTime.
+	minDownTime = time.Second
+	maxDownTime = 8 * time.Second
 	// pathRetention is how long a failed path without further attempts is remembered.
 	pathRetention = time.Minute
 	// minHeadStart and maxHeadStart bound the time that a direct connection has before another way is
@@ -61,7 +65,10 @@
 	// either.
 	relayed    bool
 	serverDown bool
-	nextProbe  time.Time
+	// downTime is how long other boxes are not asked again, downUntil the end of that.
+	downTime  time.Duration
+	downUntil time.Time
+	nextProbe time.Time
 }
 
 // Tracker records which servers this box reaches by direct connections. Paths are identified by the
@@ -97,8 +104,10 @@
 type Plan struct {
 	// Direct is set if a direct connection is tried.
 	Direct bool
-	// RelayAfter is how long the direct connection has before another way is tried as well.
+	// RelayAfter is how long the direct connection has before another way is tried as well, unless
+	// DirectOnly is set.
 	RelayAfter time.Duration
+	DirectOnly bool
 }
 
 // Plan returns how to open a connection to an address now.
@@ -106,6 +115,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.failed[address]
+	if p != nil && now.Before(p.downUntil) {
+		return Plan{Direct: true, DirectOnly: true}
+	}
 	isolated := t.isolated()
 	if !isolated && (p == nil || !p.relayed) {
 		return Plan{Direct: true, RelayAfter: t.headStart()}
@@ -166,8 +178,15 @@
 // RecordRelayed records whether another box could connect to an address to which this box could not.
 func (t *Tracker) RecordRelayed(address string, connected bool, now time.Time) {
 	t.update(now, func() {
-		if p := t.failed[address]; p != nil {
-			p.relayed, p.serverDown = connected, !connected
+		p := t.failed[address]
+		switch {
+		case p == nil:
+		case connected:
+			p.relayed, p.serverDown, p.downTime, p.downUntil = true, false, 0, time.Time{}
+		default:
+			p.relayed, p.serverDown = false, true
+			p.downTime = min(max(2*p.downTime, minDownTime), maxDownTime)
+			p.downUntil = now.Add(p.downTime)
 		}
 	})
 }
--- a/pkg/tunnel/server.go
+++ b/pkg/tunnel/server.go
@@ -55,11 +55,27 @@
 	opened  int64
 	refused map[Reason]int64
 	bytes   int64
+	// failures holds the connections to servers that failed lately, by address.
+	failures map[string]serverFailure
 }
 
+// serverFailure is the reason for a connection to a server that failed.
+type serverFailure struct {
+	reason Reason
+	at     time.Time
+}
+
+const (
+	// failureTTL is how long a failed connection to a server counts for further requests, as many boxes
+	// ask at the same time when a server exits.
+	failureTTL = 200 * time.Millisecond
+	// maxFailures limits the failures that are remembered.
+	maxFailures = 1024
+)
+
 // NewServer returns a Server.
 func NewServer(d ServerDeps) *Server {
-	return &Server{ServerDeps: d, open: make(map[*frameWriter]bool), refused: make(map[Reason]int64)}
+	return &Server{ServerDeps: d, open: make(map[*frameWriter]bool), refused: make(map[Reason]int64), failures: make(map[string]serverFailure)}
 }
 
 // Stop refuses further tunnels and announces to those that are open that this box is shutting down.
@@ -117,7 +133,9 @@
 	defer cancel()
 	server, err := s.Dial(ctx, r.Host)
 	if err != nil {
-		s.refuse(w, r, s.reasonOf(r, err))
+		reason := s.reasonOf(r, err)
+		s.recordFailure(r.Host, reason)
+		s.refuse(w, r, reason)
 		return
 	}
 	defer server.Close()
@@ -151,6 +169,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if f, ok := s.failures[r.Host]; ok && time.Since(f.at) < failureTTL {
+		return f.reason
+	}
 	switch {
 	case s.stopping:
 		return ReasonStopping
@@ -162,6 +183,15 @@
 	return ""
 }
 
+func (s *Server) recordFailure(address string, reason Reason) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.failures) >= maxFailures {
+		clear(s.failures)
+	}
+	s.failures[address] = serverFailure{reason: reason, at: time.Now()}
+}
+
 func (s *Server) isStopping() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
