serverpath: a path is checked while no server sends anything

Their prompts counted as work of the engines meanwhile. Change: a request over an idle connection that has waited for 250 ms while nothing was received from any server makes the box open a further connection to that address, at most one each 50 ms. Kept for boxes with little traffic, where the decision is tested (TestPathIsCheckedWhileNothingArrives).

--- a/pkg/serverpath/dialer.go
+++ b/pkg/serverpath/dialer.go
@@ -114,6 +114,19 @@
 	return upstream.StateUnknown
 }
 
+// AwaitsResponse implements upstream.Dialer. While no server sends anything, the box opens a further
+// connection: an idle connection whose path has failed would otherwise be noticed only by its keep-alive.
+func (d *Dialer) AwaitsResponse(serverKey, address string, sent time.Time) {
+	if !d.Tracker.takeCheck(address, sent, clock.Now()) {
+		return
+	}
+	go func() {
+		if conn, err := d.Dial(context.Background(), serverKey, address); err == nil {
+			d.AddIdle(serverKey, conn)
+		}
+	}()
+}
+
 // isServerRefusal reports whether a relay could not connect to the server as its machine refused that.
 func isServerRefusal(err error) bool {
 	var refused *tunnel.RefusedError
--- a/pkg/serverpath/plan_test.go
+++ b/pkg/serverpath/plan_test.go
@@ -82,3 +82,19 @@
 	}
 	assert.LessOrEqual(t, len(tracker.failed), int(pathRetention/time.Second)+2)
 }
+
+// A box whose links went silent must notice that before its connections time out, and one whose servers
+// are merely slow must not open connections for it.
+func TestPathIsCheckedWhileNothingArrives(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker(log.NewNopLogger())
+	tracker.RecordHeard(now)
+	assert.False(t, tracker.takeCheck("a", now.Add(-time.Millisecond), now), "another server has sent something since")
+	assert.True(t, tracker.takeCheck("a", now.Add(time.Millisecond), now.Add(time.Second)))
+	assert.False(t, tracker.takeCheck("b", now.Add(time.Millisecond), now.Add(time.Second)), "at a bounded rate")
+	tracker.RecordFailed("a", FailureSilent, now.Add(time.Second))
+	assert.False(t, tracker.takeCheck("a", now.Add(time.Millisecond), now.Add(2*time.Second)), "the path is known to have failed")
+	assert.True(t, tracker.takeCheck("b", now.Add(time.Millisecond), now.Add(2*time.Second)))
+	tracker.RecordConnected("b", time.Millisecond, now.Add(2*time.Second))
+	assert.False(t, tracker.takeCheck("c", now.Add(time.Millisecond), now.Add(3*time.Second)), "the box has its links")
+}
--- a/pkg/serverpath/tracker.go
+++ b/pkg/serverpath/tracker.go
@@ -24,6 +24,8 @@
 	// twice as long each further time, up to maxDownTime.
 	minDownTime = time.Second
 	maxDownTime = 8 * time.Second
+	// pathCheckInterval is the minimum time between two checks of paths over which nothing arrives.
+	pathCheckInterval = 50 * time.Millisecond
 	// pathRetention is how long a failed path without further attempts is remembered.
 	pathRetention = time.Minute
 	// minHeadStart and maxHeadStart bound the time that a direct connection has before another way is
@@ -86,6 +88,7 @@
 	// isolatedSince is when the box lost its links to the servers; zero while it has them.
 	isolatedSince time.Time
 	nextBoxProbe  time.Time
+	nextCheck     time.Time
 	connectTime   time.Duration
 	connected     int64
 	failures      map[Failure]int64
@@ -202,6 +205,18 @@
 	}
 }
 
+// takeCheck reports whether the path to an address is to be checked, as a request was sent over an idle
+// connection and no server has sent anything since. It counts the check.
+func (t *Tracker) takeCheck(address string, sent, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.heardAt.After(sent) || t.connectedAt.After(sent) || t.failed[address] != nil || t.isolated() || now.Before(t.nextCheck) {
+		return false
+	}
+	t.nextCheck = now.Add(pathCheckInterval)
+	return true
+}
+
 // evictStale forgets the paths that were not tried within pathRetention.
 func (t *Tracker) evictStale(now time.Time) {
 	for address, p := range t.failed {
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -59,8 +59,14 @@
 	Dial(ctx context.Context, serverKey, address string) (net.Conn, error)
 	// Probe checks whether the process of a server still runs, by opening a connection.
 	Probe(ctx context.Context, serverKey, address string) State
+	// AwaitsResponse is called when a request over an idle connection was sent pathCheckDelay ago and
+	// nothing of its response has arrived. It must not block.
+	AwaitsResponse(serverKey, address string, sent time.Time)
 }
 
+// pathCheckDelay is the time without a response after which the path to a server may be checked.
+const pathCheckDelay = 250 * time.Millisecond
+
 // Client sends requests to servers over pooled connections.
 type Client struct {
 	pool   *pool
@@ -93,6 +99,11 @@
 	if err != nil {
 		return nil, &NotSentError{Address: r.Address, Cause: err}
 	}
+	if conn.reused && conn.via() == "" {
+		sent := clock.Now()
+		check := time.AfterFunc(pathCheckDelay, func() { c.dialer.AwaitsResponse(r.ServerKey, r.Address, sent) })
+		defer check.Stop()
+	}
 	x := &exchange{client: c, conn: conn, serverKey: r.ServerKey, writeResult: make(chan error, 1)}
 	x.stopAbort = context.AfterFunc(ctx, func() { conn.Close() })
 	go func() { x.writeResult <- x.write(r) }()
@@ -111,6 +122,7 @@
 	if !r.NewConnection {
 		if pooled := c.pool.take(r.ServerKey, clock.Now()); pooled != nil {
 			c.reused.Add(1)
+			pooled.reused = true
 			return pooled, nil
 		}
 	}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -34,6 +34,8 @@
 	// limit caps the bytes read while a response header is parsed.
 	limit  *io.LimitedReader
 	reader *bufio.Reader
+	// reused is set once the connection was taken from the pool.
+	reused bool
 	// idleSince is the end of the last exchange. idleTimeout is how long the connection may be
 	// reused after that.
 	idleSince   time.Time
@@ -70,6 +72,9 @@
 	return StateOf(DialDirect(ctx, address))
 }
 
+// AwaitsResponse implements Dialer.
+func (d directDialer) AwaitsResponse(string, string, time.Time) {}
+
 // DialDirect opens a TCP connection that detects an unresponsive peer.
 func DialDirect(ctx context.Context, address string) (net.Conn, error) {
 	c, err := dialer().DialContext(ctx, "tcp", address)
