--- a/pkg/balancer/room.go
+++ b/pkg/balancer/room.go
@@ -18,8 +18,8 @@
 	// whose end the box sees before the server does and for boxes with different lists of boxes.
 	roomReserve = 1.0 / 8
 	// borrowShare is the fraction of the slots and the memory up to which boxes may exceed their parts.
-	// The others may begin to use all of theirs before they learn of that. A box whose only such request
-	// in a turn it is may go up to loneBorrowShare if few requests come to its service.
+	// The others may begin to use all of theirs before they learn of that. Up to loneBorrowShare, a box
+	// may exceed its part by one request in a turn while few requests come to its service.
 	borrowShare     = 0.25
 	loneBorrowShare = 0.5
 	// reportLag is the time within which boxes learn of each other's requests.
--- a/pkg/serverpath/race.go
+++ b/pkg/serverpath/race.go
@@ -26,8 +26,8 @@
 	chosen  bool
 	results chan attempt
 	pending int
-	// direct is set once the direct connection was tried; directPending while it is being opened.
-	direct, directPending bool
+	// directTried is set once a direct connection was tried.
+	directTried bool
 	// asked is the number of boxes that were asked, refusals that of those to which the server's machine
 	// refused the connection.
 	asked, refusals int
@@ -89,10 +89,10 @@
 // startDirect tries a direct connection, unless that was done before. It outlives the race, as its
 // result tells the state of the path.
 func (r *race) startDirect() bool {
-	if r.direct {
+	if r.directTried {
 		return false
 	}
-	r.direct, r.directPending = true, true
+	r.directTried = true
 	r.pending++
 	go func() {
 		conn, err := r.DialDirect(context.WithoutCancel(r.ctx), r.address)
@@ -126,12 +126,12 @@
 // record records a way that failed.
 func (r *race) record(a attempt) {
 	if a.relay == "" {
-		r.directPending, r.directErr = false, a.err
-	} else {
-		r.relayErr = a.err
-		if isServerRefusal(a.err) {
-			r.refusals++
-		}
+		r.directErr = a.err
+		return
+	}
+	r.relayErr = a.err
+	if isServerRefusal(a.err) {
+		r.refusals++
 	}
 }
 
@@ -146,13 +146,10 @@
 // won ends the race with a connection. The direct connection, if it is still being opened, goes on in
 // the background.
 func (r *race) won(a attempt) {
-	switch {
-	case a.relay == "":
-		r.directPending = false
-	case r.directErr != nil:
-		r.Tracker.RecordRelayed(r.address, true, clock.Now())
-	}
 	if a.relay != "" {
+		if r.directErr != nil {
+			r.Tracker.RecordRelayed(r.address, true, clock.Now())
+		}
 		_ = level.Debug(r.Logger).Log("msg", "connection leads through another box", "address", r.address, "box", a.relay, "asked", r.asked, "direct", r.directErr)
 	}
 	r.finishInBackground(a.relay != "")
