serverpath, directory: servers that fall silent isolate no box; addresses are looked up without copies

Three servers that went dark together made a box take itself for isolated and forget which servers it could not reach, although others sent meanwhile: a direct connection that fails takes 300 ms, and the time of the failure was compared with what was received, not that of the beginning. TestSilentServersDoNotIsolateWhileOthersSend was red with the former comparison (seen by putting it back).

--- a/pkg/directory/bench_test.go
+++ b/pkg/directory/bench_test.go
@@ -30,3 +30,24 @@
 		})
 	}
 }
+
+// BenchmarkServerAt measures the look-up of a server by its address, which a tunnel needs.
+func BenchmarkServerAt(b *testing.B) {
+	for _, n := range []int{9845, 19690} {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			d := New(log.NewNopLogger())
+			list := make([]routing.Server, n)
+			for i := range list {
+				list[i] = serverIn("east", i)
+				list[i].Address = fmt.Sprintf("10.0.%d.%d:80", i/250, i%250)
+			}
+			d.applyList(list, 1, time.Now())
+			view := d.View()
+			for i := 0; b.Loop(); i++ {
+				if _, ok := view.ServerAt(list[i%n].Address); !ok {
+					b.Fatal("not found")
+				}
+			}
+		})
+	}
+}
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"iter"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -116,8 +115,8 @@
 // ServerAt returns a server with an address: one in the list, or one that was removed recently and may
 // still be used.
 func (v *View) ServerAt(address string) (routing.Server, bool) {
-	for s := range v.all() {
-		if s.Address == address {
+	for _, p := range v.pools {
+		if s, ok := p.serverAt(address); ok {
 			return s, true
 		}
 	}
@@ -127,31 +126,17 @@
 // AnyOther returns a listed server that gets new work and has another address.
 func (v *View) AnyOther(address string) (routing.Server, bool) {
 	for _, p := range v.pools {
-		for _, i := range rand.Perm(len(p.ready)) {
-			if p.ready[i].Address != address {
-				return p.ready[i], true
-			}
+		if len(p.ready) == 0 {
+			continue
 		}
-	}
-	return routing.Server{}, false
-}
-
-// all iterates over the servers of all services, including those that were removed.
-func (v *View) all() iter.Seq[routing.Server] {
-	return func(yield func(routing.Server) bool) {
-		for _, p := range v.pools {
-			for _, s := range slices.Concat(p.ready, p.draining) {
-				if !yield(s) {
-					return
-				}
-			}
-			for _, s := range slices.Concat(p.withheld, p.removed) {
-				if !yield(s.Server) {
-					return
-				}
+		first := rand.IntN(len(p.ready))
+		for i := range p.ready {
+			if s := p.ready[(first+i)%len(p.ready)]; s.Address != address {
+				return s, true
 			}
 		}
 	}
+	return routing.Server{}, false
 }
 
 // HallEvacuated reports whether a hall is evacuated.
--- a/pkg/directory/pools.go
+++ b/pkg/directory/pools.go
@@ -30,6 +30,21 @@
 	removed  []Server
 }
 
+// serverAt returns a server with an address, in any state.
+func (p *pool) serverAt(address string) (routing.Server, bool) {
+	for _, list := range [][]routing.Server{p.ready, p.draining} {
+		if i := slices.IndexFunc(list, func(s routing.Server) bool { return s.Address == address }); i >= 0 {
+			return list[i], true
+		}
+	}
+	for _, list := range [][]Server{p.withheld, p.removed} {
+		if i := slices.IndexFunc(list, func(s Server) bool { return s.Address == address }); i >= 0 {
+			return list[i].Server, true
+		}
+	}
+	return routing.Server{}, false
+}
+
 // add adds a server without keeping ready in order.
 func (p *pool) add(s Server, evacuated bool) {
 	stopped := s.Leaving || evacuated
--- a/pkg/serverpath/dialer.go
+++ b/pkg/serverpath/dialer.go
@@ -145,7 +145,7 @@
 		d.Tracker.RecordConnected(address, now.Sub(start), now)
 		return &directConn{Conn: conn, tracker: d.Tracker, address: address}, nil
 	case ctx.Err() == nil:
-		d.Tracker.RecordFailed(address, FailureOf(err), now)
+		d.Tracker.RecordFailed(address, FailureOf(err), start, now)
 	}
 	return nil, err
 }
--- a/pkg/serverpath/plan_test.go
+++ b/pkg/serverpath/plan_test.go
@@ -14,12 +14,12 @@
 	now := time.Unix(1000, 0)
 	tracker := NewTracker(log.NewNopLogger())
 	assert.Equal(t, Plan{Direct: true, RelayAfter: maxHeadStart}, tracker.Plan("a", now))
-	tracker.RecordFailed("a", FailureSilent, now)
+	tracker.RecordFailed("a", FailureSilent, now, now)
 	tracker.RecordRelayed("a", false, now)
 	assert.Equal(t, Plan{Direct: true, DirectOnly: true}, tracker.Plan("a", now), "no other box reaches it")
 	now = now.Add(minDownTime)
 	assert.Equal(t, Plan{Direct: true, RelayAfter: maxHeadStart}, tracker.Plan("a", now), "other boxes are asked again")
-	tracker.RecordFailed("a", FailureSilent, now)
+	tracker.RecordFailed("a", FailureSilent, now, now)
 	tracker.RecordRelayed("a", false, now)
 	assert.True(t, tracker.Plan("a", now.Add(minDownTime)).DirectOnly, "twice as long")
 	tracker.RecordRelayed("a", true, now)
@@ -39,7 +39,7 @@
 	var changes []bool
 	tracker.OnChange(func(isolated bool) { changes = append(changes, isolated) })
 	for _, address := range []string{"a", "b"} {
-		tracker.RecordFailed(address, FailureRefused, now)
+		tracker.RecordFailed(address, FailureRefused, now, now)
 		assert.False(t, tracker.Isolated(), "a server that refuses may have exited")
 		tracker.RecordRelayed(address, true, now)
 	}
@@ -64,7 +64,7 @@
 		now := time.Unix(1000, 0)
 		tracker := NewTracker(log.NewNopLogger())
 		for _, address := range []string{"a", "b"} {
-			tracker.RecordFailed(address, failure, now)
+			tracker.RecordFailed(address, failure, now, now)
 			tracker.RecordRelayed(address, true, now)
 		}
 		assert.True(t, tracker.Isolated())
@@ -78,7 +78,7 @@
 	now := time.Unix(1000, 0)
 	tracker := NewTracker(log.NewNopLogger())
 	for i := range 1000 {
-		tracker.RecordFailed(fmt.Sprint(i), FailureRefused, now.Add(time.Duration(i)*time.Second))
+		tracker.RecordFailed(fmt.Sprint(i), FailureRefused, now.Add(time.Duration(i)*time.Second), now.Add(time.Duration(i)*time.Second))
 	}
 	assert.LessOrEqual(t, len(tracker.failed), int(pathRetention/time.Second)+2)
 }
@@ -92,9 +92,22 @@
 	assert.False(t, tracker.takeCheck("a", now.Add(-time.Millisecond), now), "another server has sent something since")
 	assert.True(t, tracker.takeCheck("a", now.Add(time.Millisecond), now.Add(time.Second)))
 	assert.False(t, tracker.takeCheck("b", now.Add(time.Millisecond), now.Add(time.Second)), "at a bounded rate")
-	tracker.RecordFailed("a", FailureSilent, now.Add(time.Second))
+	tracker.RecordFailed("a", FailureSilent, now.Add(time.Second), now.Add(time.Second))
 	assert.False(t, tracker.takeCheck("a", now.Add(time.Millisecond), now.Add(2*time.Second)), "the path is known to have failed")
 	assert.True(t, tracker.takeCheck("b", now.Add(time.Millisecond), now.Add(2*time.Second)))
 	tracker.RecordConnected("b", time.Millisecond, now.Add(2*time.Second))
 	assert.False(t, tracker.takeCheck("c", now.Add(time.Millisecond), now.Add(3*time.Second)), "the box has its links")
 }
+
+// Servers that fall silent while others send are no evidence against the box: it must not forget which
+// servers can't be reached.
+func TestSilentServersDoNotIsolateWhileOthersSend(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker(log.NewNopLogger())
+	tracker.OnChange(func(bool) { assert.Fail(t, "isolation changed") })
+	tracker.RecordHeard(now.Add(100 * time.Millisecond))
+	for i := range 2 * minUnreached {
+		tracker.RecordFailed(fmt.Sprint(i), FailureSilent, now, now.Add(300*time.Millisecond))
+	}
+	assert.False(t, tracker.Isolated())
+}
--- a/pkg/serverpath/tracker.go
+++ b/pkg/serverpath/tracker.go
@@ -61,8 +61,10 @@
 
 // path is the state of the direct path to an address to which a connection has failed.
 type path struct {
-	failure  Failure
-	failedAt time.Time
+	failure Failure
+	// triedAt is when the last connection that failed was begun. What a server sent since shows that the
+	// box has its links.
+	triedAt time.Time
 	// relayed is set if another box has connected to the address since, serverDown if it could not
 	// either.
 	relayed    bool
@@ -164,8 +166,8 @@
 	})
 }
 
-// RecordFailed records that a direct connection to an address failed.
-func (t *Tracker) RecordFailed(address string, f Failure, now time.Time) {
+// RecordFailed records that a direct connection to an address, begun at the given time, failed.
+func (t *Tracker) RecordFailed(address string, f Failure, begun, now time.Time) {
 	t.update(now, func() {
 		t.failures[f]++
 		p := t.failed[address]
@@ -174,7 +176,7 @@
 			p = &path{}
 			t.failed[address] = p
 		}
-		p.failure, p.failedAt, p.nextProbe = f, now, now.Add(probeInterval)
+		p.failure, p.triedAt, p.nextProbe = f, begun, now.Add(probeInterval)
 	})
 }
 
@@ -220,7 +222,7 @@
 // evictStale forgets the paths that were not tried within pathRetention.
 func (t *Tracker) evictStale(now time.Time) {
 	for address, p := range t.failed {
-		if now.Sub(p.failedAt) > pathRetention {
+		if now.Sub(p.triedAt) > pathRetention {
 			delete(t.failed, address)
 		}
 	}
@@ -250,11 +252,11 @@
 	bypassed, unreached := 0, 0
 	for _, p := range t.failed {
 		switch {
-		case p.serverDown || !p.failedAt.After(t.connectedAt):
-		case p.relayed && (p.failure == FailureRefused || p.failedAt.After(t.heardAt)):
+		case p.serverDown || !p.triedAt.After(t.connectedAt):
+		case p.relayed && (p.failure == FailureRefused || p.triedAt.After(t.heardAt)):
 			bypassed++
 			unreached++
-		case p.failure == FailureSilent && p.failedAt.After(t.heardAt):
+		case p.failure == FailureSilent && p.triedAt.After(t.heardAt):
 			unreached++
 		}
 	}
--- a/pkg/serverpath/tracker_test.go
+++ b/pkg/serverpath/tracker_test.go
@@ -16,16 +16,16 @@
 	now := time.Unix(1000, 0)
 	tracker := NewTracker(log.NewNopLogger())
 	for range 10 {
-		tracker.RecordFailed("a", FailureSilent, now)
-		tracker.RecordFailed("b", FailureRefused, now)
+		tracker.RecordFailed("a", FailureSilent, now, now)
+		tracker.RecordFailed("b", FailureRefused, now, now)
 	}
 	assert.False(t, tracker.Isolated())
 	tracker.RecordConnected("c", time.Millisecond, now)
 	now = now.Add(time.Second)
-	tracker.RecordFailed("d", FailureSilent, now)
+	tracker.RecordFailed("d", FailureSilent, now, now)
 	assert.False(t, tracker.Isolated(), "a success in between shows that the box has its links")
 	for i := range minUnreached {
-		tracker.RecordFailed(fmt.Sprint(i), FailureSilent, now)
+		tracker.RecordFailed(fmt.Sprint(i), FailureSilent, now, now)
 	}
 	assert.True(t, tracker.Isolated())
 	tracker.RecordConnected("a", time.Millisecond, now.Add(time.Second))
