upstream: a pause of a server or a lost keep-alive probe ends no connection

What callers saw: a request that waited for over 2 s without data, as a long prompt does, was broken off if its server fell silent for a second, or if one keep-alive probe was lost. Cause: TCP_USER_TIMEOUT (1.5 s, then 1.9 s) decides when keep-alive probes give up, whatever their count. After the first probe at 1 s was lost, the connection ended at 2 s although the server was back by then. Evidence: TestConnectionOutlastsPauseOfServer (pauses of 1 s from 0, 0.5 and 0.9 s, a response after 4 s) was red with 1.9 s for the latter two without data in flight. Change: 2.5 s, so that two probes have to be lost. Silence for good is noticed after 3.06 s without and 2.72 s with data in flight (before: 2.04 s, 2.16 s).

--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -17,11 +17,12 @@
 const (
 	// keepAliveIdle and keepAliveInterval are those of the probes that detect an unresponsive peer while
 	// a response is awaited. tcpUserTimeout applies while sent data is unacknowledged, and also decides
-	// when the probes give up, so that their count has no effect. A server may pause for a second or so.
+	// when the probes give up, so that their count has no effect: at the first probe that is due after
+	// it. That is the third one, as a single lost probe or a pause of a second is no evidence.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
-	tcpUserTimeout    = 1900 * time.Millisecond
+	tcpUserTimeout    = 2500 * time.Millisecond
 
 	readBufferBytes = 4 << 10
 	// maxHeaderBytes is the maximum size of a response header.
