--- a/pkg/routerd/stop.go
+++ b/pkg/routerd/stop.go
@@ -48,6 +48,7 @@
 	_ = d.readyServer.Close()
 	_ = d.metricsServer.Close()
 	_ = d.snapshotServer.Close()
+	d.tunnels.Close()
 	_ = d.peerConn.Close()
 	_ = level.Info(d.logger).Log("msg", "stopped", "given_up", cancelled, "after", clock.Since(start))
 }
@@ -70,6 +71,7 @@
 	_ = d.readyServer.Close()
 	_ = d.metricsServer.Close()
 	_ = d.snapshotServer.Close()
+	d.tunnels.Close()
 	_ = d.peerConn.Close()
 	d.wg.Wait()
 	_ = d.metrics.Close()
--- a/pkg/tunnel/frame.go
+++ b/pkg/tunnel/frame.go
@@ -68,6 +68,16 @@
 	return nil
 }
 
+// close closes the connection. A write in progress fails.
+func (w *frameWriter) close() {
+	w.mu.Lock()
+	conn := w.conn
+	w.mu.Unlock()
+	if conn != nil {
+		conn.Close()
+	}
+}
+
 func (w *frameWriter) notify(notice uint16) error {
 	return w.write(binary.BigEndian.AppendUint16(nil, notice))
 }
--- a/pkg/tunnel/server.go
+++ b/pkg/tunnel/server.go
@@ -6,9 +6,11 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -83,16 +85,24 @@
 func (s *Server) Stop() {
 	s.mu.Lock()
 	s.stopping = true
-	open := make([]*frameWriter, 0, len(s.open))
-	for w := range s.open {
-		open = append(open, w)
-	}
+	open := slices.Collect(maps.Keys(s.open))
 	s.mu.Unlock()
 	for _, w := range open {
 		_ = w.notify(noticeStopping)
 	}
 }
 
+// Close refuses further tunnels and closes those that are open.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.stopping = true
+	open := slices.Collect(maps.Keys(s.open))
+	s.mu.Unlock()
+	for _, w := range open {
+		w.close()
+	}
+}
+
 // Open returns the number of open tunnels.
 func (s *Server) Open() int {
 	s.mu.Lock()
