--- a/pkg/serverpath/plan_test.go
+++ b/pkg/serverpath/plan_test.go
@@ -68,7 +68,7 @@
 			tracker.RecordRelayed(address, true, now)
 		}
 		assert.True(t, tracker.Isolated())
-		assert.Equal(t, failure == FailureRefused, tracker.directFit("c"), "open connections live on only if others are refused")
+		assert.Equal(t, failure == FailureRefused, tracker.directFit("c"), "open connections stay usable only if others are refused")
 		tracker.RecordHeard(now.Add(time.Second))
 		assert.Equal(t, isolated, tracker.Isolated(), failure)
 	}
--- a/pkg/serverpath/tracker.go
+++ b/pkg/serverpath/tracker.go
@@ -297,7 +297,7 @@
 	return !t.isolated() || t.onlyRefused()
 }
 
-// onlyRefused reports whether all failed paths refuse new connections, so that open ones may live on.
+// onlyRefused reports whether all failed paths refuse new connections, so that open ones may still be usable.
 func (t *Tracker) onlyRefused() bool {
 	for _, p := range t.failed {
 		if p.failure != FailureRefused {
