--- a/pkg/balancer/lease.go
+++ b/pkg/balancer/lease.go
@@ -68,6 +68,8 @@
 	// expected is the time to the first event at an average engine, zero if it is unknown or timings
 	// are not used.
 	expected time.Duration
+	// relayed is set if the call leads through another box, so that its times are also those of the path.
+	relayed bool
 	// probe is set if the call probes a half-open server.
 	probe bool
 	done  bool
@@ -91,6 +93,13 @@
 	b.queuePlacement(s, l.prefix, false, now)
 }
 
+// MarkRelayed records that the call leads through another box.
+func (l *Lease) MarkRelayed() {
+	l.balancer.mu.Lock()
+	defer l.balancer.mu.Unlock()
+	l.relayed = true
+}
+
 // PrefillDone records that the server has prefilled the prompt. Only the first call has an effect.
 func (l *Lease) PrefillDone(now time.Time) {
 	b := l.balancer
@@ -101,7 +110,7 @@
 	}
 	l.prefilledAt = now
 	l.recordTiming(now)
-	if l.solePrefill && l.class != "" {
+	if l.solePrefill && !l.relayed && l.class != "" {
 		b.statsOf(l.service).speed.add(l.backlog, now.Sub(l.pickedAt))
 	}
 	l.releaseBacklog()
--- a/pkg/balancer/timing.go
+++ b/pkg/balancer/timing.go
@@ -123,7 +123,7 @@
 func (l *Lease) recordTiming(now time.Time) {
 	b := l.balancer
 	suspended := !b.timingsReportedAt.IsZero() && now.Sub(b.timingsReportedAt) > maxReportGap
-	if l.expected <= 0 || suspended || l.pickedAt.Before(b.resumedAt) {
+	if l.relayed || b.isolated || l.expected <= 0 || suspended || l.pickedAt.Before(b.resumedAt) {
 		return
 	}
 	l.state.timing.add(now.Sub(l.pickedAt), l.expected, now)
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -235,7 +235,9 @@
 // send sends the request to a server and forwards the response.
 func (x *exchange) send(ctx context.Context, lease *balancer.Lease) (*failure, error) {
 	resp, err := x.gateway.Upstream.Do(ctx, x.upstreamRequest(lease))
-	x.via = viaOf(resp, err)
+	if x.via = viaOf(resp, err); x.via != "" {
+		lease.MarkRelayed()
+	}
 	if upstream.IsNotSent(err) {
 		x.unreachable = append(x.unreachable, lease.Server.Incarnation())
 		return &failure{result: balancer.ResultUnreached, notExecuted: true, notSent: true, cause: err}, nil
