serverpath, tunnel: boxes notice that their links are back also without new connections

Callers of boxes that had lost their links, and of those that asked them for help: a box tried its direct paths only when it opened a connection. While requests found open tunnels, or the box had no callers, it stayed isolated: it went on through others (120 of 120 requests a second after the links were back) and refused tunnels, so that a box which only it could help served 0 of 120.

A request over an open tunnel, and a tunnel refused as isolated, now have the direct path tried in the background, at the same bounded rate as new connections do (0.1 s a box, 0.5 s a path).

--- a/pkg/routerd/join.go
+++ b/pkg/routerd/join.go
@@ -69,7 +69,7 @@
 	})
 	limits := d.settings.Load().Limits
 	d.tunnels = tunnel.NewServer(tunnel.ServerDeps{
-		IsPeerHost: d.roster.IsPeerHost, IsServer: d.isServer, Dial: d.serverDialer.DialDirect, ReachesOthers: d.serverDialer.ReachesOthers, Isolated: d.paths.Isolated,
+		IsPeerHost: d.roster.IsPeerHost, IsServer: d.isServer, Dial: d.serverDialer.DialDirect, ReachesOthers: d.serverDialer.ReachesOthers, Isolated: d.paths.Isolated, RetryDirect: d.retryDirect,
 		Busy: d.needsCapacity, MaxTunnels: maxTunnels(limits), Logger: logger,
 	})
 	d.snapshotListener = netutil.LimitListener(d.snapshotListener, maxSnapshotConns+maxTunnels(limits))
--- a/pkg/routerd/serverdial.go
+++ b/pkg/routerd/serverdial.go
@@ -53,6 +53,13 @@
 	return ok
 }
 
+// retryDirect checks whether the link to the server at an address is back.
+func (d *Daemon) retryDirect(address string) {
+	if s, ok := d.directory.View().ServerAt(address); ok {
+		d.serverDialer.RetryDirect(s.Incarnation().String(), address)
+	}
+}
+
 // hallOfServer returns the hall of the server at an address, "" if it is unknown.
 func (d *Daemon) hallOfServer(address string) string {
 	s, _ := d.directory.View().ServerAt(address)
--- a/pkg/serverpath/dialer.go
+++ b/pkg/serverpath/dialer.go
@@ -87,7 +87,7 @@
 
 // Probe implements upstream.Dialer. A server to which the connection is refused has exited only if no
 // other box reaches it either.
-func (d *Dialer) Probe(ctx context.Context, _, address string) upstream.State {
+func (d *Dialer) Probe(ctx context.Context, serverKey, address string) upstream.State {
 	state := upstream.StateOf(d.DialDirect(ctx, address))
 	if state != upstream.StateExited {
 		return state
@@ -98,7 +98,7 @@
 	}
 	refusals := 0
 	for _, relay := range relays[:min(len(relays), maxRelays)] {
-		conn, err := d.dialRelay(ctx, relay, address)
+		conn, err := d.dialRelay(ctx, relay, serverKey, address)
 		if err == nil {
 			d.Tracker.RecordRelayed(address, true, clock.Now())
 			_ = conn.Close()
@@ -127,6 +127,18 @@
 	}()
 }
 
+// RetryDirect tries in the background whether the direct path to a server is back, if that is due.
+func (d *Dialer) RetryDirect(serverKey, address string) {
+	if !d.Tracker.takeRetry(address, clock.Now()) {
+		return
+	}
+	go func() {
+		if conn, err := d.DialDirect(context.Background(), address); err == nil {
+			d.AddIdle(serverKey, conn)
+		}
+	}()
+}
+
 // isServerRefusal reports whether a relay could not connect to the server as its machine refused that.
 func isServerRefusal(err error) bool {
 	var refused *tunnel.RefusedError
@@ -151,7 +163,7 @@
 }
 
 // dialRelay opens a tunnel through a relay.
-func (d *Dialer) dialRelay(ctx context.Context, relay, address string) (net.Conn, error) {
+func (d *Dialer) dialRelay(ctx context.Context, relay, serverKey, address string) (net.Conn, error) {
 	start := clock.Now()
 	dialCtx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
@@ -165,7 +177,7 @@
 	}
 	d.tunneled.Add(1)
 	d.relays.recordOpened(relay, clock.Now())
-	return &tunnelConn{Conn: conn, dialer: d, address: address, relay: relay}, nil
+	return &tunnelConn{Conn: conn, dialer: d, serverKey: serverKey, address: address, relay: relay}, nil
 }
 
 // relayOrder returns the boxes to ask for a connection to an address, in order.
@@ -213,10 +225,17 @@
 // tunnelConn is a connection that leads through another box.
 type tunnelConn struct {
 	net.Conn
-	dialer  *Dialer
-	address string
-	relay   string
-	closed  atomic.Bool
+	dialer             *Dialer
+	serverKey, address string
+	relay              string
+	closed             atomic.Bool
+}
+
+// Write implements net.Conn. Requests over open tunnels open no connections, so each has the direct path
+// tried again.
+func (c *tunnelConn) Write(b []byte) (int, error) {
+	c.dialer.RetryDirect(c.serverKey, c.address)
+	return c.Conn.Write(b)
 }
 
 // Via implements upstream.ViaConn.
--- a/pkg/serverpath/histories_test.go
+++ b/pkg/serverpath/histories_test.go
@@ -70,6 +70,12 @@
 	return n
 }
 
+func (n *network) dialCount() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dials
+}
+
 // direct opens a direct connection of a box.
 func (n *network) direct(ctx context.Context, box, server string) (net.Conn, error) {
 	time.Sleep(connectTime)
@@ -107,6 +113,7 @@
 		return nil, &tunnel.RefusedError{Relay: relay, Server: server, Reason: reason}
 	}
 	if box.Tracker.Isolated() {
+		box.RetryDirect(server, server)
 		return refuse(tunnel.ReasonIsolated)
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
@@ -195,6 +202,38 @@
 	}
 }
 
+// Guards against a box that goes on using open tunnels, or refusing to open any, after its links are back.
+// Until then it tries them at a bounded rate.
+func TestDirectPathIsRetriedWithoutNewConnections(t *testing.T) {
+	for _, failure := range []Failure{FailureSilent, FailureRefused} {
+		t.Run(failure.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(3, 1)
+				box := n.boxes[0]
+				n.setLinks([]int{0}, failure, allServers)
+				n.dialShare([]int{0}, time.Second)
+				assert.True(t, box.Tracker.Isolated())
+				use := func(d time.Duration) {
+					for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Millisecond) {
+						box.RetryDirect("s1", "s1")
+						box.RetryDirect("s2", "s2")
+					}
+				}
+				before := n.dialCount()
+				use(2 * time.Second)
+				assert.LessOrEqual(t, n.dialCount()-before, int(2*time.Second/boxProbeInterval))
+				n.setLinks([]int{0}, failure, noServer)
+				use(probeInterval + boxProbeInterval)
+				assert.False(t, box.Tracker.Isolated())
+				before = n.dialCount()
+				use(time.Second)
+				assert.Zero(t, n.dialCount()-before, "the direct path is known to be back")
+				n.waitForDials()
+			})
+		})
+	}
+}
+
 // The links of a hall to the servers of another one may fail while all others work.
 func TestLinksBetweenHallsMayFail(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/serverpath/race.go
+++ b/pkg/serverpath/race.go
@@ -117,7 +117,7 @@
 	r.asked++
 	r.pending++
 	go func() {
-		conn, err := r.dialRelay(r.relayCtx, relay, r.address)
+		conn, err := r.dialRelay(r.relayCtx, relay, r.serverKey, r.address)
 		r.results <- attempt{conn: conn, err: err, relay: relay}
 	}()
 	return true
--- a/pkg/serverpath/tracker.go
+++ b/pkg/serverpath/tracker.go
@@ -130,6 +130,15 @@
 	return Plan{Direct: t.takeProbe(p, isolated, now)}
 }
 
+// takeRetry reports whether the direct path to an address that is reached only by way of other boxes is to
+// be tried again now, and counts the attempt.
+func (t *Tracker) takeRetry(address string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, isolated := t.failed[address], t.isolated()
+	return (isolated || p != nil && p.relayed) && t.takeProbe(p, isolated, now)
+}
+
 // takeProbe reports whether a path that has failed is to be tried again now, and counts the attempt.
 func (t *Tracker) takeProbe(p *path, isolated bool, now time.Time) bool {
 	if p != nil && now.Before(p.nextProbe) || isolated && now.Before(t.nextBoxProbe) {
--- a/pkg/tunnel/server.go
+++ b/pkg/tunnel/server.go
@@ -39,6 +39,9 @@
 	ReachesOthers func(ctx context.Context, address string) bool
 	// Isolated reports whether this box has lost its links to the servers.
 	Isolated func() bool
+	// RetryDirect checks in the background whether the link to a server is back. It is called when this box
+	// refuses a tunnel as isolated, since a box without callers opens no other connections.
+	RetryDirect func(address string)
 	// Busy reports whether this box needs its capacity for its own callers.
 	Busy func() bool
 	// MaxTunnels limits the tunnels that are open at once.
@@ -173,6 +176,7 @@
 	case !s.IsServer(r.Host):
 		return ReasonUnknownServer
 	case s.Isolated():
+		s.RetryDirect(r.Host)
 		return ReasonIsolated
 	case s.Busy():
 		return ReasonBusy
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -51,7 +51,7 @@
 	deps := ServerDeps{
 		IsPeerHost: func(netip.Addr) bool { return true }, IsServer: func(a string) bool { return a == r.server },
 		Dial: upstream.DialDirect, ReachesOthers: func(context.Context, string) bool { return true },
-		Isolated: func() bool { return false }, Busy: func() bool { return false }, MaxTunnels: 2, Logger: log.NewNopLogger(),
+		Isolated: func() bool { return false }, RetryDirect: func(string) {}, Busy: func() bool { return false }, MaxTunnels: 2, Logger: log.NewNopLogger(),
 	}
 	if change != nil {
 		change(&deps)
@@ -280,7 +280,7 @@
 	}()
 	s := NewServer(ServerDeps{
 		IsPeerHost: func(netip.Addr) bool { return true }, IsServer: func(string) bool { return true }, Dial: upstream.DialDirect,
-		Isolated: func() bool { return false }, Busy: func() bool { return false }, MaxTunnels: 2, Logger: log.NewNopLogger(),
+		Isolated: func() bool { return false }, RetryDirect: func(string) {}, Busy: func() bool { return false }, MaxTunnels: 2, Logger: log.NewNopLogger(),
 	})
 	relay := httptest.NewServer(s.Wrap(http.NotFoundHandler()))
 	defer relay.Close()
