gateway: an interrupted stream looks for a server for a moment

Callers of a resumable stream whose server or way was lost: the stream ended at once if no other server could be reached at the first try, although a caller waits two seconds for the next event, and requests without a response wait for a server. Seen in TestLossOfRelay: 'no server of the service can take the request' 5 ms after the loss. The retry was paid for when the stream was interrupted; nothing more is sent before a server is reached.

--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -26,6 +26,9 @@
 	// route's first-event target.
 	attemptTimeoutTargets = 2
 	minAttemptTimeout     = 250 * time.Millisecond
+	// maxResumeWait is how long after its last event an interrupted stream looks for a server. Callers give
+	// a stream up after two seconds without an event, and the server that resumes it has to prefill.
+	maxResumeWait = time.Second
 	// refusalRetryAfter is the Retry-After of a request that servers refused, before jitter.
 	refusalRetryAfter = 150 * time.Millisecond
 )
@@ -77,6 +80,10 @@
 			if err := x.waitForServer(ctx, f); err != nil {
 				return err
 			}
+		case x.awaitsResumption(f):
+			if err := x.pollAgain(ctx, f); err != nil {
+				return err
+			}
 		default:
 			return x.finalError(f)
 		}
@@ -100,6 +107,12 @@
 	return x.gateway.Budget.Spend(x.service.Name, clock.Now())
 }
 
+// awaitsResumption reports whether a stream that was interrupted, and for which no server was found, looks for
+// one again.
+func (x *exchange) awaitsResumption(f *failure) bool {
+	return x.headSent && x.route.Resumable && f.notSent && !f.usesRetryBudget && clock.Since(x.lastEventTime) < maxResumeWait
+}
+
 // spendRetry charges a retry to the budget if a server received the request.
 func (x *exchange) spendRetry(f *failure) bool {
 	return !f.usesRetryBudget || x.gateway.Budget.Spend(x.service.Name, clock.Now())
