--- a/pkg/snapshot/client.go
+++ b/pkg/snapshot/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -11,6 +12,7 @@
 	"sync"
 	"time"
 
+	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/forms"
 	"headhill.example/headhill/pkg/pause"
@@ -100,7 +102,7 @@
 		if hasBody {
 			table, err = applyDelta(current, delta, address)
 		}
-		return directory.TableCopy{Table: table, Revision: m.revision, Changed: m.changed, ConfirmedAt: time.Now().Add(-m.age)}, err
+		return directory.TableCopy{Table: table, Revision: m.revision, Changed: m.changed, ConfirmedAt: clock.Now().Add(-m.age)}, err
 	})
 }
 
@@ -132,7 +134,7 @@
 			err = &DamagedError{Address: address, Reason: "no server list in body"}
 		}
 		list.Revision, list.Changed, list.Evacuations = m.revision, m.changed, m.evacuations
-		list.ConfirmedAt = time.Now().Add(-m.age)
+		list.ConfirmedAt = clock.Now().Add(-m.age)
 		return list, err
 	})
 }
@@ -212,14 +214,14 @@
 // startupRetry returns a policy that retries for a random time. The jitter keeps boxes that wait
 // for each other from reading the source all at once.
 func startupRetry() retryPolicy {
-	answeredAt := time.Now()
+	answeredAt := clock.Now()
 	end := answeredAt.Add(minStartupWait + rand.N(startupWaitJitter))
 	return retryPolicy{
 		whileLoading: func() bool {
-			answeredAt = time.Now()
+			answeredAt = clock.Now()
 			return answeredAt.Before(end)
 		},
-		whileLate: func() bool { return time.Since(answeredAt) < lateStartupWait },
+		whileLate: func() bool { return clock.Since(answeredAt) < lateStartupWait },
 	}
 }
 
@@ -272,10 +274,10 @@
 		if i < len(addresses)-1 {
 			wait = time.Duration(perBoxShare * float64(left))
 		}
-		start := time.Now()
+		start := clock.Now()
 		got, err := askOne(ctx, address, timing{wait: time.Duration(waitShare * float64(wait)), limit: wait + maxRoundTrip})
 		// A box that does not answer takes no more than its share from the next ones.
-		left -= min(wait, time.Since(start))
+		left -= min(wait, clock.Since(start))
 		c.recordResult(address, err)
 		if err == nil {
 			return got, nil
@@ -294,7 +296,7 @@
 	defer c.mu.Unlock()
 	var responsive, unresponsive []string
 	for _, address := range c.providers() {
-		if since, failed := c.unresponsive[address]; failed && time.Since(since) < unresponsivePeriod {
+		if since, failed := c.unresponsive[address]; failed && clock.Since(since) < unresponsivePeriod {
 			unresponsive = append(unresponsive, address)
 			continue
 		}
@@ -313,7 +315,7 @@
 		delete(c.unresponsive, address)
 		return
 	}
-	c.unresponsive[address] = time.Now()
+	c.unresponsive[address] = clock.Now()
 }
 
 // fetch sends a request to one box, whose response must begin within limit, and decodes the body into
@@ -342,8 +344,11 @@
 		return metadata{}, false, &StatusError{Address: address, Status: resp.StatusCode, Loading: resp.Header.Get(headerLoading) != ""}
 	}
 	m, ok := parseMetadata(resp.Header)
-	if !ok || m.revision < params.minRevision {
-		return metadata{}, false, &DamagedError{Address: address, Reason: "headers missing or invalid, or revision too old"}
+	if !ok {
+		return metadata{}, false, &DamagedError{Address: address, Reason: "headers missing or invalid"}
+	}
+	if m.revision < params.minRevision {
+		return metadata{}, false, &DamagedError{Address: address, Reason: fmt.Sprintf("revision %s is older than %s", m.revision, params.minRevision)}
 	}
 	if path != pathBoxes && !forms.Complete(m.level) {
 		return metadata{}, false, &OlderBuildError{Address: address, Level: forms.EffectiveLevel(m.level)}
--- a/pkg/snapshot/server.go
+++ b/pkg/snapshot/server.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/julienschmidt/httprouter"
 
+	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/roster"
@@ -174,7 +175,7 @@
 	if err != nil {
 		return response{}, err
 	}
-	resp := response{metadata: metadata{revision: c.Revision, changed: c.Changed, age: time.Since(c.ConfirmedAt)}}
+	resp := response{metadata: metadata{revision: c.Revision, changed: c.Changed, age: clock.Since(c.ConfirmedAt)}}
 	if req.tableVersion == c.Table.Version {
 		return resp, nil
 	}
@@ -189,7 +190,7 @@
 	}
 	list, err := s.list.get(req.since, listMetadata.Revision, s.directory)
 	resp := response{body: list.body}
-	resp.metadata = metadata{revision: list.revision, changed: max(listMetadata.Changed, list.changed), age: time.Since(listMetadata.ConfirmedAt), evacuations: listMetadata.Evacuations, since: list.since}
+	resp.metadata = metadata{revision: list.revision, changed: max(listMetadata.Changed, list.changed), age: clock.Since(listMetadata.ConfirmedAt), evacuations: listMetadata.Evacuations, since: list.since}
 	return resp, err
 }
 
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -21,6 +21,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/forms/formstest"
 	"headhill.example/headhill/pkg/roster"
@@ -152,6 +153,23 @@
 	assert.WithinDuration(t, first.View().TableConfirmedAt, table.ConfirmedAt, 5*time.Second)
 }
 
+// Guards against a box whose copies all others reject, or that takes copies for outdated, once its machine has
+// been suspended.
+func TestCopiesAreServedAfterSuspension(t *testing.T) {
+	clock.SimulateSuspend(time.Hour)
+	s := &source{table: tableOf(7, 300), servers: listOf(400), revision: 9}
+	c := client(time.Second, serve(t, loaded(t, s)).address)
+	table, err := c.Table(t.Context(), nil, s.revision)
+	require.NoError(t, err)
+	list, err := c.Servers(t.Context(), 0, s.revision)
+	require.NoError(t, err)
+	for part, confirmed := range map[string]time.Time{"table": table.ConfirmedAt, "servers": list.ConfirmedAt} {
+		age := clock.Since(confirmed)
+		assert.GreaterOrEqual(t, age, time.Duration(0), part)
+		assert.Less(t, age, 10*time.Second, part)
+	}
+}
+
 // A box that has an earlier version of the table gets a delta.
 func TestTableDeltaIsSent(t *testing.T) {
 	var e tableEncoder
