platform, routerd: silent connections to the store cost one timeout, not several

Callers: after the open connections to the store fell silent without a reset, while new ones worked, a change came into force up to 3.4 s later, beyond the 3 s after which a box counts as in touch again. Watches hung, the check that finds this used an idle connection that was silent as well, failed after 700 ms, and so did the next one, 0.9 s later.

--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -214,6 +214,11 @@
 func (d *Daemon) checkStore(ctx context.Context) (directory.Check, bool) {
 	start := clock.Now()
 	revision, err := d.roster.RefreshByRank(ctx)
+	if isUnanswered(err) && !d.storeCheckFailed.Load() {
+		// The connection may have fallen silent while new ones work.
+		start = clock.Now()
+		revision, err = d.roster.RefreshByRank(ctx)
+	}
 	if ctx.Err() != nil {
 		return directory.Check{}, false
 	}
@@ -228,6 +233,12 @@
 	return d.directory.Verify(ctx, revision, start, d.directoryTiming())
 }
 
+// isUnanswered reports whether a call failed because its response did not begin in time.
+func isUnanswered(err error) bool {
+	var stalled *stall.Error
+	return errors.As(err, &stalled) && !stalled.Started
+}
+
 func (d *Daemon) logStoreState(revision storerev.Revision, err error) {
 	if err != nil {
 		_ = level.Warn(d.logger).Log("msg", "store unreachable", "err", err, "outcome", "cached routing data stays in use")
