gateway: the test of arriving bodies outlived itself

The test sent its bodies from goroutines that nothing waited for, and required that no write fails. The connection of a refused request may be reset while its body is sent, which is what the box does with bodies it doesn't want.

Now the callers connect first, send in a group that the test waits for, and hang up themselves. Writes that fail are counted: there may be no more of them than refused requests, so an admitted one is still never interrupted.

--- a/pkg/gateway/body_test.go
+++ b/pkg/gateway/body_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,16 +47,31 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newRelayFleet(t, relayConfig{maxHeld: maxHeld}, streamOf(1))
+			var sending conc.WaitGroup
+			var interrupted atomic.Int32
+			var conns []net.Conn
 			for range callers {
-				go dialFleet(t, f, "POST /stream HTTP/1.1\r\nHost: h\r\nKey: a\r\nConnection: close\r\n"+begin)
+				c := dialFleet(t, f, "")
+				conns = append(conns, c)
+				require.NoError(t, c.SetWriteDeadline(time.Now().Add(relayWait)))
+				sending.Go(func() {
+					// The connection of a refused request may be reset while its body is sent.
+					if _, err := io.WriteString(c, "POST /stream HTTP/1.1\r\nHost: h\r\nKey: a\r\nConnection: close\r\n"+begin); err != nil {
+						interrupted.Add(1)
+					}
+				})
 			}
 			require.Eventually(t, func() bool {
 				assert.LessOrEqual(t, f.gateway.HeldBytes(), int64(maxHeld+callers*bodyBytes), "a refused reservation is released")
 				return len(f.logLines(reasonMemory)) >= callers-fit-1
 			}, relayWait, pollPeriod)
+			sending.Wait()
+			assert.LessOrEqual(t, int(interrupted.Load()), len(f.logLines(reasonMemory)), "only refused requests are interrupted")
 			assert.LessOrEqual(t, f.gateway.HeldBytes(), int64(maxHeld))
 			assert.Greater(t, f.gateway.HeldBytes(), int64(maxHeld/2))
-			f.caller.CloseClientConnections()
+			for _, c := range conns {
+				assert.NoError(t, c.Close())
+			}
 			assert.Eventually(t, func() bool { return f.gateway.HeldBytes() == 0 }, relayWait, pollPeriod)
 		})
 	}
