serverpath: an isolated box does not look at all failed paths for each request

Found on reading: each request asks several times whether the box is isolated, over open tunnels with each write, and the answer walked all failed paths under the tracker's lock. With 7,200 servers lost, a retry and the check of one connection took 267 us (silent) and 182 us (refused).

The walk ends once enough paths count. The numbers only grow, so the answer is the same. Same benchmark after: 0.22 us and 0.20 us (BenchmarkIsolatedFromManyServers, single runs). A box that is not isolated still walks its failed paths, of which servers that are down are part for a minute.

--- a/pkg/serverpath/tracker.go
+++ b/pkg/serverpath/tracker.go
@@ -268,8 +268,11 @@
 		case p.failure == FailureSilent && p.triedAt.After(t.heardAt):
 			unreached++
 		}
+		if bypassed >= minBypassed || unreached >= minUnreached {
+			return true
+		}
 	}
-	return bypassed >= minBypassed || unreached >= minUnreached
+	return false
 }
 
 // bypassed returns the number of servers that only other boxes reach. Tracker.mu must be held.
--- a/pkg/serverpath/tracker_test.go
+++ b/pkg/serverpath/tracker_test.go
@@ -39,3 +39,21 @@
 	assert.Equal(t, FailureSilent, FailureOf(context.DeadlineExceeded))
 	assert.Equal(t, FailureSilent, FailureOf(syscall.EHOSTUNREACH))
 }
+
+// The state of a box that has lost its links to a fleet of 7,200 servers.
+func BenchmarkIsolatedFromManyServers(b *testing.B) {
+	for _, failure := range []Failure{FailureSilent, FailureRefused} {
+		b.Run(failure.String(), func(b *testing.B) {
+			tracker, now := NewTracker(log.NewNopLogger()), time.Unix(1000, 0)
+			for i := range 7200 {
+				address := fmt.Sprint("s", i)
+				tracker.RecordFailed(address, failure, now, now)
+				tracker.RecordRelayed(address, true, now)
+			}
+			for b.Loop() {
+				tracker.takeRetry("s1", now)
+				tracker.directFit("s2")
+			}
+		})
+	}
+}
