--- a/pkg/serverpath/histories_test.go
+++ b/pkg/serverpath/histories_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"headhill.example/headhill/pkg/tunnel"
 	"headhill.example/headhill/pkg/upstream"
@@ -234,6 +235,41 @@
 	}
 }
 
+// Guards against a box that has lost the link to one server and goes on using tunnels to it after the link is
+// back. Until then it tries the link at a bounded rate.
+func TestLinkToOneServerIsRetriedWithoutNewConnections(t *testing.T) {
+	for _, failure := range []Failure{FailureSilent, FailureRefused} {
+		t.Run(failure.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(3, 1)
+				box := n.boxes[0]
+				n.setLinks([]int{0}, failure, func(server string) bool { return server == "s1" })
+				conn, err := box.Dial(t.Context(), "s1", "s1")
+				require.NoError(t, err)
+				conn.Close()
+				n.waitForDials()
+				assert.False(t, box.Tracker.Isolated())
+				assert.Equal(t, 1, box.Tracker.Bypassed())
+				use := func(d time.Duration) {
+					for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Millisecond) {
+						box.RetryDirect("s1", "s1")
+						box.RetryDirect("s2", "s2")
+					}
+				}
+				before := n.dialCount()
+				use(2 * time.Second)
+				dials := n.dialCount() - before
+				assert.Positive(t, dials)
+				assert.LessOrEqual(t, dials, int(2*time.Second/probeInterval)+1)
+				n.setLinks([]int{0}, failure, noServer)
+				use(2 * probeInterval)
+				assert.Zero(t, box.Tracker.Bypassed())
+				n.waitForDials()
+			})
+		})
+	}
+}
+
 // The links of a hall to the servers of another one may fail while all others work.
 func TestLinksBetweenHallsMayFail(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
