--- a/pkg/gateway/body_test.go
+++ b/pkg/gateway/body_test.go
@@ -37,8 +37,7 @@
 	return resp.StatusCode
 }
 
-// Guards against a body that is too large for the memory left and, while it is being refused, has bodies
-// refused that fit.
+// Guards against refusals of bodies that fit while a larger one is being refused.
 func TestRefusedReservationTakesNoMemory(t *testing.T) {
 	const large, small = 100, 1
 	g := New(Deps{Limits: Limits{MaxHeldBytes: large}, Logger: log.NewNopLogger()})
