upstream: the log and a gauge tell how a response was framed and how it ended

Change: a response has a framing and an end, kept where its body is read. The attempt line has framing, end and incomplete_event (bytes), and the gauge headhill_response_ends counts both. No decision uses them yet. Tests of pkg/upstream and pkg/gateway: green.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -200,6 +200,10 @@
 	maxEventGap    time.Duration
 	eventCount     int
 	lastEventID    string
+	// response is that of the latest attempt, nil if there is none. incompleteEvent is the length of the
+	// event within which it ended.
+	response        *upstream.Response
+	incompleteEvent atomic.Int64
 
 	// end reports the end of the latest attempt.
 	end   *attemptEnd
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -133,6 +133,9 @@
 		"result", result, "candidates", in.Candidates, "tokens", x.call.PromptTokens, "prefill", in.PrefillTokens, "running", in.Running, "others_running", in.PeerRunning, "backlog", in.Backlog, "others_backlog", in.PeerBacklog, "load_age_ms", in.LoadAge.Milliseconds(),
 		"prefix", in.Prefix, "home", in.Home, "interactive", in.Interactive, "lane", in.LaneSize, "cached", in.CachedTokens, "transferred", in.TransferredTokens, "slowness", in.Slowness, "unreported", in.Unreported, "failures", math.Round(in.FailureRatio*100) / 100, "rank", x.rank(), "expected_wait_ms", x.expectedWait.Milliseconds(), "left_ms", clock.Until(x.deadline).Milliseconds(),
 	}
+	if x.response != nil {
+		fields = append(fields, "framing", x.response.Framing, "end", x.response.End(), "incomplete_event", x.incompleteEvent.Load())
+	}
 	if f != nil {
 		fields = append(fields, "not_run", f.notExecuted, "last_event", x.lastEventID, "err", f.cause)
 	}
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -157,6 +157,7 @@
 // of the attempt. The caller may not have received everything yet.
 func (r *relay) finish(err error) {
 	r.done = true
+	r.x.incompleteEvent.Store(int64(r.partialBytes()))
 	r.resp.Close(err == io.EOF)
 	if err != io.EOF {
 		r.failure, r.err = r.failed(err)
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -174,6 +174,8 @@
 func (x *exchange) attempt(ctx context.Context) (*failure, error) {
 	now := clock.Now()
 	x.attemptStart = now
+	x.response = nil
+	x.incompleteEvent.Store(0)
 	q := x.query(now)
 	lease, ok := x.gateway.Balancer.Pick(q, now)
 	if !ok {
@@ -260,6 +262,7 @@
 	if err != nil {
 		return &failure{result: resultOfError(err), disconnected: true, cause: err}, nil
 	}
+	x.response = resp
 	x.holdHeader(resp.Header)
 	info := x.gateway.Protocol.ParseResponse(resp.Status, resp.Header)
 	if !info.ServerReplaced {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -42,6 +42,7 @@
 			}
 			x.releaseEvent()
 		}
+		x.incompleteEvent.Store(int64(len(splitter.partial)))
 		switch {
 		case err == io.EOF:
 			resp.Close(true)
--- a/pkg/routerd/gauges.go
+++ b/pkg/routerd/gauges.go
@@ -132,6 +132,14 @@
 	}
 }
 
+// responseEndsGauge returns the gauge for responses of servers by how they ended.
+func responseEndsGauge(c *upstream.Client) telemetry.Gauge {
+	return telemetry.Gauge{
+		Name: "headhill_response_ends", Help: "Responses of servers by framing (length, chunked, close) and end (whole, closed, broken, none), since the start.",
+		Attribute: "end", Observe: c.ResponseEnds,
+	}
+}
+
 // pathsGauge returns the gauge for direct connections to servers by how they ended.
 func pathsGauge(t *serverpath.Tracker) telemetry.Gauge {
 	return telemetry.Gauge{
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -40,13 +40,15 @@
 	Status int
 	Header http.Header
 	// Length is the length of the body, or -1 if the header does not declare it.
-	Length int64
-	Body   io.Reader
+	Length  int64
+	Framing Framing
+	Body    io.Reader
 	// Via is the address of the box by way of which the connection leads, "" for a direct one.
 	Via string
 
 	exchange *exchange
 	raw      *http.Response
+	countEnd sync.Once
 }
 
 // maxStaleResponses is the maximum number of response headers read for one request. Interim
@@ -74,6 +76,7 @@
 	dialer Dialer
 	// reused and dialed count the connections over which requests were sent.
 	reused, dialed atomic.Int64
+	ends           endCounts
 }
 
 // ConnectionCounts returns how many requests were sent over an idle connection and over a new one.
@@ -115,7 +118,11 @@
 		}
 		return nil, &InterruptedError{Address: r.Address, Via: conn.via(), Cause: err}
 	}
-	return &Response{Via: conn.via(), Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, Body: raw.Body, exchange: x, raw: raw}, nil
+	framing := framingOf(raw)
+	return &Response{
+		Via: conn.via(), Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, Framing: framing,
+		Body: &body{reader: raw.Body, framing: framing}, exchange: x, raw: raw,
+	}, nil
 }
 
 func (c *Client) acquireConn(ctx context.Context, r Request) (*conn, error) {
@@ -214,6 +221,7 @@
 // to its end, and the connection is reusable. It closes the connection otherwise.
 func (r *Response) Close(complete bool) {
 	x := r.exchange
+	r.countEnd.Do(func() { x.client.ends[r.Framing][r.End()].Add(1) })
 	if !complete || r.raw.Close || !x.stopAbort() || !x.writeCompleted() {
 		x.abort()
 		return
