gateway: failing tests of what a caller is told about the end of a response

Callers got answers framed as complete that had been broken off. Raw sockets on both sides; framing (length, chunks, close, HTTP/1.0) x cut x ending (orderly, reset, silence) x size x read-ahead x way, and streams that are resumed in another framing.

--- a/pkg/gateway/relayfleet_test.go
+++ b/pkg/gateway/relayfleet_test.go
@@ -46,6 +46,10 @@
 	// target is the first-event target, from which the timeout of an attempt follows; a minute if
 	// zero.
 	target time.Duration
+	// route changes the route; nil for a stream that may be resumed.
+	route func(*routing.Route)
+	// throughBox makes the connections to the servers lead through another box.
+	throughBox bool
 }
 
 const relayWait = 20 * time.Second
@@ -69,7 +73,7 @@
 	logger := log.NewSyncLogger(log.NewLogfmtLogger(f))
 	f.gateway = New(Deps{
 		Protocol: relayProtocol{}, Directory: d, Balancer: balancer.New(logger), Budget: retry.NewBudget(retry.Limits{Window: time.Minute, Slack: 1e6}),
-		Upstream: upstream.NewClient(time.Second), Quarantine: noQuarantine{}, Recorder: f, Usage: noUsage{}, Logger: logger,
+		Upstream: newRelayUpstream(t, c), Quarantine: noQuarantine{}, Recorder: f, Usage: noUsage{}, Logger: logger,
 		RegionOf: func(string) string { return "" }, Scheduling: func() Scheduling { return Scheduling{ReadAhead: c.readAhead} },
 		Shutdown: func() *Shutdown { return nil },
 		Limits:   Limits{MaxRequests: 10000, MaxHeldBytes: c.maxHeld, LostServerGrace: time.Second, MaxDenialTableAge: time.Hour},
@@ -148,6 +152,9 @@
 		Name: "r", Host: "h", Prefix: "/", Kind: routing.KindStream, Resumable: true, Timeout: time.Minute, FirstEventTarget: cmp.Or(f.config.target, time.Minute),
 		Targets: []routing.Target{{Service: "s", Weight: 1}}, MaxAttempts: 100,
 	}
+	if f.config.route != nil {
+		f.config.route(&route)
+	}
 	var organisations []routing.Organisation
 	for _, name := range relayOrganisations {
 		organisations = append(organisations, routing.Organisation{Name: name, Keys: []string{name}})
