gateway: a caller is told no more of a response's end than the server stated

Callers got streams that a crashed server had broken off as complete ones: with a last chunk.

Cause: the end of a response was the end of reading. io.EOF stood alike for a declared end and for the close of a connection with neither a length nor chunks, and each sender put its own framing around what it had read: chunks with a last chunk, or a length that it had counted. A stream that ended inside an event got the rest of it and then an orderly end, whatever its framing.

Change: upstream.End is computed where a body is read. Body returns io.EOF only for a complete response and ErrConnectionEnded for one that ended with its connection, so that io.ReadAll and io.Copy fail on it unless their caller decides. Response.Close takes no statement any more: a connection is pooled if its response is known to be whole. endResponse is the one place where an end is passed on: a response of unknown end keeps its framing (neither length nor chunks, connection closed after it), and one that began in chunks or with a length is broken off instead. Where the caller's response ends with its connection, the socket is set to be reset on close until the orderly end, so that a break, or the death of the box, is no orderly end either. A stream that ends inside an event is broken off, and resumed where its route allows; lines may end with a lone carriage return.

A test that was wrong: 'stream, partial event' of TestEndAfterLongPauseIsDelivered expected half an event, then an orderly end. It now expects the complete events, then a break. TestBufferedResponseMatchesSent and two tests of upstream check the new end as well.

Why it works: no path has an io.EOF left that stands for a close.

--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -154,8 +154,6 @@
 	watchdog *watchdog
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
-	// complete is set once the body was read to its end.
-	complete bool
 }
 
 func (b *watchedBody) Read(p []byte) (int, error) {
@@ -163,17 +161,18 @@
 	if n > 0 {
 		b.watchdog.reset()
 	}
-	if err == io.EOF {
-		b.complete = true
-	} else if err != nil {
-		err = errors.Join(context.Cause(b.ctx), err)
+	switch upstream.EndOf(err) {
+	case upstream.EndWhole, upstream.EndClosed:
+		return n, io.EOF
+	case upstream.EndBroken:
+		return n, errors.Join(context.Cause(b.ctx), err)
 	}
 	return n, err
 }
 
 func (b *watchedBody) Close() error {
 	b.watchdog.stop()
-	b.response.Close(b.complete)
+	b.response.Close()
 	b.cancel(nil)
 	return nil
 }
--- a/pkg/backend/probe.go
+++ b/pkg/backend/probe.go
@@ -32,8 +32,9 @@
 		return scheduler.LoadReport{}, err
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLoadBytes))
-	resp.Close(err == nil && len(body) < maxLoadBytes)
-	if err != nil {
+	resp.Close()
+	// A report that was cut off is no valid JSON.
+	if upstream.EndOf(err) == upstream.EndBroken {
 		return scheduler.LoadReport{}, err
 	}
 	var l Load
--- a/pkg/gateway/buffer.go
+++ b/pkg/gateway/buffer.go
@@ -1,8 +1,9 @@
 package gateway
 
 import (
-	"errors"
 	"io"
+
+	"headhill.example/headhill/pkg/upstream"
 )
 
 // minReadStep and maxReadStep limit the memory reserved per read of a buffered response. Each step
@@ -32,22 +33,22 @@
 func (g *Gateway) HeldBytes() int64 { return g.heldBytes.Load() }
 
 // bufferResponse reads a response into memory that stays reserved until the request ends. It
-// returns the part read and false if the response is too long or the box has no memory left.
-func (x *exchange) bufferResponse(r io.Reader) (body []byte, complete bool, err error) {
+// returns the part read and upstream.EndNone if the response is too long or the box has no memory left.
+func (x *exchange) bufferResponse(r io.Reader) (body []byte, end upstream.End, err error) {
 	for len(body) <= maxBufferedBytes {
 		step := min(max(len(body), minReadStep), maxReadStep)
 		if !x.hold(int64(step)) {
-			return body, false, nil
+			return body, upstream.EndNone, nil
 		}
 		body, err = readAppend(body, r, step)
-		switch {
-		case errors.Is(err, io.EOF):
-			return body, true, nil
-		case err != nil:
-			return body, false, err
+		switch end = upstream.EndOf(err); end {
+		case upstream.EndWhole, upstream.EndClosed:
+			return body, end, nil
+		case upstream.EndBroken:
+			return body, end, err
 		}
 	}
-	return body, false, nil
+	return body, upstream.EndNone, nil
 }
 
 // readAppend appends n bytes of a reader to a slice, or fewer and the read error. It does not use
--- a/pkg/gateway/buffer_test.go
+++ b/pkg/gateway/buffer_test.go
@@ -10,6 +10,8 @@
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
+
+	"headhill.example/headhill/pkg/upstream"
 )
 
 // Buffered responses must stay within MaxHeldBytes under concurrency, and their memory must be
@@ -38,7 +40,11 @@
 		sent := bytes.Repeat([]byte("0123456789abcdef"), rapid.IntRange(0, 3*maxBufferedBytes/32).Draw(t, "16-byte blocks"))
 		g := &Gateway{Deps: Deps{Limits: Limits{MaxHeldBytes: int64(rapid.IntRange(0, 2*maxBufferedBytes).Draw(t, "max held bytes"))}}}
 		truncated := rapid.Bool().Draw(t, "truncated")
+		closed := !truncated && rapid.Bool().Draw(t, "ends with its connection")
 		var reader io.Reader = bytes.NewReader(sent)
+		if closed {
+			reader = io.MultiReader(reader, iotest.ErrReader(upstream.ErrConnectionEnded))
+		}
 		if truncated {
 			reader = io.MultiReader(reader, iotest.ErrReader(io.ErrUnexpectedEOF))
 		}
@@ -46,14 +52,18 @@
 			reader = iotest.HalfReader(reader)
 		}
 		x := &exchange{gateway: g}
-		body, complete, err := x.bufferResponse(reader)
+		body, end, err := x.bufferResponse(reader)
+		complete := end == upstream.EndWhole
 		if !bytes.HasPrefix(sent, body) {
 			t.Fatalf("buffered %d bytes are no prefix of the %d bytes sent", len(body), len(sent))
 		}
-		if complete && (truncated || len(body) != len(sent)) {
-			t.Fatalf("%d of %d bytes reported complete, truncated: %t", len(body), len(sent), truncated)
+		if complete && (truncated || closed || len(body) != len(sent)) {
+			t.Fatalf("%d of %d bytes reported complete, truncated: %t, closed: %t", len(body), len(sent), truncated, closed)
+		}
+		if end == upstream.EndClosed && (!closed || len(body) != len(sent)) {
+			t.Fatalf("%d of %d bytes reported as ended with the connection", len(body), len(sent))
 		}
-		if !complete && err == nil && len(body) <= maxBufferedBytes && x.reservedBytes+maxReadStep <= g.Limits.MaxHeldBytes {
+		if end == upstream.EndNone && err == nil && len(body) <= maxBufferedBytes && x.reservedBytes+maxReadStep <= g.Limits.MaxHeldBytes {
 			t.Fatal("response reported incomplete below both limits")
 		}
 		if x.reservedBytes > g.Limits.MaxHeldBytes {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -193,6 +193,9 @@
 	// headSent is set once the response header was sent to the caller.
 	headSent bool
 	status   int
+	// framing is that of the response to the caller once headSent is set, bodyEnd how it ended.
+	framing upstream.Framing
+	bodyEnd upstream.End
 	// firstEventTime and lastEventTime are when the first and the latest events were forwarded.
 	// maxEventGap is the longest time between two.
 	firstEventTime time.Time
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -13,6 +13,7 @@
 	"headhill.example/headhill/pkg/balancer"
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/upstream"
 )
 
 // Outcome is the outcome of a request in logs and metrics.
@@ -20,7 +21,9 @@
 
 // Outcomes of requests.
 const (
-	OutcomeDone       Outcome = "done"
+	OutcomeDone Outcome = "done"
+	// OutcomeClosed means that the response ended with its connection and may be incomplete.
+	OutcomeClosed     Outcome = "closed"
 	OutcomeDenied     Outcome = "denied"
 	OutcomeNotRun     Outcome = "not-run"
 	OutcomeUnknown    Outcome = "unknown"
@@ -49,9 +52,7 @@
 	outcome := x.writeError(err)
 	x.recordAndLog(outcome, err)
 	if outcome == OutcomeTruncated || outcome == OutcomeCallerGone {
-		// Abort the connection, so that the caller doesn't take the truncated response for
-		// complete.
-		panic(http.ErrAbortHandler)
+		x.abort()
 	}
 }
 
@@ -61,6 +62,8 @@
 	var unknown *UnknownError
 	var gone *callerGoneError
 	switch {
+	case err == nil && x.bodyEnd == upstream.EndClosed:
+		return OutcomeClosed
 	case err == nil:
 		return OutcomeDone
 	case errors.As(err, &gone):
@@ -84,7 +87,7 @@
 
 func (x *exchange) writeErrorBody(status int, err error) {
 	x.writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	x.writeHead(status)
+	x.writeHead(status, upstream.FramingLength)
 	_, _ = io.WriteString(x.writer, err.Error()+"\n")
 }
 
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -45,14 +44,17 @@
 	partialBytes func() int
 	// failed returns the end of the attempt after the server broke off.
 	failed func(cause error) (*failure, error)
+	// endError returns the error with which the response ends, given that of the last read.
+	endError func(error) error
 
 	timer *time.Timer
 	// sessions passes a session from the goroutine that starts it to the one that writes.
 	sessions chan aheadSession
 	// readErr is the error of the last read, which ends the response.
 	readErr error
-	// failure and err are the end of the attempt once done is set.
+	// failure and err are the end of the attempt once done is set, end that of the response.
 	done    bool
+	end     upstream.End
 	failure *failure
 	err     error
 }
@@ -76,14 +78,15 @@
 			lease.PrefillDone(clock.Now())
 		},
 		failed: func(cause error) (*failure, error) {
-			return &failure{result: resultOfError(cause), disconnected: ctx.Err() == nil, cause: cause}, nil
+			return streamFailure(resp, cause), nil
 		},
+		endError: splitter.endError,
 	}
 	f, err := r.forward(make([]byte, streamReadBytes))
 	if f != nil || err != nil {
 		return f, err
 	}
-	return nil, x.finishStream(resp, splitter.partial)
+	return nil, x.finishStream(resp, splitter.partial, r.end)
 }
 
 // forwardBytesAhead forwards a response that is too long to be buffered, like forwardUnbuffered, and
@@ -98,7 +101,8 @@
 			_, err := x.writer.Write(b)
 			return err
 		},
-		failed: func(cause error) (*failure, error) { return nil, &truncatedError{Cause: cause} },
+		failed:   func(cause error) (*failure, error) { return nil, &truncatedError{Cause: cause} },
+		endError: func(err error) error { return err },
 	}
 	if err := r.send(head); err != nil {
 		return r.callerGone(err)
@@ -107,6 +111,7 @@
 	if f == nil && err == nil {
 		// net/http has yet to write what it buffers and the end of the response.
 		x.extendWriteDeadline()
+		err = x.endResponse(r.end)
 	}
 	return f, err
 }
@@ -134,7 +139,7 @@
 }
 
 func (r *relay) callerGone(cause error) (*failure, error) {
-	r.resp.Close(false)
+	r.resp.Close()
 	return nil, &callerGoneError{Cause: cause}
 }
 
@@ -153,13 +158,14 @@
 	return nil, r.readErr
 }
 
-// finish records that the server is done, with io.EOF for a complete response, and reports the end
-// of the attempt. The caller may not have received everything yet.
+// finish records that the server is done, given the error of the last read, and reports the end of the
+// attempt. The caller may not have received everything yet.
 func (r *relay) finish(err error) {
 	r.done = true
 	r.x.incompleteEvent.Store(int64(r.partialBytes()))
-	r.resp.Close(err == io.EOF)
-	if err != io.EOF {
+	r.resp.Close()
+	err = r.endError(err)
+	if r.end = upstream.EndOf(err); r.end == upstream.EndBroken {
 		r.failure, r.err = r.failed(err)
 	}
 	r.x.end.report(r.failure, r.err)
@@ -235,7 +241,7 @@
 	}
 	if writeErr != nil {
 		q.Abandon()
-		r.resp.Close(false)
+		r.resp.Close()
 	}
 	x.ahead.add(q.Close())
 	x.ahead.active = false
--- a/pkg/gateway/relay_end_test.go
+++ b/pkg/gateway/relay_end_test.go
@@ -35,22 +35,22 @@
 }
 
 // Guards against a complete response whose end does not reach the caller, as the server paused before
-// it for longer than the timeout of a write.
+// it for longer than the timeout of a write, and against an incomplete event that does.
 func TestEndAfterLongPauseIsDelivered(t *testing.T) {
 	t.Parallel()
 	const partial = "data: no blank line follows"
-	text := relayEvents(1, eventSize) + partial
 	long := strings.Repeat("0123456789", maxBufferedBytes/5)
 	for name, c := range map[string]struct {
 		readAhead bool
 		serve     http.HandlerFunc
 		want      string
+		broken    bool
 	}{
-		"stream":                    {false, streamWithPause(eventStreamType, relayEvents(1, eventSize), ""), relayEvents(1, eventSize)},
-		"stream, partial event":     {false, streamWithPause(eventStreamType, relayEvents(1, eventSize), partial), text},
-		"stream, read-ahead":        {true, streamWithPause(eventStreamType, relayEvents(1, eventSize), ""), relayEvents(1, eventSize)},
-		"long response":             {false, streamWithPause("text/plain", long, ""), long},
-		"long response, read-ahead": {true, streamWithPause("text/plain", long, ""), long},
+		"stream":                    {false, streamWithPause(eventStreamType, relayEvents(1, eventSize), ""), relayEvents(1, eventSize), false},
+		"stream, partial event":     {false, streamWithPause(eventStreamType, relayEvents(1, eventSize), partial), relayEvents(1, eventSize), true},
+		"stream, read-ahead":        {true, streamWithPause(eventStreamType, relayEvents(1, eventSize), ""), relayEvents(1, eventSize), false},
+		"long response":             {false, streamWithPause("text/plain", long, ""), long, false},
+		"long response, read-ahead": {true, streamWithPause("text/plain", long, ""), long, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -60,7 +60,7 @@
 			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			require.NoError(t, err)
 			body, err := io.ReadAll(resp.Body)
-			assert.NoError(t, err)
+			assert.Equal(t, c.broken, err != nil, err)
 			assert.True(t, string(body) == c.want, "%d bytes, want %d", len(body), len(c.want))
 		})
 	}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -27,11 +27,12 @@
 	eventStreamType = "text/event-stream"
 )
 
-// bufferedResponse is a response that has been read completely.
+// bufferedResponse is a response that has been read to its end.
 type bufferedResponse struct {
 	status int
 	header http.Header
 	body   []byte
+	end    upstream.End
 }
 
 func isStream(r *upstream.Response) bool {
@@ -41,25 +42,25 @@
 
 // drain discards the rest of a short response, so that its connection can be reused.
 func drain(r *upstream.Response) {
-	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDrainBytes))
-	r.Close(err == nil && n < maxDrainBytes)
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDrainBytes))
+	r.Close()
 }
 
 // forwardBuffered reads the whole response before it forwards any of it, so that a truncated
 // response never reaches the caller.
 func (x *exchange) forwardBuffered(ctx context.Context, resp *upstream.Response, lease *balancer.Lease) (*failure, error) {
 	x.recordStart(x.attemptStart)
-	body, complete, err := x.bufferResponse(resp.Body)
+	body, end, err := x.bufferResponse(resp.Body)
 	if err != nil {
-		resp.Close(false)
+		resp.Close()
 		return &failure{result: resultOfError(err), disconnected: true, cause: err}, nil
 	}
 	lease.PrefillDone(clock.Now())
-	if !complete {
+	if end == upstream.EndNone {
 		return x.forwardUnbuffered(ctx, resp, body, lease)
 	}
-	resp.Close(true)
-	buffered := &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
+	resp.Close()
+	buffered := &bufferedResponse{status: resp.Status, header: resp.Header, body: body, end: end}
 	if resp.Status >= http.StatusInternalServerError || x.headSent {
 		return &failure{result: resultOfStatus(resp.Status), cause: errors.New("server answered " + strconv.Itoa(resp.Status)), response: buffered}, nil
 	}
@@ -78,12 +79,16 @@
 // sendBuffered sends a buffered response to the caller.
 func (x *exchange) sendBuffered(resp *bufferedResponse) error {
 	copyHeader(x.writer.Header(), resp.header)
-	x.writer.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
-	x.writeHead(resp.status)
+	framing := upstream.FramingClose
+	if resp.end == upstream.EndWhole {
+		framing = upstream.FramingLength
+		x.writer.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
+	}
+	x.writeHead(resp.status, framing)
 	if _, err := x.writer.Write(resp.body); err != nil {
 		return &callerGoneError{Cause: err}
 	}
-	return nil
+	return x.endResponse(resp.end)
 }
 
 // forwardUnbuffered streams a response that is too long to be buffered, or for which the box has no
@@ -93,12 +98,12 @@
 	if resp.Length >= 0 {
 		x.writer.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
-	x.writeHead(resp.Status)
+	x.writeHead(resp.Status, resp.Framing)
 	if x.gateway.scheduling().ReadAhead {
 		return x.forwardBytesAhead(ctx, resp, head, lease)
 	}
 	if _, err := x.writer.Write(head); err != nil {
-		resp.Close(false)
+		resp.Close()
 		return nil, &callerGoneError{Cause: err}
 	}
 	buffer := x.copyBuffer()
@@ -106,15 +111,15 @@
 		n, err := resp.Body.Read(buffer)
 		x.extendWriteDeadline()
 		if _, writeErr := x.writer.Write(buffer[:n]); writeErr != nil {
-			resp.Close(false)
+			resp.Close()
 			return nil, &callerGoneError{Cause: writeErr}
 		}
-		if err == io.EOF {
-			resp.Close(true)
-			return nil, nil
-		}
-		if err != nil {
-			resp.Close(false)
+		switch end := upstream.EndOf(err); end {
+		case upstream.EndWhole, upstream.EndClosed:
+			resp.Close()
+			return nil, x.endResponse(end)
+		case upstream.EndBroken:
+			resp.Close()
 			return nil, &truncatedError{Cause: err}
 		}
 	}
@@ -129,14 +134,6 @@
 	return make([]byte, streamReadBytes)
 }
 
-// writeHead sends the status and header of the response to the caller.
-func (x *exchange) writeHead(status int) {
-	x.headSent = true
-	x.status = status
-	x.extendWriteDeadline()
-	x.writer.WriteHeader(status)
-}
-
 // extendWriteDeadline restarts the timeout for writes to the caller.
 func (x *exchange) extendWriteDeadline() {
 	// Response writers of tests don't support deadlines.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -5,18 +5,25 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net/http"
+	"strings"
 
 	"headhill.example/headhill/pkg/balancer"
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/upstream"
 )
 
-// maxEventBytes is the maximum size of an event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the maximum size of an event.
+	maxEventBytes = 1 << 20
+	// lineEnds are the bytes that end a line of an event.
+	lineEnds = "\r\n"
+)
 
-var errEventTooLong = errors.New("event longer than 1 MiB: check what the server streams")
+var (
+	errEventTooLong = errors.New("event longer than 1 MiB: check what the server streams")
+	errInsideEvent  = errors.New("the stream ended inside an event: look for a crash of the server")
+)
 
 // forwardStream forwards complete events only, so that another server can resume the stream after
 // the last one.
@@ -28,7 +35,7 @@
 	buffer := make([]byte, 4<<10)
 	for {
 		if err := x.holdEvent(ctx, len(splitter.partial)); err != nil {
-			resp.Close(false)
+			resp.Close()
 			return &failure{result: resultOfError(err), cause: err}, nil
 		}
 		n, err := resp.Body.Read(buffer)
@@ -37,23 +44,30 @@
 			x.recordStart(clock.Now())
 			lease.PrefillDone(clock.Now())
 			if writeErr := x.sendEvents(resp, events); writeErr != nil {
-				resp.Close(false)
+				resp.Close()
 				return nil, &callerGoneError{Cause: writeErr}
 			}
 			x.releaseEvent()
 		}
 		x.incompleteEvent.Store(int64(len(splitter.partial)))
-		switch {
-		case err == io.EOF:
-			resp.Close(true)
-			return nil, x.finishStream(resp, splitter.partial)
-		case err != nil, splitErr != nil:
-			resp.Close(false)
-			return &failure{result: resultOfError(err), disconnected: true, cause: cmp.Or(err, splitErr)}, nil
+		err = splitter.endError(cmp.Or(err, splitErr))
+		switch end := upstream.EndOf(err); end {
+		case upstream.EndWhole, upstream.EndClosed:
+			resp.Close()
+			return nil, x.finishStream(resp, splitter.partial, end)
+		case upstream.EndBroken:
+			resp.Close()
+			return streamFailure(resp, err), nil
 		}
 	}
 }
 
+// streamFailure returns the failure of a stream that broke off.
+func streamFailure(resp *upstream.Response, cause error) *failure {
+	lost := resp.End() == upstream.EndBroken || resp.End() == upstream.EndClosed
+	return &failure{result: resultOfError(cause), disconnected: lost, cause: cause}
+}
+
 // sendEvents sends complete events to the caller, preceded by the header of the first server that
 // sent any.
 func (x *exchange) sendEvents(resp *upstream.Response, events []byte) error {
@@ -74,7 +88,11 @@
 		return
 	}
 	copyHeader(x.writer.Header(), resp.Header)
-	x.writeHead(resp.Status)
+	framing := upstream.FramingChunked
+	if resp.Framing == upstream.FramingClose {
+		framing = upstream.FramingClose
+	}
+	x.writeHead(resp.Status, framing)
 }
 
 // recordEvents records the ID of the last event sent to the caller, and the times of events.
@@ -85,7 +103,8 @@
 	}
 	x.maxEventGap = max(x.maxEventGap, now.Sub(x.lastEventTime))
 	x.lastEventTime = now
-	for line := range bytes.Lines(events) {
+	isLineEnd := func(r rune) bool { return strings.ContainsRune(lineEnds, r) }
+	for line := range bytes.FieldsFuncSeq(events, isLineEnd) {
 		id, ok := bytes.CutPrefix(line, []byte("id:"))
 		if !ok {
 			continue
@@ -95,19 +114,18 @@
 	}
 }
 
-// finishStream ends a complete stream; partial is the data after its last event.
-func (x *exchange) finishStream(resp *upstream.Response, partial []byte) error {
+// finishStream ends a stream that was not broken off; rest is the data after its last event.
+func (x *exchange) finishStream(resp *upstream.Response, rest []byte, end upstream.End) error {
 	x.writeStreamHead(resp)
 	// The timeout of the last write may have passed since. It would apply to the end of the response
 	// as well, which net/http writes later.
 	x.extendWriteDeadline()
-	if len(partial) == 0 {
-		return nil
-	}
-	if _, err := x.writer.Write(partial); err != nil {
-		return &callerGoneError{Cause: err}
+	if len(rest) > 0 {
+		if _, err := x.writer.Write(rest); err != nil {
+			return &callerGoneError{Cause: err}
+		}
 	}
-	return nil
+	return x.endResponse(end)
 }
 
 // eventSplitter splits a byte stream after its last complete event.
@@ -117,7 +135,7 @@
 func (s *eventSplitter) add(b []byte) ([]byte, error) {
 	// The partial event has no blank line, but may end with the beginning of one. It is not searched
 	// again, as that would take a time quadratic in the length of an event.
-	from := max(0, len(s.partial)-2)
+	from := max(0, len(s.partial)-len("\r\n\r"))
 	s.partial = append(s.partial, b...)
 	end := endOfLastBlankLine(s.partial[from:])
 	if end < 0 {
@@ -132,14 +150,33 @@
 	return events, nil
 }
 
-// endOfLastBlankLine returns the offset after the last blank line, or -1.
+// endError returns the error with which a stream ends, given that of its last read: an orderly end inside
+// an event is an error. Line ends after the last event belong to no event.
+func (s *eventSplitter) endError(err error) error {
+	if end := upstream.EndOf(err); (end == upstream.EndWhole || end == upstream.EndClosed) && len(bytes.Trim(s.partial, lineEnds)) > 0 {
+		return errInsideEvent
+	}
+	return err
+}
+
+// endOfLastBlankLine returns the offset after the last blank line, or -1. A line ends with \n, \r\n or \r.
 func endOfLastBlankLine(b []byte) int {
-	end := -1
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
+	if bytes.HasSuffix(b, []byte("\n\r")) {
+		// This is probably the first half of \n\r\n.
+		b = b[:len(b)-1]
 	}
-	if i := bytes.LastIndex(b, []byte("\n\r\n")); i >= 0 {
-		end = max(end, i+3)
+	for end := len(b); ; {
+		end = bytes.LastIndexAny(b[:end], lineEnds) + 1
+		if end == 0 {
+			return -1
+		}
+		start := end - 1
+		if start > 0 && b[start] == '\n' && b[start-1] == '\r' {
+			start--
+		}
+		if start > 0 && strings.IndexByte(lineEnds, b[start-1]) >= 0 {
+			return end
+		}
+		end = start
 	}
-	return end
 }
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -326,7 +326,7 @@
 func (d *Daemon) serveHTTP() {
 	d.callerServer = &http.Server{
 		Handler: d.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true,
+		ConnContext: gateway.ConnContext, DisableGeneralOptionsHandler: true,
 	}
 	d.conns = newConnTracker(d.callerServer)
 	readyRouter := httprouter.New()
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -42,7 +42,8 @@
 	// Length is the length of the body, or -1 if the header does not declare it.
 	Length  int64
 	Framing Framing
-	Body    io.Reader
+	// Body returns io.EOF only at the end of a complete response, see EndOf.
+	Body io.Reader
 	// Via is the address of the box by way of which the connection leads, "" for a direct one.
 	Via string
 
@@ -217,12 +218,12 @@
 	})
 }
 
-// Close returns the connection to the pool if complete is set, which states that the body was read
-// to its end, and the connection is reusable. It closes the connection otherwise.
-func (r *Response) Close(complete bool) {
+// Close returns the connection to the pool if the response is complete and the connection is reusable. It
+// closes the connection otherwise.
+func (r *Response) Close() {
 	x := r.exchange
 	r.countEnd.Do(func() { x.client.ends[r.Framing][r.End()].Add(1) })
-	if !complete || r.raw.Close || !x.stopAbort() || !x.writeCompleted() {
+	if r.End() != EndWhole || r.raw.Close || !x.stopAbort() || !x.writeCompleted() {
 		x.abort()
 		return
 	}
--- a/pkg/upstream/end.go
+++ b/pkg/upstream/end.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -56,6 +57,23 @@
 // String implements fmt.Stringer.
 func (e End) String() string { return [...]string{"none", "whole", "closed", "broken"}[e] }
 
+// ErrConnectionEnded is returned by Response.Body instead of io.EOF if the response has FramingClose and the
+// server closed the connection.
+var ErrConnectionEnded = errors.New("the response ended with its connection: it may be incomplete")
+
+// EndOf returns the end that an error of Response.Body states, EndNone if the error is nil.
+func EndOf(err error) End {
+	switch {
+	case err == nil:
+		return EndNone
+	case err == io.EOF:
+		return EndWhole
+	case errors.Is(err, ErrConnectionEnded):
+		return EndClosed
+	}
+	return EndBroken
+}
+
 // body is the body of a response. It keeps how the response ended.
 type body struct {
 	reader  io.Reader
@@ -70,23 +88,16 @@
 		return 0, b.err
 	}
 	n, err := b.reader.Read(p)
+	if err == io.EOF && b.framing == FramingClose {
+		err = ErrConnectionEnded
+	}
 	if err != nil {
 		b.err = err
-		b.end.Store(int32(b.endOf(err)))
+		b.end.Store(int32(EndOf(err)))
 	}
 	return n, err
 }
 
-func (b *body) endOf(err error) End {
-	switch {
-	case err != io.EOF:
-		return EndBroken
-	case b.framing == FramingClose:
-		return EndClosed
-	}
-	return EndWhole
-}
-
 // End returns how the response ended.
 func (r *Response) End() End {
 	if b, ok := r.Body.(*body); ok {
--- a/pkg/upstream/pool_test.go
+++ b/pkg/upstream/pool_test.go
@@ -56,7 +56,9 @@
 		send := func(request Request) {
 			response, err := c.Do(context.Background(), request)
 			require.NoError(t, err)
-			response.Close(true)
+			_, err = io.ReadAll(response.Body)
+			require.NoError(t, err)
+			response.Close()
 		}
 		assert.False(t, c.HasIdle("s", clock.Now()))
 		send(r)
--- a/pkg/upstream/silence_test.go
+++ b/pkg/upstream/silence_test.go
@@ -53,7 +53,7 @@
 		var resp *Response
 		if resp, err = client.Do(ctx, r); err == nil {
 			_, err = io.ReadAll(resp.Body)
-			resp.Close(false)
+			resp.Close()
 		}
 		took = time.Since(start)
 	})
@@ -121,9 +121,9 @@
 			resp, err := client.Do(t.Context(), r)
 			if err == nil {
 				_, err = io.ReadAll(resp.Body)
-				resp.Close(false)
+				resp.Close()
 			}
-			assert.Error(t, err)
+			assert.Equal(t, EndBroken, EndOf(err))
 		})
 	}
 }
@@ -142,8 +142,8 @@
 		resp, err := client.Do(t.Context(), r)
 		require.NoError(t, err)
 		body, err := io.ReadAll(resp.Body)
-		assert.NoError(t, err)
+		assert.Equal(t, ErrConnectionEnded, err)
 		assert.Equal(t, "too long", string(body))
-		resp.Close(false)
+		resp.Close()
 	})
 }
