gateway: the response to a HEAD request keeps the length that the server declared

Callers got Content-Length: 0, as the length was counted from the body, which such a response doesn't have. Found while looking for other places that state the end of a response themselves. The test was red for HEAD with and without a length, and green for 204 and 304.

--- a/pkg/gateway/ends_test.go
+++ b/pkg/gateway/ends_test.go
@@ -374,3 +374,24 @@
 		})
 	}
 }
+
+// Guards against a response without a body whose length is stated as that of its missing body.
+func TestResponsesWithoutBodyKeepTheirHeader(t *testing.T) {
+	for _, c := range []struct {
+		name, method, status, headers string
+		length                        string
+	}{
+		{"HEAD with a length", http.MethodHead, "200 OK", "Content-Length: 1234\r\n", "1234"},
+		{"HEAD without a length", http.MethodHead, "200 OK", "", ""},
+		{"no content", http.MethodGet, "204 No Content", "", ""},
+		{"not modified", http.MethodGet, "304 Not Modified", "Content-Length: 99\r\n", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := rawResponse{framing: "none", status: c.status, headers: c.headers}
+			f := newRelayFleet(t, relayConfig{maxHeld: 64 << 20, route: once(routing.KindOnce)}, r.ServeHTTP)
+			got := f.callRaw(t, c.method, "1.1", "")
+			assert.Equal(t, "whole", got.end)
+			assert.Equal(t, c.length, got.length)
+		})
+	}
+}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -82,7 +82,7 @@
 	framing := upstream.FramingClose
 	if resp.end == upstream.EndWhole {
 		framing = upstream.FramingLength
-		x.writer.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
+		x.setLength(resp)
 	}
 	x.writeHead(resp.status, framing)
 	if _, err := x.writer.Write(resp.body); err != nil {
@@ -91,6 +91,18 @@
 	return x.endResponse(resp.end)
 }
 
+// setLength sets the length of a buffered response. In the response to a HEAD request that is the length of
+// the body that the server has not sent.
+func (x *exchange) setLength(resp *bufferedResponse) {
+	length := strconv.Itoa(len(resp.body))
+	if x.request.Method == http.MethodHead {
+		length = resp.header.Get("Content-Length")
+	}
+	if length != "" {
+		x.writer.Header().Set("Content-Length", length)
+	}
+}
+
 // forwardUnbuffered streams a response that is too long to be buffered, or for which the box has no
 // memory left. head is the part read so far.
 func (x *exchange) forwardUnbuffered(ctx context.Context, resp *upstream.Response, head []byte, lease *balancer.Lease) (*failure, error) {
