upstream: a response whose header allows more than one framing is an error

A response with both Content-Length and Transfer-Encoding, or one of HTTP/1.0 with a Transfer-Encoding, was read by the rule of net/http, which removes the other field. A server, or something in between, that reads it by the other rule means another end, and what follows is taken for the next response. Found while looking for other places where an end is a guess.

The bytes of the header are kept while it is parsed, and such a response is malformed: 502, or another attempt where the route allows one.

--- a/pkg/gateway/ends_test.go
+++ b/pkg/gateway/ends_test.go
@@ -71,6 +71,8 @@
 	sent    int
 	ending  ending
 	headers string
+	// http10 makes it an HTTP/1.0 response.
+	http10 bool
 }
 
 func whole(framing string, stream bool, content string) rawResponse {
@@ -89,7 +91,7 @@
 	}
 	defer c.Close()
 	version, head := "HTTP/1.1 ", r.headers
-	if r.framing == "http10" {
+	if r.framing == "http10" || r.http10 {
 		version = "HTTP/1.0 "
 	}
 	switch r.framing {
@@ -395,3 +397,19 @@
 		})
 	}
 }
+
+// Guards against a framing that is guessed where the header of a response contradicts itself.
+func TestContradictingFramingIsNotForwarded(t *testing.T) {
+	for name, headers := range map[string]string{
+		"length and chunks": "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "two lengths": "Content-Length: 3\r\nContent-Length: 4\r\n",
+		"negative length": "Content-Length: -1\r\n", "unknown coding": "Transfer-Encoding: gzip\r\n",
+		"chunks in HTTP/1.0": "Transfer-Encoding: chunked\r\n", "folded length and chunks": "Content-Length:\r\n 3\r\nTransfer-Encoding: chunked\r\n",
+		"length and chunks, long header": "X: " + strings.Repeat("x", 10_000) + "\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := rawResponse{framing: "none", headers: headers, http10: name == "chunks in HTTP/1.0", content: "1\r\na\r\n0\r\n\r\n", sent: 11}
+			f := newRelayFleet(t, relayConfig{maxHeld: 64 << 20, route: once(routing.KindOnce)}, r.ServeHTTP)
+			assert.Equal(t, http.StatusBadGateway, f.callRaw(t, http.MethodGet, "1.1", "").status)
+		})
+	}
+}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -34,6 +34,7 @@
 	net.Conn
 	// limit caps the bytes read while a response header is parsed.
 	limit  *io.LimitedReader
+	head   *headRecorder
 	reader *bufio.Reader
 	// reused is set once the connection was taken from the pool.
 	reused bool
@@ -44,8 +45,9 @@
 }
 
 func newConn(c net.Conn) *conn {
-	limit := &io.LimitedReader{R: c, N: math.MaxInt64}
-	return &conn{Conn: c, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
+	head := &headRecorder{reader: c}
+	limit := &io.LimitedReader{R: head, N: math.MaxInt64}
+	return &conn{Conn: c, limit: limit, head: head, reader: bufio.NewReaderSize(limit, readBufferBytes)}
 }
 
 // expired reports whether an idle connection has reached its idle timeout.
@@ -55,7 +57,14 @@
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.limit.N = maxHeaderBytes
 	defer func() { c.limit.N = math.MaxInt64 }()
-	return http.ReadResponse(c.reader, &http.Request{Method: method})
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.head.start(buffered)
+	defer c.head.stop()
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err == nil {
+		err = checkFraming(resp, c.head.recorded)
+	}
+	return resp, err
 }
 
 // directDialer is the Dialer of a client that has no other box to ask.
