entry: an answer that ends with its connection is not forwarded as complete

The same cause on the product's own interface: a plain service's answer with neither a length nor chunks, and an engine's error answer of that kind, got a length or chunks of their own, and Headhill-Outcome: done.

backend.Response has the framing, its body the end. Such an answer extends to the end of the caller's connection as well, with the outcome unknown; a streamed or complete chat answer states its own end, by [DONE] or by its JSON, and stays as it was. What gateway and entry share is in pkg/callerconn.

--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -38,9 +38,11 @@
 
 // Response is an answer whose headers have been received. Body must be closed.
 type Response struct {
-	Status int
-	Header http.Header
-	Body   io.ReadCloser
+	Status  int
+	Header  http.Header
+	Framing upstream.Framing
+	// Body returns io.EOF only at the end of a complete answer, see upstream.EndOf.
+	Body io.ReadCloser
 }
 
 // Client calls backend servers.
@@ -83,7 +85,7 @@
 		body.Close()
 		return nil, err
 	}
-	return &Response{Status: resp.Status, Header: resp.Header, Body: body}, nil
+	return &Response{Status: resp.Status, Header: resp.Header, Framing: resp.Framing, Body: body}, nil
 }
 
 // upstreamRequest builds the request for a call. An at-most-once call uses a new
@@ -161,11 +163,8 @@
 	if n > 0 {
 		b.watchdog.reset()
 	}
-	switch upstream.EndOf(err) {
-	case upstream.EndWhole, upstream.EndClosed:
-		return n, io.EOF
-	case upstream.EndBroken:
-		return n, errors.Join(context.Cause(b.ctx), err)
+	if upstream.EndOf(err) == upstream.EndBroken {
+		err = errors.Join(context.Cause(b.ctx), err)
 	}
 	return n, err
 }
--- a/pkg/entry/finish.go
+++ b/pkg/entry/finish.go
@@ -17,7 +17,7 @@
 // finish sends the error of a failed request to the caller and records the outcome.
 func (h *Handler) finish(w http.ResponseWriter, r *http.Request, req *request, err error) {
 	if err == nil {
-		h.record(req, api.OutcomeDone, nil)
+		h.record(req, req.answeredOutcome(), nil)
 		return
 	}
 	if errors.Is(err, context.Canceled) && r.Context().Err() != nil {
@@ -27,6 +27,14 @@
 	h.fail(w, req, err)
 }
 
+// answeredOutcome returns the outcome of a request whose answer was forwarded to its end.
+func (req *request) answeredOutcome() api.Outcome {
+	if req.endUnknown {
+		return api.OutcomeUnknown
+	}
+	return api.OutcomeDone
+}
+
 // disconnectOutcome returns the outcome, for the log only, of a request whose caller
 // disconnected.
 func disconnectOutcome(req *request) api.Outcome {
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -16,6 +16,7 @@
 
 	"headhill.example/headhill/pkg/api"
 	"headhill.example/headhill/pkg/backend"
+	"headhill.example/headhill/pkg/callerconn"
 	"headhill.example/headhill/pkg/claims"
 	"headhill.example/headhill/pkg/config"
 	"headhill.example/headhill/pkg/membership"
@@ -83,6 +84,7 @@
 		ReadHeaderTimeout: h.Limits.HeaderTimeout,
 		MaxHeaderBytes:    h.Limits.MaxHeaderBytes,
 		IdleTimeout:       2 * time.Minute,
+		ConnContext:       callerconn.ConnContext,
 	}
 }
 
@@ -144,6 +146,8 @@
 	fence      string
 	// mayHaveRun is set when an exchange was interrupted after something was written.
 	mayHaveRun bool
+	// endUnknown is set if the answer ended with its connection and may be incomplete.
+	endUnknown bool
 	// responseStarted is set once a part of the answer was sent to the caller.
 	responseStarted bool
 	// nonResumable mirrors answer.nonResumable.
--- a/pkg/entry/plain.go
+++ b/pkg/entry/plain.go
@@ -12,6 +12,7 @@
 
 	"headhill.example/headhill/pkg/api"
 	"headhill.example/headhill/pkg/backend"
+	"headhill.example/headhill/pkg/callerconn"
 	"headhill.example/headhill/pkg/config"
 	"headhill.example/headhill/pkg/scheduler"
 	"headhill.example/headhill/pkg/upstream"
@@ -94,10 +95,14 @@
 // the rest as it arrives.
 func (x *plainExchange) forwardAnswer(s config.Server, resp *backend.Response) error {
 	head, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
-	if err != nil {
+	if upstream.EndOf(err) == upstream.EndBroken {
 		return &backend.InterruptedError{Server: s.Name, Cause: err}
 	}
 	outcome := api.OutcomeDone
+	if resp.Framing == upstream.FramingClose {
+		outcome = api.OutcomeUnknown
+		x.req.endUnknown = true
+	}
 	if resp.Status >= 500 && x.req.atMostOnce {
 		// An error status does not prove that the request did not run.
 		outcome = api.OutcomeUnknown
@@ -110,14 +115,20 @@
 	h.Set(api.HeaderOutcome, string(outcome))
 	x.req.responseStarted = true
 	x.req.status = resp.Status
+	if x.req.endUnknown {
+		callerconn.BeginUntilClose(x.w, x.r)
+	}
 	x.w.WriteHeader(resp.Status)
 	caller := &callerWriter{h: x.h, w: x.w}
 	_, err = io.Copy(caller, io.MultiReader(bytes.NewReader(head), resp.Body))
 	if caller.err != nil {
 		return caller.err
 	}
-	if err != nil {
+	switch upstream.EndOf(err) {
+	case upstream.EndBroken:
 		return &backend.InterruptedError{Server: s.Name, Cause: err}
+	case upstream.EndClosed:
+		callerconn.EndUntilClose(x.r)
 	}
 	return nil
 }
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -11,9 +11,11 @@
 
 	"headhill.example/headhill/pkg/api"
 	"headhill.example/headhill/pkg/backend"
+	"headhill.example/headhill/pkg/callerconn"
 	"headhill.example/headhill/pkg/config"
 	"headhill.example/headhill/pkg/scheduler"
 	"headhill.example/headhill/pkg/sse"
+	"headhill.example/headhill/pkg/upstream"
 )
 
 const (
@@ -38,7 +40,7 @@
 	if err := h.classify(r, req); err != nil {
 		return err
 	}
-	x := &chatExchange{h: h, w: w, req: req, chat: chat}
+	x := &chatExchange{h: h, w: w, r: r, req: req, chat: chat}
 	x.answer.id = answerIDPrefix + req.id
 	slotReq := h.slotRequest(req, chat.estimatePromptTokens(), chat.prefixHashes())
 	err = h.dispatch(r.Context(), req, slotReq, x.do)
@@ -51,6 +53,7 @@
 type chatExchange struct {
 	h      *Handler
 	w      http.ResponseWriter
+	r      *http.Request
 	req    *request
 	chat   *chatRequest
 	answer answer
@@ -262,6 +265,10 @@
 // forwardComplete forwards a non-streamed answer after reading all of it.
 func (x *chatExchange) forwardComplete(s config.Server, resp *backend.Response) error {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	closed := upstream.EndOf(err) == upstream.EndClosed
+	if closed {
+		err = nil
+	}
 	if err == nil && len(data) > maxAnswerBytes {
 		err = fmt.Errorf("answer longer than %d bytes", maxAnswerBytes)
 	}
@@ -281,12 +288,20 @@
 	x.req.status = resp.Status
 	h := x.w.Header()
 	h.Set("Content-Type", resp.Header.Get("Content-Type"))
-	h.Set(api.HeaderOutcome, string(api.OutcomeDone))
+	// A truncated JSON answer was rejected above. Of an error answer nothing is known.
+	x.req.endUnknown = closed && resp.Status != http.StatusOK
+	h.Set(api.HeaderOutcome, string(x.req.answeredOutcome()))
+	if x.req.endUnknown {
+		callerconn.BeginUntilClose(x.w, x.r)
+	}
 	x.h.extendWriteDeadline(x.w)
 	x.w.WriteHeader(resp.Status)
 	if _, err := x.w.Write(data); err != nil {
 		return &callerWriteError{Cause: err}
 	}
+	if x.req.endUnknown {
+		callerconn.EndUntilClose(x.r)
+	}
 	return nil
 }
 
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -52,7 +52,9 @@
 	outcome := x.writeError(err)
 	x.recordAndLog(outcome, err)
 	if outcome == OutcomeTruncated || outcome == OutcomeCallerGone {
-		x.abort()
+		// Abort the connection, so that the caller doesn't take the truncated response for
+		// complete.
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/pkg/gateway/relayfleet_test.go
+++ b/pkg/gateway/relayfleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"headhill.example/headhill/pkg/balancer"
+	"headhill.example/headhill/pkg/callerconn"
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/quarantine"
@@ -79,7 +80,7 @@
 		Limits:   Limits{MaxRequests: 10000, MaxHeldBytes: c.maxHeld, LostServerGrace: time.Second, MaxDenialTableAge: time.Hour},
 	})
 	f.caller = httptest.NewUnstartedServer(f.gateway)
-	f.caller.Config.ConnContext = ConnContext
+	f.caller.Config.ConnContext = callerconn.ConnContext
 	f.caller.Config.ConnState = func(c net.Conn, s http.ConnState) {
 		if s == http.StateNew {
 			_ = c.(*net.TCPConn).SetWriteBuffer(32 << 10)
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -18,6 +18,7 @@
 
 	"headhill.example/headhill/pkg/announce"
 	"headhill.example/headhill/pkg/balancer"
+	"headhill.example/headhill/pkg/callerconn"
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/directory"
@@ -326,7 +327,7 @@
 func (d *Daemon) serveHTTP() {
 	d.callerServer = &http.Server{
 		Handler: d.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: gateway.ConnContext, DisableGeneralOptionsHandler: true,
+		ConnContext: callerconn.ConnContext, DisableGeneralOptionsHandler: true,
 	}
 	d.conns = newConnTracker(d.callerServer)
 	readyRouter := httprouter.New()
