objectstore: a value that ends with its connection is not read as a shorter one

Get and Watch fail as unavailable then; lists are JSON, which can't be decoded when it was cut off, like the lists of the platform's store, of other boxes and of the cloud. The test was red for such a response and green with a length.

--- a/pkg/objectstore/client.go
+++ b/pkg/objectstore/client.go
@@ -81,6 +81,17 @@
 	status  int
 	version Version
 	body    []byte
+	// endUnknown is set if the body may be incomplete.
+	endUnknown bool
+}
+
+// object returns the object in a response. JSON in a response that was cut off can't be decoded, but a
+// value can't be told from a shorter one.
+func (r response) object(op, key string) (Object, error) {
+	if r.endUnknown {
+		return Object{}, &UnavailableError{Op: op, Cause: errEndUnknown}
+	}
+	return Object{Key: key, Value: r.body, Version: r.version}, nil
 }
 
 // do makes a call. For a write, an error after the request may have been sent is
@@ -140,9 +151,17 @@
 		return response{}, err
 	}
 	v, _ := strconv.ParseUint(strings.Trim(resp.Header.Get("ETag"), `"`), 10, 64)
-	return response{status: resp.StatusCode, version: Version(v), body: body}, nil
+	return response{status: resp.StatusCode, version: Version(v), body: body, endUnknown: endsWithConnection(resp)}, nil
 }
 
+// endsWithConnection reports whether a response has neither a length nor chunks, so that its body may be
+// incomplete.
+func endsWithConnection(r *http.Response) bool {
+	return r.Close && r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !r.Uncompressed
+}
+
+var errEndUnknown = errors.New("the response ended with its connection and may be incomplete")
+
 var errRateLimited = errors.New("rate limit")
 
 func (c *Client) checkStatus(cl call, resp response) error {
@@ -179,7 +198,7 @@
 	if err != nil {
 		return Object{}, err
 	}
-	return Object{Key: key, Value: resp.body, Version: resp.version}, nil
+	return resp.object("get", key)
 }
 
 // List implements Objects.
@@ -239,7 +258,7 @@
 	if err != nil {
 		return Object{}, err
 	}
-	return Object{Key: key, Value: resp.body, Version: resp.version}, nil
+	return resp.object("watch", key)
 }
 
 // Boxes implements Boxes.
--- a/pkg/objectstore/client_test.go
+++ b/pkg/objectstore/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -63,6 +64,34 @@
 	assert.Empty(t, entries)
 }
 
+// Guards against a value that was cut off with its connection and is taken for a shorter one.
+func TestValueThatEndsWithItsConnectionIsNotRead(t *testing.T) {
+	for name, c := range map[string]struct {
+		framing string
+		ok      bool
+	}{"close": {"", false}, "length": {"Content-Length: 5\r\n", true}} {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+c.framing+"ETag: \"3\"\r\n\r\nvalue")
+				conn.Close()
+			}))
+			defer s.Close()
+			o, err := NewClient(s.URL, "", callrate.DefaultBudget).Get(t.Context(), "key")
+			if c.ok {
+				require.NoError(t, err)
+				assert.Equal(t, "value", string(o.Value))
+				return
+			}
+			var unavailable *UnavailableError
+			assert.ErrorAs(t, err, &unavailable)
+		})
+	}
+}
+
 func TestStalledResponseTimesOut(t *testing.T) {
 	_, err := listWithPause(t, 2*callTimeout)
 	var unavailable *UnavailableError
