routerd: a response that broke off is reset at its caller, also behind the limit on connections

Callers of a real box saw a broken stream without a length end in an orderly way, as one that its server had ended; also when the box was killed in the middle of it.

Cause: of two layers of routerd, the tracker of connections replaced ConnContext, and netutil.LimitListener hides the methods of a TCP connection, so that the socket could not be set to be reset. The gateway's own tests have neither.

Change: the tracker passes the connection on, and the limit is a listener of callerconn, whose connections can be reset.

--- a/pkg/routerd/connections.go
+++ b/pkg/routerd/connections.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"headhill.example/headhill/pkg/callerconn"
 )
 
 // connTracker tracks the connections of callers so that a planned stop closes only idle ones.
@@ -53,7 +55,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.open[conn] = tc
-	return context.WithValue(ctx, trackedConnKey{}, tc)
+	return context.WithValue(callerconn.ConnContext(ctx, conn), trackedConnKey{}, tc)
 }
 
 // onStateChange implements http.Server.ConnState. net/http reports a connection as idle only
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -14,7 +14,6 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/samber/oops"
 	"github.com/sourcegraph/conc"
-	"golang.org/x/net/netutil"
 
 	"headhill.example/headhill/pkg/announce"
 	"headhill.example/headhill/pkg/balancer"
@@ -327,7 +326,7 @@
 func (d *Daemon) serveHTTP() {
 	d.callerServer = &http.Server{
 		Handler: d.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: callerconn.ConnContext, DisableGeneralOptionsHandler: true,
+		DisableGeneralOptionsHandler: true,
 	}
 	d.conns = newConnTracker(d.callerServer)
 	readyRouter := httprouter.New()
@@ -353,7 +352,7 @@
 		d.peers.Listen,
 		func() { d.upstream.Run(d.ctx) },
 		func() {
-			d.logServeError("caller", d.callerServer.Serve(netutil.LimitListener(d.callerListener, maxCallerConns(s.Limits))))
+			d.logServeError("caller", d.callerServer.Serve(callerconn.LimitListener(d.callerListener, maxCallerConns(s.Limits))))
 		},
 		func() { d.logServeError("ready", d.readyServer.Serve(d.readyListener)) },
 		func() { d.logServeError("metrics", d.metricsServer.Serve(d.metricsListener)) },
