routing: the version of a server's software is read and logged

Change: the entry's version is kept in routing.Server and shared between boxes. As boxes will act on it, the level of forms is 6: a list from a box of a lower level lacks it, and is read elsewhere. Logged with 'server listed', with each attempt, and for a request that takes up a stream with what it names (Resumes). No decision uses it yet.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -355,7 +355,7 @@
 	if bulk {
 		line = level.Debug(d.logger)
 	}
-	_ = line.Log("msg", "server listed", "server", s.ID, "service", s.Service, "address", s.Address, "hall", s.Hall, "leaving", s.Leaving, "known", exists, "warm_up_ms", s.WarmUpRemaining.Milliseconds(), "withheld", !listed.WithheldUntil.IsZero())
+	_ = line.Log("msg", "server listed", "server", s.ID, "service", s.Service, "address", s.Address, "hall", s.Hall, "version", s.Version, "leaving", s.Leaving, "known", exists, "warm_up_ms", s.WarmUpRemaining.Milliseconds(), "withheld", !listed.WithheldUntil.IsZero())
 	if s.WarmUpRemaining > 0 {
 		listed.WarmUpEnd = at.Add(s.WarmUpRemaining)
 	}
--- a/pkg/forms/forms.go
+++ b/pkg/forms/forms.go
@@ -24,10 +24,12 @@
 	// LevelBrittle adds to the signals of servers whether they are brittle and when they last rejected a
 	// request.
 	LevelBrittle = 5
+	// LevelSoftwareVersions adds the version of the software to servers.
+	LevelSoftwareVersions = 6
 )
 
 // Level is the level of this build. It is raised with each field that boxes act on and forward.
-const Level = LevelBrittle
+const Level = LevelSoftwareVersions
 
 // EffectiveLevel returns the level of a message's sender. Zero means that the message carries none.
 func EffectiveLevel(level int) int { return max(LevelFirst, level) }
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -111,6 +111,9 @@
 		"servers", serverIDs(x.attempted), "total_ms", r.Duration.Milliseconds(),
 		"first_ms", r.TimeToFirstEvent.Milliseconds(), "events", x.eventCount, "pause_ms", x.maxEventGap.Milliseconds(), "patience_ms", x.call.Timeout.Milliseconds(),
 	}
+	if x.call.LastEventID != "" {
+		fields = append(fields, "resumes", x.call.Resumes, "from_event", x.call.LastEventID)
+	}
 	if x.view.Table != nil {
 		fields = append(fields, "version", x.view.Table.Version, "table_age_ms", x.view.TableAge(x.arrival).Milliseconds(),
 			"servers_age_ms", x.view.ServersAge(x.arrival).Milliseconds())
@@ -134,7 +137,7 @@
 func (x *exchange) logAttempt(lease *balancer.Lease, result balancer.Result, f *failure) {
 	in := lease.Inputs
 	fields := []any{
-		"msg", "attempt", "id", x.call.ID, "attempt", len(x.attempted), "server", lease.Server.ID, "address", lease.Server.Address, "via", x.via,
+		"msg", "attempt", "id", x.call.ID, "attempt", len(x.attempted), "server", lease.Server.ID, "address", lease.Server.Address, "server_version", lease.Server.Version, "via", x.via,
 		"result", result, "candidates", in.Candidates, "tokens", x.call.PromptTokens, "prefill", in.PrefillTokens, "running", in.Running, "others_running", in.PeerRunning, "backlog", in.Backlog, "others_backlog", in.PeerBacklog, "load_age_ms", in.LoadAge.Milliseconds(),
 		"prefix", in.Prefix, "home", in.Home, "interactive", in.Interactive, "lane", in.LaneSize, "cached", in.CachedTokens, "transferred", in.TransferredTokens, "slowness", in.Slowness, "unreported", in.Unreported, "failures", math.Round(in.FailureRatio*100) / 100, "rank", x.rank(), "expected_wait_ms", x.expectedWait.Milliseconds(), "left_ms", clock.Until(x.deadline).Milliseconds(),
 	}
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -17,7 +17,10 @@
 	// Timeout is how long the caller waits, or zero if unknown.
 	Timeout time.Duration
 	// LastEventID is the ID of the last event that the caller has received, or "".
-	LastEventID  string
+	LastEventID string
+	// Resumes is the ID of the call that brought the first event of the stream that this call takes up, or
+	// "" if the caller names none.
+	Resumes      string
 	PromptTokens int
 	OutputTokens int
 	// Parts are the parts of the prompt; the last one is unique to this call.
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -153,6 +153,8 @@
 	// Started is the start time reported by the server, in milliseconds; zero if it reports none.
 	// It distinguishes incarnations with the same ID. As clocks jump, it is compared for equality only.
 	Started int64
+	// Version is the version of the server's software, which differs from that of the model's weights.
+	Version string `json:",omitzero"`
 	// Leaving servers are draining: they get no new requests.
 	Leaving bool
 	// Spot servers can be reclaimed by the provider at short notice.
