gateway, resumption: a stream goes on at the software version that began it

Callers got streams whose events came from servers of two software versions, within one answer and over their tries.

Cause: servers of a service were held for alike as they have its name in common. The version of an entry was not read, and what a stream began at was known to nobody once its box had let it go, while its caller takes it up at any box.

Change: the first event that is forwarded binds a stream to the version of its server; after it only servers of that version are candidates, at each dispatch. Across tries, pkg/resumption records the version at three boxes before the event is forwarded, and the box that is named an attempt in Resumes asks them; unknown is refused and never guessed. Nothing is sent or kept while a service has one version; when a second one appears, each box records the streams that it forwards.

Why it works: a binding exists before an event is out, there is one statement for each stream, and without a statement nothing goes on where two versions are known.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -159,7 +159,9 @@
 	// table and list follow the two parts of the source.
 	table, list    *follower
 	onNotification func(Notification)
-	outdated       *outdatedMessages
+	// onServers is set by OnServersChange.
+	onServers func()
+	outdated  *outdatedMessages
 	// applyMu serialises the changes of each part. It guards pendingDeltas, the table deltas whose
 	// base version is not in force yet.
 	applyMu       sync.Mutex
@@ -171,6 +173,8 @@
 
 	mu      sync.Mutex
 	servers map[string]Server
+	// former holds earlier lives of servers that had another version.
+	former []Server
 	// prunedAt is when servers were last pruned whose removal is older than the retention period.
 	prunedAt time.Time
 	// answeredAt is when this box last learned that the source answers. recoveredAt is when the source last
@@ -204,7 +208,7 @@
 
 // New returns an empty directory.
 func New(logger log.Logger) *Directory {
-	d := &Directory{logger: logger, servers: make(map[string]Server), outdated: newOutdatedMessages(logger)}
+	d := &Directory{logger: logger, servers: make(map[string]Server), outdated: newOutdatedMessages(logger), onServers: func() {}}
 	d.view.Store(&View{})
 	d.table = newFollower(PartTable, logger, func() bool { return d.View().Table != nil })
 	d.list = newFollower(PartServers, logger, func() bool { return !d.View().ServersConfirmedAt.IsZero() })
@@ -356,6 +360,10 @@
 		line = level.Debug(d.logger)
 	}
 	_ = line.Log("msg", "server listed", "server", s.ID, "service", s.Service, "address", s.Address, "hall", s.Hall, "version", s.Version, "leaving", s.Leaving, "known", exists, "warm_up_ms", s.WarmUpRemaining.Milliseconds(), "withheld", !listed.WithheldUntil.IsZero())
+	if exists && old.Version != s.Version {
+		old.RemovedAt = at
+		d.former = append(d.former, old)
+	}
 	if s.WarmUpRemaining > 0 {
 		listed.WarmUpEnd = at.Add(s.WarmUpRemaining)
 	}
--- a/pkg/directory/pools.go
+++ b/pkg/directory/pools.go
@@ -28,6 +28,10 @@
 	draining []routing.Server
 	withheld []Server
 	removed  []Server
+	// departed were leaving and are no longer listed. Only their versions are used.
+	departed []Server
+	// versions are the versions of the software of all of them.
+	versions []serverVersion
 }
 
 // serverAt returns a server with an address, in any state.
@@ -52,6 +56,7 @@
 	case stopped && s.RemovedAt.IsZero():
 		p.draining = append(p.draining, s.Server)
 	case stopped:
+		p.departed = append(p.departed, s)
 	case s.RemovedAt.IsZero() && !s.WithheldUntil.IsZero():
 		p.withheld = append(p.withheld, s)
 	case s.RemovedAt.IsZero():
@@ -72,6 +77,7 @@
 		draining: slices.DeleteFunc(cloneWithSpare(p.draining, len(ids)), func(s routing.Server) bool { return ids[s.ID] }),
 		withheld: slices.DeleteFunc(cloneWithSpare(p.withheld, len(ids)), func(s Server) bool { return ids[s.ID] }),
 		removed:  slices.DeleteFunc(cloneWithSpare(p.removed, len(ids)), func(s Server) bool { return ids[s.ID] }),
+		departed: slices.DeleteFunc(cloneWithSpare(p.departed, len(ids)), func(s Server) bool { return ids[s.ID] }),
 	}
 }
 
@@ -99,6 +105,7 @@
 	v.warmUpEnds = make(map[routing.Incarnation]time.Time)
 	v.evacuated = d.effectiveHalls
 	v.pools = make(map[string]*pool)
+	d.former = slices.DeleteFunc(d.former, func(s Server) bool { return at.Sub(s.RemovedAt) > removedRetention })
 	for id, s := range d.servers {
 		if !s.RemovedAt.IsZero() && at.Sub(s.RemovedAt) > removedRetention {
 			delete(d.servers, id)
@@ -114,11 +121,18 @@
 			v.warmUpEnds[s.Incarnation()] = s.WarmUpEnd
 		}
 	}
+	for _, s := range d.former {
+		if p := v.pools[s.Service]; p != nil {
+			p.departed = append(p.departed, s)
+		}
+	}
 	for _, p := range v.pools {
 		p.sort()
+		p.findVersions()
 	}
 	d.prunedAt = at
 	d.view.Store(&v)
+	d.onServers()
 }
 
 // updatePools derives the pools from the previous ones, as a rebuild from the list is costly while
@@ -135,6 +149,9 @@
 		d.replaceServers(&v, events, at)
 	}
 	d.view.Store(&v)
+	if len(events) > 0 {
+		d.onServers()
+	}
 }
 
 // replaceServers updates changed servers in a view that is not published yet.
@@ -160,4 +177,12 @@
 			v.warmUpEnds[s.Incarnation()] = s.WarmUpEnd
 		}
 	}
+	for _, s := range d.former {
+		if p := v.pools[s.Service]; p != nil && ids[s.ID] {
+			p.departed = append(p.departed, s)
+		}
+	}
+	for _, p := range v.pools {
+		p.findVersions()
+	}
 }
--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -51,7 +51,8 @@
 // 30 in 100 of the load, 168 instead of 2,503 requests waited in vain in 20 s
 // (TestOverloadedServiceRefusesLeastUrgent).
 func (x *exchange) admit() error {
-	if !x.service.Engine {
+	// A stream that was taken up has cost prefill and tokens already, and can go on at few servers only.
+	if !x.service.Engine || x.takenUp {
 		return nil
 	}
 	now := clock.Now()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -55,6 +55,8 @@
 	Limits   Limits
 	// Scheduling returns the optional decisions that are switched on; nil for none.
 	Scheduling func() Scheduling
+	// Streams knows at which software version streams began. If it is nil, streams go on at any server.
+	Streams Streams
 	// Shares tracks what organisations use. If it is nil, nothing is counted.
 	Shares Shares
 	// Shutdown returns the planned shutdown in progress, or nil.
@@ -207,6 +209,10 @@
 	// event within which it ended.
 	response        *upstream.Response
 	incompleteEvent atomic.Int64
+	// bound is set once the stream must go on at the version at which it began. takenUp is set if another
+	// box recorded that.
+	bound   atomic.Pointer[boundStream]
+	takenUp bool
 
 	// end reports the end of the latest attempt.
 	end   *attemptEnd
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -49,6 +49,9 @@
 // finish sends an error response if err is not nil and nothing was sent yet, and records the
 // outcome of the request.
 func (x *exchange) finish(err error) {
+	if err != nil || x.bodyEnd == upstream.EndClosed {
+		x.keepInterrupted()
+	}
 	outcome := x.writeError(err)
 	x.recordAndLog(outcome, err)
 	if outcome == OutcomeTruncated || outcome == OutcomeCallerGone {
--- a/pkg/gateway/regions.go
+++ b/pkg/gateway/regions.go
@@ -10,7 +10,7 @@
 
 // candidates returns the servers in a view to which the request may be sent.
 func (x *exchange) candidates(v *directory.View, now time.Time) []routing.Server {
-	return x.inAllowedRegions(v.Candidates(x.service.Name, now, x.gateway.Limits.LostServerGrace))
+	return x.ofBoundVersion(x.inAllowedRegions(v.Candidates(x.service.Name, now, x.gateway.Limits.LostServerGrace)))
 }
 
 // inAllowedRegions returns those of the servers that are in a region where the request may be
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -56,6 +56,9 @@
 	if err := x.checkQuarantine(ctx); err != nil {
 		return err
 	}
+	if err := x.bindTakenUp(ctx); err != nil {
+		return err
+	}
 	if err := x.admit(); err != nil {
 		return err
 	}
@@ -68,6 +71,7 @@
 			x.mayHaveRun = true
 			x.recordLostStart()
 		}
+		x.checkLife()
 		switch {
 		case ctx.Err() != nil:
 			return x.contextError(ctx, f)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -71,6 +71,7 @@
 // sendEvents sends complete events to the caller, preceded by the header of the first server that
 // sent any.
 func (x *exchange) sendEvents(resp *upstream.Response, events []byte) error {
+	x.bindStream()
 	x.writeStreamHead(resp)
 	x.extendWriteDeadline()
 	if _, err := x.writer.Write(events); err != nil {
--- /dev/null
+++ b/pkg/resumption/decide.go
@@ -0,0 +1,46 @@
+package resumption
+
+// Evidence is what a box knows about a stream that its caller takes up.
+type Evidence struct {
+	// Origin is where the stream began, if Found is set.
+	Origin Origin
+	Found  bool
+	// Versions are the versions of the service's servers that this box knows.
+	Versions []string
+	// ListFresh is set if the list of servers was confirmed lately.
+	ListFresh bool
+	// Answered is set if another box has answered, OthersSeveral if one of those knows several versions.
+	Answered      bool
+	OthersSeveral bool
+}
+
+// Verdict says at which version a stream goes on.
+type Verdict struct {
+	// Known is unset if nobody knows the version: the stream must not go on.
+	Known bool
+	// Origin is where the stream began, or where it must go on if it has no record.
+	Origin Origin
+	// Recorded is set if a box had a record.
+	Recorded bool
+	Reason   string
+}
+
+// Decide decides at which version a stream of a service goes on. A box that knows a single version may be
+// behind: a second one may serve that it does not know of, at which the stream began. So it relies on another
+// box or on a fresh list. A stream that began before anyone knew of a second version has no record, but no
+// box then knows several.
+func Decide(service string, e Evidence) Verdict {
+	switch {
+	case e.Found && e.Origin.Ambiguous:
+		return Verdict{Reason: "its version is ambiguous"}
+	case e.Found:
+		return Verdict{Known: true, Origin: e.Origin, Recorded: true, Reason: "recorded"}
+	case len(e.Versions) > 1 || e.OthersSeveral:
+		return Verdict{Reason: "no box has a record of it, and there are several versions"}
+	case len(e.Versions) == 0:
+		return Verdict{Reason: "no server of the service is known"}
+	case !e.ListFresh && !e.Answered:
+		return Verdict{Reason: "this box may not know all versions, and no other box answered"}
+	}
+	return Verdict{Known: true, Origin: Origin{Service: service, Version: e.Versions[0]}, Reason: "one version"}
+}
--- /dev/null
+++ b/pkg/resumption/exchange.go
@@ -0,0 +1,376 @@
+package resumption
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+
+	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/datagram"
+	"headhill.example/headhill/pkg/pause"
+	"headhill.example/headhill/pkg/resumption/resumptionpb"
+	"headhill.example/headhill/pkg/roster"
+)
+
+const (
+	// datagramKind is the kind of the datagrams of this package.
+	datagramKind = "streams"
+	// copies is the number of boxes that keep a record besides the box that began the stream.
+	copies = 3
+	// maxAsked is the number of boxes that are asked for a record. Boxes after the first copies ones have
+	// those that boxes handed over as they stopped, and in a small fleet the one that began the stream.
+	maxAsked = 9
+	// answerTimeout is how long a group of boxes may take to answer. A record or a question that is lost
+	// costs this time once.
+	answerTimeout = 40 * time.Millisecond
+	// retryPause is the pause before boxes are asked again. The record of a stream that a box sent just
+	// before it was lost may be on its way, as may that of a version that has just appeared.
+	retryPause = 80 * time.Millisecond
+	// lookupRounds is how often boxes are asked where there are several versions and no record.
+	lookupRounds = 3
+	// freshList is the age up to which the list of servers counts as confirmed lately.
+	freshList = 3 * time.Second
+	// recordInterval is how often the streams in progress are recorded again.
+	recordInterval = Retention / 3
+)
+
+// Deps are the dependencies of an Exchange.
+type Deps struct {
+	// Box is the name of this box.
+	Box  string
+	Port *datagram.Port
+	// Boxes returns all boxes, including this one.
+	Boxes func() []roster.Entry
+	// Versions returns the versions of the software of a service's servers, those that were removed lately
+	// included, and the age of the list.
+	Versions func(service string) (versions []string, age time.Duration)
+	// InProgress returns the streams that this box forwards.
+	InProgress func() map[Key]Origin
+	Logger     log.Logger
+}
+
+// Exchange records where streams began, and finds it out for those that callers take up.
+type Exchange struct {
+	Deps
+	registry *Registry
+	changed  chan struct{}
+	lastID   atomic.Uint64
+	// counts of what was recorded and found, see Counts.
+	recorded, found, oneVersion, unknown atomic.Int64
+
+	mu sync.Mutex
+	// waiting holds the channels of questions that are not answered yet.
+	waiting map[uint64]chan *resumptionpb.Reply
+
+	// several holds the services with several versions whose streams were recorded. It is used by Run.
+	several map[string]bool
+}
+
+// New returns an Exchange and registers it for messages on the port.
+func New(d Deps) *Exchange {
+	e := &Exchange{
+		Deps: d, registry: NewRegistry(), changed: make(chan struct{}, 1),
+		waiting: make(map[uint64]chan *resumptionpb.Reply), several: make(map[string]bool),
+	}
+	d.Port.Handle(datagramKind, e.receive)
+	return e
+}
+
+// Counts returns the records that are kept, and what was recorded and found since the start.
+func (e *Exchange) Counts() map[string]int64 {
+	return map[string]int64{
+		"kept": int64(e.registry.Len()), "recorded": e.recorded.Load(), "found": e.found.Load(),
+		"one version": e.oneVersion.Load(), "unknown": e.unknown.Load(),
+	}
+}
+
+// Began records where a stream began, if its service has several versions. It does not block, and is called
+// before the first event is forwarded.
+func (e *Exchange) Began(k Key, o Origin) {
+	if !e.hasSeveral(o.Service) {
+		return
+	}
+	e.registry.Put(k, o, true, clock.Now())
+	e.recorded.Add(1)
+	e.sendRecords(map[Key]Origin{k: o})
+}
+
+// Interrupted keeps where a stream began that did not reach its end, and so may be taken up.
+func (e *Exchange) Interrupted(k Key, o Origin) {
+	e.registry.Put(k, o, true, clock.Now())
+	if e.hasSeveral(o.Service) {
+		e.sendRecords(map[Key]Origin{k: o})
+	}
+}
+
+// Find returns the verdict on a stream of a service that its caller takes up.
+func (e *Exchange) Find(ctx context.Context, k Key, service string) Verdict {
+	var v Verdict
+	for round := range lookupRounds {
+		if round > 0 {
+			pause.For(ctx, retryPause)
+		}
+		v = Decide(service, e.collect(ctx, k, service))
+		if v.Known || ctx.Err() != nil {
+			break
+		}
+	}
+	switch {
+	case !v.Known:
+		e.unknown.Add(1)
+	case v.Recorded:
+		e.found.Add(1)
+	default:
+		e.oneVersion.Add(1)
+	}
+	return v
+}
+
+// collect asks other boxes for the record of a stream, unless this box has it.
+func (e *Exchange) collect(ctx context.Context, k Key, service string) Evidence {
+	versions, age := e.Versions(service)
+	evidence := Evidence{Versions: versions, ListFresh: age < freshList}
+	if evidence.Origin, evidence.Found = e.registry.Get(k, clock.Now()); evidence.Found {
+		return evidence
+	}
+	ask := Keepers(e.Boxes(), k, maxAsked, e.Box)
+	// A box without others knows all there is to know.
+	evidence.Answered = len(ask) == 0
+	for len(ask) > 0 && !evidence.Found && ctx.Err() == nil {
+		n := min(copies, len(ask))
+		e.askGroup(ctx, ask[:n], &resumptionpb.Query{Key: k[:], Service: service}, &evidence)
+		ask = ask[n:]
+		if len(versions) == 1 && evidence.Answered && !evidence.OthersSeveral {
+			break
+		}
+	}
+	return evidence
+}
+
+// askGroup asks some boxes at once, and adds their answers until one has a record, all have answered, or
+// answerTimeout has passed.
+func (e *Exchange) askGroup(ctx context.Context, boxes []roster.Entry, q *resumptionpb.Query, evidence *Evidence) {
+	replies := make(chan *resumptionpb.Reply, len(boxes))
+	q.Id = e.lastID.Add(1)
+	e.await(q.Id, replies)
+	defer e.await(q.Id, nil)
+	e.send(&resumptionpb.Message{Query: q}, boxes)
+	timer := time.NewTimer(answerTimeout)
+	defer timer.Stop()
+	for range boxes {
+		select {
+		case r := <-replies:
+			evidence.add(r)
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+		if evidence.Found {
+			return
+		}
+	}
+}
+
+// add adds an answer.
+func (e *Evidence) add(r *resumptionpb.Reply) {
+	e.Answered = true
+	e.OthersSeveral = e.OthersSeveral || r.GetSeveral()
+	if r.GetRecord() == nil {
+		return
+	}
+	if _, o, err := decodeRecord(r.GetRecord()); err == nil {
+		e.Origin, e.Found = o, true
+	}
+}
+
+// await sets the channel for the answers to a question; nil ends the wait.
+func (e *Exchange) await(id uint64, replies chan *resumptionpb.Reply) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if replies == nil {
+		delete(e.waiting, id)
+		return
+	}
+	e.waiting[id] = replies
+}
+
+// receive handles a message of another box. It must not block.
+func (e *Exchange) receive(m datagram.Message) {
+	p := &resumptionpb.Message{}
+	if err := proto.Unmarshal(m.Body, p); err != nil {
+		_ = level.Debug(e.Logger).Log("msg", "record of a stream dropped", "from", m.Box, "err", err)
+		return
+	}
+	for _, r := range p.GetRecords() {
+		k, o, err := decodeRecord(r)
+		if err != nil {
+			_ = level.Debug(e.Logger).Log("msg", "record of a stream dropped", "from", m.Box, "err", err)
+			continue
+		}
+		e.registry.Put(k, o, false, m.Received)
+	}
+	if q := p.GetQuery(); q != nil && len(q.GetKey()) == keyBytes {
+		e.answer(q, m.From)
+	}
+	if r := p.GetReply(); r != nil {
+		e.deliver(r)
+	}
+}
+
+func (e *Exchange) answer(q *resumptionpb.Query, to *net.UDPAddr) {
+	k := Key(q.GetKey())
+	r := &resumptionpb.Reply{Id: q.GetId(), Several: e.hasSeveral(q.GetService())}
+	if o, ok := e.registry.Get(k, clock.Now()); ok {
+		r.Record = encodeRecord(k, o)
+	} else if o, ok := e.InProgress()[k]; ok {
+		r.Record = encodeRecord(k, o)
+	}
+	e.sendTo(&resumptionpb.Message{Reply: r}, to)
+}
+
+func (e *Exchange) deliver(r *resumptionpb.Reply) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case e.waiting[r.GetId()] <- r:
+	default:
+	}
+}
+
+func (e *Exchange) hasSeveral(service string) bool {
+	versions, _ := e.Versions(service)
+	return len(versions) > 1
+}
+
+// ServersChanged is called when the list of servers has changed. It does not block.
+func (e *Exchange) ServersChanged() {
+	select {
+	case e.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Run records the streams of services that get a second version, and again those that are still in progress,
+// until ctx is done.
+func (e *Exchange) Run(ctx context.Context) {
+	ticker := time.NewTicker(recordInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.changed:
+			e.recordNewlySeveral()
+		case <-ticker.C:
+			e.recordInProgress(e.hasSeveral)
+		}
+	}
+}
+
+// recordNewlySeveral records the streams of services that have had one version until now: those in progress
+// and those that were interrupted.
+func (e *Exchange) recordNewlySeveral() {
+	newly := make(map[string]bool)
+	own := e.registry.All(true, clock.Now())
+	inProgress := e.InProgress()
+	for _, streams := range []map[Key]Origin{own, inProgress} {
+		for _, o := range streams {
+			newly[o.Service] = e.hasSeveral(o.Service) && !e.several[o.Service]
+		}
+	}
+	interrupted := make(map[Key]Origin)
+	for k, o := range own {
+		if newly[o.Service] {
+			interrupted[k] = o
+		}
+	}
+	e.sendRecords(interrupted)
+	e.recordInProgress(func(service string) bool { return newly[service] })
+	e.several = e.severalNow(newly)
+}
+
+// severalNow returns which of the services that were looked at have several versions.
+func (e *Exchange) severalNow(newly map[string]bool) map[string]bool {
+	several := make(map[string]bool)
+	for service := range e.several {
+		if e.hasSeveral(service) {
+			several[service] = true
+		}
+	}
+	for service, is := range newly {
+		if is {
+			several[service] = true
+		}
+	}
+	return several
+}
+
+// recordInProgress records the streams in progress of some services.
+func (e *Exchange) recordInProgress(of func(service string) bool) {
+	streams := e.InProgress()
+	now := clock.Now()
+	for k, o := range streams {
+		if !of(o.Service) {
+			delete(streams, k)
+			continue
+		}
+		e.registry.Put(k, o, true, now)
+	}
+	e.sendRecords(streams)
+}
+
+// HandOver sends all records to other boxes before this one stops.
+func (e *Exchange) HandOver() {
+	all := e.registry.All(false, clock.Now())
+	for k, o := range all {
+		if !e.hasSeveral(o.Service) {
+			delete(all, k)
+		}
+	}
+	e.sendRecords(all)
+}
+
+// sendRecords sends records to the boxes that keep them.
+func (e *Exchange) sendRecords(streams map[Key]Origin) {
+	if len(streams) == 0 {
+		return
+	}
+	boxes := e.Boxes()
+	records := make(map[string][]*resumptionpb.Record)
+	keepers := make(map[string]roster.Entry)
+	for k, o := range streams {
+		for _, keeper := range Keepers(boxes, k, copies, e.Box) {
+			keepers[keeper.Box] = keeper
+			records[keeper.Box] = append(records[keeper.Box], encodeRecord(k, o))
+		}
+	}
+	for name, list := range records {
+		for _, m := range batch(list) {
+			e.send(m, []roster.Entry{keepers[name]})
+		}
+	}
+}
+
+func (e *Exchange) send(m *resumptionpb.Message, boxes []roster.Entry) {
+	to := make([]*net.UDPAddr, 0, len(boxes))
+	for _, b := range boxes {
+		if a := b.Address(); a != nil {
+			to = append(to, a)
+		}
+	}
+	e.sendTo(m, to...)
+}
+
+func (e *Exchange) sendTo(m *resumptionpb.Message, to ...*net.UDPAddr) {
+	body, err := proto.Marshal(m)
+	if err != nil || !e.Port.Send(datagramKind, body, to...) {
+		_ = level.Warn(e.Logger).Log("msg", "sending records of streams failed", "records", len(m.GetRecords()), "bytes", len(body), "err", err)
+	}
+}
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -31,6 +31,7 @@
 	"headhill.example/headhill/pkg/logflags"
 	"headhill.example/headhill/pkg/quarantine"
 	"headhill.example/headhill/pkg/readiness"
+	"headhill.example/headhill/pkg/resumption"
 	"headhill.example/headhill/pkg/retry"
 	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/serverpath"
@@ -109,6 +110,7 @@
 	duties   *fleetDuties
 	// quarantine holds back requests that crash servers.
 	quarantine  *quarantine.Quarantine
+	streams     *resumption.Exchange
 	retryBudget *retry.Budget
 	// limiter limits the request rate to servers that signal a rate limit.
 	limiter    *fleetlimit.Limiter
@@ -185,10 +187,15 @@
 	}
 	d.retryBudget = retry.NewBudget(d.retryLimits())
 	d.roster.OnRefresh(d.updateShares)
+	d.streams = resumption.New(resumption.Deps{
+		Box: s.Box.ID, Port: d.peers, Boxes: d.roster.Entries, Versions: d.serverVersions, Logger: peerLogger,
+		InProgress: func() map[resumption.Key]resumption.Origin { return d.gateway.StreamsInProgress() },
+	})
+	d.directory.OnServersChange(d.streams.ServersChanged)
 	d.gateway = gateway.New(gateway.Deps{
 		Protocol: a.Protocol, Directory: d.directory, Balancer: balance,
 		Budget: d.retryBudget, Upstream: d.upstream, Quarantine: d.quarantine, Recorder: recorder{metrics}, Usage: d.duties, Logger: logs.For(logflags.Gateway),
-		Hall: s.Box.Hall, Shutdown: d.shutdown.Load, RegionOf: d.regionOf, Shares: d.shares,
+		Hall: s.Box.Hall, Shutdown: d.shutdown.Load, RegionOf: d.regionOf, Shares: d.shares, Streams: d.streams,
 		Scheduling: func() gateway.Scheduling { return d.settings.Load().Scheduling.gatewayScheduling() },
 		Limits: gateway.Limits{
 			MaxRequests:       int64(s.Limits.MemoryMB) * requestsPerMB,
@@ -197,7 +204,7 @@
 			MaxDenialTableAge: s.Bounds.Apply,
 		},
 	})
-	if err := metrics.AddGauges(append(readAheadGauges(d.gateway.ReadAhead()), heldGauge(d.gateway), fairSharesGauge(d.shares))...); err != nil {
+	if err := metrics.AddGauges(append(readAheadGauges(d.gateway.ReadAhead()), heldGauge(d.gateway), fairSharesGauge(d.shares), streamsGauge(d.streams))...); err != nil {
 		return nil, oops.In("telemetry").Wrap(err)
 	}
 	d.quarantine.OnHeld(d.gateway.CancelQuarantined)
@@ -209,6 +216,12 @@
 	return d, nil
 }
 
+// serverVersions returns the versions of the software of a service's servers, and the age of the list.
+func (d *Daemon) serverVersions(service string) (versions []string, age time.Duration) {
+	now, v := clock.Now(), d.directory.View()
+	return v.Versions(service, now), v.ServersAge(now)
+}
+
 // checkStore reads the roster together with the store's revision and verifies that the directory
 // is up to date with that revision.
 func (d *Daemon) checkStore(ctx context.Context) (directory.Check, bool) {
@@ -348,6 +361,7 @@
 		func() { d.sharer.Run(d.ctx) },
 		func() { d.duties.run(d.ctx) },
 		func() { d.quarantine.Run(d.ctx) },
+		func() { d.streams.Run(d.ctx) },
 		func() { d.logSuspensions(d.ctx) },
 		d.peers.Listen,
 		func() { d.upstream.Run(d.ctx) },
--- a/pkg/routerd/gauges.go
+++ b/pkg/routerd/gauges.go
@@ -8,6 +8,7 @@
 	"headhill.example/headhill/pkg/gateway"
 	"headhill.example/headhill/pkg/quarantine"
 	"headhill.example/headhill/pkg/readahead"
+	"headhill.example/headhill/pkg/resumption"
 	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/serverpath"
 	"headhill.example/headhill/pkg/signals"
@@ -132,6 +133,14 @@
 	}
 }
 
+// streamsGauge returns the gauge for the records of where streams began.
+func streamsGauge(e *resumption.Exchange) telemetry.Gauge {
+	return telemetry.Gauge{
+		Name: "headhill_stream_versions", Help: "Records of the software versions at which streams began (kept), and since the start: streams recorded here, and taken up with a record (found), with one version, and refused as unknown.",
+		Attribute: "state", Observe: e.Counts,
+	}
+}
+
 // responseEndsGauge returns the gauge for responses of servers by how they ended.
 func responseEndsGauge(c *upstream.Client) telemetry.Gauge {
 	return telemetry.Gauge{
