--- a/pkg/resumption/decide.go
+++ b/pkg/resumption/decide.go
@@ -7,11 +7,21 @@
 	Found  bool
 	// Versions are the versions of the service's servers that this box knows.
 	Versions []string
-	// ListFresh is set if the list of servers was confirmed lately.
-	ListFresh bool
-	// Answered is set if another box has answered, OthersSeveral if one of those knows several versions.
-	Answered      bool
-	OthersSeveral bool
+	// ListConfirmed is set if the list of servers was confirmed after the stream was taken up.
+	ListConfirmed bool
+	// Others is the number of other boxes, Answers the number of those that have answered. OthersSeveral is
+	// set if one of them knows several versions.
+	Others, Answers int
+	OthersSeveral   bool
+}
+
+// minAnswers is the number of boxes that confirm that a service has one version. The boxes that answer keep the
+// record of the stream if there is one, unless it was lost on its way to each of them.
+const minAnswers = 2
+
+// confirmed reports whether this box knows all versions of the service.
+func (e *Evidence) confirmed() bool {
+	return e.ListConfirmed || e.Answers >= min(minAnswers, e.Others)
 }
 
 // Verdict says at which version a stream goes on.
@@ -23,12 +33,14 @@
 	// Recorded is set if a box had a record.
 	Recorded bool
 	Reason   string
+	// awaitsList is set if the next confirmation of the list of servers may decide.
+	awaitsList bool
 }
 
 // Decide decides at which version a stream of a service goes on. A box that knows a single version may be
-// behind: a second one may serve that it does not know of, at which the stream began. So it relies on another
-// box or on a fresh list. A stream that began before anyone knew of a second version has no record, but no
-// box then knows several.
+// behind: a second one may serve that it does not know of, at which the stream began. So it relies on other
+// boxes, or on a list that was confirmed since. A stream that began before anyone knew of a second version has
+// no record, but no box then knows several.
 func Decide(service string, e Evidence) Verdict {
 	switch {
 	case e.Found && e.Origin.Ambiguous:
@@ -39,8 +51,8 @@
 		return Verdict{Reason: "no box has a record of it, and there are several versions"}
 	case len(e.Versions) == 0:
 		return Verdict{Reason: "no server of the service is known"}
-	case !e.ListFresh && !e.Answered:
-		return Verdict{Reason: "this box may not know all versions, and no other box answered"}
+	case !e.confirmed():
+		return Verdict{Reason: "this box may not know all versions, and too few boxes answered", awaitsList: true}
 	}
 	return Verdict{Known: true, Origin: Origin{Service: service, Version: e.Versions[0]}, Reason: "one version"}
 }
--- a/pkg/resumption/exchange.go
+++ b/pkg/resumption/exchange.go
@@ -34,8 +34,8 @@
 	retryPause = 80 * time.Millisecond
 	// lookupRounds is how often boxes are asked where there are several versions and no record.
 	lookupRounds = 3
-	// freshList is the age up to which the list of servers counts as confirmed lately.
-	freshList = 3 * time.Second
+	// maxListWait limits how long a stream waits for the list of servers to be confirmed.
+	maxListWait = 1200 * time.Millisecond
 	// recordInterval is how often the streams in progress are recorded again.
 	recordInterval = Retention / 3
 )
@@ -111,12 +111,13 @@
 
 // Find returns the verdict on a stream of a service that its caller takes up.
 func (e *Exchange) Find(ctx context.Context, k Key, service string) Verdict {
+	start := clock.Now()
 	var v Verdict
-	for round := range lookupRounds {
+	for round := 0; round < lookupRounds || v.awaitsList && clock.Since(start) < maxListWait; round++ {
 		if round > 0 {
 			pause.For(ctx, retryPause)
 		}
-		v = Decide(service, e.collect(ctx, k, service))
+		v = Decide(service, e.collect(ctx, k, service, start))
 		if v.Known || ctx.Err() != nil {
 			break
 		}
@@ -132,21 +133,20 @@
 	return v
 }
 
-// collect asks other boxes for the record of a stream, unless this box has it.
-func (e *Exchange) collect(ctx context.Context, k Key, service string) Evidence {
+// collect asks other boxes for the record of a stream that was taken up at a time, unless this box has it.
+func (e *Exchange) collect(ctx context.Context, k Key, service string, since time.Time) Evidence {
 	versions, age := e.Versions(service)
-	evidence := Evidence{Versions: versions, ListFresh: age < freshList}
+	evidence := Evidence{Versions: versions, ListConfirmed: age < clock.Since(since)}
 	if evidence.Origin, evidence.Found = e.registry.Get(k, clock.Now()); evidence.Found {
 		return evidence
 	}
 	ask := Keepers(e.Boxes(), k, maxAsked, e.Box)
-	// A box without others knows all there is to know.
-	evidence.Answered = len(ask) == 0
+	evidence.Others = len(ask)
 	for len(ask) > 0 && !evidence.Found && ctx.Err() == nil {
 		n := min(copies, len(ask))
 		e.askGroup(ctx, ask[:n], &resumptionpb.Query{Key: k[:], Service: service}, &evidence)
 		ask = ask[n:]
-		if len(versions) == 1 && evidence.Answered && !evidence.OthersSeveral {
+		if len(versions) == 1 && evidence.confirmed() && !evidence.OthersSeveral {
 			break
 		}
 	}
@@ -180,7 +180,7 @@
 
 // add adds an answer.
 func (e *Evidence) add(r *resumptionpb.Reply) {
-	e.Answered = true
+	e.Answers++
 	e.OthersSeveral = e.OthersSeveral || r.GetSeveral()
 	if r.GetRecord() == nil {
 		return
--- a/pkg/resumption/keepers.go
+++ b/pkg/resumption/keepers.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -12,41 +13,43 @@
 // chosen by rendezvous hashing, so that boxes with somewhat different rosters agree on most of them, each
 // from another hall as long as there are others. The box with the name except is left out.
 func Keepers(boxes []roster.Entry, k Key, n int, except string) []roster.Entry {
+	scores := make([]uint64, len(boxes))
+	for i := range boxes {
+		if boxes[i].Box != except {
+			scores[i] = score(boxes[i].Box, k)
+		}
+	}
 	chosen := make([]roster.Entry, 0, n)
-	taken := make(map[string]bool, n)
-	halls := make(map[string]bool)
+	var halls []string
 	for len(chosen) < n {
-		best, found := highest(boxes, k, func(e roster.Entry) bool { return !taken[e.Box] && e.Box != except && !halls[e.Hall] })
-		if !found && len(halls) == 0 {
-			break
-		}
-		if !found {
-			clear(halls)
+		best := highest(boxes, scores, halls)
+		switch {
+		case best < 0 && len(halls) == 0:
+			return chosen
+		case best < 0:
+			halls = halls[:0]
 			continue
 		}
-		chosen = append(chosen, best)
-		taken[best.Box], halls[best.Hall] = true, true
+		chosen = append(chosen, boxes[best])
+		halls = append(halls, boxes[best].Hall)
+		scores[best] = 0
 	}
 	return chosen
 }
 
-// highest returns the box with the highest score of those that are eligible.
-func highest(boxes []roster.Entry, k Key, eligible func(roster.Entry) bool) (best roster.Entry, found bool) {
-	highestScore := uint64(0)
-	for _, e := range boxes {
-		if !eligible(e) {
-			continue
-		}
-		if s := score(e.Box, k); !found || s > highestScore {
-			best, found, highestScore = e, true, s
+// highest returns the index of the box with the highest score outside of some halls, or -1 if there is none
+// with a score.
+func highest(boxes []roster.Entry, scores []uint64, halls []string) int {
+	best, highestScore := -1, uint64(0)
+	for i, s := range scores {
+		if s > highestScore && !slices.Contains(halls, boxes[i].Hall) {
+			best, highestScore = i, s
 		}
 	}
-	return best, found
+	return best
 }
 
+// score returns the score of a box for a key, which is not zero.
 func score(box string, k Key) uint64 {
-	var buf [2 * 8]byte
-	binary.LittleEndian.PutUint64(buf[:], xxhash.Sum64String(box))
-	binary.LittleEndian.PutUint64(buf[8:], binary.LittleEndian.Uint64(k[:]))
-	return xxhash.Sum64(buf[:])
+	return (xxhash.Sum64String(box)^binary.LittleEndian.Uint64(k[:]))*0x9e3779b97f4a7c15 | 1
 }
