resumption: a box that does not know all boxes relies on its own list only if it was confirmed since

A box that has just started knows the current versions and perhaps no other box; it took the single version that it knew for the only one, although an earlier one may have been removed a moment ago, which others remember. It now awaits the next confirmation of its list, or other boxes. The test was written with the change; without it its second case is Known.

--- a/pkg/resumption/cost_test.go
+++ b/pkg/resumption/cost_test.go
@@ -7,7 +7,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
+
+	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/datagram"
+	"headhill.example/headhill/pkg/roster"
 )
 
 // costOf begins streams at a fleet whose service has some versions, and returns the datagrams and bytes sent,
@@ -42,6 +47,34 @@
 	assert.Zero(t, kept)
 }
 
+// Guards against a guess by a box that has just started: it knows the current versions only, and other boxes may
+// know an earlier one.
+func TestBoxThatKnowsNoOthersAwaitsItsList(t *testing.T) {
+	for _, c := range []struct {
+		boxesKnown, listConfirmed, want bool
+	}{{true, false, true}, {false, false, false}, {false, true, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			n := &network{random: rand.New(rand.NewPCG(1, 2)), conns: make(map[string]*packetConn)}
+			self := boxes(1, 1)[0]
+			start := clock.Now()
+			e := New(Deps{
+				Box: self.Box, Port: datagram.NewPort(datagram.Deps{Box: self.Box, Conn: n.listen(self.Address())}), Logger: log.NewNopLogger(),
+				Boxes: func() []roster.Entry { return []roster.Entry{self} }, BoxesKnown: func() bool { return c.boxesKnown },
+				Versions: func(string) ([]string, time.Duration) {
+					if c.listConfirmed {
+						return []string{"v1"}, 0
+					}
+					return []string{"v1"}, clock.Since(start) + time.Second
+				},
+				InProgress: func() map[Key]Origin { return nil },
+			})
+			v := e.Find(t.Context(), KeyOf("a", "b"), testService)
+			assert.Equal(t, c.want, v.Known, "%+v", c)
+			assert.LessOrEqual(t, clock.Since(start), maxListWait+2*retryPause)
+		})
+	}
+}
+
 // Guards against a cost of a stream that grows with the number of boxes.
 func TestCostOfAStreamDoesNotGrowWithBoxes(t *testing.T) {
 	const streamsPerBox = 40
--- a/pkg/resumption/exchange.go
+++ b/pkg/resumption/exchange.go
@@ -47,6 +47,8 @@
 	Port *datagram.Port
 	// Boxes returns all boxes, including this one.
 	Boxes func() []roster.Entry
+	// BoxesKnown reports whether Boxes returns all of them.
+	BoxesKnown func() bool
 	// Versions returns the versions of the software of a service's servers, those that were removed lately
 	// included, and the age of the list.
 	Versions func(service string) (versions []string, age time.Duration)
@@ -142,6 +144,9 @@
 	}
 	ask := Keepers(e.Boxes(), k, maxAsked, e.Box)
 	evidence.Others = len(ask)
+	if !e.BoxesKnown() {
+		evidence.Others = max(evidence.Others, minAnswers)
+	}
 	for len(ask) > 0 && !evidence.Found && ctx.Err() == nil {
 		n := min(copies, len(ask))
 		e.askGroup(ctx, ask[:n], &resumptionpb.Query{Key: k[:], Service: service}, &evidence)
--- a/pkg/resumption/histories_test.go
+++ b/pkg/resumption/histories_test.go
@@ -145,7 +145,7 @@
 	h.mu.Unlock()
 	port := datagram.NewPort(datagram.Deps{Box: e.Box, Conn: b.conn, IsPeer: func(netip.AddrPort) bool { return true }, Logger: log.NewNopLogger()})
 	b.exchange = New(Deps{
-		Box: e.Box, Port: port, Boxes: func() []roster.Entry { return h.roster }, Versions: b.versionsOf, InProgress: b.streams, Logger: log.NewNopLogger(),
+		Box: e.Box, Port: port, Boxes: func() []roster.Entry { return h.roster }, BoxesKnown: func() bool { return true }, Versions: b.versionsOf, InProgress: b.streams, Logger: log.NewNopLogger(),
 	})
 	go port.Listen()
 	go b.exchange.Run(ctx)
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -188,7 +188,7 @@
 	d.retryBudget = retry.NewBudget(d.retryLimits())
 	d.roster.OnRefresh(d.updateShares)
 	d.streams = resumption.New(resumption.Deps{
-		Box: s.Box.ID, Port: d.peers, Boxes: d.roster.Entries, Versions: d.serverVersions, Logger: peerLogger,
+		Box: s.Box.ID, Port: d.peers, Boxes: d.roster.Entries, BoxesKnown: d.roster.Complete, Versions: d.serverVersions, Logger: peerLogger,
 		InProgress: func() map[resumption.Key]resumption.Origin { return d.gateway.StreamsInProgress() },
 	})
 	d.directory.OnServersChange(d.streams.ServersChanged)
