resumption: a question about a stream does not copy all streams in progress

A box that was asked for a stream that it has no record of built a map of all streams that it forwards, under the lock of the gateway; a caller can make boxes ask up to nine others three times. Now it looks through them. The box at which a stream is taken up finds it among its own ones in progress as well. The form of the messages is recorded.

--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"slices"
 	"time"
 
@@ -140,14 +141,14 @@
 }
 
 // StreamsInProgress returns where the streams in progress began that their callers may take up.
-func (g *Gateway) StreamsInProgress() map[resumption.Key]resumption.Origin {
-	g.activeMu.Lock()
-	defer g.activeMu.Unlock()
-	streams := make(map[resumption.Key]resumption.Origin)
-	for x := range g.active {
-		if b := x.bound.Load(); b != nil && x.call.ID != "" {
-			streams[b.key] = b.origin
+func (g *Gateway) StreamsInProgress() iter.Seq2[resumption.Key, resumption.Origin] {
+	return func(yield func(resumption.Key, resumption.Origin) bool) {
+		g.activeMu.Lock()
+		defer g.activeMu.Unlock()
+		for x := range g.active {
+			if b := x.bound.Load(); b != nil && x.call.ID != "" && !yield(b.key, b.origin) {
+				return
+			}
 		}
 	}
-	return streams
 }
--- a/pkg/resumption/cost_test.go
+++ b/pkg/resumption/cost_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"iter"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -66,7 +68,7 @@
 					}
 					return []string{"v1"}, clock.Since(start) + time.Second
 				},
-				InProgress: func() map[Key]Origin { return nil },
+				InProgress: func() iter.Seq2[Key, Origin] { return maps.All(map[Key]Origin(nil)) },
 			})
 			v := e.Find(t.Context(), KeyOf("a", "b"), testService)
 			assert.Equal(t, c.want, v.Known, "%+v", c)
--- a/pkg/resumption/exchange.go
+++ b/pkg/resumption/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"iter"
+	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -52,8 +54,8 @@
 	// Versions returns the versions of the software of a service's servers, those that were removed lately
 	// included, and the age of the list.
 	Versions func(service string) (versions []string, age time.Duration)
-	// InProgress returns the streams that this box forwards.
-	InProgress func() map[Key]Origin
+	// InProgress returns the streams that this box forwards. The loop over them must not block.
+	InProgress func() iter.Seq2[Key, Origin]
 	Logger     log.Logger
 }
 
@@ -139,7 +141,7 @@
 func (e *Exchange) collect(ctx context.Context, k Key, service string, since time.Time) Evidence {
 	versions, age := e.Versions(service)
 	evidence := Evidence{Versions: versions, ListConfirmed: age < clock.Since(since)}
-	if evidence.Origin, evidence.Found = e.registry.Get(k, clock.Now()); evidence.Found {
+	if evidence.Origin, evidence.Found = e.origin(k); evidence.Found {
 		return evidence
 	}
 	ask := Keepers(e.Boxes(), k, maxAsked, e.Box)
@@ -232,14 +234,25 @@
 func (e *Exchange) answer(q *resumptionpb.Query, to *net.UDPAddr) {
 	k := Key(q.GetKey())
 	r := &resumptionpb.Reply{Id: q.GetId(), Several: e.hasSeveral(q.GetService())}
-	if o, ok := e.registry.Get(k, clock.Now()); ok {
-		r.Record = encodeRecord(k, o)
-	} else if o, ok := e.InProgress()[k]; ok {
+	if o, ok := e.origin(k); ok {
 		r.Record = encodeRecord(k, o)
 	}
 	e.sendTo(&resumptionpb.Message{Reply: r}, to)
 }
 
+// origin returns where a stream began that this box has a record of or forwards.
+func (e *Exchange) origin(k Key) (Origin, bool) {
+	if o, ok := e.registry.Get(k, clock.Now()); ok {
+		return o, true
+	}
+	for inProgress, o := range e.InProgress() {
+		if inProgress == k {
+			return o, true
+		}
+	}
+	return Origin{}, false
+}
+
 func (e *Exchange) deliver(r *resumptionpb.Reply) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -284,7 +297,7 @@
 func (e *Exchange) recordNewlySeveral() {
 	newly := make(map[string]bool)
 	own := e.registry.All(true, clock.Now())
-	inProgress := e.InProgress()
+	inProgress := maps.Collect(e.InProgress())
 	for _, streams := range []map[Key]Origin{own, inProgress} {
 		for _, o := range streams {
 			newly[o.Service] = e.hasSeveral(o.Service) && !e.several[o.Service]
@@ -319,7 +332,7 @@
 
 // recordInProgress records the streams in progress of some services.
 func (e *Exchange) recordInProgress(of func(service string) bool) {
-	streams := e.InProgress()
+	streams := maps.Collect(e.InProgress())
 	now := clock.Now()
 	for k, o := range streams {
 		if !of(o.Service) {
--- a/pkg/resumption/histories_test.go
+++ b/pkg/resumption/histories_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"flag"
 	"fmt"
+	"iter"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -161,14 +163,10 @@
 	return b.versions, clock.Since(b.confirmed)
 }
 
-func (b *simulatedBox) streams() map[Key]Origin {
+func (b *simulatedBox) streams() iter.Seq2[Key, Origin] {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	streams := make(map[Key]Origin)
-	for k, o := range b.inProgress {
-		streams[k] = o
-	}
-	return streams
+	return maps.All(maps.Clone(b.inProgress))
 }
 
 func (b *simulatedBox) isCut() bool {
--- a/pkg/resumption/registry_test.go
+++ b/pkg/resumption/registry_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"headhill.example/headhill/pkg/forms/formstest"
+	"headhill.example/headhill/pkg/resumption/resumptionpb"
 	"headhill.example/headhill/pkg/roster"
 )
 
@@ -116,3 +118,7 @@
 		assert.NotEmpty(t, v.Reason, name)
 	}
 }
+
+func TestFormOfMessages(t *testing.T) {
+	formstest.CheckShape(t, "resumption", &resumptionpb.Message{})
+}
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"iter"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -189,7 +190,7 @@
 	d.roster.OnRefresh(d.updateShares)
 	d.streams = resumption.New(resumption.Deps{
 		Box: s.Box.ID, Port: d.peers, Boxes: d.roster.Entries, BoxesKnown: d.roster.Complete, Versions: d.serverVersions, Logger: peerLogger,
-		InProgress: func() map[resumption.Key]resumption.Origin { return d.gateway.StreamsInProgress() },
+		InProgress: func() iter.Seq2[resumption.Key, resumption.Origin] { return d.gateway.StreamsInProgress() },
 	})
 	d.directory.OnServersChange(d.streams.ServersChanged)
 	d.gateway = gateway.New(gateway.Deps{
