gateway: a stream whose caller does not name its first call has no record of others

Callers that take up a stream without Resumes shared one key: a record under it, made while such a stream went on as a second version appeared, would have been taken for that of the next one, a guess. They now have the key of their own call, of which nobody has a record. Found by reading.

With it: the outcome is closed only if the server's response ended with its connection, not if a caller with HTTP/1.0 got a whole one.

--- a/pkg/gateway/callerend.go
+++ b/pkg/gateway/callerend.go
@@ -7,7 +7,7 @@
 	"headhill.example/headhill/pkg/upstream"
 )
 
-var errEndUnknown = errors.New("the server closed the connection of a response without a length, and the response began with a framing that would state that it is complete")
+var errEndUnknown = errors.New("the server closed the connection of a response without a length, and the caller's response began with chunks, which would state that it is complete: it is broken off")
 
 // writeHead sends the status and header of the response to the caller. A response with FramingLength has a
 // Content-Length in its header.
@@ -28,12 +28,10 @@
 func (x *exchange) endResponse(end upstream.End) error {
 	switch {
 	case x.framing == upstream.FramingClose:
-		x.bodyEnd = upstream.EndClosed
 		callerconn.EndUntilClose(x.request)
-		return nil
-	case end == upstream.EndWhole:
-		x.bodyEnd = upstream.EndWhole
-		return nil
+	case end != upstream.EndWhole:
+		return &truncatedError{Cause: errEndUnknown}
 	}
-	return &truncatedError{Cause: errEndUnknown}
+	x.bodyEnd = end
+	return nil
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -195,7 +195,7 @@
 	// headSent is set once the response header was sent to the caller.
 	headSent bool
 	status   int
-	// framing is that of the response to the caller once headSent is set, bodyEnd how it ended.
+	// framing is that of the response to the caller once headSent is set, bodyEnd how that of the server ended.
 	framing upstream.Framing
 	bodyEnd upstream.End
 	// firstEventTime and lastEventTime are when the first and the latest events were forwarded.
@@ -209,8 +209,8 @@
 	// event within which it ended.
 	response        *upstream.Response
 	incompleteEvent atomic.Int64
-	// bound is set once the stream must go on at the version at which it began. takenUp is set if another
-	// box recorded that.
+	// bound is set once the stream must go on at the version at which it began. takenUp is set if the caller
+	// takes it up and there is a record of that version.
 	bound   atomic.Pointer[boundStream]
 	takenUp bool
 
--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -43,13 +43,17 @@
 	return x.route.Kind == routing.KindStream && x.route.Resumable && x.gateway.Streams != nil
 }
 
-// streamKey returns the key of the stream, which is that of the call that brought its first event.
-func (x *exchange) streamKey() resumption.Key {
-	first := x.call.ID
-	if x.call.LastEventID != "" {
-		first = x.call.Resumes
+// firstCall returns the ID of the call that brought the first event of the stream, "" if it has none. A caller
+// that takes up a stream and does not name that call gets the version of no other stream.
+func (x *exchange) firstCall() string {
+	if x.call.LastEventID != "" && x.call.Resumes != "" {
+		return x.call.Resumes
 	}
-	return resumption.KeyOf(x.organisationName(), first)
+	return x.call.ID
+}
+
+func (x *exchange) streamKey() resumption.Key {
+	return resumption.KeyOf(x.organisationName(), x.firstCall())
 }
 
 // bindTakenUp binds a stream that the caller takes up to the version at which it began, or refuses it if
@@ -98,7 +102,7 @@
 		b = &boundStream{x.streamKey(), resumption.Origin{Service: x.service.Name, Version: x.end.lease.Server.Version}}
 		x.bound.Store(b)
 	}
-	if x.call.ID != "" {
+	if x.firstCall() != "" {
 		x.gateway.Streams.Began(b.key, b.origin)
 	}
 }
@@ -135,7 +139,7 @@
 // keepInterrupted keeps where a stream began that was not forwarded to its end, as its caller may take it up.
 func (x *exchange) keepInterrupted() {
 	x.checkLife()
-	if b := x.bound.Load(); b != nil && !x.firstEventTime.IsZero() && x.call.ID != "" {
+	if b := x.bound.Load(); b != nil && !x.firstEventTime.IsZero() && x.firstCall() != "" {
 		x.gateway.Streams.Interrupted(b.key, b.origin)
 	}
 }
@@ -146,7 +150,7 @@
 		g.activeMu.Lock()
 		defer g.activeMu.Unlock()
 		for x := range g.active {
-			if b := x.bound.Load(); b != nil && x.call.ID != "" && !yield(b.key, b.origin) {
+			if b := x.bound.Load(); b != nil && x.firstCall() != "" && !yield(b.key, b.origin) {
 				return
 			}
 		}
