--- a/pkg/resumption/exchange.go
+++ b/pkg/resumption/exchange.go
@@ -23,10 +23,12 @@
 const (
 	// datagramKind is the kind of the datagrams of this package.
 	datagramKind = "streams"
-	// copies is the number of boxes that keep a record besides the box that began the stream.
-	copies = 3
+	// copies is the number of boxes that keep a record besides the box that began the stream. In a fleet of
+	// up to smallFleet boxes all do, as any number of them may be killed at once.
+	copies     = 3
+	smallFleet = 9
 	// maxAsked is the number of boxes that are asked for a record. Boxes after the first copies ones have
-	// those that boxes handed over as they stopped, and in a small fleet the one that began the stream.
+	// those that boxes handed over as they stopped.
 	maxAsked = 9
 	// answerTimeout is how long a group of boxes may take to answer. A record or a question that is lost
 	// costs this time once.
@@ -137,6 +139,14 @@
 	return v
 }
 
+// copiesOf returns the number of boxes that keep a record in a fleet of a size.
+func copiesOf(boxes int) int {
+	if boxes <= smallFleet {
+		return smallFleet - 1
+	}
+	return copies
+}
+
 // collect asks other boxes for the record of a stream that was taken up at a time, unless this box has it.
 func (e *Exchange) collect(ctx context.Context, k Key, service string, since time.Time) Evidence {
 	versions, age := e.Versions(service)
@@ -149,8 +159,9 @@
 	if !e.BoxesKnown() {
 		evidence.Others = max(evidence.Others, minAnswers)
 	}
+	group := copiesOf(len(ask) + 1)
 	for len(ask) > 0 && !evidence.Found && ctx.Err() == nil {
-		n := min(copies, len(ask))
+		n := min(group, len(ask))
 		e.askGroup(ctx, ask[:n], &resumptionpb.Query{Key: k[:], Service: service}, &evidence)
 		ask = ask[n:]
 		if len(versions) == 1 && evidence.confirmed() && !evidence.OthersSeveral {
@@ -364,7 +375,7 @@
 	records := make(map[string][]*resumptionpb.Record)
 	keepers := make(map[string]roster.Entry)
 	for k, o := range streams {
-		for _, keeper := range Keepers(boxes, k, copies, e.Box) {
+		for _, keeper := range Keepers(boxes, k, copiesOf(len(boxes)), e.Box) {
 			keepers[keeper.Box] = keeper
 			records[keeper.Box] = append(records[keeper.Box], encodeRecord(k, o))
 		}
