resumption: a stream of a service with one version waits for two answers, not for all

In a small fleet in which a box is dead, each stream that was taken up waited 40 ms for its answer, as all boxes are asked at once.

--- a/pkg/resumption/decide.go
+++ b/pkg/resumption/decide.go
@@ -24,6 +24,11 @@
 	return e.ListConfirmed || e.Answers >= min(minAnswers, e.Others)
 }
 
+// settled reports whether further answers are not needed.
+func (e *Evidence) settled() bool {
+	return e.Found || len(e.Versions) == 1 && e.confirmed() && !e.OthersSeveral
+}
+
 // Verdict says at which version a stream goes on.
 type Verdict struct {
 	// Known is unset if nobody knows the version: the stream must not go on.
--- a/pkg/resumption/exchange.go
+++ b/pkg/resumption/exchange.go
@@ -160,19 +160,19 @@
 		evidence.Others = max(evidence.Others, minAnswers)
 	}
 	group := copiesOf(len(ask) + 1)
-	for len(ask) > 0 && !evidence.Found && ctx.Err() == nil {
+	for len(ask) > 0 && ctx.Err() == nil {
 		n := min(group, len(ask))
 		e.askGroup(ctx, ask[:n], &resumptionpb.Query{Key: k[:], Service: service}, &evidence)
 		ask = ask[n:]
-		if len(versions) == 1 && evidence.confirmed() && !evidence.OthersSeveral {
+		if evidence.settled() {
 			break
 		}
 	}
 	return evidence
 }
 
-// askGroup asks some boxes at once, and adds their answers until one has a record, all have answered, or
-// answerTimeout has passed.
+// askGroup asks some boxes at once, and adds their answers until these settle the question, all have answered,
+// or answerTimeout has passed.
 func (e *Exchange) askGroup(ctx context.Context, boxes []roster.Entry, q *resumptionpb.Query, evidence *Evidence) {
 	replies := make(chan *resumptionpb.Reply, len(boxes))
 	q.Id = e.lastID.Add(1)
@@ -190,7 +190,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if evidence.Found {
+		if evidence.settled() {
 			return
 		}
 	}
