--- a/pkg/gateway/relayfleet_test.go
+++ b/pkg/gateway/relayfleet_test.go
@@ -206,12 +206,17 @@
 
 func (noUsage) RequestStarted(string, time.Time) {}
 
-type noQuarantine struct{ Quarantine }
+type noQuarantine struct{}
 
 func (noQuarantine) MaySuspect(*quarantine.Request) bool { return false }
 func (noQuarantine) Verdict(quarantine.Fingerprint) quarantine.Verdict {
 	return quarantine.Verdict{}
 }
+func (noQuarantine) RecordCrash(quarantine.Fingerprint, quarantine.IncarnationHash, time.Time) {}
+func (noQuarantine) RecordSuccess(quarantine.Fingerprint)                                      {}
+func (noQuarantine) BeginTrial(context.Context, quarantine.Fingerprint, time.Time) bool {
+	return true
+}
 
 // events writes the events from the one after the request's last to a number of them, each with a
 // body of some bytes.
