--- /dev/null
+++ b/review/driver/times.go
@@ -0,0 +1,8 @@
+package main
+
+import (
+	"slices"
+	"time"
+)
+
+func sortTimes(list []time.Time) { slices.SortFunc(list, time.Time.Compare) }
