--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -167,6 +167,12 @@
 	f.run.note("all routers are ready")
 }
 
+// kill ends the process of a router at once.
+func (f *fleet) kill(b *box) {
+	_ = b.cmd.Process.Kill()
+	f.run.note("%s is killed", b.name)
+}
+
 // stop ends all processes. With KEEP_LOGS set, their logs are copied there first.
 func (f *fleet) stop() {
 	f.mu.Lock()
--- a/review/driver/servers.go
+++ b/review/driver/servers.go
@@ -31,6 +31,7 @@
 	run     *run
 	service string
 	zone    string
+	version string
 	// answer writes the answer to a request that this incarnation runs. It returns false if the connection ends.
 	answer func(s *server, c net.Conn, a arrival) bool
 
@@ -48,7 +49,12 @@
 
 // startServer starts a server and lists it in the store.
 func (r *run) startServer(name, service, zone string, answer func(*server, net.Conn, arrival) bool) *server {
-	s := &server{run: r, service: service, zone: zone, answer: answer, id: name, address: "127.0.0.1:0", conns: make(map[net.Conn]bool)}
+	return r.startVersion(name, service, zone, "v1", answer)
+}
+
+// startVersion starts a server with a version of its software.
+func (r *run) startVersion(name, service, zone, version string, answer func(*server, net.Conn, arrival) bool) *server {
+	s := &server{run: r, service: service, zone: zone, version: version, answer: answer, id: name, address: "127.0.0.1:0", conns: make(map[net.Conn]bool)}
 	if err := s.listen(); err != nil {
 		r.fail("server %s: %v", name, err)
 	}
@@ -69,12 +75,30 @@
 	id := s.id
 	s.mu.Unlock()
 	go s.accept(l, id)
-	s.run.fleet.store.Put("servers", id, map[string]any{
-		"service": s.service, "addr": s.address, "zone": s.zone, "version": "v1", "slots": 16, "state": "ready", "cold_left_ms": 0, "seq": 1,
-	})
+	s.list("ready")
 	return nil
 }
 
+// list writes the entry of the server with a state.
+func (s *server) list(state string) {
+	s.run.fleet.store.Put("servers", s.id, map[string]any{
+		"service": s.service, "addr": s.address, "zone": s.zone, "version": s.version, "slots": 16, "state": state, "cold_left_ms": 0, "seq": 1,
+	})
+	s.run.note("server %s (%s, version %s) is listed as %s", s.id, s.service, s.version, state)
+}
+
+// end ends a server for good, and removes its entry.
+func (s *server) end() {
+	s.mu.Lock()
+	_ = s.listener.Close()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	s.run.fleet.store.Remove("servers", s.id)
+	s.run.note("server %s has left", s.id)
+}
+
 func (s *server) accept(l net.Listener, id string) {
 	for {
 		c, err := l.Accept()
