--- a/review/driver/servers.go
+++ b/review/driver/servers.go
@@ -32,6 +32,8 @@
 	service string
 	zone    string
 	version string
+	// coldLeft is the cold_left_ms of the entry.
+	coldLeft time.Duration
 	// answer writes the answer to a request that this incarnation runs. It returns false if the connection ends.
 	answer func(s *server, c net.Conn, a arrival) bool
 
@@ -82,7 +84,7 @@
 // list writes the entry of the server with a state.
 func (s *server) list(state string) {
 	s.run.fleet.store.Put("servers", s.id, map[string]any{
-		"service": s.service, "addr": s.address, "zone": s.zone, "version": s.version, "slots": 16, "state": state, "cold_left_ms": 0, "seq": 1,
+		"service": s.service, "addr": s.address, "zone": s.zone, "version": s.version, "slots": 16, "state": state, "cold_left_ms": s.coldLeft.Milliseconds(), "seq": 1,
 	})
 	s.run.note("server %s (%s, version %s) is listed as %s", s.id, s.service, s.version, state)
 }
