--- a/review/driver/servers.go
+++ b/review/driver/servers.go
@@ -18,7 +18,7 @@
 
 // arrival is a request that reached a server.
 type arrival struct {
-	id, server string
+	id, server, path string
 	// from is the router process whose connection carried it, "" if it is none of them.
 	from   string
 	at     time.Time
@@ -145,7 +145,7 @@
 		if err != nil {
 			return
 		}
-		a := arrival{id: req.Header.Get("Headhill-Attempt-Id"), server: id, at: time.Now(), header: req.Header, body: string(body), from: s.run.ownerOf(c.RemoteAddr())}
+		a := arrival{id: req.Header.Get("Headhill-Attempt-Id"), server: id, path: req.URL.Path, at: time.Now(), header: req.Header, body: string(body), from: s.run.ownerOf(c.RemoteAddr())}
 		if want := req.Header.Get("Headhill-Expect-Instance"); want != "" && want != id {
 			s.run.note("server %s: %s expects %s, answered 421", id, a.id, want)
 			if _, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nHeadhill-Attempt-Id: %s\r\nHeadhill-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", a.id, id); err != nil {
