--- a/review/driver/copies.go
+++ b/review/driver/copies.go
@@ -40,7 +40,7 @@
 	f.configure(map[string]any{
 		"version": 3,
 		"routes": []any{map[string]any{"name": "lookup", "host": "ficu95.example", "path_prefix": "/status/", "route_kind": "idempotent", "timeout_ms": 2000, "slo_ms": 500, "priority": 1,
-			"service": "app", "max_attempts": 2}},
+			"service": "app", "max_attempts": 1}},
 		"services": []any{map[string]any{"name": "app", "max_conns": 100}},
 		"limits":   limits,
 		"tenants":  []any{map[string]any{"name": "hule930", "api_keys": []string{keyOfHule}, "priority": 0}},
@@ -64,7 +64,7 @@
 	})
 	for asker := range askers {
 		wg.Go(func() {
-			time.Sleep(time.Duration(asker) * 15 * time.Millisecond)
+			time.Sleep(time.Duration(asker) * 10 * time.Millisecond)
 			for n := range asks {
 				wg.Go(func() {
 					r.do(&call{box: boxes[(asker+n)%len(boxes)], method: "GET", path: fatalPath, key: keyOfHule, about: ", fatal"})
