--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -57,26 +58,35 @@
 }
 
 // usedPorts holds the ports that were given out.
-var usedPorts = make(map[string]bool)
+var usedPorts = make(map[int]bool)
+
+// Ports are below those that the system gives to outgoing connections, which could take the port of a router that
+// is down.
+const (
+	minPort   = 13000
+	portRange = 18000
+)
 
 // freeAddress returns a loopback address that is free for TCP and UDP.
 func (r *run) freeAddress() string {
-	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 200 {
+		port := minPort + rand.IntN(portRange)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if usedPorts[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			r.fail("no free port: %v", err)
+			continue
 		}
-		address := l.Addr().String()
 		l.Close()
 		u, err := net.ListenPacket("udp", address)
 		if err != nil {
 			continue
 		}
 		u.Close()
-		if !usedPorts[address] {
-			usedPorts[address] = true
-			return address
-		}
+		usedPorts[port] = true
+		return address
 	}
 	r.fail("no free port")
 	return ""
