--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -33,8 +33,10 @@
 
 // fleet is the store with the router processes.
 type fleet struct {
-	run     *run
-	store   *platformtest.Store
+	run   *run
+	store *platformtest.Store
+	// cloud takes the calls that one machine makes for all; nil if there are none.
+	cloud   *platformtest.Cloud
 	bounds  bounds
 	regions map[string]string
 
@@ -122,6 +124,9 @@
 	for zone, region := range f.regions {
 		fmt.Fprintf(&s, "%s = %s\n", zone, region)
 	}
+	if f.cloud != nil {
+		fmt.Fprintf(&s, "\n[duties]\naddress = %s\nheld = metering\nlease = 3000ms\nwindow = %ds\n", f.cloud.Address(), windowSeconds)
+	}
 	s.WriteString("\n[scheduling]\nserver-timings = yes\nexpected-arrivals = yes\ntransfer-from-full = yes\nreuse-connections = yes\n" +
 		"fair-shares = yes\nown-targets = no\nreturn-turns = no\nread-ahead = yes\n")
 	return s.String()
