--- a/review/driver/versions.go
+++ b/review/driver/versions.go
@@ -55,6 +55,18 @@
 	tries    int
 }
 
+// streamConfig returns a configuration with a route of streams that may be resumed.
+func streamConfig() map[string]any {
+	return map[string]any{
+		"version": 3,
+		"routes": []any{map[string]any{"name": "ask", "host": "ficu95.example", "path_prefix": "/lohu930/", "route_kind": "streaming", "timeout_ms": streamDeadline.Milliseconds(), "slo_ms": 2500,
+			"itl_target_ms": 1200, "priority": 0, "service": "model", "max_attempts": 2, "resumable": true, "sticky": true}},
+		"services": []any{map[string]any{"name": "model", "max_conns": 360, "engine": map[string]any{"kv_capacity": 521945}}},
+		"limits":   limits,
+		"tenants":  []any{map[string]any{"name": "hule930", "api_keys": []string{keyOfHule}, "priority": 0}},
+	}
+}
+
 // playVersions replaces the servers of a service one after the other by ones of another software version, and kills
 // all routers at the end of that. Clients take up the streams that broke off.
 func playVersions(r *run) bool {
@@ -63,14 +75,7 @@
 	for i := range 2 {
 		old = append(old, r.startVersion(fmt.Sprintf("i-old-%d", i+1), "model", []string{"caugiay", "hoalac"}[i], "v1", answerStream))
 	}
-	f.configure(map[string]any{
-		"version": 3,
-		"routes": []any{map[string]any{"name": "ask", "host": "ficu95.example", "path_prefix": "/lohu930/", "route_kind": "streaming", "timeout_ms": streamDeadline.Milliseconds(), "slo_ms": 2500,
-			"itl_target_ms": 1200, "priority": 0, "service": "model", "max_attempts": 2, "resumable": true, "sticky": true}},
-		"services": []any{map[string]any{"name": "model", "max_conns": 360, "engine": map[string]any{"kv_capacity": 521945}}},
-		"limits":   limits,
-		"tenants":  []any{map[string]any{"name": "hule930", "api_keys": []string{keyOfHule}, "priority": 0}},
-	})
+	f.configure(streamConfig())
 	boxes := []*box{f.addBox("edge-caugiay-1", "caugiay"), f.addBox("edge-hoalac-1", "hoalac"), f.addBox("edge-caugiay-2", "caugiay")}
 	f.awaitReady()
 	time.Sleep(2 * time.Second)
