--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -57,6 +57,8 @@
 	caller, ready, metrics, peer string
 	settings                     string
 	cmd                          *exec.Cmd
+	// ended is closed once the process has ended.
+	ended chan struct{}
 }
 
 // usedPorts holds the ports that were given out.
@@ -94,21 +96,33 @@
 	return ""
 }
 
-// addBox starts a router.
+// addBox starts a router. If it ends at once, another process has taken one of its ports, and others are tried.
 func (f *fleet) addBox(name, zone string) *box {
 	r := f.run
-	b := &box{name: name, zone: zone, caller: r.freeAddress(), ready: r.freeAddress(), metrics: r.freeAddress(), peer: r.freeAddress()}
-	b.settings = filepath.Join(r.dir, name+".ini")
-	if err := os.WriteFile(b.settings, []byte(f.settingsOf(b)), 0o600); err != nil {
-		r.fail("settings of %s: %v", name, err)
-	}
+	b := &box{name: name, zone: zone, settings: filepath.Join(r.dir, name+".ini")}
 	f.mu.Lock()
 	f.boxes = append(f.boxes, b)
 	f.mu.Unlock()
-	f.start(b)
-	return b
+	for range 3 {
+		b.caller, b.ready, b.metrics, b.peer = r.freeAddress(), r.freeAddress(), r.freeAddress(), r.freeAddress()
+		if err := os.WriteFile(b.settings, []byte(f.settingsOf(b)), 0o600); err != nil {
+			r.fail("settings of %s: %v", name, err)
+		}
+		f.start(b)
+		select {
+		case <-b.ended:
+			r.note("%s ended at once", name)
+		case <-time.After(startTime):
+			return b
+		}
+	}
+	r.fail("%s does not start", name)
+	return nil
 }
 
+// startTime is the time after which a router that runs has opened its ports.
+const startTime = 200 * time.Millisecond
+
 // settingsOf returns the settings as deploy/box.ini.tmpl fills them.
 func (f *fleet) settingsOf(b *box) string {
 	var s strings.Builder
@@ -160,7 +174,12 @@
 	if err := <-started; err != nil {
 		r.fail("%s does not start: %v", b.name, err)
 	}
-	go func() { _ = b.cmd.Wait() }()
+	ended, cmd := make(chan struct{}), b.cmd
+	b.ended = ended
+	go func() {
+		_ = cmd.Wait()
+		close(ended)
+	}()
 	r.note("%s (zone %s) started: %s", b.name, b.zone, strings.Join(command, " "))
 }
 
--- a/review/driver/lost.go
+++ b/review/driver/lost.go
@@ -9,6 +9,8 @@
 const (
 	// lostStreams is the number of streams that break off, newStreams that of those that begin later.
 	lostStreams, newStreams = 24, 12
+	// lateRetry is the pause before a client's retry, after which the routers are in touch again.
+	lateRetry = contact + 2*time.Second
 )
 
 // playLost kills all routers while servers of two software versions serve side by side. Clients take up the streams
@@ -27,7 +29,7 @@
 		for i := range n {
 			s := &stream{number: from + i}
 			list = append(list, s)
-			wg.Go(func() { r.followStream(s, boxes) })
+			wg.Go(func() { r.followStream(s, boxes, lateRetry) })
 		}
 		return list
 	}
--- a/review/driver/usage.go
+++ b/review/driver/usage.go
@@ -33,6 +33,8 @@
 func playUsage(r *run) bool {
 	f := r.fleet
 	f.bounds, f.cloud = shifted, platformtest.NewCloud()
+	// From here on all answers of the store hold Store-Era.
+	f.store.Restore(f.store.Snapshot())
 	s := r.startServer("i-1", "app", "caugiay", answerPlainly)
 	f.configure(map[string]any{
 		"version": 3,
--- a/review/driver/versions.go
+++ b/review/driver/versions.go
@@ -19,11 +19,14 @@
 	eventPause   = 150 * time.Millisecond
 	// streamDeadline is how long a client waits for a stream, over all its tries.
 	streamDeadline = 12 * time.Second
-	// maxTries is the number of tries of a client, tryPause the pause before a further one.
-	maxTries = 6
-	tryPause = time.Second
+	// maxTries is the number of tries of a client: the sheet gives one retry.
+	maxTries = 2
+	// tryPause is how long a client waits before its retry.
+	tryPause = 2 * time.Second
 	// releaseGap is the time between the two releases.
 	releaseGap = time.Second
+	// restartDelay is how long routers that were killed are away.
+	restartDelay = 700 * time.Millisecond
 )
 
 // answerStream writes the events after Last-Event-Id, each with the version of the server.
@@ -83,7 +86,7 @@
 	streams := make([]*stream, 12)
 	for i := range streams {
 		streams[i] = &stream{number: i}
-		wg.Go(func() { r.followStream(streams[i], boxes) })
+		wg.Go(func() { r.followStream(streams[i], boxes, tryPause) })
 	}
 	// Two releases, each of one of the two servers: the new server starts first, the old one drains, serves on for
 	// drain_ms and a little longer, and ends.
@@ -104,7 +107,7 @@
 	}
 	old[1].end()
 	if r.trouble {
-		time.Sleep(time.Second)
+		time.Sleep(restartDelay)
 		for _, b := range boxes {
 			f.start(b)
 		}
@@ -127,12 +130,12 @@
 	return mixed > 2
 }
 
-// followStream sends a request for a stream, and takes the stream up after its last event while it breaks off.
-func (r *run) followStream(s *stream, boxes []*box) {
+// followStream sends a request for a stream, and takes the stream up after its last event if it breaks off.
+func (r *run) followStream(s *stream, boxes []*box, pause time.Duration) {
 	end := time.Now().Add(streamDeadline)
 	for ; s.tries < maxTries && time.Until(end) > 0 && !s.done; s.tries++ {
 		if s.tries > 0 {
-			time.Sleep(tryPause)
+			time.Sleep(pause)
 		}
 		b, id := boxes[(s.number+s.tries)%len(boxes)], newID()
 		status, err := r.readStream(s, b, id, end)
