--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -41,7 +41,7 @@
 func (r *run) fail(format string, args ...any) { panic(notRun{fmt.Sprintf(format, args...)}) }
 
 var cases = map[string]func(*run) bool{
-	"keys": playKeys, "parts": playParts, "home": playHome, "versions": playVersions, "cold": playCold, "copies": playCopies, "usage": playUsage, "lost": playLost,
+	"keys": playKeys, "parts": playParts, "home": playHome, "versions": playVersions, "cold": playCold, "copies": playCopies, "usage": playUsage, "lost": playLost, "accepting": playAccepting,
 }
 
 func main() { os.Exit(play()) }
--- a/review/driver/servers.go
+++ b/review/driver/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -37,10 +38,12 @@
 	// answer writes the answer to a request that this incarnation runs. It returns false if the connection ends.
 	answer func(s *server, c net.Conn, a arrival) bool
 
-	mu       sync.Mutex
-	id       string
-	lives    int
-	address  string
+	mu      sync.Mutex
+	id      string
+	lives   int
+	address string
+	// listedAs is the address of the entry if it is not that of the server, but of a proxy before it.
+	listedAs string
 	listener net.Listener
 	conns    map[net.Conn]bool
 	arrivals []arrival
@@ -90,7 +93,7 @@
 func (s *server) list(state string) {
 	s.run.fleet.awaitStore()
 	s.run.fleet.store.Put("servers", s.id, map[string]any{
-		"service": s.service, "addr": s.address, "zone": s.zone, "version": s.version, "slots": 16, "state": state, "cold_left_ms": max(0, time.Until(s.coldUntil)).Milliseconds(), "seq": 1,
+		"service": s.service, "addr": cmp.Or(s.listedAs, s.address), "zone": s.zone, "version": s.version, "slots": 16, "state": state, "cold_left_ms": max(0, time.Until(s.coldUntil)).Milliseconds(), "seq": 1,
 	})
 	s.run.note("server %s (%s, version %s) is listed as %s", s.id, s.service, s.version, state)
 }
