--- a/review/driver/accepting.go
+++ b/review/driver/accepting.go
@@ -8,7 +8,7 @@
 )
 
 // cutTime is how long some machines are partitioned from all servers.
-const cutTime = 9 * time.Second
+const cutTime = 10 * time.Second
 
 // path is what lies between the machines and a server. It accepts all connections, and resets those of machines that
 // are partitioned from the servers.
--- a/review/driver/copies.go
+++ b/review/driver/copies.go
@@ -14,7 +14,7 @@
 	// askers is the number of clients that ask for the same thing, askGap the time after which each asks again.
 	askers = 5
 	asks   = 5
-	askGap = 4 * time.Second
+	askGap = 5 * time.Second
 )
 
 // playCopies has some clients of one tenant ask for the same thing every few seconds; each server that begins to run
--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -28,14 +28,14 @@
 	retrySlack                    int
 }
 
-// kichhoat are the bounds of the site kichhoat-hn.
-var kichhoat = bounds{drain: 2 * time.Second, apply: 2 * time.Second, grace: 8 * time.Second, retryRatio: 0.2, retrySlack: 54}
+// kichhoat are the bounds of the site kichhoat-hn-now-grown.
+var kichhoat = bounds{drain: 3 * time.Second, apply: 3 * time.Second, grace: 8 * time.Second, retryRatio: 0.2, retrySlack: 214}
 
 // fleet is the store with the router processes.
 type fleet struct {
 	run   *run
 	store *platformtest.Store
-	// cloud takes the calls that one machine makes for all; nil if there are none.
+	// cloud takes the calls that one machine makes for all.
 	cloud   *platformtest.Cloud
 	bounds  bounds
 	regions map[string]string
@@ -48,7 +48,7 @@
 }
 
 func newFleet(r *run) *fleet {
-	return &fleet{run: r, store: platformtest.NewStore(), bounds: kichhoat, regions: map[string]string{"caugiay": "hanoi", "hoalac": "hanoi"}}
+	return &fleet{run: r, store: platformtest.NewStore(), cloud: platformtest.NewCloud(), bounds: kichhoat, regions: map[string]string{"caugiay": "hanoi", "hoalac": "hanoi"}}
 }
 
 // box is a machine with its router process.
@@ -138,9 +138,7 @@
 	for zone, region := range f.regions {
 		fmt.Fprintf(&s, "%s = %s\n", zone, region)
 	}
-	if f.cloud != nil {
-		fmt.Fprintf(&s, "\n[duties]\naddress = %s\nheld = metering\nlease = 3000ms\nwindow = %ds\n", f.cloud.Address(), windowSeconds)
-	}
+	fmt.Fprintf(&s, "\n[duties]\naddress = %s\nheld = metering\nlease = 3000ms\nwindow = %ds\n", f.cloud.Address(), windowSeconds)
 	s.WriteString("\n[scheduling]\nserver-timings = yes\nexpected-arrivals = yes\ntransfer-from-full = yes\nreuse-connections = yes\n" +
 		"fair-shares = yes\nown-targets = no\nreturn-turns = no\nread-ahead = yes\n")
 	return s.String()
--- a/review/driver/keys.go
+++ b/review/driver/keys.go
@@ -60,9 +60,9 @@
 		fida = []string{}
 	}
 	f.configure(keysConfig(8, hule, fida))
-	// config_apply_ms is 2,000 here; the store is sound, and all machines are in touch.
+	// config_apply_ms is 3,000 here; the store is sound, and all machines are in touch.
 	time.Sleep(f.bounds.apply + 1500*time.Millisecond)
-	r.note("requests from here on are sent 3.5 s after the acknowledgement of version 8; config_apply_ms is 2,000")
+	r.note("requests from here on are sent 4.5 s after the acknowledgement of version 8; config_apply_ms is 3,000")
 	type sent struct{ about, tenant string }
 	notAllowed, allowed := map[string]sent{}, map[string]sent{}
 	for range 5 {
--- a/review/driver/parts.go
+++ b/review/driver/parts.go
@@ -17,7 +17,7 @@
 	// serverBack is how long a server that has crashed is away.
 	serverBack = 2 * time.Second
 	// contact is contact_ms of the site.
-	contact = 3 * time.Second
+	contact = 4 * time.Second
 )
 
 // playParts sends requests with a part of a prompt on which servers crash as they begin to write the answer. The
--- a/review/driver/usage.go
+++ b/review/driver/usage.go
@@ -19,9 +19,6 @@
 	quiet = 15 * time.Second
 )
 
-// shifted are the bounds of the site kichhoat-hn-now-grown.
-var shifted = bounds{drain: 3 * time.Second, apply: 3 * time.Second, grace: 8 * time.Second, retryRatio: 0.2, retrySlack: 214}
-
 // copyOfStore is a copy of the store's content.
 type copyOfStore struct {
 	at      time.Time
@@ -32,7 +29,6 @@
 // routers at the same time, and is quiet then.
 func playUsage(r *run) bool {
 	f := r.fleet
-	f.bounds, f.cloud = shifted, platformtest.NewCloud()
 	// From here on all answers of the store hold Store-Era.
 	f.store.Restore(f.store.Snapshot())
 	s := r.startServer("i-1", "app", "caugiay", answerPlainly)
