resumption: versions that services had before all boxes were restarted are known

Each box that had just started took the servers of the moment for all versions there had been, and boxes that had started in the same second confirmed that to each other.

Evidence: "stream taken up" said known=true reason="one version" after 0 to 2 ms on all boxes. It now says what the verdict rests on.

The store keeps the versions that each service has or had in the last minute. A box confirms "one version" only if it has read that, or has watched the servers for a minute.

A cost: after a restart of all boxes during a release, streams of the version that goes on are refused for a minute, as nobody has their record.

--- a/cmd/headhill/cmds/route.go
+++ b/cmd/headhill/cmds/route.go
@@ -14,6 +14,7 @@
 	"headhill.example/headhill/pkg/lease"
 	"headhill.example/headhill/pkg/logflags"
 	"headhill.example/headhill/pkg/quarantine"
+	"headhill.example/headhill/pkg/resumption"
 	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/routerd"
 	"headhill.example/headhill/platform"
@@ -83,6 +84,9 @@
 		Quarantine: func(access routerd.StoreAccess) quarantine.Store {
 			return platform.NewQuarantine(platform.NewStore(access))
 		},
+		Versions: func(access routerd.StoreAccess) resumption.VersionStore {
+			return platform.NewVersions(platform.NewStore(access))
+		},
 		Cloud: func(address func() string) duties.Cloud { return platform.NewCloud(address) },
 	}
 }
--- a/pkg/directory/versions.go
+++ b/pkg/directory/versions.go
@@ -34,6 +34,15 @@
 	return versions
 }
 
+// AllVersions returns the versions of the software of each service, as Versions does.
+func (v *View) AllVersions(now time.Time) map[string][]string {
+	all := make(map[string][]string, len(v.pools))
+	for service := range v.pools {
+		all[service] = v.Versions(service, now)
+	}
+	return all
+}
+
 // findVersions sets versions.
 func (p *pool) findVersions() {
 	p.versions = nil
--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -4,6 +4,7 @@
 	"context"
 	"iter"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -65,7 +66,9 @@
 	key := x.streamKey()
 	v := x.gateway.Streams.Find(ctx, key, x.service.Name)
 	_ = level.Info(x.gateway.Logger).Log("msg", "stream taken up", "id", x.call.ID, "resumes", x.call.Resumes, "service", x.service.Name,
-		"known", v.Known, "began_at", v.Origin.Service, "server_version", v.Origin.Version, "reason", v.Reason, "after_ms", clock.Since(x.arrival).Milliseconds())
+		"known", v.Known, "began_at", v.Origin.Service, "server_version", v.Origin.Version, "reason", v.Reason,
+		"versions", strings.Join(v.Evidence.Versions, ","), "history_known", v.Evidence.HistoryKnown, "list_confirmed", v.Evidence.ListConfirmed,
+		"others", v.Evidence.Others, "answers", v.Evidence.Answers, "confirming", v.Evidence.Confirming, "others_several", v.Evidence.OthersSeveral, "after_ms", clock.Since(x.arrival).Milliseconds())
 	if !v.Known {
 		return &RefusedError{Reason: "the software version at which the stream began is not known: " + v.Reason, RetryAfter: jitter(unknownVersionRetryAfter)}
 	}
--- a/pkg/resumption/cost_test.go
+++ b/pkg/resumption/cost_test.go
@@ -22,7 +22,7 @@
 func costOf(t *testing.T, boxCount, streams int, versions ...string) (sent, bytes, kept int) {
 	synctest.Test(t, func(t *testing.T) {
 		h := &history{
-			t: t, random: rand.New(rand.NewPCG(1, 1)), roster: boxes(boxCount, 4), versions: versions, boxes: make([]*simulatedBox, boxCount),
+			t: t, random: rand.New(rand.NewPCG(1, 1)), roster: boxes(boxCount, 4), versions: versions, boxes: make([]*simulatedBox, boxCount), store: &versionStore{},
 			network: &network{random: rand.New(rand.NewPCG(1, 2)), conns: make(map[string]*packetConn), cut: make(map[string]bool)},
 		}
 		for i := range boxCount {
@@ -62,11 +62,12 @@
 			e := New(Deps{
 				Box: self.Box, Port: datagram.NewPort(datagram.Deps{Box: self.Box, Conn: n.listen(self.Address())}), Logger: log.NewNopLogger(),
 				Boxes: func() []roster.Entry { return []roster.Entry{self} }, BoxesKnown: func() bool { return c.boxesKnown },
-				Versions: func(string) ([]string, time.Duration) {
-					if c.listConfirmed {
-						return []string{"v1"}, 0
+				Versions: func(string) ServiceVersions {
+					v := ServiceVersions{Versions: []string{"v1"}, HistoryKnown: true}
+					if !c.listConfirmed {
+						v.Age = clock.Since(start) + time.Second
 					}
-					return []string{"v1"}, clock.Since(start) + time.Second
+					return v
 				},
 				InProgress: func() iter.Seq2[Key, Origin] { return maps.All(map[Key]Origin(nil)) },
 			})
--- a/pkg/resumption/decide.go
+++ b/pkg/resumption/decide.go
@@ -1,27 +1,43 @@
 package resumption
 
+import "time"
+
 // Evidence is what a box knows about a stream that its caller takes up.
 type Evidence struct {
 	// Origin is where the stream began, if Found is set.
 	Origin Origin
 	Found  bool
-	// Versions are the versions of the service's servers that this box knows.
-	Versions []string
+	ServiceVersions
 	// ListConfirmed is set if the list of servers was confirmed after the stream was taken up.
 	ListConfirmed bool
-	// Others is the number of other boxes, Answers the number of those that have answered. OthersSeveral is
-	// set if one of them knows several versions.
-	Others, Answers int
-	OthersSeveral   bool
+	// Others is the number of other boxes, Answers the number of those that have answered, and Confirming that of
+	// those who know the recent versions. OthersSeveral is set if one of them knows several versions.
+	Others, Answers, Confirming int
+	OthersSeveral               bool
+}
+
+// ServiceVersions is what a box knows about the software versions of a service's servers.
+type ServiceVersions struct {
+	// Versions are those that are present, or were less than Retention ago.
+	Versions []string
+	// Age is the age of the list of servers.
+	Age time.Duration
+	// HistoryKnown is set if no version of the last Retention can be missing up to that age. A box that has just
+	// started knows only the servers of the moment.
+	HistoryKnown bool
 }
 
 // minAnswers is the number of boxes that confirm that a service has one version. The boxes that answer keep the
 // record of the stream if there is one, unless it was lost on its way to each of them.
 const minAnswers = 2
 
-// confirmed reports whether this box knows all versions of the service.
+// confirmed reports whether the versions are all that the service has or had lately. Boxes that have just started
+// can't confirm that to each other.
 func (e *Evidence) confirmed() bool {
-	return e.ListConfirmed || e.Answers >= min(minAnswers, e.Others)
+	if e.HistoryKnown && (e.ListConfirmed || e.Others == 0) {
+		return true
+	}
+	return e.Others > 0 && e.Confirming >= min(minAnswers, e.Others)
 }
 
 // settled reports whether further answers are not needed.
@@ -38,15 +54,24 @@
 	// Recorded is set if a box had a record.
 	Recorded bool
 	Reason   string
-	// awaitsList is set if the next confirmation of the list of servers may decide.
-	awaitsList bool
+	// Evidence is what the verdict rests on.
+	Evidence Evidence
+	// mayResolve is set if the next confirmation of the list of servers, or reading the recent versions, may decide.
+	mayResolve bool
 }
 
 // Decide decides at which version a stream of a service goes on. A box that knows a single version may be
 // behind: a second one may serve that it does not know of, at which the stream began. So it relies on other
 // boxes, or on a list that was confirmed since. A stream that began before anyone knew of a second version has
-// no record, but no box then knows several.
+// no record, but no box then knows several. Nor does a box know several that began to watch the servers only after
+// the other version had gone, so that an answer counts only from a box that knows the recent versions.
 func Decide(service string, e Evidence) Verdict {
+	v := decide(service, &e)
+	v.Evidence = e
+	return v
+}
+
+func decide(service string, e *Evidence) Verdict {
 	switch {
 	case e.Found && e.Origin.Ambiguous:
 		return Verdict{Reason: "its version is ambiguous"}
@@ -57,7 +82,7 @@
 	case len(e.Versions) == 0:
 		return Verdict{Reason: "no server of the service is known"}
 	case !e.confirmed():
-		return Verdict{Reason: "this box may not know all versions, and too few boxes answered", awaitsList: true}
+		return Verdict{Reason: "this box may not know all versions of late, and too few boxes that do answered", mayResolve: true}
 	}
 	return Verdict{Known: true, Origin: Origin{Service: service, Version: e.Versions[0]}, Reason: "one version"}
 }
--- a/pkg/resumption/exchange.go
+++ b/pkg/resumption/exchange.go
@@ -53,9 +53,8 @@
 	Boxes func() []roster.Entry
 	// BoxesKnown reports whether Boxes returns all of them.
 	BoxesKnown func() bool
-	// Versions returns the versions of the software of a service's servers, those that were removed lately
-	// included, and the age of the list.
-	Versions func(service string) (versions []string, age time.Duration)
+	// Versions returns what this box knows about the versions of a service's servers.
+	Versions func(service string) ServiceVersions
 	// InProgress returns the streams that this box forwards. The loop over them must not block.
 	InProgress func() iter.Seq2[Key, Origin]
 	Logger     log.Logger
@@ -119,7 +118,7 @@
 func (e *Exchange) Find(ctx context.Context, k Key, service string) Verdict {
 	start := clock.Now()
 	var v Verdict
-	for round := 0; round < lookupRounds || v.awaitsList && clock.Since(start) < maxListWait; round++ {
+	for round := 0; round < lookupRounds || v.mayResolve && clock.Since(start) < maxListWait; round++ {
 		if round > 0 {
 			pause.For(ctx, retryPause)
 		}
@@ -149,8 +148,8 @@
 
 // collect asks other boxes for the record of a stream that was taken up at a time, unless this box has it.
 func (e *Exchange) collect(ctx context.Context, k Key, service string, since time.Time) Evidence {
-	versions, age := e.Versions(service)
-	evidence := Evidence{Versions: versions, ListConfirmed: age < clock.Since(since)}
+	versions := e.Versions(service)
+	evidence := Evidence{ServiceVersions: versions, ListConfirmed: versions.Age < clock.Since(since)}
 	if evidence.Origin, evidence.Found = e.origin(k); evidence.Found {
 		return evidence
 	}
@@ -199,6 +198,10 @@
 // add adds an answer.
 func (e *Evidence) add(r *resumptionpb.Reply) {
 	e.Answers++
+	// Builds that don't state whether they know the recent versions count as before.
+	if r.HistoryKnown == nil || r.GetHistoryKnown() {
+		e.Confirming++
+	}
 	e.OthersSeveral = e.OthersSeveral || r.GetSeveral()
 	if r.GetRecord() == nil {
 		return
@@ -244,7 +247,8 @@
 
 func (e *Exchange) answer(q *resumptionpb.Query, to *net.UDPAddr) {
 	k := Key(q.GetKey())
-	r := &resumptionpb.Reply{Id: q.GetId(), Several: e.hasSeveral(q.GetService())}
+	versions := e.Versions(q.GetService())
+	r := &resumptionpb.Reply{Id: q.GetId(), Several: len(versions.Versions) > 1, HistoryKnown: proto.Bool(versions.HistoryKnown)}
 	if o, ok := e.origin(k); ok {
 		r.Record = encodeRecord(k, o)
 	}
@@ -274,8 +278,7 @@
 }
 
 func (e *Exchange) hasSeveral(service string) bool {
-	versions, _ := e.Versions(service)
-	return len(versions) > 1
+	return len(e.Versions(service).Versions) > 1
 }
 
 // ServersChanged is called when the list of servers has changed. It does not block.
--- a/pkg/resumption/histories_test.go
+++ b/pkg/resumption/histories_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -110,11 +111,14 @@
 type simulatedBox struct {
 	entry    roster.Entry
 	exchange *Exchange
+	versions *VersionHistory
 	conn     *packetConn
 	stop     context.CancelFunc
 
-	mu         sync.Mutex
-	versions   []string
+	mu sync.Mutex
+	// listed are the versions of the servers in the list, removed those that were, with the time of the removal.
+	listed     []string
+	removed    map[string]time.Time
 	confirmed  time.Time
 	inProgress map[Key]Origin
 	cutUntil   time.Time
@@ -130,8 +134,9 @@
 
 	mu    sync.Mutex
 	boxes []*simulatedBox
-	// versions are those in the store.
+	// versions are those of the servers in the store.
 	versions []string
+	store    *versionStore
 	// mixed, wentOn and refused count streams that were taken up; the latter two at boxes in touch.
 	mixed, wentOn, refused int
 	delays                 []time.Duration
@@ -141,26 +146,56 @@
 func (h *history) start(i int) {
 	e := h.roster[i]
 	ctx, stop := context.WithCancel(h.t.Context())
-	b := &simulatedBox{entry: e, stop: stop, inProgress: make(map[Key]Origin), conn: h.network.listen(e.Address())}
-	h.mu.Lock()
-	b.versions, b.confirmed = append([]string(nil), h.versions...), clock.Now()
-	h.mu.Unlock()
+	b := &simulatedBox{entry: e, stop: stop, inProgress: make(map[Key]Origin), removed: make(map[string]time.Time), conn: h.network.listen(e.Address())}
+	if !h.store.isSilent() {
+		b.learn(h.listedVersions(), clock.Now())
+	}
 	port := datagram.NewPort(datagram.Deps{Box: e.Box, Conn: b.conn, IsPeer: func(netip.AddrPort) bool { return true }, Logger: log.NewNopLogger()})
 	b.exchange = New(Deps{
 		Box: e.Box, Port: port, Boxes: func() []roster.Entry { return h.roster }, BoxesKnown: func() bool { return true }, Versions: b.versionsOf, InProgress: b.streams, Logger: log.NewNopLogger(),
 	})
+	b.versions = NewVersionHistory(VersionHistoryDeps{
+		Store: h.store, Listed: b.allListed, Rank: func() int { return i }, Boxes: func() int { return len(h.roster) }, OnLoaded: b.exchange.ServersChanged,
+		Timeout: 700 * time.Millisecond, Logger: log.NewNopLogger(),
+	})
 	go port.Listen()
 	go b.exchange.Run(ctx)
+	go b.versions.Run(ctx)
 	go h.confirmList(ctx, b)
 	h.mu.Lock()
 	h.boxes[i] = b
 	h.mu.Unlock()
 }
 
-func (b *simulatedBox) versionsOf(string) ([]string, time.Duration) {
+// known returns the versions that the list has, or had less than Retention ago.
+func (b *simulatedBox) known() (versions []string, confirmed time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	versions = slices.Clone(b.listed)
+	for v, at := range b.removed {
+		if clock.Since(at) < Retention {
+			versions = append(versions, v)
+		}
+	}
+	return versions, b.confirmed
+}
+
+func (b *simulatedBox) allListed() (map[string][]string, bool) {
+	versions, confirmed := b.known()
+	return map[string][]string{testService: versions}, !confirmed.IsZero()
+}
+
+func (b *simulatedBox) versionsOf(service string) ServiceVersions {
+	versions, confirmed := b.known()
+	now := clock.Now()
+	return ServiceVersions{Versions: b.versions.With(service, versions, now), Age: now.Sub(confirmed), HistoryKnown: b.versions.Known(now)}
+}
+
+// serving returns the versions at which the box may begin a stream.
+func (b *simulatedBox) serving() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.versions, clock.Since(b.confirmed)
+	return b.listed
 }
 
 func (b *simulatedBox) streams() iter.Seq2[Key, Origin] {
@@ -193,27 +228,41 @@
 // confirmList brings the list of a box up to date from time to time.
 func (h *history) confirmList(ctx context.Context, b *simulatedBox) {
 	for ctx.Err() == nil {
-		asked := clock.Now()
-		h.mu.Lock()
-		versions := append([]string(nil), h.versions...)
-		h.mu.Unlock()
-		if !b.isCut() {
-			b.learn(versions, asked)
+		if !b.isCut() && !h.store.isSilent() {
+			b.learn(h.listedVersions(), clock.Now())
 		}
 		wait(ctx, listPeriod)
 	}
 }
 
+// listedVersions returns the versions of the servers in the store.
+func (h *history) listedVersions() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.versions)
+}
+
+// learn replaces the list of a box by one that was read at a time.
 func (b *simulatedBox) learn(versions []string, asked time.Time) {
 	b.mu.Lock()
-	changed := len(versions) > len(b.versions)
-	if changed {
-		b.versions = versions
+	if asked.Before(b.confirmed) {
+		b.mu.Unlock()
+		return
+	}
+	changed := !slices.Equal(versions, b.listed)
+	for _, v := range b.listed {
+		if !slices.Contains(versions, v) {
+			b.removed[v] = clock.Now()
+		}
 	}
-	b.confirmed = asked
+	for _, v := range versions {
+		delete(b.removed, v)
+	}
+	b.listed, b.confirmed = versions, asked
 	b.mu.Unlock()
-	if changed {
+	if changed && b.exchange != nil {
 		b.exchange.ServersChanged()
+		b.versions.ServersChanged()
 	}
 }
 
@@ -260,7 +309,10 @@
 		return
 	}
 	k := KeyOf("a", fmt.Sprint(n))
-	versions, _ := b.versionsOf(testService)
+	versions := b.serving()
+	if len(versions) == 0 {
+		return
+	}
 	origin := Origin{Service: testService, Version: versions[h.intN(len(versions))]}
 	for tries := range 3 {
 		b.forward(k, origin, h.between(50*time.Millisecond, 3*time.Second))
@@ -373,11 +425,12 @@
 	versions := append([]string(nil), h.versions...)
 	list := append([]*simulatedBox(nil), h.boxes...)
 	h.mu.Unlock()
+	changedAt := clock.Now()
 	for _, b := range list {
 		h.streams.Go(func() {
 			time.Sleep(h.between(0, maxLag))
 			if !b.isCut() {
-				b.learn(versions, clock.Now())
+				b.learn(versions, changedAt)
 			}
 		})
 	}
@@ -390,7 +443,7 @@
 		random := rand.New(rand.NewPCG(seed, 1))
 		n := 3 + random.IntN(10)
 		h = &history{
-			t: t, random: random, roster: boxes(n, 1+random.IntN(3)), versions: []string{"v1"}, boxes: make([]*simulatedBox, n),
+			t: t, random: random, roster: boxes(n, 1+random.IntN(3)), versions: []string{"v1"}, boxes: make([]*simulatedBox, n), store: &versionStore{},
 			network: &network{random: rand.New(rand.NewPCG(seed, 2)), conns: make(map[string]*packetConn), cut: make(map[string]bool)},
 		}
 		for i := range n {
--- a/pkg/resumption/registry_test.go
+++ b/pkg/resumption/registry_test.go
@@ -93,24 +93,30 @@
 }
 
 func TestDecide(t *testing.T) {
-	one, two := []string{"v1"}, []string{"v1", "v2"}
+	versions := func(list ...string) ServiceVersions { return ServiceVersions{Versions: list, HistoryKnown: true} }
+	one, two, started := versions("v1"), versions("v1", "v2"), ServiceVersions{Versions: []string{"v1"}}
 	recorded := Origin{Service: "s", Version: "v2"}
 	for name, c := range map[string]struct {
 		e       Evidence
 		known   bool
 		version string
 	}{
-		"recorded":                                 {Evidence{Found: true, Origin: recorded, Versions: two}, true, "v2"},
-		"recorded, this box is behind":             {Evidence{Found: true, Origin: recorded, Versions: one}, true, "v2"},
-		"ambiguous":                                {Evidence{Found: true, Origin: Origin{Service: "s", Ambiguous: true}, Versions: one}, false, ""},
-		"no record, several versions":              {Evidence{Versions: two, ListConfirmed: true, Others: 3, Answers: 3}, false, ""},
-		"no record, others know several":           {Evidence{Versions: one, ListConfirmed: true, Others: 3, Answers: 3, OthersSeveral: true}, false, ""},
-		"one version, list confirmed":              {Evidence{Versions: one, ListConfirmed: true, Others: 3}, true, "v1"},
-		"one version, two boxes answered":          {Evidence{Versions: one, Others: 3, Answers: 2}, true, "v1"},
-		"one version, one of three boxes answered": {Evidence{Versions: one, Others: 3, Answers: 1}, false, ""},
-		"no server known":                          {Evidence{ListConfirmed: true, Others: 3, Answers: 3}, false, ""},
-		"recorded at another service":              {Evidence{Found: true, Origin: Origin{Service: "other", Version: "v7"}, Versions: two}, true, "v7"},
-		"recorded, the version is gone meanwhile":  {Evidence{Found: true, Origin: recorded, Versions: []string{"v3"}}, true, "v2"},
+		"recorded":                                 {Evidence{Found: true, Origin: recorded, ServiceVersions: two}, true, "v2"},
+		"recorded, this box is behind":             {Evidence{Found: true, Origin: recorded, ServiceVersions: one}, true, "v2"},
+		"ambiguous":                                {Evidence{Found: true, Origin: Origin{Service: "s", Ambiguous: true}, ServiceVersions: one}, false, ""},
+		"no record, several versions":              {Evidence{ServiceVersions: two, ListConfirmed: true, Others: 3, Answers: 3, Confirming: 3}, false, ""},
+		"no record, others know several":           {Evidence{ServiceVersions: one, ListConfirmed: true, Others: 3, Answers: 3, Confirming: 3, OthersSeveral: true}, false, ""},
+		"one version, list confirmed":              {Evidence{ServiceVersions: one, ListConfirmed: true, Others: 3}, true, "v1"},
+		"one version, two boxes answered":          {Evidence{ServiceVersions: one, Others: 3, Answers: 2, Confirming: 2}, true, "v1"},
+		"one version, one of three boxes answered": {Evidence{ServiceVersions: one, Others: 3, Answers: 1, Confirming: 1}, false, ""},
+		"no server known":                          {Evidence{ServiceVersions: ServiceVersions{HistoryKnown: true}, ListConfirmed: true, Others: 3, Answers: 3, Confirming: 3}, false, ""},
+		"recorded at another service":              {Evidence{Found: true, Origin: Origin{Service: "other", Version: "v7"}, ServiceVersions: two}, true, "v7"},
+		"recorded, the version is gone meanwhile":  {Evidence{Found: true, Origin: recorded, ServiceVersions: versions("v3")}, true, "v2"},
+		"all boxes have just started":              {Evidence{ServiceVersions: started, ListConfirmed: true, Others: 3, Answers: 3}, false, ""},
+		"the only box has just started":            {Evidence{ServiceVersions: started, ListConfirmed: true}, false, ""},
+		"just started, two older boxes answered":   {Evidence{ServiceVersions: started, ListConfirmed: true, Others: 3, Answers: 3, Confirming: 2}, true, "v1"},
+		"behind, others have just started":         {Evidence{ServiceVersions: one, Others: 3, Answers: 3}, false, ""},
+		"the only box":                             {Evidence{ServiceVersions: one}, true, "v1"},
 	} {
 		v := Decide("s", c.e)
 		assert.Equal(t, c.known, v.Known, name)
--- /dev/null
+++ b/pkg/resumption/versions.go
@@ -0,0 +1,300 @@
+package resumption
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/pause"
+	"headhill.example/headhill/pkg/storerev"
+)
+
+// VersionRecord is the persistent record of the software versions that the servers of each service have, or had
+// less than Retention ago. It outlives a restart of all boxes. A version that is no longer listed stays in it until
+// a box has not seen it for Retention, so that no times are compared between boxes.
+type VersionRecord struct {
+	Services map[string][]string `json:"services"`
+	// Unreadable is set if the stored record could not be decoded.
+	Unreadable bool `json:"-"`
+}
+
+// StoredVersions is the record with its revision in the store, which is the start of an era if there is no record.
+type StoredVersions struct {
+	Record   VersionRecord
+	Revision storerev.Revision
+}
+
+// VersionStore reads and writes the record.
+type VersionStore interface {
+	Read(ctx context.Context) (StoredVersions, error)
+	// Write replaces the record at the given revision; the start of an era creates it. The error is a
+	// *VersionConflictError if the store has another revision.
+	Write(ctx context.Context, r VersionRecord, revision storerev.Revision) error
+}
+
+// VersionConflictError reports that the record of versions changed since it was read.
+type VersionConflictError struct{ Revision storerev.Revision }
+
+func (e *VersionConflictError) Error() string {
+	return fmt.Sprintf("record of software versions changed since revision %s: read it again", e.Revision)
+}
+
+const (
+	// maxVersionWriters is the number of boxes, the first ones by rank, that write the record. A box waits
+	// versionWriteStagger for each box before it, and does not write what another has written.
+	maxVersionWriters   = smallFleet
+	versionWriteStagger = 50 * time.Millisecond
+	// versionCheckInterval is how often the record is compared without a change of the list. The rank of a box
+	// changes as others leave, and versions leave the record with time.
+	versionCheckInterval = 5 * time.Second
+	// versionRetryDelay is the delay before the next attempt to reach the store, to which jitter is added.
+	versionRetryDelay = 300 * time.Millisecond
+	// A box that starts reads the record after a random part of versionReadSpread for each box of the fleet, up to
+	// maxVersionReadSpread, so that the store is not asked by all at once.
+	versionReadSpread    = 2 * time.Millisecond
+	maxVersionReadSpread = 2 * time.Second
+)
+
+// VersionHistoryDeps are the dependencies of a VersionHistory.
+type VersionHistoryDeps struct {
+	Store VersionStore
+	// Listed returns the versions of each service that the list of servers has, those removed less than Retention
+	// ago included; ok is unset until a list was read.
+	Listed func() (versions map[string][]string, ok bool)
+	// Rank returns the rank of this box in the fleet, Boxes the number of boxes.
+	Rank  func() int
+	Boxes func() int
+	// OnLoaded is called once the record was read and held versions that the list does not have.
+	OnLoaded func()
+	// Timeout limits each call to the store.
+	Timeout time.Duration
+	Logger  log.Logger
+}
+
+// VersionHistory knows which software versions a service had before this box began to watch its servers, and saves
+// the current ones for the boxes that start after it.
+type VersionHistory struct {
+	VersionHistoryDeps
+	changed chan struct{}
+
+	mu sync.Mutex
+	// watchedSince is when this box had read a list of servers; zero before.
+	watchedSince time.Time
+	// loaded is set once the record was read.
+	loaded bool
+	// former holds the versions of the record, with the time until which they count as present.
+	former map[serviceVersion]time.Time
+	// stored is the record as this box last saw it; nil if that is unknown.
+	stored map[string][]string
+}
+
+type serviceVersion struct{ service, version string }
+
+// NewVersionHistory returns a VersionHistory that knows nothing.
+func NewVersionHistory(d VersionHistoryDeps) *VersionHistory {
+	return &VersionHistory{VersionHistoryDeps: d, changed: make(chan struct{}, 1), former: make(map[serviceVersion]time.Time)}
+}
+
+// Known reports whether this box knows all versions that a service had during the last Retention: it has watched the
+// servers for so long, or it has read the record.
+func (h *VersionHistory) Known(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.watchedSince.IsZero() && (h.loaded || now.Sub(h.watchedSince) >= Retention)
+}
+
+// With returns versions of a service together with those that the record held.
+func (h *VersionHistory) With(service string, versions []string, now time.Time) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for v, until := range h.former {
+		if v.service == service && now.Before(until) && !slices.Contains(versions, v.version) {
+			versions = append(slices.Clip(versions), v.version)
+		}
+	}
+	return versions
+}
+
+// ServersChanged is called when the list of servers has changed. It does not block.
+func (h *VersionHistory) ServersChanged() {
+	select {
+	case h.changed <- struct{}{}:
+	default:
+	}
+}
+
+// ObserveEra is called when the store was restored from an older copy, which may have lost the record. It does not
+// block.
+func (h *VersionHistory) ObserveEra() {
+	h.mu.Lock()
+	h.stored = nil
+	h.mu.Unlock()
+	h.ServersChanged()
+}
+
+// Run loads the record and keeps it up to date until ctx is done.
+func (h *VersionHistory) Run(ctx context.Context) {
+	h.load(ctx)
+	ticker := time.NewTicker(versionCheckInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		h.saveIfChanged(ctx)
+		select {
+		case <-ctx.Done():
+		case <-h.changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// load waits for the list of servers and reads the record.
+func (h *VersionHistory) load(ctx context.Context) {
+	for ctx.Err() == nil {
+		if _, ok := h.Listed(); ok {
+			break
+		}
+		pause.For(ctx, syncInterval)
+	}
+	h.mu.Lock()
+	h.watchedSince = clock.Now()
+	h.mu.Unlock()
+	spread := min(maxVersionReadSpread, time.Duration(h.Boxes())*versionReadSpread)
+	pause.For(ctx, rand.N(spread+1))
+	for ctx.Err() == nil {
+		s, err := h.read(ctx)
+		if err == nil {
+			_ = level.Info(h.Logger).Log("msg", "loaded software versions", "services", len(s.Record.Services), "revision", s.Revision, "readable", !s.Record.Unreadable)
+			if h.hasFormer() {
+				h.OnLoaded()
+			}
+			return
+		}
+		_ = level.Info(h.Logger).Log("msg", "reading software versions failed", "err", err, "outcome", "retrying; streams whose version is not recorded are refused")
+		pause.For(ctx, versionRetryDelay+rand.N(versionRetryDelay))
+	}
+}
+
+// hasFormer reports whether the record held versions that the list does not have.
+func (h *VersionHistory) hasFormer() bool {
+	listed, _ := h.Listed()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for v := range h.former {
+		if !slices.Contains(listed[v.service], v.version) {
+			return true
+		}
+	}
+	return false
+}
+
+// syncInterval is the poll interval for the first list of servers.
+const syncInterval = 50 * time.Millisecond
+
+// read reads the record. Versions that it holds count as present for Retention from now on, since the record does
+// not tell when they were removed.
+func (h *VersionHistory) read(ctx context.Context) (StoredVersions, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.Timeout)
+	defer cancel()
+	s, err := h.Store.Read(ctx)
+	if err != nil {
+		return s, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := clock.Now()
+	for service, versions := range s.Record.Services {
+		for _, v := range versions {
+			if _, known := h.former[serviceVersion{service, v}]; !known {
+				h.former[serviceVersion{service, v}] = now.Add(Retention)
+			}
+		}
+	}
+	// A version that has left the record may come back to it.
+	maps.DeleteFunc(h.former, func(v serviceVersion, _ time.Time) bool {
+		return !slices.Contains(s.Record.Services[v.service], v.version)
+	})
+	h.loaded = h.loaded || !s.Record.Unreadable
+	h.stored = s.Record.Services
+	return s, nil
+}
+
+// current returns the versions that the record should hold.
+func (h *VersionHistory) current(now time.Time) map[string][]string {
+	listed, _ := h.Listed()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	all := make(map[string][]string, len(listed))
+	for service, versions := range listed {
+		if len(versions) > 0 {
+			all[service] = slices.Clone(versions)
+		}
+	}
+	for v, until := range h.former {
+		if now.Before(until) && !slices.Contains(all[v.service], v.version) {
+			all[v.service] = append(all[v.service], v.version)
+		}
+	}
+	for _, versions := range all {
+		slices.Sort(versions)
+	}
+	return all
+}
+
+// upToDate reports whether the record holds some versions, as far as this box knows.
+func (h *VersionHistory) upToDate(versions map[string][]string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stored != nil && maps.EqualFunc(h.stored, versions, slices.Equal)
+}
+
+// saveIfChanged writes the record if it differs from the current versions and this box is one of those that write it.
+func (h *VersionHistory) saveIfChanged(ctx context.Context) {
+	rank := h.Rank()
+	if rank >= maxVersionWriters || h.upToDate(h.current(clock.Now())) {
+		return
+	}
+	pause.For(ctx, time.Duration(rank)*versionWriteStagger)
+	for ctx.Err() == nil {
+		err := h.save(ctx)
+		if err == nil {
+			return
+		}
+		_ = level.Info(h.Logger).Log("msg", "saving software versions failed", "err", err, "outcome", "retrying")
+		pause.For(ctx, versionRetryDelay+rand.N(versionRetryDelay))
+	}
+}
+
+// save reads the record and replaces it if it is out of date.
+func (h *VersionHistory) save(ctx context.Context) error {
+	s, err := h.read(ctx)
+	if err != nil {
+		return err
+	}
+	versions := h.current(clock.Now())
+	if h.upToDate(versions) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.Timeout)
+	defer cancel()
+	if err := h.Store.Write(ctx, VersionRecord{Services: versions}, s.Revision); err != nil {
+		var conflict *VersionConflictError
+		if errors.As(err, &conflict) {
+			pause.For(ctx, rand.N(versionRetryDelay))
+		}
+		return err
+	}
+	h.mu.Lock()
+	h.stored = versions
+	h.mu.Unlock()
+	_ = level.Info(h.Logger).Log("msg", "saved software versions", "services", len(versions), "revision", s.Revision)
+	return nil
+}
--- /dev/null
+++ b/pkg/resumption/versions_test.go
@@ -0,0 +1,315 @@
+package resumption
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/storerev"
+)
+
+var errSilent = errors.New("the store is silent")
+
+// versionStore is a VersionStore that may be silent, and may be restored from an older copy.
+type versionStore struct {
+	mu       sync.Mutex
+	record   VersionRecord
+	number   uint64
+	silent   bool
+	copied   VersionRecord
+	reads    int
+	writes   int
+	disabled bool
+}
+
+func (s *versionStore) revision() storerev.Revision {
+	r, err := storerev.New(1, s.number)
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+func (s *versionStore) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
+func (s *versionStore) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+func (s *versionStore) Read(ctx context.Context) (StoredVersions, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silent {
+		return StoredVersions{}, errSilent
+	}
+	s.reads++
+	if s.disabled {
+		return StoredVersions{Revision: s.revision()}, nil
+	}
+	return StoredVersions{Record: s.record, Revision: s.revision()}, nil
+}
+
+func (s *versionStore) Write(ctx context.Context, r VersionRecord, revision storerev.Revision) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silent {
+		return errSilent
+	}
+	if revision != s.revision() {
+		return &VersionConflictError{Revision: revision}
+	}
+	s.writes++
+	s.number++
+	s.record = r
+	return nil
+}
+
+// copyRecord keeps the record for a later restore.
+func (s *versionStore) copyRecord() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = s.record
+}
+
+func (s *versionStore) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record = s.copied
+	s.number++
+}
+
+// awaitStore waits while the store is silent.
+func (h *history) awaitStore() {
+	for h.store.isSilent() {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// disappear removes a version.
+func (h *history) disappear(version string) {
+	h.awaitStore()
+	h.mu.Lock()
+	h.versions = slices.DeleteFunc(slices.Clone(h.versions), func(v string) bool { return v == version })
+	h.mu.Unlock()
+}
+
+// killAll kills all boxes at once, or one after the other, and starts them again.
+func (h *history) killAll(gap time.Duration) {
+	down := h.between(200*time.Millisecond, 2*time.Second)
+	for i := range h.roster {
+		h.mu.Lock()
+		b := h.boxes[i]
+		h.mu.Unlock()
+		b.close()
+		h.streams.Go(func() {
+			time.Sleep(down)
+			h.start(i)
+		})
+		time.Sleep(gap)
+	}
+}
+
+// release begins a new version, and ends the one before it or, if rolledBack is set, the new one.
+func (h *history) release(n int, rolledBack bool) {
+	before, after := fmt.Sprint("v", n), fmt.Sprint("v", n+1)
+	h.awaitStore()
+	h.appear(after)
+	time.Sleep(h.between(300*time.Millisecond, 4*time.Second))
+	if rolledBack {
+		h.disappear(after)
+		return
+	}
+	h.disappear(before)
+}
+
+// playRestarts plays a drawn history of releases, some rolled back, during which all boxes end.
+func playRestarts(t *testing.T, seed uint64, store *versionStore) *history {
+	var h *history
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		n := 1 + random.IntN(6)
+		h = &history{
+			t: t, random: random, roster: boxes(n, 2), versions: []string{"v0"}, boxes: make([]*simulatedBox, n), store: store,
+			network: &network{random: rand.New(rand.NewPCG(seed, 2)), conns: make(map[string]*packetConn), cut: make(map[string]bool)},
+		}
+		for i := range n {
+			h.start(i)
+		}
+		end := clock.Now().Add(historyLength)
+		h.streams.Go(func() {
+			time.Sleep(3 * time.Second)
+			for version := 0; clock.Now().Before(end); {
+				rolledBack := h.intN(2) == 0
+				h.release(version, rolledBack)
+				if !rolledBack {
+					version++
+				}
+				time.Sleep(h.between(time.Second, 5*time.Second))
+			}
+		})
+		h.streams.Go(func() {
+			for clock.Now().Before(end) {
+				time.Sleep(h.between(2*time.Second, 6*time.Second))
+				h.killAll([]time.Duration{0, 300 * time.Millisecond}[h.intN(2)])
+			}
+		})
+		h.streams.Go(func() {
+			for clock.Now().Before(end) {
+				time.Sleep(h.between(2*time.Second, 8*time.Second))
+				h.store.setSilent(true)
+				time.Sleep(h.between(200*time.Millisecond, 2*time.Second))
+				h.store.setSilent(false)
+			}
+		})
+		for i := 0; clock.Now().Before(end); i++ {
+			h.streams.Go(func() { h.stream(i) })
+			time.Sleep(h.between(20*time.Millisecond, 80*time.Millisecond))
+		}
+		h.streams.Wait()
+		for _, b := range h.boxes {
+			b.close()
+		}
+		synctest.Wait()
+	})
+	return h
+}
+
+// Guards against streams of two versions after all boxes were killed, which leaves nobody who has seen the versions
+// of before.
+func TestStreamsStayAtTheirVersionWhenAllBoxesEnd(t *testing.T) {
+	wentOn, refused := 0, 0
+	for i := range *historiesCount {
+		seed := *historiesFirst + uint64(i)
+		h := playRestarts(t, seed, &versionStore{})
+		if h.mixed > 0 {
+			t.Errorf("seed %d: %d streams of two versions, %d went on, %d refused, %d boxes", seed, h.mixed, h.wentOn, h.refused, len(h.roster))
+		}
+		wentOn, refused = wentOn+h.wentOn, refused+h.refused
+	}
+	t.Logf("%d histories: %d streams went on, %d were refused", *historiesCount, wentOn, refused)
+}
+
+// Shows that the histories find streams of two versions if boxes know only the servers of the moment.
+func TestHistoriesFindMixedStreamsWithoutRecord(t *testing.T) {
+	mixed := 0
+	for seed := range uint64(20) {
+		mixed += playRestarts(t, seed+1, &versionStore{disabled: true}).mixed
+	}
+	assert.Positive(t, mixed)
+}
+
+const (
+	// minGoingOnOneVersion is the share of the streams that go on while a service has one version, from
+	// restartSettleTime after a restart of all boxes.
+	minGoingOnOneVersion = 0.95
+	restartSettleTime    = 3 * time.Second
+)
+
+// Guards against streams that are refused after a restart of all boxes although their service has one version.
+func TestStreamsGoOnAtTheOnlyVersionAfterAllBoxesEnded(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 8, 60} {
+		synctest.Test(t, func(t *testing.T) {
+			h := &history{
+				t: t, random: rand.New(rand.NewPCG(uint64(n), 1)), roster: boxes(n, 2), versions: []string{"v1"}, boxes: make([]*simulatedBox, n), store: &versionStore{},
+				network: &network{random: rand.New(rand.NewPCG(uint64(n), 2)), conns: make(map[string]*packetConn), cut: make(map[string]bool)},
+			}
+			for i := range n {
+				h.start(i)
+			}
+			time.Sleep(5 * time.Second)
+			h.killAll(0)
+			h.streams.Wait()
+			time.Sleep(restartSettleTime)
+			goingOn := 0
+			const streams = 200
+			for i := range streams {
+				v := h.pick().exchange.Find(t.Context(), KeyOf("a", fmt.Sprint(i)), testService)
+				if v.Known && v.Origin.Version == "v1" {
+					goingOn++
+				}
+			}
+			assert.GreaterOrEqual(t, goingOn, int(minGoingOnOneVersion*streams), "%d boxes", n)
+			assert.LessOrEqual(t, h.store.writes, 1, "%d boxes", n)
+			assert.LessOrEqual(t, h.store.reads, 2*n+2*maxVersionWriters, "%d boxes", n)
+			for _, b := range h.boxes {
+				b.close()
+			}
+			synctest.Wait()
+		})
+	}
+}
+
+// newTestHistory returns a VersionHistory of a box with a list of servers.
+func newTestHistory(t *testing.T, store VersionStore, listed map[string][]string) *VersionHistory {
+	h := NewVersionHistory(VersionHistoryDeps{
+		Store: store, Listed: func() (map[string][]string, bool) { return listed, true }, Rank: func() int { return 0 }, Boxes: func() int { return 1 },
+		OnLoaded: func() {}, Timeout: time.Second, Logger: log.NewNopLogger(),
+	})
+	go h.Run(t.Context())
+	return h
+}
+
+// Guards against a version that is forgotten too early, or never.
+func TestFormerVersionCountsForRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &versionStore{record: VersionRecord{Services: map[string][]string{"s": {"v1"}, "gone": {"v7"}}}}
+		listed := map[string][]string{"s": {"v2"}}
+		h := newTestHistory(t, store, listed)
+		time.Sleep(time.Second)
+		require.True(t, h.Known(clock.Now()))
+		assert.ElementsMatch(t, []string{"v2", "v1"}, h.With("s", []string{"v2"}, clock.Now()))
+		assert.Equal(t, map[string][]string{"s": {"v1", "v2"}, "gone": {"v7"}}, store.record.Services)
+		time.Sleep(Retention + versionCheckInterval)
+		assert.Equal(t, []string{"v2"}, h.With("s", []string{"v2"}, clock.Now()))
+		assert.Equal(t, map[string][]string{"s": {"v2"}}, store.record.Services)
+	})
+}
+
+// Guards against a record that is taken for empty as it can't be read.
+func TestUnreadableRecordIsNotEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &versionStore{record: VersionRecord{Unreadable: true}}
+		h := newTestHistory(t, store, map[string][]string{"s": {"v1"}})
+		time.Sleep(time.Second)
+		assert.False(t, h.Known(clock.Now()))
+		assert.Equal(t, map[string][]string{"s": {"v1"}}, store.record.Services)
+		time.Sleep(Retention)
+		assert.True(t, h.Known(clock.Now()))
+	})
+}
+
+// Guards against a version that the store has lost in a restore, so that boxes that start later don't know of it.
+func TestRecordIsWrittenAgainAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &versionStore{}
+		listed := map[string][]string{"s": {"v1"}}
+		h := newTestHistory(t, store, listed)
+		time.Sleep(time.Second)
+		store.copyRecord()
+		listed["s"] = []string{"v1", "v2"}
+		h.ServersChanged()
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"v1", "v2"}, store.record.Services["s"])
+		store.restore()
+		h.ObserveEra()
+		time.Sleep(time.Second)
+		assert.Equal(t, []string{"v1", "v2"}, store.record.Services["s"])
+	})
+}
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -78,6 +78,8 @@
 	Lease func(StoreAccess) lease.Store
 	// Quarantine returns the store of quarantined requests.
 	Quarantine func(StoreAccess) quarantine.Store
+	// Versions returns the store of the software versions of services.
+	Versions func(StoreAccess) resumption.VersionStore
 	// Cloud returns the client for the calls that fleet duties make.
 	Cloud func(address func() string) duties.Cloud
 	// DialServer opens a direct connection to a server; nil for a TCP connection.
@@ -110,8 +112,10 @@
 	upstream *upstream.Client
 	duties   *fleetDuties
 	// quarantine holds back requests that crash servers.
-	quarantine  *quarantine.Quarantine
-	streams     *resumption.Exchange
+	quarantine *quarantine.Quarantine
+	streams    *resumption.Exchange
+	// versions knows the software versions that services had before this box started.
+	versions    *resumption.VersionHistory
 	retryBudget *retry.Budget
 	retryInputs atomic.Pointer[retryInputs]
 	// limiter limits the request rate to servers that signal a rate limit.
@@ -201,7 +205,14 @@
 		Box: s.Box.ID, Port: d.peers, Boxes: d.roster.Entries, BoxesKnown: d.roster.Complete, Versions: d.serverVersions, Logger: peerLogger,
 		InProgress: func() iter.Seq2[resumption.Key, resumption.Origin] { return d.gateway.StreamsInProgress() },
 	})
-	d.directory.OnServersChange(d.streams.ServersChanged)
+	d.versions = resumption.NewVersionHistory(resumption.VersionHistoryDeps{
+		Store: a.Versions(access), Listed: d.listedVersions, Rank: d.roster.Rank, Boxes: func() int { return len(d.roster.Entries()) },
+		OnLoaded: d.streams.ServersChanged, Timeout: storeLimits.FirstByte, Logger: logs.For(logflags.Directory),
+	})
+	d.directory.OnServersChange(func() {
+		d.streams.ServersChanged()
+		d.versions.ServersChanged()
+	})
 	d.gateway = gateway.New(gateway.Deps{
 		Protocol: a.Protocol, Directory: d.directory, Balancer: balance,
 		Budget: d.retryBudget, Upstream: d.upstream, Quarantine: d.quarantine, Recorder: recorder{metrics}, Usage: d.duties, Logger: logs.For(logflags.Gateway),
@@ -226,10 +237,18 @@
 	return d, nil
 }
 
-// serverVersions returns the versions of the software of a service's servers, and the age of the list.
-func (d *Daemon) serverVersions(service string) (versions []string, age time.Duration) {
+// serverVersions returns what this box knows about the versions of the software of a service's servers.
+func (d *Daemon) serverVersions(service string) resumption.ServiceVersions {
 	now, v := clock.Now(), d.directory.View()
-	return v.Versions(service, now), v.ServersAge(now)
+	return resumption.ServiceVersions{
+		Versions: d.versions.With(service, v.Versions(service, now), now), Age: v.ServersAge(now), HistoryKnown: d.versions.Known(now),
+	}
+}
+
+// listedVersions returns the versions of the software of all services, once a list of servers was read.
+func (d *Daemon) listedVersions() (versions map[string][]string, ok bool) {
+	v := d.directory.View()
+	return v.AllVersions(clock.Now()), !v.ServersConfirmedAt.IsZero()
 }
 
 // checkStore reads the roster together with the store's revision and verifies that the directory
@@ -384,6 +403,7 @@
 		func() { d.duties.run(d.ctx) },
 		func() { d.quarantine.Run(d.ctx) },
 		func() { d.streams.Run(d.ctx) },
+		func() { d.versions.Run(d.ctx) },
 		func() { d.logSuspensions(d.ctx) },
 		d.peers.Listen,
 		func() { d.upstream.Run(d.ctx) },
--- a/pkg/routerd/join_test.go
+++ b/pkg/routerd/join_test.go
@@ -14,6 +14,7 @@
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/logflags"
 	"headhill.example/headhill/pkg/quarantine"
+	"headhill.example/headhill/pkg/resumption"
 	"headhill.example/headhill/pkg/roster"
 	"headhill.example/headhill/pkg/storerev"
 )
@@ -52,6 +53,7 @@
 		Source:     func(StoreAccess) directory.Source { return nil },
 		Roster:     func(StoreAccess) roster.Store { return r },
 		Quarantine: func(StoreAccess) quarantine.Store { return nil },
+		Versions:   func(StoreAccess) resumption.VersionStore { return nil },
 	}, logflags.New(io.Discard, "logfmt", "info", nil))
 	require.NoError(t, err)
 	t.Cleanup(func() {
--- a/pkg/routerd/storeera.go
+++ b/pkg/routerd/storeera.go
@@ -24,6 +24,7 @@
 	d.roster.ObserveEra(era)
 	d.duties.observeEra(era)
 	d.quarantine.ObserveEra()
+	d.versions.ObserveEra()
 }
 
 // storeEraGauge returns the gauge for the latest known era of the store.
