announce: a box that lacks boxes of the fleet reads the roster again

Its roster had 3 of 5 boxes, 5 s after all had started: the checks of other boxes replace its own, with which it would read the roster, and boxes that it does not know need not send it anything. Shares of the retry budget follow the same roster.

The announcement of a check carries a hash of the boxes that it has read. A box that has others reads the roster again, at most every 20 ms for each box. TestRosterThatDiffersIsReadAgain was red without the comparison (0 refreshes, 1 expected).

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -43,6 +43,9 @@
 	// RefreshRoster reads part of the roster, which is cheaper than a check. It reports whether
 	// the number of known boxes has grown.
 	RefreshRoster func(context.Context) bool
+	// RosterDigest returns a hash of the boxes that this box knows. complete is set if it reads all of them with each
+	// check.
+	RosterDigest func() (digest uint64, complete bool)
 	// Peers returns the addresses of the other boxes.
 	Peers func() []*net.UDPAddr
 	// Rank returns the index of this box in the order in which boxes check. Boxes with the
@@ -63,6 +66,8 @@
 	inbox chan message
 	// unknownSender signals a datagram from a box that is not in the roster yet.
 	unknownSender chan struct{}
+	// rosterComparedAt is when a refresh was last requested for a roster that differs. Only Run uses it.
+	rosterComparedAt time.Time
 }
 
 // New returns a Checker and registers its handlers on the port and the directory.
@@ -106,6 +111,8 @@
 	Revision       uint64 `json:"revision"`
 	TableChanged   uint64 `json:"table_changed"`
 	ServersChanged uint64 `json:"servers_changed"`
+	// RosterDigest is a hash of the boxes that the check has read; zero if it has not read all.
+	RosterDigest uint64 `json:"roster,omitempty"`
 }
 
 type deltaMessage struct {
@@ -176,9 +183,27 @@
 		return false
 	}
 	c.Directory.ApplyCheck(m.check())
+	c.compareRoster(m.Check.RosterDigest)
 	return complete
 }
 
+// compareRoster requests a refresh of the roster if it differs from that of a box that has read all of it. Checks of
+// others replace those of this box, with which it would read the roster, and boxes that it does not know need not send it
+// anything.
+func (c *Checker) compareRoster(theirs uint64) {
+	own, _ := c.RosterDigest()
+	if theirs == 0 || theirs == own || clock.Since(c.rosterComparedAt) < time.Duration(len(c.Peers()))*rosterRefreshSpacing {
+		return
+	}
+	c.rosterComparedAt = clock.Now()
+	_ = level.Debug(c.Logger).Log("msg", "roster differs from that of another box", "outcome", "read again")
+	c.RequestRosterRefresh()
+}
+
+// rosterRefreshSpacing is the minimum time between two refreshes for a roster that differs, for each other box. In a large
+// fleet the roster is long, and changes often.
+const rosterRefreshSpacing = 20 * time.Millisecond
+
 // check returns the check announced by a message.
 func (m message) check() directory.Check {
 	age := time.Duration(m.Check.AgeMillis) * time.Millisecond
@@ -243,8 +268,13 @@
 const repeatDelay = 30 * time.Millisecond
 
 func (c *Checker) announceCheck(check directory.Check) {
+	digest, complete := c.RosterDigest()
+	if !complete {
+		digest = 0
+	}
 	c.broadcast(message{Era: check.Revision.Era(), Check: &checkMessage{
-		AgeMillis: clock.Since(check.AskedAt).Milliseconds(), Revision: check.Revision.Number(),
+		RosterDigest: digest,
+		AgeMillis:    clock.Since(check.AskedAt).Milliseconds(), Revision: check.Revision.Number(),
 		TableChanged: check.TableChanged.Number(), ServersChanged: check.ServersChanged.Number(),
 	}, Evacuations: c.evacuations()})
 }
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -38,6 +38,8 @@
 	}})
 }
 
+func unknownRoster() (uint64, bool) { return 0, false }
+
 // group counts the checks of connected checkers.
 type group struct {
 	mu     sync.Mutex
@@ -75,6 +77,7 @@
 			Timing:        func() Timing { return Timing{Interval: 50 * time.Millisecond, Stagger: 50 * time.Millisecond} },
 			Peers:         func() []*net.UDPAddr { return peers },
 			RefreshRoster: func(context.Context) bool { return false },
+			RosterDigest:  unknownRoster,
 			Rank:          func() int { return i },
 			Check: func(context.Context) (directory.Check, bool) {
 				g.mu.Lock()
@@ -135,7 +138,7 @@
 func checker(t *testing.T, peers ...*net.UDPAddr) *Checker {
 	return New(Deps{
 		Port: port(listen(t), peers...), Directory: directory.New(log.NewNopLogger()),
-		Peers: func() []*net.UDPAddr { return peers }, Rank: func() int { return 0 },
+		Peers: func() []*net.UDPAddr { return peers }, RosterDigest: unknownRoster, Rank: func() int { return 0 },
 	})
 }
 
@@ -154,9 +157,10 @@
 	checking := make(chan struct{})
 	c := New(Deps{
 		Port: port(listen(t)), Directory: directory.New(log.NewNopLogger()),
-		Timing: func() Timing { return Timing{Interval: time.Millisecond} },
-		Peers:  func() []*net.UDPAddr { return nil },
-		Rank:   func() int { return 0 },
+		Timing:       func() Timing { return Timing{Interval: time.Millisecond} },
+		Peers:        func() []*net.UDPAddr { return nil },
+		RosterDigest: unknownRoster,
+		Rank:         func() int { return 0 },
 		Check: func(ctx context.Context) (directory.Check, bool) {
 			close(checking)
 			<-ctx.Done()
@@ -182,6 +186,7 @@
 		Port: port(listen(t)), Directory: directory.New(log.NewNopLogger()),
 		Timing:        func() Timing { return Timing{Interval: time.Second} },
 		Peers:         func() []*net.UDPAddr { return nil },
+		RosterDigest:  unknownRoster,
 		Rank:          func() int { return 0 },
 		RefreshRoster: func(context.Context) bool { return refreshes.Add(1) == 1 },
 		Check: func(context.Context) (directory.Check, bool) {
@@ -246,7 +251,7 @@
 		f.Add(body)
 	}
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		c := &Checker{Deps: Deps{Directory: directory.New(log.NewNopLogger())}}
+		c := &Checker{Deps: Deps{Directory: directory.New(log.NewNopLogger()), RosterDigest: unknownRoster}}
 		if m, err := parse(datagram.Message{Body: data}); err == nil {
 			c.handle(m)
 		}
@@ -318,7 +323,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			d := directoryAt(t, 4)
-			checker := New(Deps{Port: port(listen(t)), Directory: d, Logger: log.NewNopLogger()})
+			checker := New(Deps{Port: port(listen(t)), Directory: d, RosterDigest: unknownRoster, Logger: log.NewNopLogger()})
 			added := []directory.ServerEvent{{Server: routing.Server{ID: "i-1", Service: "calls"}}}
 			m := message{Level: c.level, Check: &checkMessage{Revision: 5, ServersChanged: 5}, Delta: &deltaMessage{From: 4, To: 5, Events: added}}
 			assert.Equal(t, c.accepted, checker.handle(m), "the check replaces the next one")
@@ -328,3 +333,47 @@
 }
 
 func TestFormOfAnnouncements(t *testing.T) { formstest.CheckShape(t, "announce", message{}) }
+
+// Guards against a box that goes without some boxes for good: those that check the store do so for it, and the ones that
+// it does not know send it nothing.
+func TestRosterThatDiffersIsReadAgain(t *testing.T) {
+	for _, c := range []struct {
+		name                  string
+		own, theirs           uint64
+		theirsComplete, reads bool
+	}{
+		{"a box is missing", 1, 2, true, true},
+		{"the same boxes", 2, 2, true, false},
+		{"of a box that has not read all", 1, 2, false, false},
+	} {
+		self, other := listen(t), listen(t)
+		var refreshes atomic.Int32
+		deps := func(conn, peer net.PacketConn, digest uint64, complete bool) Deps {
+			to := peer.LocalAddr().(*net.UDPAddr)
+			return Deps{
+				Port: port(conn, to), Directory: directory.New(log.NewNopLogger()), Logger: log.NewNopLogger(), Eras: storerev.NewTracker(func(uint64, uint64) {}),
+				Timing: func() Timing { return Timing{Interval: time.Hour} }, Peers: func() []*net.UDPAddr { return []*net.UDPAddr{to} }, Rank: func() int { return 0 },
+				RosterDigest:  func() (uint64, bool) { return digest, complete },
+				RefreshRoster: func(context.Context) bool { refreshes.Add(1); return false },
+			}
+		}
+		box, checking := New(deps(self, other, c.own, true)), New(deps(other, self, c.theirs, c.theirsComplete))
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(box.Port.Listen)
+		wg.Go(func() { box.Run(ctx) })
+		for range 3 {
+			checking.announceCheck(directory.Check{AskedAt: time.Now(), Revision: 1})
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(rosterRefreshJitter)
+		want := int32(0)
+		if c.reads {
+			want = 1
+		}
+		assert.Equal(t, want, refreshes.Load(), c.name)
+		cancel()
+		self.Close()
+		wg.Wait()
+	}
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/binary"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -14,6 +15,7 @@
 	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -104,6 +106,18 @@
 	return len(r.entries)
 }
 
+// Digest returns a hash of the boxes and their incarnations. complete is unset if the roster may lack boxes that the store
+// had at the last read.
+func (r *Roster) Digest() (digest uint64, complete bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.entries {
+		// The order of the entries does not matter.
+		digest ^= xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(e.Box), e.Incarnation))
+	}
+	return digest, r.complete && r.hasFreshRead && r.rank < fullReadRanks
+}
+
 // Peers returns the addresses of the other boxes, sorted by name and rotated to start after this
 // box, so that boxes do not all contact the same peers first.
 func (r *Roster) Peers() []*net.UDPAddr {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -289,3 +289,21 @@
 	b.ApplySnapshot(Snapshot{Entries: []Entry{{Box: "box-01"}}, Revision: 41})
 	assert.Equal(t, 2, b.Count(), "a roster of an earlier era is ignored")
 }
+
+// Guards against boxes with different rosters that take them for the same, and against boxes that never agree.
+func TestDigestTellsRostersApart(t *testing.T) {
+	digest := func(entries ...Entry) uint64 {
+		r := New(nil, Entry{Box: "self"}, stall.Limits{}, log.NewNopLogger())
+		r.self.Incarnation = 9
+		r.setEntries(append(entries, r.self), 1, false)
+		d, complete := r.Digest()
+		assert.True(t, complete)
+		return d
+	}
+	a, b, again := Entry{Box: "a", Incarnation: 1}, Entry{Box: "b", Incarnation: 2}, Entry{Box: "b", Incarnation: 3}
+	assert.Equal(t, digest(a, b), digest(b, a))
+	assert.NotEqual(t, digest(a, b), digest(a))
+	assert.NotEqual(t, digest(a, b), digest(a, again))
+	_, complete := New(nil, Entry{Box: "self"}, stall.Limits{}, log.NewNopLogger()).Digest()
+	assert.False(t, complete, "nothing was read")
+}
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -181,7 +181,7 @@
 	peerLogger := logs.For(logflags.Peer)
 	d.peers = datagram.NewPort(datagram.Deps{Box: s.Box.ID, Conn: d.peerConn, IsPeer: d.roster.IsPeer, Logger: peerLogger})
 	d.checker = announce.New(announce.Deps{
-		Port: d.peers, Timing: d.checkTiming, Check: d.checkStore, RefreshRoster: d.discoverBoxes, Peers: d.roster.Peers, Rank: d.roster.Rank, Directory: d.directory, Eras: d.eras, Logger: peerLogger,
+		Port: d.peers, Timing: d.checkTiming, Check: d.checkStore, RefreshRoster: d.discoverBoxes, RosterDigest: d.roster.Digest, Peers: d.roster.Peers, Rank: d.roster.Rank, Directory: d.directory, Eras: d.eras, Logger: peerLogger,
 	})
 	d.snapshots = snapshot.NewClient(snapshot.ClientDeps{Providers: d.providers, ResponseTimeout: d.snapshotTimeout})
 	d.sweeper = roster.NewSweeper(d.roster, d.peers, peerLogger)
