routing: routes that need a key stay closed while no key is in force

Table.NeedsKey asked whether a key is in force, and a list of organisations that is empty, null or missing was the same from the decoder on. An empty key let in callers who sent none.

The table keeps whether the configuration has the list, also where boxes pass it on, in whole and in parts; forms level 7. The line of an applied table tells it.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -241,7 +241,8 @@
 		if v.Table != nil {
 			before = v.Table.Version
 		}
-		d.logChange(level.Info(d.logger), "msg", "routing table applied", "version", t.Version, "before", before)
+		d.logChange(level.Info(d.logger), "msg", "routing table applied", "version", t.Version, "before", before,
+			"organisations", len(t.Organisations()), "keys", t.KeyCount(), "keys_required", t.KeysRequired())
 		v.Table = t
 	}
 	v.TableConfirmedAt = at
--- a/pkg/forms/forms.go
+++ b/pkg/forms/forms.go
@@ -26,10 +26,12 @@
 	LevelBrittle = 5
 	// LevelSoftwareVersions adds the version of the software to servers.
 	LevelSoftwareVersions = 6
+	// LevelKeysRequired adds to the configuration whether callers need a key although none is in force.
+	LevelKeysRequired = 7
 )
 
 // Level is the level of this build. It is raised with each field that boxes act on and forward.
-const Level = LevelSoftwareVersions
+const Level = LevelKeysRequired
 
 // EffectiveLevel returns the level of a message's sender. Zero means that the message carries none.
 func EffectiveLevel(level int) int { return max(LevelFirst, level) }
--- a/pkg/routing/delta.go
+++ b/pkg/routing/delta.go
@@ -17,6 +17,8 @@
 	Routes        Changes[Route]
 	Services      Changes[Service]
 	Organisations Changes[Organisation]
+	// KeysRequired is that of the table at version To.
+	KeysRequired bool `json:",omitempty"`
 }
 
 // Changes are the items of a list that were added, replaced or removed, identified by name.
@@ -37,6 +39,7 @@
 		Routes:        diff(a.Routes, b.Routes, routeName),
 		Services:      diff(a.Services, b.Services, serviceName),
 		Organisations: diff(a.Organisations, b.Organisations, organisationName),
+		KeysRequired:  b.KeysRequired,
 	}
 }
 
@@ -51,6 +54,7 @@
 		Routes:        d.Routes.apply(t.content.Routes, routeName),
 		Services:      d.Services.apply(t.content.Services, serviceName),
 		Organisations: d.Organisations.apply(t.content.Organisations, organisationName),
+		KeysRequired:  d.KeysRequired,
 	})
 	return next, next.digest() == d.Digest
 }
@@ -110,6 +114,9 @@
 	for _, x := range t.content.Organisations {
 		sum += hashJSON(x)
 	}
+	if t.content.KeysRequired {
+		sum += hashJSON("keys required")
+	}
 	return sum
 }
 
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -170,6 +170,9 @@
 	Services      []Service
 	Organisations []Organisation
 	Limits        Limits
+	// KeysRequired is set if the configuration has a list of organisations, even one without any organisation or key.
+	// Callers then need a key on all routes that are not public.
+	KeysRequired bool `json:",omitempty"`
 }
 
 // Table is one version of the configuration, indexed for lookups.
@@ -218,7 +221,10 @@
 	}
 	for i := range c.Organisations {
 		for _, k := range c.Organisations[i].Keys {
-			t.keys[k] = &c.Organisations[i]
+			// A caller without a key must not match an empty one.
+			if k != "" {
+				t.keys[k] = &c.Organisations[i]
+			}
 		}
 	}
 	t.ranks = assignRanks(c)
@@ -317,8 +323,17 @@
 // Services returns all services. Callers must not modify the slice.
 func (t *Table) Services() []Service { return t.content.Services }
 
-// NeedsKey reports whether callers of a route must present an API key.
-func (t *Table) NeedsKey(r *Route) bool { return !r.Public && len(t.keys) > 0 }
+// NeedsKey reports whether callers of a route must present an API key. They must also while no key is in force, as when
+// all were revoked.
+func (t *Table) NeedsKey(r *Route) bool { return !r.Public && t.KeysRequired() }
+
+// KeysRequired reports whether callers need an API key on all routes that are not public.
+func (t *Table) KeysRequired() bool {
+	return t.content.KeysRequired || len(t.content.Organisations) > 0
+}
+
+// KeyCount returns the number of API keys in force.
+func (t *Table) KeyCount() int { return len(t.keys) }
 
 // Rank returns the urgency of an organisation's requests on a route, from 0 (most urgent) to
 // MaxRank. The organisation may be nil.
--- a/pkg/routing/table_test.go
+++ b/pkg/routing/table_test.go
@@ -63,3 +63,34 @@
 	assert.False(t, with.NeedsKey(&Route{Public: true}))
 	assert.False(t, without.NeedsKey(&Route{}))
 }
+
+// Guards against routes that are open to everybody once all keys were revoked, and against an empty key that lets in
+// callers without one.
+func TestKeysAreNeededWhileNoneIsInForce(t *testing.T) {
+	for name, c := range map[string]Content{
+		"organisation without keys":       {Organisations: []Organisation{{Name: "a"}}},
+		"organisation with an empty key":  {Organisations: []Organisation{{Name: "a", Keys: []string{""}}}},
+		"no organisation, but their list": {KeysRequired: true},
+	} {
+		table := NewTable(c)
+		assert.True(t, table.NeedsKey(&Route{}), name)
+		_, ok := table.OrganisationByKey("")
+		assert.False(t, ok, name)
+	}
+}
+
+// Guards against a change of the table that is applied without the need for keys.
+func TestDeltaKeepsWhetherKeysAreNeeded(t *testing.T) {
+	withKeys := NewTable(Content{Version: 1, KeysRequired: true, Organisations: []Organisation{{Name: "a", Keys: []string{"k"}}}})
+	revoked, open := NewTable(Content{Version: 2, KeysRequired: true}), NewTable(Content{Version: 3})
+	next, ok := withKeys.Apply(Diff(withKeys, revoked))
+	require.True(t, ok)
+	assert.True(t, next.NeedsKey(&Route{}))
+	next, ok = next.Apply(Diff(revoked, open))
+	require.True(t, ok)
+	assert.False(t, next.NeedsKey(&Route{}))
+	forgotten := Diff(withKeys, revoked)
+	forgotten.KeysRequired = false
+	_, ok = withKeys.Apply(forgotten)
+	assert.False(t, ok, "a delta that does not hold it")
+}
