serverpath: a path that accepts connections is sound only once it carries a response

A path counted as sound once a connection opened; what became of it was told to nobody, so that all servers were ejected in turn and no other box was asked.

A connection that ends while a response is awaited puts its path in doubt; new connections over such a path first carry a request that no server runs (421). One that ends then is a failed dial. Silence counts only if another box gets a response meanwhile. Probes of crashed servers use the same check.

Tests changed: TestPathIsCheckedWhileNothingArrives asked that an accepted connection shows that a box has its links, which is the fault; it asks now that it doesn't, and that data does.

--- a/cmd/headhill/cmds/route.go
+++ b/cmd/headhill/cmds/route.go
@@ -84,6 +84,7 @@
 		Quarantine: func(access routerd.StoreAccess) quarantine.Store {
 			return platform.NewQuarantine(platform.NewStore(access))
 		},
+		PathCheck: platform.PathCheckHeader,
 		Versions: func(access routerd.StoreAccess) resumption.VersionStore {
 			return platform.NewVersions(platform.NewStore(access))
 		},
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -82,6 +82,8 @@
 	Versions func(StoreAccess) resumption.VersionStore
 	// Cloud returns the client for the calls that fleet duties make.
 	Cloud func(address func() string) duties.Cloud
+	// PathCheck returns the header of a request that a server answers without running it; nil if there is none.
+	PathCheck func() http.Header
 	// DialServer opens a direct connection to a server; nil for a TCP connection.
 	DialServer func(ctx context.Context, address string) (net.Conn, error)
 }
--- a/pkg/routerd/serverdial.go
+++ b/pkg/routerd/serverdial.go
@@ -1,6 +1,9 @@
 package routerd
 
 import (
+	"context"
+	"net"
+
 	"github.com/go-kit/log"
 
 	"headhill.example/headhill/pkg/serverpath"
@@ -24,12 +27,21 @@
 	return upstream.DialDirect
 }
 
+// checkPath returns the function that checks new connections to servers over paths in doubt; nil if the platform has no
+// request for that.
+func (a Adapter) checkPath() func(context.Context, net.Conn) (bool, error) {
+	if a.PathCheck == nil {
+		return nil
+	}
+	return func(ctx context.Context, c net.Conn) (bool, error) { return upstream.CheckPath(ctx, c, a.PathCheck()) }
+}
+
 // openServerPaths creates the client of the servers.
 func (d *Daemon) openServerPaths(a Adapter, hall string, logger log.Logger) {
 	d.paths = serverpath.NewTracker(logger)
 	d.serverDialer = serverpath.NewDialer(serverpath.Deps{
 		Tracker: d.paths, Hall: hall, Direct: a.dialServer(), Timeout: serverDialTimeout, Peers: d.peerBoxes, HallOf: d.hallOfServer,
-		OtherServer: d.otherServer, Logger: logger,
+		OtherServer: d.otherServer, Logger: logger, Check: a.checkPath(),
 	})
 	d.upstream = upstream.NewClientWithDialer(d.serverDialer)
 	d.serverDialer.AddIdle = d.upstream.AddIdle
--- a/pkg/serverpath/dialer.go
+++ b/pkg/serverpath/dialer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/tunnel"
@@ -43,6 +44,10 @@
 	Timeout time.Duration
 	// Tunnel opens a connection by way of a relay; nil for tunnel.Dial.
 	Tunnel func(ctx context.Context, relay, address string) (net.Conn, error)
+	// Check sends the server of a new connection a request that it does not run, and returns nil once anything of the
+	// response has arrived. reusable reports whether the connection can carry a further exchange. With a nil Check,
+	// all connections count that are accepted.
+	Check func(ctx context.Context, c net.Conn) (reusable bool, err error)
 	// Peers returns the other boxes, HallOf the hall of the server at an address, "" if it is unknown.
 	Peers  func() []Peer
 	HallOf func(address string) string
@@ -88,8 +93,10 @@
 // Probe implements upstream.Dialer. A server to which the connection is refused has exited only if no
 // other box reaches it either.
 func (d *Dialer) Probe(ctx context.Context, serverKey, address string) upstream.State {
-	state := upstream.StateOf(d.DialDirect(ctx, address))
-	if state != upstream.StateExited {
+	conn, err := d.DialDirect(ctx, address)
+	state := upstream.StateOf(conn, err)
+	var unanswered *CheckError
+	if state != upstream.StateExited && !errors.As(err, &unanswered) {
 		return state
 	}
 	relays := d.relayOrder(address)
@@ -98,7 +105,7 @@
 	}
 	refusals := 0
 	for _, relay := range relays[:min(len(relays), maxRelays)] {
-		conn, err := d.dialRelay(ctx, relay, serverKey, address)
+		conn, err := d.dialRelay(ctx, relay, serverKey, address, d.Tracker.CheckOf(address, clock.Now()))
 		if err == nil {
 			d.Tracker.RecordRelayed(address, true, clock.Now())
 			_ = conn.Close()
@@ -114,19 +121,57 @@
 	return upstream.StateUnknown
 }
 
-// AwaitsResponse implements upstream.Dialer. While no server sends anything, the box opens a further
-// connection: an idle connection whose path has failed would otherwise be noticed only by its keep-alive.
+// AwaitsResponse implements upstream.Dialer. While no server sends anything, the box opens a further connection: one
+// whose path has failed would otherwise be noticed only by its keep-alive, and not at all if something on the way answers
+// that.
 func (d *Dialer) AwaitsResponse(serverKey, address string, sent time.Time) {
 	if !d.Tracker.takeCheck(address, sent, clock.Now()) {
 		return
 	}
 	go func() {
-		if conn, err := d.Dial(context.Background(), serverKey, address); err == nil {
+		conn, err := d.Dial(context.Background(), serverKey, address)
+		if err != nil {
+			return
+		}
+		if direct, ok := conn.(*directConn); ok && d.Check != nil {
+			conn, err = d.compare(direct, serverKey, address)
+		}
+		if err == nil {
 			d.AddIdle(serverKey, conn)
 		}
 	}()
 }
 
+// maxCompared is the number of other boxes by way of which a silent path is compared.
+const maxCompared = 2
+
+// compare checks a direct connection. If nothing comes over it in time, the path counts as lost if a connection by way of
+// another box carries a response. If none does, the server may be slow, and nothing is concluded.
+func (d *Dialer) compare(c *directConn, serverKey, address string) (net.Conn, error) {
+	begun := clock.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), d.Timeout)
+	defer cancel()
+	reusable, err := d.check(ctx, c.Conn, address, "")
+	if err == nil {
+		d.Tracker.RecordHeard(address, clock.Now())
+		if !reusable {
+			return nil, c.Conn.Close()
+		}
+		return c, nil
+	}
+	_ = c.Conn.Close()
+	relays := d.relayOrder(address)
+	for _, relay := range relays[:min(len(relays), maxCompared)] {
+		conn, relayErr := d.dialRelay(context.Background(), relay, serverKey, address, CheckResponse)
+		if relayErr == nil {
+			d.Tracker.RecordUnanswered(address, FailureOf(err), begun, clock.Now())
+			d.Tracker.RecordRelayed(address, true, clock.Now())
+			return conn, nil
+		}
+	}
+	return nil, err
+}
+
 // RetryDirect tries in the background whether the direct path to a server is back, if that is due.
 func (d *Dialer) RetryDirect(serverKey, address string) {
 	if !d.Tracker.takeRetry(address, clock.Now()) {
@@ -145,29 +190,100 @@
 	return errors.As(err, &refused) && refused.Reason == tunnel.ReasonServerRefused
 }
 
-// DialDirect opens a direct connection and records how that ended.
+// isUnanswered reports whether a connection was accepted and carried no response.
+func isUnanswered(err error) bool {
+	var unanswered *CheckError
+	return errors.As(err, &unanswered)
+}
+
+// DialDirect opens a direct connection and records how that ended. Over a path in doubt, the connection must have
+// passed a check.
 func (d *Dialer) DialDirect(ctx context.Context, address string) (net.Conn, error) {
+	return d.dialDirect(ctx, address, d.Tracker.CheckOf(address, clock.Now()))
+}
+
+// dialDirect opens a direct connection that passes a check.
+func (d *Dialer) dialDirect(ctx context.Context, address string, check Check) (net.Conn, error) {
 	start := clock.Now()
 	dialCtx, cancel := context.WithTimeout(ctx, d.Timeout)
 	defer cancel()
 	conn, err := d.Direct(dialCtx, address)
+	took := clock.Since(start)
+	passed := false
+	if err == nil {
+		conn, passed, err = d.checked(dialCtx, conn, check, address, "", func() (net.Conn, error) { return d.Direct(dialCtx, address) })
+	}
 	now := clock.Now()
 	switch {
 	case err == nil:
-		d.Tracker.RecordConnected(address, now.Sub(start), now)
-		return &directConn{Conn: conn, tracker: d.Tracker, address: address}, nil
-	case ctx.Err() == nil:
+		d.Tracker.RecordConnected(address, took, passed, now)
+		return &directConn{Conn: conn, awaited: awaited{path: d.Tracker, address: address}}, nil
+	case ctx.Err() != nil:
+	case isUnanswered(err):
+		d.Tracker.RecordUnanswered(address, FailureOf(err), start, now)
+	default:
 		d.Tracker.RecordFailed(address, FailureOf(err), start, now)
 	}
 	return nil, err
 }
 
+// maxCheckTime limits a check after which a connection counts although nothing came over it.
+const maxCheckTime = 150 * time.Millisecond
+
+// checked returns a new connection once it has passed a check, and whether it has carried a response. If it can't carry
+// a further exchange after that, another one is returned.
+func (d *Dialer) checked(ctx context.Context, c net.Conn, check Check, address, via string, again func() (net.Conn, error)) (conn net.Conn, passed bool, err error) {
+	if check == CheckNone || d.Check == nil {
+		return c, false, nil
+	}
+	checkCtx := ctx
+	if check == CheckEnd {
+		limited, cancel := context.WithTimeout(ctx, maxCheckTime)
+		defer cancel()
+		checkCtx = limited
+	}
+	reusable, err := d.check(checkCtx, c, address, via)
+	var unanswered *CheckError
+	passed = err == nil
+	if passed && via != "" {
+		d.relays.recordCarried(via, clock.Now())
+	}
+	if errors.As(err, &unanswered) && unanswered.Silent && check == CheckEnd && ctx.Err() == nil {
+		d.Tracker.Trust(address, clock.Now())
+		reusable, err = false, nil
+	}
+	if passed && reusable {
+		return c, true, nil
+	}
+	_ = c.Close()
+	if err != nil {
+		return nil, false, err
+	}
+	conn, err = again()
+	return conn, passed, err
+}
+
+// check sends a check over a connection. The error is a *CheckError.
+func (d *Dialer) check(ctx context.Context, c net.Conn, address, via string) (reusable bool, err error) {
+	start := clock.Now()
+	if reusable, err = d.Check(ctx, c); err != nil {
+		err = &CheckError{Address: address, Via: via, Silent: ctx.Err() != nil, Cause: err}
+	}
+	now := clock.Now()
+	d.Tracker.RecordCheck(err == nil)
+	_ = level.Info(d.Logger).Log("msg", "path checked", "address", address, "via", via, "answered", err == nil, "after_ms", now.Sub(start).Milliseconds(), "err", err)
+	return reusable, err
+}
+
 // dialRelay opens a tunnel through a relay.
-func (d *Dialer) dialRelay(ctx context.Context, relay, serverKey, address string) (net.Conn, error) {
+func (d *Dialer) dialRelay(ctx context.Context, relay, serverKey, address string, check Check) (net.Conn, error) {
 	start := clock.Now()
 	dialCtx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	conn, err := d.Tunnel(dialCtx, relay, address)
+	if err == nil && !d.relays.carries(relay, clock.Now()) {
+		conn, _, err = d.checked(dialCtx, conn, check, address, relay, func() (net.Conn, error) { return d.Tunnel(dialCtx, relay, address) })
+	}
 	if err != nil {
 		// A relay that is overtaken by the next one is slow.
 		if ctx.Err() == nil || clock.Since(start) >= relayStagger {
@@ -177,7 +293,7 @@
 	}
 	d.tunneled.Add(1)
 	d.relays.recordOpened(relay, clock.Now())
-	return &tunnelConn{Conn: conn, dialer: d, serverKey: serverKey, address: address, relay: relay}, nil
+	return &tunnelConn{Conn: conn, dialer: d, serverKey: serverKey, relay: relay, awaited: awaited{path: d.Tracker, address: address}}, nil
 }
 
 // relayOrder returns the boxes to ask for a connection to an address, in order.
@@ -185,14 +301,14 @@
 	return d.relays.order(d.Peers(), d.HallOf(address), clock.Now())
 }
 
-// ReachesOthers reports whether this box can connect directly to another server than that at an address.
+// ReachesOthers reports whether this box reaches another server than that at an address directly.
 func (d *Dialer) ReachesOthers(ctx context.Context, address string) bool {
 	for range maxControls {
 		key, other, ok := d.OtherServer(address)
 		if !ok {
 			return true
 		}
-		if conn, err := d.DialDirect(ctx, other); err == nil {
+		if conn, err := d.dialDirect(ctx, other, CheckResponse); err == nil {
 			d.AddIdle(key, conn)
 			return true
 		}
@@ -200,24 +316,63 @@
 	return false
 }
 
+// awaited tells whether a response is awaited over a connection, and puts the path in doubt if none comes.
+type awaited struct {
+	path    *Tracker
+	address string
+	// pending is set while a response is awaited.
+	pending atomic.Bool
+}
+
+// sent is called for each write.
+func (a *awaited) sent(err error) {
+	a.pending.Store(true)
+	a.ended(err)
+}
+
+// received is called for each read, and reports whether it brought anything.
+func (a *awaited) received(n int, err error) bool {
+	if n > 0 {
+		a.pending.Store(false)
+		return true
+	}
+	a.ended(err)
+	return false
+}
+
+// ended puts the path in doubt if the connection has ended, not by this box, while a response was awaited. The loss of
+// the box by way of which it leads says nothing of the path.
+func (a *awaited) ended(err error) {
+	var lost *upstream.PathLostError
+	if err != nil && !errors.Is(err, net.ErrClosed) && !errors.As(err, &lost) && a.pending.Swap(false) {
+		a.path.RecordDoubt(a.address, clock.Now())
+	}
+}
+
 // directConn is a direct connection to a server.
 type directConn struct {
 	net.Conn
-	tracker *Tracker
-	address string
+	awaited
 }
 
 // Read implements net.Conn.
 func (c *directConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.tracker.RecordHeard(clock.Now())
+	if c.received(n, err) {
+		c.path.RecordHeard(c.address, clock.Now())
 	}
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *directConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.sent(err)
+	return n, err
+}
+
 // Reusable implements upstream.ReusableConn.
-func (c *directConn) Reusable() bool { return c.tracker.directFit(c.address) }
+func (c *directConn) Reusable() bool { return c.path.directFit(c.address) }
 
 // SyscallConn implements syscall.Conn.
 func (c *directConn) SyscallConn() (syscall.RawConn, error) { return syscallConn(c.Conn) }
@@ -225,17 +380,32 @@
 // tunnelConn is a connection that leads through another box.
 type tunnelConn struct {
 	net.Conn
-	dialer             *Dialer
-	serverKey, address string
-	relay              string
-	closed             atomic.Bool
+	dialer *Dialer
+	awaited
+	serverKey string
+	relay     string
+	released  atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *tunnelConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	switch waited := c.pending.Load(); {
+	case c.received(n, err) && waited:
+		c.dialer.relays.recordCarried(c.relay, clock.Now())
+	case waited && !c.pending.Load():
+		c.dialer.relays.recordBroken(c.relay, clock.Now())
+	}
+	return n, err
 }
 
 // Write implements net.Conn. Requests over open tunnels open no connections, so each has the direct path
 // tried again.
 func (c *tunnelConn) Write(b []byte) (int, error) {
 	c.dialer.RetryDirect(c.serverKey, c.address)
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.sent(err)
+	return n, err
 }
 
 // Via implements upstream.ViaConn.
@@ -252,7 +422,7 @@
 
 // Close implements net.Conn.
 func (c *tunnelConn) Close() error {
-	if !c.closed.Swap(true) {
+	if !c.released.Swap(true) {
 		c.dialer.relays.recordClosed(c.relay)
 	}
 	return c.Conn.Close()
--- a/pkg/serverpath/plan_test.go
+++ b/pkg/serverpath/plan_test.go
@@ -27,7 +27,7 @@
 	assert.Equal(t, Plan{Direct: true, RelayAfter: maxHeadStart}, tracker.Plan("b", now), "another server")
 	assert.Equal(t, Plan{Direct: true}, tracker.Plan("a", now.Add(probeInterval)), "both ways, as the direct one may be back")
 	assert.Equal(t, Plan{}, tracker.Plan("a", now.Add(probeInterval)), "one request probes")
-	tracker.RecordConnected("a", time.Millisecond, now.Add(probeInterval))
+	tracker.RecordConnected("a", time.Millisecond, true, now.Add(probeInterval))
 	assert.True(t, tracker.Plan("a", now.Add(probeInterval)).Direct)
 	assert.Equal(t, minHeadStart, tracker.Plan("a", now.Add(probeInterval)).RelayAfter, "a multiple of the connect time")
 }
@@ -53,7 +53,7 @@
 		}
 	}
 	assert.Equal(t, int(time.Second/boxProbeInterval), probes)
-	tracker.RecordConnected("c", time.Millisecond, now.Add(time.Second))
+	tracker.RecordConnected("c", time.Millisecond, true, now.Add(time.Second))
 	assert.False(t, tracker.Isolated())
 	assert.Equal(t, []bool{true, false}, changes)
 }
@@ -69,7 +69,7 @@
 		}
 		assert.True(t, tracker.Isolated())
 		assert.Equal(t, failure == FailureRefused, tracker.directFit("c"), "open connections stay usable only if others are refused")
-		tracker.RecordHeard(now.Add(time.Second))
+		tracker.RecordHeard("x", now.Add(time.Second))
 		assert.Equal(t, isolated, tracker.Isolated(), failure)
 	}
 }
@@ -88,15 +88,17 @@
 func TestPathIsCheckedWhileNothingArrives(t *testing.T) {
 	now := time.Unix(1000, 0)
 	tracker := NewTracker(log.NewNopLogger())
-	tracker.RecordHeard(now)
+	tracker.RecordHeard("x", now)
 	assert.False(t, tracker.takeCheck("a", now.Add(-time.Millisecond), now), "another server has sent something since")
 	assert.True(t, tracker.takeCheck("a", now.Add(time.Millisecond), now.Add(time.Second)))
 	assert.False(t, tracker.takeCheck("b", now.Add(time.Millisecond), now.Add(time.Second)), "at a bounded rate")
 	tracker.RecordFailed("a", FailureSilent, now.Add(time.Second), now.Add(time.Second))
 	assert.False(t, tracker.takeCheck("a", now.Add(time.Millisecond), now.Add(2*time.Second)), "the path is known to have failed")
 	assert.True(t, tracker.takeCheck("b", now.Add(time.Millisecond), now.Add(2*time.Second)))
-	tracker.RecordConnected("b", time.Millisecond, now.Add(2*time.Second))
-	assert.False(t, tracker.takeCheck("c", now.Add(time.Millisecond), now.Add(3*time.Second)), "the box has its links")
+	tracker.RecordConnected("b", time.Millisecond, true, now.Add(2*time.Second))
+	assert.True(t, tracker.takeCheck("c", now.Add(time.Millisecond), now.Add(3*time.Second)), "a connection that is accepted may lead nowhere")
+	tracker.RecordHeard("b", now.Add(3*time.Second))
+	assert.False(t, tracker.takeCheck("c", now.Add(time.Millisecond), now.Add(4*time.Second)), "the box has its links")
 }
 
 // Servers that fall silent while others send are no evidence against the box: it must not forget which
@@ -105,7 +107,7 @@
 	now := time.Unix(1000, 0)
 	tracker := NewTracker(log.NewNopLogger())
 	tracker.OnChange(func(bool) { assert.Fail(t, "isolation changed") })
-	tracker.RecordHeard(now.Add(100 * time.Millisecond))
+	tracker.RecordHeard("x", now.Add(100*time.Millisecond))
 	for i := range 2 * minUnreached {
 		tracker.RecordFailed(fmt.Sprint(i), FailureSilent, now, now.Add(300*time.Millisecond))
 	}
--- a/pkg/serverpath/race.go
+++ b/pkg/serverpath/race.go
@@ -51,6 +51,9 @@
 
 // run returns the first connection that is opened.
 func (r *race) run() (net.Conn, error) {
+	if r.plan.NoWay {
+		return nil, &NoWayError{Address: r.address}
+	}
 	next := time.NewTimer(r.plan.RelayAfter)
 	defer next.Stop()
 	if r.plan.Direct {
@@ -117,7 +120,7 @@
 	r.asked++
 	r.pending++
 	go func() {
-		conn, err := r.dialRelay(r.relayCtx, relay, r.serverKey, r.address)
+		conn, err := r.dialRelay(r.relayCtx, relay, r.serverKey, r.address, r.Tracker.CheckOf(r.address, clock.Now()))
 		r.results <- attempt{conn: conn, err: err, relay: relay}
 	}()
 	return true
@@ -138,6 +141,9 @@
 // recordDown records that the server's machine refuses the connections of other boxes as well, if enough
 // have tried. A relay that got no answer may have lost its links, too.
 func (r *race) recordDown() {
+	if isUnanswered(r.directErr) {
+		r.Tracker.RecordNoWay(r.address, clock.Now())
+	}
 	if r.directErr != nil && r.refusals >= min(maxRefusals, max(r.asked, 1)) {
 		r.Tracker.RecordRelayed(r.address, false, clock.Now())
 	}
--- a/pkg/serverpath/relays.go
+++ b/pkg/serverpath/relays.go
@@ -37,6 +37,8 @@
 type relay struct {
 	provenAt    time.Time
 	failedUntil time.Time
+	// carriedAt is when a tunnel through the box last carried data from a server.
+	carriedAt time.Time
 	// open is the number of tunnels that lead through it.
 	open int
 }
@@ -140,6 +142,30 @@
 	k.open++
 }
 
+// recordCarried records that a tunnel through a box carried data from a server.
+func (r *relays) recordCarried(address string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.relay(address).carriedAt = now
+}
+
+// recordBroken records that a tunnel through a box ended while a response was awaited. The box may be behind a path that
+// accepts connections and carries none.
+func (r *relays) recordBroken(address string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.relay(address)
+	k.carriedAt, k.provenAt, k.failedUntil = time.Time{}, time.Time{}, now.Add(relayBackoff)
+}
+
+// carries reports whether a tunnel through a box has carried data from a server lately.
+func (r *relays) carries(address string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.known[address]
+	return k != nil && !k.carriedAt.IsZero() && now.Sub(k.carriedAt) < relayTTL
+}
+
 // recordClosed records that a tunnel through a box was closed.
 func (r *relays) recordClosed(address string) {
 	r.mu.Lock()
--- a/pkg/serverpath/tracker_test.go
+++ b/pkg/serverpath/tracker_test.go
@@ -20,7 +20,7 @@
 		tracker.RecordFailed("b", FailureRefused, now, now)
 	}
 	assert.False(t, tracker.Isolated())
-	tracker.RecordConnected("c", time.Millisecond, now)
+	tracker.RecordConnected("c", time.Millisecond, true, now)
 	now = now.Add(time.Second)
 	tracker.RecordFailed("d", FailureSilent, now, now)
 	assert.False(t, tracker.Isolated(), "a success in between shows that the box has its links")
@@ -28,9 +28,9 @@
 		tracker.RecordFailed(fmt.Sprint(i), FailureSilent, now, now)
 	}
 	assert.True(t, tracker.Isolated())
-	tracker.RecordConnected("a", time.Millisecond, now.Add(time.Second))
+	tracker.RecordConnected("a", time.Millisecond, true, now.Add(time.Second))
 	assert.False(t, tracker.Isolated())
-	assert.Equal(t, map[string]int64{"connected": 2, "silent": 14, "refused": 10}, tracker.Dials())
+	assert.Equal(t, map[string]int64{"connected": 2, "silent": 14, "refused": 10, "checked": 0, "check failed": 0}, tracker.Dials())
 }
 
 func TestFailureOf(t *testing.T) {
--- a/pkg/tunnel/server.go
+++ b/pkg/tunnel/server.go
@@ -233,7 +233,7 @@
 	s.mu.Lock()
 	s.refused[reason]++
 	s.mu.Unlock()
-	_ = level.Debug(s.Logger).Log("msg", "tunnel refused", "box", r.RemoteAddr, "address", r.Host, "reason", reason)
+	_ = level.Info(s.Logger).Log("msg", "tunnel refused", "box", r.RemoteAddr, "address", r.Host, "reason", reason)
 	w.Header().Set(headerReason, string(reason))
 	w.WriteHeader(statusOf(reason))
 }
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -65,13 +65,17 @@
 	Dial(ctx context.Context, serverKey, address string) (net.Conn, error)
 	// Probe checks whether the process of a server still runs, by opening a connection.
 	Probe(ctx context.Context, serverKey, address string) State
-	// AwaitsResponse is called when a request over an idle connection was sent pathCheckDelay ago and
-	// nothing of its response has arrived. It must not block.
+	// AwaitsResponse is called when a request was sent over a direct connection pathCheckDelay ago, or over a new one
+	// newPathCheckDelay ago, and nothing of its response has arrived. It must not block.
 	AwaitsResponse(serverKey, address string, sent time.Time)
 }
 
-// pathCheckDelay is the time without a response after which the path to a server may be checked.
-const pathCheckDelay = 250 * time.Millisecond
+// pathCheckDelay is the time without a response after which the path to a server may be checked. A connection that has
+// just been opened is less likely to be lost.
+const (
+	pathCheckDelay    = 250 * time.Millisecond
+	newPathCheckDelay = 600 * time.Millisecond
+)
 
 // Client sends requests to servers over pooled connections.
 type Client struct {
@@ -106,9 +110,12 @@
 	if err != nil {
 		return nil, &NotSentError{Address: r.Address, Cause: err}
 	}
-	if conn.reused && conn.via() == "" {
-		sent := clock.Now()
-		check := time.AfterFunc(pathCheckDelay, func() { c.dialer.AwaitsResponse(r.ServerKey, r.Address, sent) })
+	if conn.via() == "" {
+		sent, delay := clock.Now(), newPathCheckDelay
+		if conn.reused {
+			delay = pathCheckDelay
+		}
+		check := time.AfterFunc(delay, func() { c.dialer.AwaitsResponse(r.ServerKey, r.Address, sent) })
 		defer check.Stop()
 	}
 	if r.OnSend != nil {
--- /dev/null
+++ b/pkg/upstream/pathcheck.go
@@ -0,0 +1,42 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+)
+
+// maxCheckBytes limits what is read of the response to a check.
+const maxCheckBytes = 16 << 10
+
+// CheckPath checks whether a server can be reached over a new connection, by sending a request with a header that has the
+// server answer without running it. The error is nil as soon as anything has arrived, since a path that carries bytes is
+// sound whatever they are. reusable reports whether a whole response came and the connection can carry a further
+// exchange. The connection is closed if ctx ends first.
+func CheckPath(ctx context.Context, c net.Conn, header http.Header) (reusable bool, err error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	var request bytes.Buffer
+	request.WriteString("GET / HTTP/1.1\r\nHost: " + c.RemoteAddr().String() + "\r\n")
+	_ = header.Write(&request)
+	request.WriteString("\r\n")
+	if _, err := c.Write(request.Bytes()); err != nil {
+		stop()
+		return false, err
+	}
+	reader := bufio.NewReader(io.LimitReader(c, maxCheckBytes))
+	if _, err := reader.Peek(1); err != nil {
+		stop()
+		return false, err
+	}
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		stop()
+		return false, nil
+	}
+	n, err := io.Copy(io.Discard, resp.Body)
+	whole := err == nil && n == resp.ContentLength && !resp.Close && resp.StatusCode >= http.StatusOK && reader.Buffered() == 0
+	return stop() && whole, nil
+}
