--- a/pkg/tunnel/client.go
+++ b/pkg/tunnel/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/binary"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"syscall"
@@ -40,6 +41,8 @@
 	net.Conn
 	relay  string
 	reader *bufio.Reader
+	// limit caps what is read of the answer to the request for the tunnel.
+	limit *io.LimitedReader
 	// remaining is what is left of the current frame.
 	remaining int
 	// stopping is set once the relay has announced that it is shutting down.
@@ -49,9 +52,14 @@
 }
 
 func newConn(raw net.Conn, relay string) *conn {
-	return &conn{Conn: raw, relay: relay, reader: bufio.NewReaderSize(raw, maxFrameBytes+frameHeaderBytes)}
+	limit := &io.LimitedReader{R: raw, N: maxAnswerBytes}
+	return &conn{Conn: raw, relay: relay, limit: limit, reader: bufio.NewReaderSize(limit, maxFrameBytes+frameHeaderBytes)}
 }
 
+// maxAnswerBytes limits what is read of the answer to a request for a tunnel. Another program may have taken the address
+// of a box that is gone.
+const maxAnswerBytes = 64 << 10
+
 // connect asks the relay for the tunnel and reads its answer.
 func (c *conn) connect(server string) error {
 	if _, err := io.WriteString(c.Conn, "CONNECT "+server+" HTTP/1.1\r\nHost: "+server+"\r\n\r\n"); err != nil {
@@ -63,6 +71,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusOK {
+		c.limit.N = math.MaxInt64
 		return nil
 	}
 	reason := Reason(resp.Header.Get(headerReason))
