gateway: crashes behind responses that end with their connection are noticed

In a response without length or chunks the crash passes for the end; the server was probed only if the request had a crash on record already.

A server is probed if nothing of the body came, and else at most once a second.

--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -16,6 +17,7 @@
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/quarantine"
+	"headhill.example/headhill/pkg/routing"
 	"headhill.example/headhill/pkg/upstream"
 )
 
@@ -126,8 +128,7 @@
 func (x *exchange) reportToQuarantine(lease *balancer.Lease, result balancer.Result, f *failure, err error) {
 	switch {
 	case f == nil && err == nil && x.response != nil && x.response.End() == upstream.EndClosed:
-		// Such a response may have been cut off by a crash. A probe for each of them would cost a connection.
-		if x.quarantineFinding().Crashes > 0 {
+		if x.mayBeCutOff(lease) {
 			x.probeServer(lease, true)
 		}
 	case f == nil && err == nil, f != nil && f.response != nil && f.response.status != http.StatusGatewayTimeout:
@@ -137,6 +138,38 @@
 	}
 }
 
+// closedProbeInterval is the minimum time between two probes of a server for responses that ended with its connection and
+// had a body.
+const closedProbeInterval = time.Second
+
+// mayBeCutOff reports whether the server of a response that ended with its connection is to be probed, as it may have
+// crashed. A probe for each such response would cost a connection, so one that looks complete has its server probed only
+// from time to time, unless servers crashed of the request before.
+func (x *exchange) mayBeCutOff(lease *balancer.Lease) bool {
+	return x.response.BodyBytes() == 0 || x.quarantineFinding().Crashes > 0 || x.gateway.closedProbes.take(lease.Server.Incarnation(), clock.Now())
+}
+
+// closedProbes holds when servers were last probed for responses that ended with their connection.
+type closedProbes struct {
+	mu   sync.Mutex
+	last map[routing.Incarnation]time.Time
+}
+
+// take reports whether a server is to be probed now, and counts the probe.
+func (p *closedProbes) take(server routing.Incarnation, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.last[server]) < closedProbeInterval {
+		return false
+	}
+	maps.DeleteFunc(p.last, func(_ routing.Incarnation, at time.Time) bool { return now.Sub(at) >= closedProbeInterval })
+	if p.last == nil {
+		p.last = make(map[routing.Incarnation]time.Time)
+	}
+	p.last[server] = now
+	return true
+}
+
 // reportSuccess reports that a server responded completely and stayed up; whole is set if it did so with success.
 func (x *exchange) reportSuccess(whole bool) {
 	r := x.quarantineRequest()
--- a/pkg/upstream/end.go
+++ b/pkg/upstream/end.go
@@ -79,6 +79,7 @@
 	reader  io.Reader
 	framing Framing
 	end     atomic.Int32
+	bytes   atomic.Int64
 	err     error
 }
 
@@ -88,6 +89,7 @@
 		return 0, b.err
 	}
 	n, err := b.reader.Read(p)
+	b.bytes.Add(int64(n))
 	if err == io.EOF && b.framing == FramingClose {
 		err = ErrConnectionEnded
 	}
@@ -106,6 +108,14 @@
 	return EndNone
 }
 
+// BodyBytes returns how much of the body has been read.
+func (r *Response) BodyBytes() int64 {
+	if b, ok := r.Body.(*body); ok {
+		return b.bytes.Load()
+	}
+	return 0
+}
+
 // endCounts counts responses by framing and end.
 type endCounts [framings][ends]atomic.Int64
 
