duties: windows that ended before all boxes restarted are not reported again

Nobody had counts, and what boxes announce came from the same older copy, so that unknown windows counted as not reported.

Without counts, the windows that ended before the holder started are skipped. Red before: TestUsageIsNotReportedAgainWhenAllBoxesRestartAfterRestore (five windows twice), TestWindowsBeforeTheStartAreSkippedIfNobodyKnowsOfThem.

--- a/pkg/duties/reporter.go
+++ b/pkg/duties/reporter.go
@@ -41,7 +41,9 @@
 	// catchUp is set while the ledger from an older copy of the store has to be brought up to date.
 	catchUp mutexed[*pendingCatchUp]
 	retryAt time.Time
-	status  mutexed[ReporterStatus]
+	// createdAt is when this box began to know anything of the windows.
+	createdAt time.Time
+	status    mutexed[ReporterStatus]
 }
 
 // ReporterStatus describes the reports made so far, for operators.
@@ -55,7 +57,9 @@
 }
 
 // NewReporter returns a Reporter without any closed windows.
-func NewReporter(d ReporterDeps) *Reporter { return &Reporter{ReporterDeps: d} }
+func NewReporter(d ReporterDeps) *Reporter {
+	return &Reporter{ReporterDeps: d, createdAt: clock.Now()}
+}
 
 func (r *Reporter) attach(calls *fencedCaller, cloud Cloud, logger log.Logger) {
 	r.calls, r.cloud, r.logger = calls, cloud, logger
@@ -132,13 +136,14 @@
 }
 
 // firstCertainWindow returns the first window that no other holder can have closed: one that is not known to
-// be closed and for which a running box has counts. If all boxes have restarted, nobody knows more.
+// be closed and for which a running box has counts. Without any counts, all boxes may have restarted, and what they announce
+// may come from the same older copy; a holder before that may have closed any window that ended before this box started.
 func (r *Reporter) firstCertainWindow() metering.Window {
 	next := metering.Window(r.announcedNext.Load())
 	if counted, ok := r.Collector.FirstWindow(); ok {
-		next = max(next, counted)
+		return max(next, counted)
 	}
-	return next
+	return max(next, metering.WindowAt(r.Clock(r.createdAt), r.WindowLength))
 }
 
 // ensureCaughtUp brings a ledger from an older copy of the store up to date when that is due. It reports whether
