--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -128,13 +128,13 @@
 func (x *exchange) reportToQuarantine(lease *balancer.Lease, result balancer.Result, f *failure, err error) {
 	switch {
 	case f == nil && err == nil && x.response != nil && x.response.End() == upstream.EndClosed:
-		if suspect := x.quarantineFinding().Crashes > 0; suspect || x.mayBeCutOff(lease) {
-			x.probeServer(lease, true, suspect)
+		if x.mayBeCutOff(lease) {
+			x.probeServer(lease, true)
 		}
 	case f == nil && err == nil, f != nil && f.response != nil && f.response.status != http.StatusGatewayTimeout:
 		x.reportSuccess(f == nil && x.response != nil && x.response.Status < http.StatusMultipleChoices)
 	case f != nil && f.disconnected && result == balancer.ResultFailed:
-		x.probeServer(lease, false, true)
+		x.probeServer(lease, false)
 	}
 }
 
@@ -143,10 +143,10 @@
 const closedProbeInterval = time.Second
 
 // mayBeCutOff reports whether the server of a response that ended with its connection is to be probed, as it may have
-// crashed. A probe for each such response would cost a connection, so one that has a body has its server probed only from
-// time to time.
+// crashed. A probe for each such response would cost a connection, so one that looks complete has its server probed only
+// from time to time, unless servers crashed of the request before.
 func (x *exchange) mayBeCutOff(lease *balancer.Lease) bool {
-	return x.response.BodyBytes() == 0 || x.gateway.closedProbes.take(lease.Server.Incarnation(), clock.Now())
+	return x.response.BodyBytes() == 0 || x.quarantineFinding().Crashes > 0 || x.gateway.closedProbes.take(lease.Server.Incarnation(), clock.Now())
 }
 
 // closedProbes holds when servers were last probed for responses that ended with their connection.
@@ -178,15 +178,18 @@
 
 // probeServer checks whether a server whose connection broke has crashed. A broken connection alone
 // is no evidence against the request, as servers also reset connections for other reasons. orderly is set if the
-// response may be complete, which a server that still runs confirms; that acquits the request if suspect is set.
-func (x *exchange) probeServer(lease *balancer.Lease, orderly, suspect bool) {
-	probe := x.gateway.Upstream.Probe(lease.Server.Incarnation().String(), lease.Server.Address)
+// response may be complete, which a server that still runs confirms.
+func (x *exchange) probeServer(lease *balancer.Lease, orderly bool) {
 	r, brokenAt := x.quarantineRequest(), clock.Now()
+	since := time.Time{}
+	if orderly {
+		// A server that ran a moment before may have crashed with this response.
+		since = brokenAt
+	}
+	probe := x.gateway.Upstream.ProbeSince(lease.Server.Incarnation().String(), lease.Server.Address, since)
 	report := func() {
 		if orderly && probe.State == upstream.StateUp {
-			if suspect {
-				x.reportSuccess(true)
-			}
+			x.reportSuccess(true)
 			return
 		}
 		x.reportProbe(&r, lease, brokenAt, probe.State)
--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -76,7 +76,8 @@
 }
 
 // Guards against a crash that cuts a response off which ends with its connection, and is taken for the end of a
-// complete one.
+// complete one: such a response acquits only while its server is seen to run on, which is checked once a second unless
+// servers crashed of the request.
 func TestResponsesEndedByTheirConnectionAcquitNothing(t *testing.T) {
 	event := "id: 1\ndata: x\n\n"
 	for _, x := range []struct {
@@ -84,12 +85,14 @@
 		framing            string
 		crashes            int
 		serverExits        bool
+		responses          int
 		wantSound, wantEnd int
 	}{
-		{"chunked", "chunked", 0, false, 1, 0},
-		{"closed, nothing suspected", "close", 0, false, 0, 0},
-		{"closed, the server runs on", "close", 1, false, 1, 0},
-		{"closed, the server has exited", "close", 1, true, 0, 1},
+		{"chunked", "chunked", 0, false, 1, 1, 0},
+		{"closed, nothing suspected", "close", 0, false, 3, 1, 0},
+		{"closed, nothing suspected, the server has exited", "close", 0, true, 1, 0, 1},
+		{"closed, the server runs on", "close", 1, false, 1, 1, 0},
+		{"closed, the server has exited", "close", 1, true, 1, 0, 1},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			q := &soundRecorder{crashes: x.crashes}
@@ -102,7 +105,9 @@
 			})
 			server = f.backends[0]
 			f.gateway.Quarantine = q
-			f.callRaw(t, http.MethodPost, "1.1", "")
+			for range x.responses {
+				f.callRaw(t, http.MethodPost, "1.1", "")
+			}
 			assert.Eventually(t, func() bool {
 				q.mu.Lock()
 				defer q.mu.Unlock()
--- a/pkg/upstream/probe.go
+++ b/pkg/upstream/probe.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"headhill.example/headhill/pkg/clock"
 )
 
 // State is the state of a server's process as found by a probe.
@@ -44,32 +46,41 @@
 	// Done is closed once State is set.
 	Done  chan struct{}
 	State State
+	began time.Time
 }
 
 // Probe checks whether the process of a server still runs by opening a connection to it. It joins
 // a probe of the same server that is in flight or was completed recently.
 func (c *Client) Probe(server, address string) *Probe {
+	return c.ProbeSince(server, address, time.Time{})
+}
+
+// ProbeSince is like Probe, but does not join a probe that began before a time: its result may be from before an event
+// at that time.
+func (c *Client) ProbeSince(server, address string, since time.Time) *Probe {
 	c.probes.mu.Lock()
 	defer c.probes.mu.Unlock()
-	if p, ok := c.probes.byServer[server]; ok {
+	if p, ok := c.probes.byServer[server]; ok && !p.began.Before(since) {
 		return p
 	}
-	p := &Probe{Done: make(chan struct{})}
+	p := &Probe{Done: make(chan struct{}), began: clock.Now()}
 	c.probes.byServer[server] = p
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
 		p.State = c.dialer.Probe(ctx, server, address)
 		close(p.Done)
-		time.AfterFunc(probeCacheTTL, func() { c.probes.remove(server) })
+		time.AfterFunc(probeCacheTTL, func() { c.probes.remove(server, p) })
 	}()
 	return p
 }
 
-func (p *probes) remove(server string) {
+func (p *probes) remove(server string, done *Probe) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.byServer, server)
+	if p.byServer[server] == done {
+		delete(p.byServer, server)
+	}
 }
 
 // StateOf returns the state of a server's process as shown by the result of a dial. It closes the
