--- a/pkg/resumption/versions_test.go
+++ b/pkg/resumption/versions_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,6 +82,13 @@
 	return nil
 }
 
+// services returns the versions that the record holds.
+func (s *versionStore) services() map[string][]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.record.Services
+}
+
 // copyRecord keeps the record for a later restore.
 func (s *versionStore) copyRecord() {
 	s.mu.Lock()
@@ -256,29 +264,35 @@
 	}
 }
 
+// listing is what the list of servers has.
+type listing struct {
+	atomic.Pointer[map[string][]string]
+}
+
 // newTestHistory returns a VersionHistory of a box with a list of servers.
-func newTestHistory(t *testing.T, store VersionStore, listed map[string][]string) *VersionHistory {
+func newTestHistory(t *testing.T, store VersionStore, versions map[string][]string) (*VersionHistory, *listing) {
+	listed := &listing{}
+	listed.Store(&versions)
 	h := NewVersionHistory(VersionHistoryDeps{
-		Store: store, Listed: func() (map[string][]string, bool) { return listed, true }, Rank: func() int { return 0 }, Boxes: func() int { return 1 },
+		Store: store, Listed: func() (map[string][]string, bool) { return *listed.Load(), true }, Rank: func() int { return 0 }, Boxes: func() int { return 1 },
 		OnLoaded: func() {}, Timeout: time.Second, Logger: log.NewNopLogger(),
 	})
 	go h.Run(t.Context())
-	return h
+	return h, listed
 }
 
 // Guards against a version that is forgotten too early, or never.
 func TestFormerVersionCountsForRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &versionStore{record: VersionRecord{Services: map[string][]string{"s": {"v1"}, "gone": {"v7"}}}}
-		listed := map[string][]string{"s": {"v2"}}
-		h := newTestHistory(t, store, listed)
+		h, _ := newTestHistory(t, store, map[string][]string{"s": {"v2"}})
 		time.Sleep(time.Second)
 		require.True(t, h.Known(clock.Now()))
 		assert.ElementsMatch(t, []string{"v2", "v1"}, h.With("s", []string{"v2"}, clock.Now()))
-		assert.Equal(t, map[string][]string{"s": {"v1", "v2"}, "gone": {"v7"}}, store.record.Services)
+		assert.Equal(t, map[string][]string{"s": {"v1", "v2"}, "gone": {"v7"}}, store.services())
 		time.Sleep(Retention + versionCheckInterval)
 		assert.Equal(t, []string{"v2"}, h.With("s", []string{"v2"}, clock.Now()))
-		assert.Equal(t, map[string][]string{"s": {"v2"}}, store.record.Services)
+		assert.Equal(t, map[string][]string{"s": {"v2"}}, store.services())
 	})
 }
 
@@ -286,10 +300,10 @@
 func TestUnreadableRecordIsNotEmpty(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &versionStore{record: VersionRecord{Unreadable: true}}
-		h := newTestHistory(t, store, map[string][]string{"s": {"v1"}})
+		h, _ := newTestHistory(t, store, map[string][]string{"s": {"v1"}})
 		time.Sleep(time.Second)
 		assert.False(t, h.Known(clock.Now()))
-		assert.Equal(t, map[string][]string{"s": {"v1"}}, store.record.Services)
+		assert.Equal(t, map[string][]string{"s": {"v1"}}, store.services())
 		time.Sleep(Retention)
 		assert.True(t, h.Known(clock.Now()))
 	})
@@ -299,17 +313,16 @@
 func TestRecordIsWrittenAgainAfterARestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &versionStore{}
-		listed := map[string][]string{"s": {"v1"}}
-		h := newTestHistory(t, store, listed)
+		h, listed := newTestHistory(t, store, map[string][]string{"s": {"v1"}})
 		time.Sleep(time.Second)
 		store.copyRecord()
-		listed["s"] = []string{"v1", "v2"}
+		listed.Store(&map[string][]string{"s": {"v1", "v2"}})
 		h.ServersChanged()
 		time.Sleep(time.Second)
-		require.Equal(t, []string{"v1", "v2"}, store.record.Services["s"])
+		require.Equal(t, []string{"v1", "v2"}, store.services()["s"])
 		store.restore()
 		h.ObserveEra()
 		time.Sleep(time.Second)
-		assert.Equal(t, []string{"v1", "v2"}, store.record.Services["s"])
+		assert.Equal(t, []string{"v1", "v2"}, store.services()["s"])
 	})
 }
