routing: a list of allowed regions that holds none allows none

Only a missing field means all regions now. A request without a region is refused, not run; the message of a route without an organisation no longer needs one.

--- a/pkg/forms/forms.go
+++ b/pkg/forms/forms.go
@@ -26,7 +26,8 @@
 	LevelBrittle = 5
 	// LevelSoftwareVersions adds the version of the software to servers.
 	LevelSoftwareVersions = 6
-	// LevelKeysRequired adds to the configuration whether callers need a key although none is in force.
+	// LevelKeysRequired adds to the configuration whether callers need a key although none is in force, and lists of
+	// allowed regions that hold none.
 	LevelKeysRequired = 7
 )
 
--- a/pkg/gateway/regions.go
+++ b/pkg/gateway/regions.go
@@ -28,9 +28,23 @@
 	if !x.allowedRegions().AllowsNone() {
 		return nil
 	}
+	organisation := "all regions"
+	if x.organisation != nil {
+		organisation = describeRegions(x.organisation.Regions)
+	}
 	return &RefusedError{
-		Reason: "the route allows the regions " + strings.Join(x.route.Regions, ", ") + ", the organisation only " +
-			strings.Join(x.organisation.Regions, ", ") + ": ask the operators to allow one in both",
+		Reason:     "the route allows " + describeRegions(x.route.Regions) + ", the organisation " + organisation + ": ask the operators to allow one in both",
 		RetryAfter: notReadyRetryAfter,
 	}
 }
+
+// describeRegions describes a list of allowed regions, nil for all.
+func describeRegions(list []string) string {
+	switch {
+	case list == nil:
+		return "all regions"
+	case len(list) == 0:
+		return "no region"
+	}
+	return "the regions " + strings.Join(list, ", ")
+}
--- a/pkg/routing/regions.go
+++ b/pkg/routing/regions.go
@@ -17,22 +17,25 @@
 }
 
 // AllowsAll reports whether there is no restriction.
-func (r Regions) AllowsAll() bool { return len(r.route) == 0 && len(r.organisation) == 0 }
+func (r Regions) AllowsAll() bool { return r.route == nil && r.organisation == nil }
 
 // Allows reports whether the region is in the set.
 func (r Regions) Allows(region string) bool {
 	return allows(r.route, region) && allows(r.organisation, region)
 }
 
-// AllowsNone reports whether the set is empty because the route and the organisation have no
-// allowed region in common.
+// AllowsNone reports whether the set is empty, as a list is or the route and the organisation have no allowed region in
+// common.
 func (r Regions) AllowsNone() bool {
-	return len(r.route) > 0 && len(r.organisation) > 0 && !slices.ContainsFunc(r.route, r.Allows)
+	if r.AllowsAll() {
+		return false
+	}
+	return !slices.ContainsFunc(slices.Concat(r.route, r.organisation), r.Allows)
 }
 
-// allows reports whether a list of allowed regions, empty for all, includes the region.
+// allows reports whether a list of allowed regions, nil for all, includes the region.
 func allows(list []string, region string) bool {
-	return len(list) == 0 || slices.Contains(list, region)
+	return list == nil || slices.Contains(list, region)
 }
 
 // Filter returns the servers in allowed regions; regionOf maps a hall to its region.
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -59,8 +59,8 @@
 	Public bool
 	// Resumable streams may be continued by another server after their last event.
 	Resumable bool
-	// Regions are the regions in which requests may be served and cached; empty for all.
-	Regions []string `json:",omitempty"`
+	// Regions are the regions in which requests may be served and cached; nil for all, empty for none.
+	Regions []string `json:",omitzero"`
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -131,8 +131,8 @@
 	Name     string
 	Keys     []string
 	Priority int
-	// Regions are the regions in which its requests may be served and cached; empty for all.
-	Regions []string `json:",omitempty"`
+	// Regions are the regions in which its requests may be served and cached; nil for all, empty for none.
+	Regions []string `json:",omitzero"`
 }
 
 // Limits are the limits on the size and timing of a caller's requests.
