resumption: a box vouches only for versions that it knows

A record of versions that can't be read was replaced within a second by the box that had just started, by the versions of the moment; boxes that started after it took that for the history of the last minute. TestUnreadableRecordIsNotEmpty asked for this write; it asks now that none is made until the box has watched the servers for a minute.

The record costs nothing once its versions have expired (each first event looked through all of it).

--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -113,6 +113,8 @@
 				defer q.mu.Unlock()
 				return q.sound == x.wantSound && q.ended == x.wantEnd
 			}, relayWait, time.Millisecond)
+			// Further probes would have ended by then.
+			time.Sleep(100 * time.Millisecond)
 			q.mu.Lock()
 			defer q.mu.Unlock()
 			assert.Equal(t, []int{x.wantSound, x.wantEnd}, []int{q.sound, q.ended})
--- a/pkg/resumption/versions.go
+++ b/pkg/resumption/versions.go
@@ -53,6 +53,8 @@
 	// versionWriteStagger for each box before it, and does not write what another has written.
 	maxVersionWriters   = smallFleet
 	versionWriteStagger = 50 * time.Millisecond
+	// listPollInterval is how often a box that starts looks for the first list of servers.
+	listPollInterval = 50 * time.Millisecond
 	// versionCheckInterval is how often the record is compared without a change of the list. The rank of a box
 	// changes as others leave, and versions leave the record with time.
 	versionCheckInterval = 5 * time.Second
@@ -91,8 +93,9 @@
 	watchedSince time.Time
 	// loaded is set once the record was read.
 	loaded bool
-	// former holds the versions of the record, with the time until which they count as present.
-	former map[serviceVersion]time.Time
+	// former holds the versions of the record, with the time until which they count as present; lastUntil is the latest.
+	former    map[serviceVersion]time.Time
+	lastUntil time.Time
 	// stored is the record as this box last saw it; nil if that is unknown.
 	stored map[string][]string
 }
@@ -116,6 +119,9 @@
 func (h *VersionHistory) With(service string, versions []string, now time.Time) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if !now.Before(h.lastUntil) {
+		return versions
+	}
 	for v, until := range h.former {
 		if v.service == service && now.Before(until) && !slices.Contains(versions, v.version) {
 			versions = append(slices.Clip(versions), v.version)
@@ -162,7 +168,7 @@
 		if _, ok := h.Listed(); ok {
 			break
 		}
-		pause.For(ctx, syncInterval)
+		pause.For(ctx, listPollInterval)
 	}
 	h.mu.Lock()
 	h.watchedSince = clock.Now()
@@ -196,9 +202,6 @@
 	return false
 }
 
-// syncInterval is the poll interval for the first list of servers.
-const syncInterval = 50 * time.Millisecond
-
 // read reads the record. Versions that it holds count as present for Retention from now on, since the record does
 // not tell when they were removed.
 func (h *VersionHistory) read(ctx context.Context) (StoredVersions, error) {
@@ -214,7 +217,8 @@
 	for service, versions := range s.Record.Services {
 		for _, v := range versions {
 			if _, known := h.former[serviceVersion{service, v}]; !known {
-				h.former[serviceVersion{service, v}] = now.Add(Retention)
+				h.lastUntil = now.Add(Retention)
+				h.former[serviceVersion{service, v}] = h.lastUntil
 			}
 		}
 	}
@@ -256,10 +260,11 @@
 	return h.stored != nil && maps.EqualFunc(h.stored, versions, slices.Equal)
 }
 
-// saveIfChanged writes the record if it differs from the current versions and this box is one of those that write it.
+// saveIfChanged writes the record if it differs from the current versions and this box is one of those that write it. A
+// box that does not know the recent versions itself writes none: boxes that start later would rely on them.
 func (h *VersionHistory) saveIfChanged(ctx context.Context) {
-	rank := h.Rank()
-	if rank >= maxVersionWriters || h.upToDate(h.current(clock.Now())) {
+	rank, now := h.Rank(), clock.Now()
+	if rank >= maxVersionWriters || !h.Known(now) || h.upToDate(h.current(now)) {
 		return
 	}
 	pause.For(ctx, time.Duration(rank)*versionWriteStagger)
--- a/pkg/resumption/versions_test.go
+++ b/pkg/resumption/versions_test.go
@@ -296,16 +296,18 @@
 	})
 }
 
-// Guards against a record that is taken for empty as it can't be read.
+// Guards against a record that is taken for empty as it can't be read, and is replaced by one on which boxes that start
+// later rely.
 func TestUnreadableRecordIsNotEmpty(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &versionStore{record: VersionRecord{Unreadable: true}}
 		h, _ := newTestHistory(t, store, map[string][]string{"s": {"v1"}})
 		time.Sleep(time.Second)
 		assert.False(t, h.Known(clock.Now()))
-		assert.Equal(t, map[string][]string{"s": {"v1"}}, store.services())
-		time.Sleep(Retention)
+		assert.Nil(t, store.services())
+		time.Sleep(Retention + versionCheckInterval)
 		assert.True(t, h.Known(clock.Now()))
+		assert.Equal(t, map[string][]string{"s": {"v1"}}, store.services())
 	})
 }
 
