serverpath: the checks, errors and connections in files of their own, and names

For whoever reads the package first: "Check" was a type, a field and a method, "no way" an error. CheckMode with NoCheck, RejectEnded and RequireResponse; UnreachableError says what was tried. Moves and names only; tests of the package pass.

--- a/pkg/serverpath/acceptance_test.go
+++ b/pkg/serverpath/acceptance_test.go
@@ -130,7 +130,7 @@
 		for _, s := range servers {
 			require.True(t, serve(t, d, s))
 		}
-		assert.Equal(t, CheckNone, d.Tracker.CheckOf("a", time.Now()), "sound paths are not checked")
+		assert.Equal(t, NoCheck, d.Tracker.CheckModeOf("a", time.Now()), "sound paths are not checked")
 		p.set(p.direct, pathEnds, servers...)
 		lost := 0
 		for i := range 60 {
--- a/pkg/serverpath/dialer.go
+++ b/pkg/serverpath/dialer.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -95,8 +94,7 @@
 func (d *Dialer) Probe(ctx context.Context, serverKey, address string) upstream.State {
 	conn, err := d.DialDirect(ctx, address)
 	state := upstream.StateOf(conn, err)
-	var unanswered *CheckError
-	if state != upstream.StateExited && !errors.As(err, &unanswered) {
+	if state != upstream.StateExited && !isUnanswered(err) {
 		return state
 	}
 	relays := d.relayOrder(address)
@@ -105,7 +103,7 @@
 	}
 	refusals := 0
 	for _, relay := range relays[:min(len(relays), maxRelays)] {
-		conn, err := d.dialRelay(ctx, relay, serverKey, address, d.Tracker.CheckOf(address, clock.Now()))
+		conn, err := d.dialRelay(ctx, relay, serverKey, address, d.Tracker.CheckModeOf(address, clock.Now()))
 		if err == nil {
 			d.Tracker.RecordRelayed(address, true, clock.Now())
 			_ = conn.Close()
@@ -151,7 +149,7 @@
 	begun := clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), d.Timeout)
 	defer cancel()
-	reusable, err := d.check(ctx, c.Conn, address, "")
+	reusable, err := d.sendCheck(ctx, c.Conn, address, "")
 	if err == nil {
 		d.Tracker.RecordHeard(address, clock.Now())
 		if !reusable {
@@ -162,7 +160,7 @@
 	_ = c.Conn.Close()
 	relays := d.relayOrder(address)
 	for _, relay := range relays[:min(len(relays), maxCompared)] {
-		conn, relayErr := d.dialRelay(context.Background(), relay, serverKey, address, CheckResponse)
+		conn, relayErr := d.dialRelay(context.Background(), relay, serverKey, address, RequireResponse)
 		if relayErr == nil {
 			d.Tracker.RecordUnanswered(address, FailureOf(err), begun, clock.Now())
 			d.Tracker.RecordRelayed(address, true, clock.Now())
@@ -196,14 +194,14 @@
 	return errors.As(err, &unanswered)
 }
 
-// DialDirect opens a direct connection and records how that ended. Over a path in doubt, the connection must have
-// passed a check.
+// DialDirect opens a direct connection and records how that ended. Over a path in doubt, the connection must pass a
+// check.
 func (d *Dialer) DialDirect(ctx context.Context, address string) (net.Conn, error) {
-	return d.dialDirect(ctx, address, d.Tracker.CheckOf(address, clock.Now()))
+	return d.dialDirect(ctx, address, d.Tracker.CheckModeOf(address, clock.Now()))
 }
 
-// dialDirect opens a direct connection that passes a check.
-func (d *Dialer) dialDirect(ctx context.Context, address string, check Check) (net.Conn, error) {
+// dialDirect opens a direct connection and checks it in the given mode.
+func (d *Dialer) dialDirect(ctx context.Context, address string, mode CheckMode) (net.Conn, error) {
 	start := clock.Now()
 	dialCtx, cancel := context.WithTimeout(ctx, d.Timeout)
 	defer cancel()
@@ -211,7 +209,7 @@
 	took := clock.Since(start)
 	passed := false
 	if err == nil {
-		conn, passed, err = d.checked(dialCtx, conn, check, address, "", func() (net.Conn, error) { return d.Direct(dialCtx, address) })
+		conn, passed, err = d.passCheck(dialCtx, conn, mode, address, "", func() (net.Conn, error) { return d.Direct(dialCtx, address) })
 	}
 	now := clock.Now()
 	switch {
@@ -230,25 +228,25 @@
 // maxCheckTime limits a check after which a connection counts although nothing came over it.
 const maxCheckTime = 150 * time.Millisecond
 
-// checked returns a new connection once it has passed a check, and whether it has carried a response. If it can't carry
+// passCheck returns a new connection once it has passed a check, and whether it has carried a response. If it can't carry
 // a further exchange after that, another one is returned.
-func (d *Dialer) checked(ctx context.Context, c net.Conn, check Check, address, via string, again func() (net.Conn, error)) (conn net.Conn, passed bool, err error) {
-	if check == CheckNone || d.Check == nil {
+func (d *Dialer) passCheck(ctx context.Context, c net.Conn, mode CheckMode, address, via string, again func() (net.Conn, error)) (conn net.Conn, passed bool, err error) {
+	if mode == NoCheck || d.Check == nil {
 		return c, false, nil
 	}
 	checkCtx := ctx
-	if check == CheckEnd {
+	if mode == RejectEnded {
 		limited, cancel := context.WithTimeout(ctx, maxCheckTime)
 		defer cancel()
 		checkCtx = limited
 	}
-	reusable, err := d.check(checkCtx, c, address, via)
+	reusable, err := d.sendCheck(checkCtx, c, address, via)
 	var unanswered *CheckError
 	passed = err == nil
 	if passed && via != "" {
 		d.relays.recordCarried(via, clock.Now())
 	}
-	if errors.As(err, &unanswered) && unanswered.Silent && check == CheckEnd && ctx.Err() == nil {
+	if errors.As(err, &unanswered) && unanswered.Silent && mode == RejectEnded && ctx.Err() == nil {
 		d.Tracker.Trust(address, clock.Now())
 		reusable, err = false, nil
 	}
@@ -263,8 +261,8 @@
 	return conn, passed, err
 }
 
-// check sends a check over a connection. The error is a *CheckError.
-func (d *Dialer) check(ctx context.Context, c net.Conn, address, via string) (reusable bool, err error) {
+// sendCheck sends a check over a connection. The error is a *CheckError.
+func (d *Dialer) sendCheck(ctx context.Context, c net.Conn, address, via string) (reusable bool, err error) {
 	start := clock.Now()
 	if reusable, err = d.Check(ctx, c); err != nil {
 		err = &CheckError{Address: address, Via: via, Silent: ctx.Err() != nil, Cause: err}
@@ -276,13 +274,13 @@
 }
 
 // dialRelay opens a tunnel through a relay.
-func (d *Dialer) dialRelay(ctx context.Context, relay, serverKey, address string, check Check) (net.Conn, error) {
+func (d *Dialer) dialRelay(ctx context.Context, relay, serverKey, address string, mode CheckMode) (net.Conn, error) {
 	start := clock.Now()
 	dialCtx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	conn, err := d.Tunnel(dialCtx, relay, address)
 	if err == nil && !d.relays.carries(relay, clock.Now()) {
-		conn, _, err = d.checked(dialCtx, conn, check, address, relay, func() (net.Conn, error) { return d.Tunnel(dialCtx, relay, address) })
+		conn, _, err = d.passCheck(dialCtx, conn, mode, address, relay, func() (net.Conn, error) { return d.Tunnel(dialCtx, relay, address) })
 	}
 	if err != nil {
 		// A relay that is overtaken by the next one is slow.
@@ -308,129 +306,10 @@
 		if !ok {
 			return true
 		}
-		if conn, err := d.dialDirect(ctx, other, CheckResponse); err == nil {
+		if conn, err := d.dialDirect(ctx, other, RequireResponse); err == nil {
 			d.AddIdle(key, conn)
 			return true
 		}
 	}
 	return false
 }
-
-// awaited tells whether a response is awaited over a connection, and puts the path in doubt if none comes.
-type awaited struct {
-	path    *Tracker
-	address string
-	// pending is set while a response is awaited.
-	pending atomic.Bool
-}
-
-// sent is called for each write.
-func (a *awaited) sent(err error) {
-	a.pending.Store(true)
-	a.ended(err)
-}
-
-// received is called for each read, and reports whether it brought anything.
-func (a *awaited) received(n int, err error) bool {
-	if n > 0 {
-		a.pending.Store(false)
-		return true
-	}
-	a.ended(err)
-	return false
-}
-
-// ended puts the path in doubt if the connection has ended, not by this box, while a response was awaited. The loss of
-// the box by way of which it leads says nothing of the path.
-func (a *awaited) ended(err error) {
-	var lost *upstream.PathLostError
-	if err != nil && !errors.Is(err, net.ErrClosed) && !errors.As(err, &lost) && a.pending.Swap(false) {
-		a.path.RecordDoubt(a.address, clock.Now())
-	}
-}
-
-// directConn is a direct connection to a server.
-type directConn struct {
-	net.Conn
-	awaited
-}
-
-// Read implements net.Conn.
-func (c *directConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if c.received(n, err) {
-		c.path.RecordHeard(c.address, clock.Now())
-	}
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *directConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.sent(err)
-	return n, err
-}
-
-// Reusable implements upstream.ReusableConn.
-func (c *directConn) Reusable() bool { return c.path.directFit(c.address) }
-
-// SyscallConn implements syscall.Conn.
-func (c *directConn) SyscallConn() (syscall.RawConn, error) { return syscallConn(c.Conn) }
-
-// tunnelConn is a connection that leads through another box.
-type tunnelConn struct {
-	net.Conn
-	dialer *Dialer
-	awaited
-	serverKey string
-	relay     string
-	released  atomic.Bool
-}
-
-// Read implements net.Conn.
-func (c *tunnelConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	switch waited := c.pending.Load(); {
-	case c.received(n, err) && waited:
-		c.dialer.relays.recordCarried(c.relay, clock.Now())
-	case waited && !c.pending.Load():
-		c.dialer.relays.recordBroken(c.relay, clock.Now())
-	}
-	return n, err
-}
-
-// Write implements net.Conn. Requests over open tunnels open no connections, so each has the direct path
-// tried again.
-func (c *tunnelConn) Write(b []byte) (int, error) {
-	c.dialer.RetryDirect(c.serverKey, c.address)
-	n, err := c.Conn.Write(b)
-	c.sent(err)
-	return n, err
-}
-
-// Via implements upstream.ViaConn.
-func (c *tunnelConn) Via() string { return c.relay }
-
-// Reusable implements upstream.ReusableConn.
-func (c *tunnelConn) Reusable() bool {
-	inner, ok := c.Conn.(upstream.ReusableConn)
-	return c.dialer.Tracker.tunnelFit(c.address) && (!ok || inner.Reusable())
-}
-
-// SyscallConn implements syscall.Conn.
-func (c *tunnelConn) SyscallConn() (syscall.RawConn, error) { return syscallConn(c.Conn) }
-
-// Close implements net.Conn.
-func (c *tunnelConn) Close() error {
-	if !c.released.Swap(true) {
-		c.dialer.relays.recordClosed(c.relay)
-	}
-	return c.Conn.Close()
-}
-
-func syscallConn(c net.Conn) (syscall.RawConn, error) {
-	if sc, ok := c.(syscall.Conn); ok {
-		return sc.SyscallConn()
-	}
-	return nil, upstream.ErrNoDescriptor
-}
--- a/pkg/serverpath/race.go
+++ b/pkg/serverpath/race.go
@@ -51,8 +51,8 @@
 
 // run returns the first connection that is opened.
 func (r *race) run() (net.Conn, error) {
-	if r.plan.NoWay {
-		return nil, &NoWayError{Address: r.address}
+	if r.plan.Unreachable {
+		return nil, &UnreachableError{Address: r.address}
 	}
 	next := time.NewTimer(r.plan.RelayAfter)
 	defer next.Stop()
@@ -120,7 +120,7 @@
 	r.asked++
 	r.pending++
 	go func() {
-		conn, err := r.dialRelay(r.relayCtx, relay, r.serverKey, r.address, r.Tracker.CheckOf(r.address, clock.Now()))
+		conn, err := r.dialRelay(r.relayCtx, relay, r.serverKey, r.address, r.Tracker.CheckModeOf(r.address, clock.Now()))
 		r.results <- attempt{conn: conn, err: err, relay: relay}
 	}()
 	return true
@@ -142,7 +142,7 @@
 // have tried. A relay that got no answer may have lost its links, too.
 func (r *race) recordDown() {
 	if isUnanswered(r.directErr) {
-		r.Tracker.RecordNoWay(r.address, clock.Now())
+		r.Tracker.RecordUnreachable(r.address, clock.Now())
 	}
 	if r.directErr != nil && r.refusals >= min(maxRefusals, max(r.asked, 1)) {
 		r.Tracker.RecordRelayed(r.address, false, clock.Now())
--- a/pkg/serverpath/tracker.go
+++ b/pkg/serverpath/tracker.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"sync"
 	"syscall"
 	"time"
@@ -29,13 +28,6 @@
 	maxDownTime = 8 * time.Second
 	// pathCheckInterval is the minimum time between two checks of paths over which nothing arrives.
 	pathCheckInterval = 100 * time.Millisecond
-	// doubtTTL is how long a doubt lasts without further evidence, trustTime how long a path is not checked whose
-	// check failed by way of other boxes as well.
-	doubtTTL  = 10 * time.Second
-	trustTime = 2 * time.Second
-	// checkBackoff is the minimum time between two checks of a path that no other box can replace, so that requests
-	// which look for a server don't burden one that accepts connections late.
-	checkBackoff = 150 * time.Millisecond
 	// pathRetention is how long a failed path without further attempts is remembered.
 	pathRetention = time.Minute
 	// minHeadStart and maxHeadStart bound the time that a direct connection has before another way is
@@ -61,29 +53,6 @@
 // String implements fmt.Stringer.
 func (f Failure) String() string { return [...]string{"silent", "refused"}[f] }
 
-// CheckError is returned if a connection was accepted, but carried no response to a check of the path.
-type CheckError struct {
-	Address string
-	// Via is the address of the box by way of which the connection led, "" for a direct one.
-	Via string
-	// Silent is set if no response came in time, and unset if the connection ended before one.
-	Silent bool
-	Cause  error
-}
-
-func (e *CheckError) Error() string {
-	return fmt.Sprintf("a connection to %s was accepted, but carried no response: %v: use another way", e.Address, e.Cause)
-}
-
-func (e *CheckError) Unwrap() error { return e.Cause }
-
-// NoWayError is returned if no way led to a server a moment ago.
-type NoWayError struct{ Address string }
-
-func (e *NoWayError) Error() string {
-	return fmt.Sprintf("no way led to %s a moment ago: use another server, or try again later", e.Address)
-}
-
 // FailureOf returns the manner in which a dial failed.
 func FailureOf(err error) Failure {
 	var unanswered *CheckError
@@ -96,10 +65,10 @@
 // path is the state of the direct path to an address to which a connection has failed.
 type path struct {
 	failure Failure
-	// accepted is set if the connection was accepted, but carried no response.
-	accepted bool
-	// noWayUntil is the end of the time in which no connection is tried, as no way led to the server.
-	noWayUntil time.Time
+	// unanswered is set if the connection was accepted, but carried no response.
+	unanswered bool
+	// unreachableUntil is the end of the time in which no connection is tried.
+	unreachableUntil time.Time
 	// triedAt is when the last connection that failed was begun. What a server sent since shows that the
 	// box has its links.
 	triedAt time.Time
@@ -163,8 +132,8 @@
 	// DirectOnly is set.
 	RelayAfter time.Duration
 	DirectOnly bool
-	// NoWay is set if no way led to the server a moment ago.
-	NoWay bool
+	// Unreachable is set if no connection is tried, see UnreachableError.
+	Unreachable bool
 }
 
 // Plan returns how to open a connection to an address now.
@@ -172,8 +141,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.failed[address]
-	if p != nil && now.Before(p.noWayUntil) && !now.Before(t.trusted[address]) {
-		return Plan{NoWay: true}
+	if p != nil && now.Before(p.unreachableUntil) && !now.Before(t.trusted[address]) {
+		return Plan{Unreachable: true}
 	}
 	if p != nil && now.Before(p.downUntil) {
 		return Plan{Direct: true, DirectOnly: true}
@@ -181,7 +150,7 @@
 	isolated := t.isolated()
 	if !isolated && (p == nil || !p.relayed) {
 		plan := Plan{Direct: true, RelayAfter: t.headStart()}
-		if t.checkOf(address, now) != CheckNone {
+		if t.checkModeOf(address, now) != NoCheck {
 			plan.RelayAfter += maxCheckTime
 		}
 		return plan
@@ -207,7 +176,7 @@
 		p.nextProbe = now.Add(probeInterval)
 	}
 	t.nextBoxProbe = now.Add(boxProbeInterval)
-	if p != nil && p.accepted {
+	if p != nil && p.unanswered {
 		t.nextBoxProbe = now.Add(boxCheckInterval)
 	}
 	return true
@@ -220,118 +189,13 @@
 	return min(max(headStartFactor*t.connectTime, minHeadStart), maxHeadStart)
 }
 
-// RecordDoubt records that a connection to an address ended while a response was awaited, before its first byte.
-func (t *Tracker) RecordDoubt(address string, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for a, at := range t.doubts {
-		if now.Sub(at) > doubtTTL {
-			delete(t.doubts, a)
-		}
-	}
-	t.doubts[address], t.doubtedAt = now, now
-}
-
-// Check is how a new connection to a server is checked before it is used.
-type Check int
-
-// Checks of new connections.
-const (
-	// CheckNone means that a connection counts as open once it is accepted.
-	CheckNone Check = iota
-	// CheckEnd means that it does not count if it ends instead of carrying a response. A server may be slow, so one over
-	// which nothing comes in time does.
-	CheckEnd
-	// CheckResponse means that it counts only if it has carried a response.
-	CheckResponse
-)
-
-// CheckOf returns how a new connection to an address is checked.
-func (t *Tracker) CheckOf(address string, now time.Time) Check {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.checkOf(address, now)
-}
-
-func (t *Tracker) checkOf(address string, now time.Time) Check {
-	if t.lostBehindAcceptance(address) {
-		return CheckResponse
-	}
-	if now.Before(t.trusted[address]) {
-		return CheckNone
-	}
-	at, doubted := t.doubts[address]
-	if doubted && now.Sub(at) < doubtTTL || t.doubtedAt.After(t.heardAt) && now.Sub(t.doubtedAt) < doubtTTL {
-		return CheckEnd
-	}
-	return CheckNone
-}
-
-// lostBehindAcceptance reports whether other boxes reach the server at an address, while connections of this one are
-// accepted and carry no response, or this box is isolated in that way. Tracker.mu must be held.
-func (t *Tracker) lostBehindAcceptance(address string) bool {
-	if p := t.failed[address]; p != nil && p.relayed && p.accepted {
-		return true
-	}
-	return t.isolated() && t.anyAccepted()
-}
-
-// anyAccepted reports whether there is a path over which connections were accepted and carried no response.
-// Tracker.mu must be held.
-func (t *Tracker) anyAccepted() bool {
-	for _, p := range t.failed {
-		if p.accepted {
-			return true
-		}
-	}
-	return false
-}
-
-// RecordCheck counts a check of a new connection.
-func (t *Tracker) RecordCheck(answered bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.checked++
-	if !answered {
-		t.checkFailures++
-	}
-}
-
-// RecordNoWay records that connections to an address ended in their check, directly and by way of other boxes. If other
-// servers have sent something since, the path is not to blame: a server resets some connections when it has too many.
-func (t *Tracker) RecordNoWay(address string, now time.Time) {
-	t.mu.Lock()
-	p := t.failed[address]
-	if p != nil {
-		p.noWayUntil = now.Add(checkBackoff)
-	}
-	trust := p != nil && t.heardAt.After(p.triedAt)
-	t.mu.Unlock()
-	if trust {
-		t.Trust(address, now)
-	}
-}
-
-// Trust makes connections to an address count without a check for a time.
-func (t *Tracker) Trust(address string, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for a, until := range t.trusted {
-		if now.After(until) {
-			delete(t.trusted, a)
-		}
-	}
-	t.trusted[address] = now.Add(trustTime)
-	delete(t.doubts, address)
-}
-
 // RecordConnected records that a direct connection to an address was opened, and how long that took. checked is set if
 // it has carried a response.
 func (t *Tracker) RecordConnected(address string, took time.Duration, checked bool, now time.Time) {
 	t.update(now, func() {
 		t.connected++
 		// While paths accept connections that lead nowhere, only a response shows that one leads to the server.
-		shown := checked || !now.Before(t.trusted[address]) && !t.anyAccepted()
+		shown := checked || !now.Before(t.trusted[address]) && !t.hasUnansweredPath()
 		if shown && t.isolated() {
 			// The links to the other servers are probably back as well.
 			clear(t.failed)
@@ -341,7 +205,7 @@
 			t.connectedAt = now
 			delete(t.doubts, address)
 		}
-		if p := t.failed[address]; p != nil && (shown || !p.accepted) {
+		if p := t.failed[address]; p != nil && (shown || !p.unanswered) {
 			delete(t.failed, address)
 		}
 		if t.connectTime == 0 {
@@ -362,7 +226,7 @@
 	t.recordFailed(address, f, true, begun, now)
 }
 
-func (t *Tracker) recordFailed(address string, f Failure, accepted bool, begun, now time.Time) {
+func (t *Tracker) recordFailed(address string, f Failure, unanswered bool, begun, now time.Time) {
 	t.update(now, func() {
 		t.failures[f]++
 		p := t.failed[address]
@@ -371,7 +235,7 @@
 			p = &path{}
 			t.failed[address] = p
 		}
-		p.failure, p.accepted, p.triedAt = f, accepted, begun
+		p.failure, p.unanswered, p.triedAt = f, unanswered, begun
 		if next := begun.Add(probeInterval); next.After(p.nextProbe) {
 			p.nextProbe = next
 		}
@@ -452,11 +316,11 @@
 	bypassed, unreached := 0, 0
 	for _, p := range t.failed {
 		switch {
-		case p.serverDown || p.triedAt.Before(t.connectedAt) || !p.accepted && p.triedAt.Equal(t.connectedAt):
+		case p.serverDown || p.triedAt.Before(t.connectedAt) || !p.unanswered && p.triedAt.Equal(t.connectedAt):
 		case p.relayed && (p.failure == FailureRefused || p.triedAt.After(t.heardAt)):
 			bypassed++
 			unreached++
-		case p.failure == FailureSilent && !p.accepted && p.triedAt.After(t.heardAt):
+		case p.failure == FailureSilent && !p.unanswered && p.triedAt.After(t.heardAt):
 			unreached++
 		}
 		if bypassed >= minBypassed || unreached >= minUnreached {
