resumption: a record of versions from before a restore of the store confirms nothing at first

The record holds the era in which a box that knew the recent versions wrote it. One from before a restore confirms nothing for 3 s after a start, in which callers take up what the restart interrupted; a whole minute would refuse all streams for it.

--- a/pkg/resumption/versions.go
+++ b/pkg/resumption/versions.go
@@ -23,6 +23,10 @@
 // a box has not seen it for Retention, so that no times are compared between boxes.
 type VersionRecord struct {
 	Services map[string][]string `json:"services"`
+	// Era is the era of the store in which a box that knew the recent versions last wrote the record.
+	Era uint64 `json:"era,omitempty"`
+	// Incomplete is set if only boxes have written it that did not know the recent versions.
+	Incomplete bool `json:"incomplete,omitempty"`
 	// Unreadable is set if the stored record could not be decoded.
 	Unreadable bool `json:"-"`
 }
@@ -58,6 +62,10 @@
 	// versionCheckInterval is how often the record is compared without a change of the list. The rank of a box
 	// changes as others leave, and versions leave the record with time.
 	versionCheckInterval = 5 * time.Second
+	// restoredRecordWait is how long a box that starts confirms no version if the store was restored since the record was
+	// written. A version that appeared in the lost seconds, and was gone before any box started again, is in neither, and
+	// callers take up interrupted streams within a few seconds. Longer would refuse streams of all services for it.
+	restoredRecordWait = 3 * time.Second
 	// versionRetryDelay is the delay before the next attempt to reach the store, to which jitter is added.
 	versionRetryDelay = 300 * time.Millisecond
 	// A box that starts reads the record after a random part of versionReadSpread for each box of the fleet, up to
@@ -91,13 +99,15 @@
 	mu sync.Mutex
 	// watchedSince is when this box had read a list of servers; zero before.
 	watchedSince time.Time
-	// loaded is set once the record was read.
-	loaded bool
+	// knownSince is when this box knew the recent versions from the record; zero if it did not read it.
+	knownSince time.Time
 	// former holds the versions of the record, with the time until which they count as present; lastUntil is the latest.
 	former    map[serviceVersion]time.Time
 	lastUntil time.Time
-	// stored is the record as this box last saw it; nil if that is unknown.
-	stored map[string][]string
+	// stored are the versions of the record as this box last saw it, nil if that is unknown. confirmed is set if a box that
+	// knew the recent versions wrote it in the present era of the store.
+	stored    map[string][]string
+	confirmed bool
 }
 
 type serviceVersion struct{ service, version string }
@@ -112,7 +122,8 @@
 func (h *VersionHistory) Known(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.watchedSince.IsZero() && (h.loaded || now.Sub(h.watchedSince) >= Retention)
+	loaded := !h.knownSince.IsZero() && !now.Before(h.knownSince)
+	return !h.watchedSince.IsZero() && (loaded || now.Sub(h.watchedSince) >= Retention)
 }
 
 // With returns versions of a service together with those that the record held.
@@ -178,7 +189,7 @@
 	for ctx.Err() == nil {
 		s, err := h.read(ctx)
 		if err == nil {
-			_ = level.Info(h.Logger).Log("msg", "loaded software versions", "services", len(s.Record.Services), "revision", s.Revision, "readable", !s.Record.Unreadable)
+			_ = level.Info(h.Logger).Log("msg", "loaded software versions", "services", len(s.Record.Services), "revision", s.Revision, "readable", !s.Record.Unreadable, "incomplete", s.Record.Incomplete, "era", s.Record.Era)
 			if h.hasFormer() {
 				h.OnLoaded()
 			}
@@ -226,8 +237,16 @@
 	maps.DeleteFunc(h.former, func(v serviceVersion, _ time.Time) bool {
 		return !slices.Contains(s.Record.Services[v.service], v.version)
 	})
-	h.loaded = h.loaded || !s.Record.Unreadable
-	h.stored = s.Record.Services
+	known := now
+	restored := s.Record.Services != nil && s.Record.Era != s.Revision.Era()
+	if restored {
+		known = now.Add(restoredRecordWait)
+	}
+	incomplete := s.Record.Unreadable || s.Record.Incomplete
+	if !incomplete && (h.knownSince.IsZero() || known.Before(h.knownSince)) {
+		h.knownSince = known
+	}
+	h.stored, h.confirmed = s.Record.Services, !restored && !incomplete
 	return s, nil
 }
 
@@ -253,18 +272,19 @@
 	return all
 }
 
-// upToDate reports whether the record holds some versions, as far as this box knows.
-func (h *VersionHistory) upToDate(versions map[string][]string) bool {
+// upToDate reports whether the record holds the current versions, and is confirmed if this box can do that, as far as it
+// knows.
+func (h *VersionHistory) upToDate(now time.Time) bool {
+	versions, known := h.current(now), h.Known(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.stored != nil && maps.EqualFunc(h.stored, versions, slices.Equal)
+	return h.stored != nil && (h.confirmed || !known) && maps.EqualFunc(h.stored, versions, slices.Equal)
 }
 
-// saveIfChanged writes the record if it differs from the current versions and this box is one of those that write it. A
-// box that does not know the recent versions itself writes none: boxes that start later would rely on them.
+// saveIfChanged writes the record if it differs from the current versions and this box is one of those that write it.
 func (h *VersionHistory) saveIfChanged(ctx context.Context) {
-	rank, now := h.Rank(), clock.Now()
-	if rank >= maxVersionWriters || !h.Known(now) || h.upToDate(h.current(now)) {
+	rank := h.Rank()
+	if rank >= maxVersionWriters || h.upToDate(clock.Now()) {
 		return
 	}
 	pause.For(ctx, time.Duration(rank)*versionWriteStagger)
@@ -278,19 +298,25 @@
 	}
 }
 
-// save reads the record and replaces it if it is out of date.
+// save reads the record and replaces it if it is out of date. A box that does not know the recent versions itself adds
+// those that it knows, and does not confirm the record, as boxes that start later would rely on that.
 func (h *VersionHistory) save(ctx context.Context) error {
 	s, err := h.read(ctx)
 	if err != nil {
 		return err
 	}
-	versions := h.current(clock.Now())
-	if h.upToDate(versions) {
+	now := clock.Now()
+	if h.upToDate(now) {
 		return nil
 	}
+	next := VersionRecord{Services: h.current(now), Era: s.Revision.Era()}
+	known := h.Known(now)
+	if !known {
+		next.Era, next.Incomplete = s.Record.Era, s.Record.Incomplete || s.Record.Unreadable
+	}
 	ctx, cancel := context.WithTimeout(ctx, h.Timeout)
 	defer cancel()
-	if err := h.Store.Write(ctx, VersionRecord{Services: versions}, s.Revision); err != nil {
+	if err := h.Store.Write(ctx, next, s.Revision); err != nil {
 		var conflict *VersionConflictError
 		if errors.As(err, &conflict) {
 			pause.For(ctx, rand.N(versionRetryDelay))
@@ -298,8 +324,8 @@
 		return err
 	}
 	h.mu.Lock()
-	h.stored = versions
+	h.stored, h.confirmed = next.Services, known
 	h.mu.Unlock()
-	_ = level.Info(h.Logger).Log("msg", "saved software versions", "services", len(versions), "revision", s.Revision)
+	_ = level.Info(h.Logger).Log("msg", "saved software versions", "services", len(next.Services), "before_revision", s.Revision, "confirmed", known)
 	return nil
 }
