entry: the test of a disconnect lets the engine go on slowly

The frozen engine went on with steps of 50 us before it had learned of the disconnect, so that it finished the answer of three steps.

--- a/pkg/entry/exchange_test.go
+++ b/pkg/entry/exchange_test.go
@@ -165,7 +165,8 @@
 		require.Eventually(t, func() bool { return engines[0].Stats().Started == 1 }, 5*time.Second, time.Millisecond)
 		cancel()
 		require.Error(t, <-done)
-		engines[0].SetFaults(engine.Faults{})
+		// The answer must not be complete before the engine learns of the disconnect.
+		engines[0].SetFaults(engine.Faults{SlowFactor: 10000})
 		require.Eventually(t, func() bool { return engines[0].Stats().Cancelled == 1 }, 5*time.Second, time.Millisecond)
 	})
 }
