serverpath: while requests are limited to regions, tunnels lead through the server's region only

Cause: boxes to ask for tunnels were chosen by hall, success and load, without regard to regions. While any route or organisation is limited, only boxes of the server's region are asked, for all requests, as they share connections; open tunnels are asked about again at each use.

--- a/pkg/routerd/serverdial.go
+++ b/pkg/routerd/serverdial.go
@@ -40,7 +40,7 @@
 func (d *Daemon) openServerPaths(a Adapter, hall string, logger log.Logger) {
 	d.paths = serverpath.NewTracker(logger)
 	d.serverDialer = serverpath.NewDialer(serverpath.Deps{
-		Tracker: d.paths, Hall: hall, Direct: a.dialServer(), Timeout: serverDialTimeout, Peers: d.peerBoxes, HallOf: d.hallOfServer,
+		Tracker: d.paths, Hall: hall, Direct: a.dialServer(), Timeout: serverDialTimeout, Peers: d.peerBoxes, HallOf: d.hallOfServer, MayRelay: d.mayRelay,
 		OtherServer: d.otherServer, Logger: logger, Check: a.checkPath(),
 	})
 	d.upstream = upstream.NewClientWithDialer(d.serverDialer)
@@ -78,6 +78,14 @@
 	return s.Hall
 }
 
+// mayRelay reports whether requests to servers of a hall may pass through boxes of another one. Requests share
+// connections to servers, so while any request is limited to some regions, all pass through boxes of the server's region
+// only: that of the box or of its caller need not be allowed.
+func (d *Daemon) mayRelay(relayHall, serverHall string) bool {
+	t := d.directory.View().Table
+	return t == nil || !t.LimitsRegions() || d.regionOf(relayHall) == d.regionOf(serverHall)
+}
+
 // otherServer returns a server whose address is not the given one.
 func (d *Daemon) otherServer(address string) (key, other string, ok bool) {
 	s, ok := d.directory.View().AnyOther(address)
--- a/pkg/routing/regions.go
+++ b/pkg/routing/regions.go
@@ -16,6 +16,14 @@
 	return regions
 }
 
+// LimitsRegions reports whether any route or organisation is limited to some regions.
+func (t *Table) LimitsRegions() bool { return t.limitsRegions }
+
+func limitsRegions(c Content) bool {
+	return slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Regions != nil }) ||
+		slices.ContainsFunc(c.Organisations, func(o Organisation) bool { return o.Regions != nil })
+}
+
 // AllowsAll reports whether there is no restriction.
 func (r Regions) AllowsAll() bool { return r.route == nil && r.organisation == nil }
 
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -191,6 +191,8 @@
 	minFirstEventTargets map[string]time.Duration
 	// rankTargets holds the first-event targets of the requests to each service that has any.
 	rankTargets map[string]*RankTargets
+	// limitsRegions is set if any route or organisation is limited to some regions.
+	limitsRegions bool
 }
 
 // priorityPair orders requests by the priority of the organisation, then of the route.
@@ -233,6 +235,7 @@
 	}
 	t.minFirstEventTargets = computeMinFirstEventTargets(c)
 	t.rankTargets = t.computeRankTargets()
+	t.limitsRegions = limitsRegions(c)
 	return t
 }
 
--- a/pkg/serverpath/conns.go
+++ b/pkg/serverpath/conns.go
@@ -77,7 +77,7 @@
 	dialer *Dialer
 	awaited
 	serverKey string
-	relay     string
+	relay     Peer
 	released  atomic.Bool
 }
 
@@ -86,9 +86,9 @@
 	n, err := c.Conn.Read(b)
 	switch waited := c.pending.Load(); {
 	case c.received(n, err) && waited:
-		c.dialer.relays.recordCarried(c.relay, clock.Now())
+		c.dialer.relays.recordCarried(c.relay.Address, clock.Now())
 	case waited && !c.pending.Load():
-		c.dialer.relays.recordBroken(c.relay, clock.Now())
+		c.dialer.relays.recordBroken(c.relay.Address, clock.Now())
 	}
 	return n, err
 }
@@ -103,12 +103,12 @@
 }
 
 // Via implements upstream.ViaConn.
-func (c *tunnelConn) Via() string { return c.relay }
+func (c *tunnelConn) Via() string { return c.relay.Address }
 
 // Reusable implements upstream.ReusableConn.
 func (c *tunnelConn) Reusable() bool {
 	inner, ok := c.Conn.(upstream.ReusableConn)
-	return c.dialer.Tracker.tunnelFit(c.address) && (!ok || inner.Reusable())
+	return c.dialer.Tracker.tunnelFit(c.address) && c.dialer.MayRelay(c.relay.Hall, c.dialer.HallOf(c.address)) && (!ok || inner.Reusable())
 }
 
 // SyscallConn implements syscall.Conn.
@@ -117,7 +117,7 @@
 // Close implements net.Conn.
 func (c *tunnelConn) Close() error {
 	if !c.released.Swap(true) {
-		c.dialer.relays.recordClosed(c.relay)
+		c.dialer.relays.recordClosed(c.relay.Address)
 	}
 	return c.Conn.Close()
 }
--- a/pkg/serverpath/dialer.go
+++ b/pkg/serverpath/dialer.go
@@ -50,6 +50,9 @@
 	// Peers returns the other boxes, HallOf the hall of the server at an address, "" if it is unknown.
 	Peers  func() []Peer
 	HallOf func(address string) string
+	// MayRelay reports whether requests to servers of a hall may pass through boxes of another one; nil for always.
+	// It is asked again for each request over an open tunnel.
+	MayRelay func(relayHall, serverHall string) bool
 	// OtherServer returns a server whose address is not the given one. It returns false if there is none.
 	OtherServer func(address string) (serverKey, other string, ok bool)
 	// AddIdle takes a direct connection that was opened after the request was sent by another way.
@@ -70,7 +73,10 @@
 	if d.Tunnel == nil {
 		d.Tunnel = tunnel.Dial
 	}
-	return &Dialer{Deps: d, relays: newRelays(d.Hall)}
+	if d.MayRelay == nil {
+		d.MayRelay = func(string, string) bool { return true }
+	}
+	return &Dialer{Deps: d, relays: newRelays(d.Hall, d.MayRelay)}
 }
 
 // RelayCounts returns the number of other boxes by what is known of them as relays, and the number of
@@ -274,8 +280,8 @@
 }
 
 // dialRelay opens a tunnel through a relay.
-func (d *Dialer) dialRelay(ctx context.Context, relay, serverKey, address string, mode CheckMode) (net.Conn, error) {
-	start := clock.Now()
+func (d *Dialer) dialRelay(ctx context.Context, peer Peer, serverKey, address string, mode CheckMode) (net.Conn, error) {
+	start, relay := clock.Now(), peer.Address
 	dialCtx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	conn, err := d.Tunnel(dialCtx, relay, address)
@@ -291,11 +297,11 @@
 	}
 	d.tunneled.Add(1)
 	d.relays.recordOpened(relay, clock.Now())
-	return &tunnelConn{Conn: conn, dialer: d, serverKey: serverKey, relay: relay, awaited: awaited{path: d.Tracker, address: address}}, nil
+	return &tunnelConn{Conn: conn, dialer: d, serverKey: serverKey, relay: peer, awaited: awaited{path: d.Tracker, address: address}}, nil
 }
 
 // relayOrder returns the boxes to ask for a connection to an address, in order.
-func (d *Dialer) relayOrder(address string) []string {
+func (d *Dialer) relayOrder(address string) []Peer {
 	return d.relays.order(d.Peers(), d.HallOf(address), clock.Now())
 }
 
--- a/pkg/serverpath/race.go
+++ b/pkg/serverpath/race.go
@@ -22,7 +22,7 @@
 	relayCtx     context.Context
 	cancelRelays context.CancelFunc
 	// relays are the boxes that have not been asked yet; they are chosen when the first is needed.
-	relays  []string
+	relays  []Peer
 	chosen  bool
 	results chan attempt
 	pending int
@@ -121,7 +121,7 @@
 	r.pending++
 	go func() {
 		conn, err := r.dialRelay(r.relayCtx, relay, r.serverKey, r.address, r.Tracker.CheckModeOf(r.address, clock.Now()))
-		r.results <- attempt{conn: conn, err: err, relay: relay}
+		r.results <- attempt{conn: conn, err: err, relay: relay.Address}
 	}()
 	return true
 }
--- a/pkg/serverpath/relays.go
+++ b/pkg/serverpath/relays.go
@@ -46,19 +46,23 @@
 // relays chooses the boxes that are asked for tunnels.
 type relays struct {
 	hall string
+	// mayRelay is Deps.MayRelay.
+	mayRelay func(relayHall, serverHall string) bool
 
 	mu      sync.Mutex
 	known   map[string]*relay
 	explore time.Time
 }
 
-func newRelays(hall string) *relays { return &relays{hall: hall, known: make(map[string]*relay)} }
+func newRelays(hall string, mayRelay func(relayHall, serverHall string) bool) *relays {
+	return &relays{hall: hall, mayRelay: mayRelay, known: make(map[string]*relay)}
+}
 
-// order returns the boxes to ask for a connection to a server, in order: those that opened a tunnel
+// order returns the boxes that may be asked for a connection to a server, in order: those that opened a tunnel
 // recently, the least used first, then others, those of this hall and of the server's hall in turn, and
 // last those that failed recently. One of the first two is in the server's hall, as the boxes of this one
 // may have lost the same links.
-func (r *relays) order(peers []Peer, serverHall string, now time.Time) []string {
+func (r *relays) order(peers []Peer, serverHall string, now time.Time) []Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.evict(peers)
@@ -67,6 +71,7 @@
 	for _, p := range peers {
 		k := r.known[p.Address]
 		switch {
+		case !r.mayRelay(p.Hall, serverHall):
 		case k != nil && now.Before(k.failedUntil):
 			failed = append(failed, p)
 		case k != nil && !k.provenAt.IsZero() && now.Sub(k.provenAt) < relayTTL:
@@ -90,7 +95,7 @@
 		r.explore = now.Add(exploreInterval)
 		proven, unproven = append([]Peer{unproven[0]}, proven...), unproven[1:]
 	}
-	return addresses(withServerHall(append(proven, unproven...), serverHall), failed)
+	return append(withServerHall(append(proven, unproven...), serverHall), failed...)
 }
 
 // withServerHall moves the first box of the server's hall to the second place, unless one of the first
@@ -104,14 +109,6 @@
 	return slices.Insert(slices.Delete(list, i, i+1), 1, moved)
 }
 
-func addresses(lists ...[]Peer) []string {
-	var out []string
-	for _, p := range slices.Concat(lists...) {
-		out = append(out, p.Address)
-	}
-	return out
-}
-
 // evict forgets boxes that are not in the roster any more.
 func (r *relays) evict(peers []Peer) {
 	if len(r.known) <= len(peers) {
--- a/pkg/serverpath/relays_test.go
+++ b/pkg/serverpath/relays_test.go
@@ -19,16 +19,18 @@
 	return peers
 }
 
+func allHalls(_, _ string) bool { return true }
+
 func TestOwnHallAndHallOfServerComeFirst(t *testing.T) {
-	r := newRelays("0")
+	r := newRelays("0", allHalls)
 	now := time.Unix(1000, 0)
 	halls := make(map[string]bool)
 	for range 20 {
 		order := r.order(peersOf(985, 5), "3", now)
 		assert.LessOrEqual(t, len(order), 3*maxUnproven, "a bounded part of a large fleet")
-		for _, address := range order[:2] {
+		for _, p := range order[:2] {
 			var i int
-			_, _ = fmt.Sscan(address, &i)
+			_, _ = fmt.Sscan(p.Address, &i)
 			halls[fmt.Sprint(i%5)] = true
 		}
 	}
@@ -36,7 +38,7 @@
 }
 
 func TestProvenRelaysAreUsedEvenly(t *testing.T) {
-	r := newRelays("0")
+	r := newRelays("0", allHalls)
 	now := time.Unix(1000, 0)
 	for i := range minProven {
 		r.recordOpened(fmt.Sprint(i), now)
@@ -44,7 +46,7 @@
 	}
 	used := make(map[string]int)
 	for range 30 {
-		first := r.order(peersOf(20, 1), "", now)[0]
+		first := r.order(peersOf(20, 1), "", now)[0].Address
 		used[first]++
 		r.recordOpened(first, now)
 	}
@@ -53,12 +55,12 @@
 
 // With a single proven relay, others are explored at a bounded rate.
 func TestFurtherRelaysAreExplored(t *testing.T) {
-	r := newRelays("0")
+	r := newRelays("0", allHalls)
 	now := time.Unix(1000, 0)
 	r.recordOpened("0", now)
 	explored := 0
 	for i := range 1000 {
-		if r.order(peersOf(20, 1), "", now.Add(time.Duration(i)*time.Millisecond))[0] != "0" {
+		if r.order(peersOf(20, 1), "", now.Add(time.Duration(i)*time.Millisecond))[0].Address != "0" {
 			explored++
 		}
 	}
@@ -66,19 +68,19 @@
 }
 
 func TestFailedRelaysComeLast(t *testing.T) {
-	r := newRelays("0")
+	r := newRelays("0", allHalls)
 	now := time.Unix(1000, 0)
 	r.recordFailed("1", errors.New("no route"), now)
 	r.recordFailed("2", &tunnel.RefusedError{Reason: tunnel.ReasonUnsupported}, now)
 	r.recordFailed("0", &tunnel.RefusedError{Reason: tunnel.ReasonServerRefused}, now)
-	assert.Equal(t, []string{"0", "1", "2"}, r.order(peersOf(3, 1), "", now))
-	assert.ElementsMatch(t, []string{"0", "1"}, r.order(peersOf(3, 1), "", now.Add(relayBackoff))[:2])
+	assert.Equal(t, peersOf(3, 1), r.order(peersOf(3, 1), "", now))
+	assert.ElementsMatch(t, peersOf(2, 1), r.order(peersOf(3, 1), "", now.Add(relayBackoff))[:2])
 	assert.Equal(t, int64(1), r.counts(now.Add(relayBackoff))["failed"])
 }
 
 // Boxes that left the roster must not be kept for good.
 func TestRelaysOutsideTheRosterAreForgotten(t *testing.T) {
-	r := newRelays("0")
+	r := newRelays("0", allHalls)
 	now := time.Unix(1000, 0)
 	for i := range 100 {
 		r.recordFailed(fmt.Sprint(i), errors.New("no route"), now)
@@ -89,7 +91,7 @@
 
 // BenchmarkOrder measures the choice of relays in a fleet of the target size.
 func BenchmarkOrder(b *testing.B) {
-	r := newRelays("0")
+	r := newRelays("0", allHalls)
 	peers := peersOf(1700, 9)
 	for b.Loop() {
 		r.order(peers, "3", time.Unix(1000, 0))
