resumption: a record that a restore of the store has lost is not one that never was

A box that started with a store that had been restored, to a copy from before the record was written, took the servers of the moment for all versions there had been: no record counted as that of a fleet which never ran. In a store that was never restored, no record still counts at once. TestRecordLostInARestoreConfirmsNothingAtFirst is red without it. The stand-in of the store in these tests begins at era 0, as stores that were never restored do; it began at 1.

--- a/pkg/resumption/versions.go
+++ b/pkg/resumption/versions.go
@@ -239,7 +239,7 @@
 		return !now.Before(until) && !slices.Contains(s.Record.Services[v.service], v.version)
 	})
 	known := now
-	restored := s.Record.Services != nil && s.Record.Era != s.Revision.Era()
+	restored := s.Record.Era != s.Revision.Era()
 	if restored {
 		known = now.Add(restoredRecordWait)
 	}
--- a/pkg/resumption/versions_test.go
+++ b/pkg/resumption/versions_test.go
@@ -36,7 +36,7 @@
 }
 
 func (s *versionStore) revision() storerev.Revision {
-	r, err := storerev.New(1+s.era, s.number)
+	r, err := storerev.New(s.era, s.number)
 	if err != nil {
 		panic(err)
 	}
@@ -315,7 +315,7 @@
 // Guards against a version that is forgotten too early, or never.
 func TestFormerVersionCountsForRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &versionStore{record: VersionRecord{Services: map[string][]string{"s": {"v1"}, "gone": {"v7"}}, Era: 1}}
+		store := &versionStore{record: VersionRecord{Services: map[string][]string{"s": {"v1"}, "gone": {"v7"}}}}
 		h, _ := newTestHistory(t, store, map[string][]string{"s": {"v2"}})
 		time.Sleep(time.Second)
 		require.True(t, h.Known(clock.Now()))
@@ -343,7 +343,7 @@
 		assert.True(t, later.Known(clock.Now()))
 		s, err := store.Read(t.Context())
 		assert.NoError(t, err)
-		assert.Equal(t, VersionRecord{Services: map[string][]string{"s": {"v1"}}, Era: 1}, s.Record)
+		assert.Equal(t, VersionRecord{Services: map[string][]string{"s": {"v1"}}}, s.Record)
 	})
 }
 
@@ -369,7 +369,7 @@
 // streams for long because of it.
 func TestRecordFromBeforeARestoreCountsAfterAMoment(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &versionStore{era: 1, record: VersionRecord{Services: map[string][]string{"s": {"v1"}}, Era: 1}}
+		store := &versionStore{era: 2, record: VersionRecord{Services: map[string][]string{"s": {"v1"}}, Era: 1}}
 		h, _ := newTestHistory(t, store, map[string][]string{"s": {"v1"}})
 		time.Sleep(time.Second)
 		assert.False(t, h.Known(clock.Now()))
@@ -380,10 +380,28 @@
 	})
 }
 
+// Guards against a box that takes a record which the store has lost in a restore for one of a fleet that never ran.
+func TestRecordLostInARestoreConfirmsNothingAtFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &versionStore{era: 1}
+		h, _ := newTestHistory(t, store, map[string][]string{"s": {"v1"}})
+		later, _ := newTestHistory(t, store, map[string][]string{"s": {"v1"}})
+		time.Sleep(time.Second)
+		assert.False(t, h.Known(clock.Now()))
+		assert.False(t, later.Known(clock.Now()), "a box that reads what the first one wrote")
+		time.Sleep(restoredRecordWait)
+		assert.True(t, h.Known(clock.Now()))
+		assert.True(t, later.Known(clock.Now()))
+		never, _ := newTestHistory(t, &versionStore{}, map[string][]string{"s": {"v1"}})
+		time.Sleep(time.Second)
+		assert.True(t, never.Known(clock.Now()), "the store was never restored")
+	})
+}
+
 // Guards against a box that forgets a version which it has read, as the store comes back from a copy without it.
 func TestVersionOfTheRecordOutlivesARestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &versionStore{record: VersionRecord{Services: map[string][]string{"s": {"v1"}}, Era: 1}}
+		store := &versionStore{record: VersionRecord{Services: map[string][]string{"s": {"v1"}}}}
 		store.copyRecord()
 		store.record.Services = map[string][]string{"s": {"v1", "v2"}}
 		h, _ := newTestHistory(t, store, map[string][]string{"s": {"v1"}})
