gateway, directory: the log tells the life of a server and how old what is known of it was

Attempts and entries had the version of a server and not the start of its life, nor the age of the list and of the connection, so that a stream that was sent to another life than its entry describes could not be told from one whose record was lost.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -379,7 +379,7 @@
 	if bulk {
 		line = level.Debug(d.logger)
 	}
-	d.logChange(line, "msg", "server listed", "server", s.ID, "service", s.Service, "address", s.Address, "hall", s.Hall, "version", s.Version, "leaving", s.Leaving, "known", exists, "warm_up_ms", s.WarmUpRemaining.Milliseconds(), "withheld", !listed.WithheldUntil.IsZero())
+	d.logChange(line, "msg", "server listed", "server", s.ID, "service", s.Service, "address", s.Address, "hall", s.Hall, "version", s.Version, "started", s.Started, "leaving", s.Leaving, "known", exists, "warm_up_ms", s.WarmUpRemaining.Milliseconds(), "withheld", !listed.WithheldUntil.IsZero())
 	if exists && old.Version != s.Version {
 		old.RemovedAt = at
 		d.former = append(d.former, old)
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -49,6 +49,8 @@
 	Body io.Reader
 	// Via is the address of the box by way of which the connection leads, "" for a direct one.
 	Via string
+	// ConnOpened is when the connection was established.
+	ConnOpened time.Time
 
 	exchange *exchange
 	raw      *http.Response
@@ -137,7 +139,7 @@
 	}
 	framing := framingOf(raw)
 	return &Response{
-		Via: conn.via(), Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, Framing: framing,
+		Via: conn.via(), ConnOpened: conn.opened, Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, Framing: framing,
 		Body: &body{reader: raw.Body, framing: framing}, exchange: x, raw: raw,
 	}, nil
 }
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"headhill.example/headhill/pkg/clock"
 )
 
 const (
@@ -36,6 +38,8 @@
 	limit  *io.LimitedReader
 	head   *headRecorder
 	reader *bufio.Reader
+	// opened is when the connection was established.
+	opened time.Time
 	// reused is set once the connection was taken from the pool.
 	reused bool
 	// idleSince is the end of the last exchange. idleTimeout is how long the connection may be
@@ -47,7 +51,7 @@
 func newConn(c net.Conn) *conn {
 	head := &headRecorder{reader: c}
 	limit := &io.LimitedReader{R: head, N: math.MaxInt64}
-	return &conn{Conn: c, limit: limit, head: head, reader: bufio.NewReaderSize(limit, readBufferBytes)}
+	return &conn{Conn: c, limit: limit, head: head, reader: bufio.NewReaderSize(limit, readBufferBytes), opened: clock.Now()}
 }
 
 // expired reports whether an idle connection has reached its idle timeout.
