directory: a restored entry of an earlier life is not taken for the server's

A server restarts under its ID with another version or begins to leave, and the store comes back from a copy that holds the entry of its earlier life. Boxes took that entry at its word until the server had written its own again: new streams were recorded with the earlier version, and a leaving or removed server got requests.

Departed servers were kept by incarnation, and the directory knew one incarnation of an ID only. An entry of one that comes back with a restored list is withheld like that of a departed server, and the later life is one whose entry the restore lost: it stays in use for the grace of those.

Lists passed between boxes are as before. Without `born`, lives of one ID can't be told apart and nothing changes.

--- a/pkg/directory/departed.go
+++ b/pkg/directory/departed.go
@@ -19,10 +19,13 @@
 // which a restored entry that says otherwise is not believed.
 type departedServers map[routing.Incarnation]time.Time
 
-// newDepartedServers returns the servers that have left according to a list of the era that ends now.
-// Servers whose entries expired in an outage may still run.
-func newDepartedServers(servers map[string]Server, now time.Time) departedServers {
+// newDepartedServers returns the servers that have left according to a list of the era that ends now, and the
+// incarnations that were replaced. Servers whose entries expired in an outage may still run.
+func newDepartedServers(servers map[string]Server, replaced replacedLives, now time.Time) departedServers {
 	departed := make(departedServers)
+	for life := range replaced {
+		departed[life] = now.Add(removedEntryRetention)
+	}
 	for _, s := range servers {
 		switch {
 		case s.Leaving:
@@ -47,7 +50,8 @@
 // outage: their servers write them again. Their grace begins when the era was first seen: a list that is read
 // late may lack servers that were removed since. The caller holds mu.
 func (d *Directory) beginEra(now time.Time) {
-	d.departed = newDepartedServers(d.servers, now)
+	d.replaced.prune(now)
+	d.departed = newDepartedServers(d.servers, d.replaced, now)
 	d.recoveredAt = now
 	if !d.eraSeenAt.IsZero() && d.eraSeenAt.Before(now) {
 		d.recoveredAt = d.eraSeenAt
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -182,7 +182,7 @@
 	// restoredEntries are the servers whose entries of an earlier incarnation came with a list of a new era, until
 	// onRestoredEntry is called with them.
 	restoredEntries []string
-	// former holds earlier lives of servers that had another version.
+	// former holds earlier lives of servers that had another version, and lives whose entries a restore has lost.
 	former []Server
 	// prunedAt is when servers were last pruned whose removal is older than the retention period.
 	prunedAt time.Time
@@ -193,7 +193,9 @@
 	seenEra   uint64
 	eraSeenAt time.Time
 	// departed holds the servers that had left before the source was last restored.
-	departed    departedServers
+	departed departedServers
+	// replaced holds the incarnations that later ones have replaced.
+	replaced    replacedLives
 	evacuations Evacuations
 	// effectiveHalls are the halls whose servers get no work. retainedHalls are those that were
 	// evacuated before the source was last restored, with the time until which they count as evacuated
@@ -217,7 +219,7 @@
 
 // New returns an empty directory.
 func New(logger log.Logger) *Directory {
-	d := &Directory{logger: logger, servers: make(map[string]Server), outdated: newOutdatedMessages(logger), onServers: func() {}, onRestoredEntry: func(string, time.Time) {}}
+	d := &Directory{logger: logger, servers: make(map[string]Server), replaced: make(replacedLives), outdated: newOutdatedMessages(logger), onServers: func() {}, onRestoredEntry: func(string, time.Time) {}}
 	d.view.Store(&View{})
 	d.table = newFollower(PartTable, logger, func() bool { return d.View().Table != nil })
 	d.list = newFollower(PartServers, logger, func() bool { return !d.View().ServersConfirmedAt.IsZero() })
@@ -393,9 +395,8 @@
 		line = level.Debug(d.logger)
 	}
 	d.logChange(line, "msg", "server listed", "server", s.ID, "service", s.Service, "address", s.Address, "hall", s.Hall, "version", s.Version, "started", s.Started, "leaving", s.Leaving, "known", exists, "warm_up_ms", s.WarmUpRemaining.Milliseconds(), "withheld", !listed.WithheldUntil.IsZero())
-	if exists && old.Version != s.Version {
-		old.RemovedAt = at
-		d.former = append(d.former, old)
+	if exists {
+		d.replace(old, s, at)
 	}
 	if s.WarmUpRemaining > 0 {
 		listed.WarmUpEnd = at.Add(s.WarmUpRemaining)
@@ -409,10 +410,7 @@
 	if !exists || !s.RemovedAt.IsZero() {
 		return
 	}
-	s.RemovedAt = at
-	if until := d.recoveredAt.Add(recoveryGrace); at.Before(until) {
-		s.GraceEnd = until
-	}
+	s = d.lapsed(s, at)
 	d.servers[id] = s
 	d.logChange(level.Info(d.logger), "msg", "server removed", "server", id, "service", s.Service, "leaving", s.Leaving, "lapsed", !s.GraceEnd.IsZero())
 }
--- a/pkg/directory/pools.go
+++ b/pkg/directory/pools.go
@@ -105,6 +105,7 @@
 	v.warmUpEnds = make(map[routing.Incarnation]time.Time)
 	v.evacuated = d.effectiveHalls
 	v.pools = make(map[string]*pool)
+	d.replaced.prune(at)
 	d.former = slices.DeleteFunc(d.former, func(s Server) bool { return at.Sub(s.RemovedAt) > removedRetention })
 	for id, s := range d.servers {
 		if !s.RemovedAt.IsZero() && at.Sub(s.RemovedAt) > removedRetention {
@@ -121,11 +122,7 @@
 			v.warmUpEnds[s.Incarnation()] = s.WarmUpEnd
 		}
 	}
-	for _, s := range d.former {
-		if p := v.pools[s.Service]; p != nil {
-			p.departed = append(p.departed, s)
-		}
-	}
+	d.addFormer(&v, nil, at)
 	for _, p := range v.pools {
 		p.sort()
 		p.findVersions()
@@ -177,11 +174,7 @@
 			v.warmUpEnds[s.Incarnation()] = s.WarmUpEnd
 		}
 	}
-	for _, s := range d.former {
-		if p := v.pools[s.Service]; p != nil && ids[s.ID] {
-			p.departed = append(p.departed, s)
-		}
-	}
+	d.addFormer(v, ids, at)
 	for _, p := range v.pools {
 		p.findVersions()
 	}
