quarantine: a server that crashes again before its entry tells of its restart counts again

A crash counts once for a request and an incarnation. A server that restarts under its ID has the incarnation of its earlier life until its entry is known, 0.1 to 1.5 s later or after an outage of the store. Further crashes of it under the same request or part were taken for reports of the first one, or were excused by a success before them: with the store away, a request could crash the same few servers any number of times and was never held (BUDGET).

A request that was sent half a second or more after the known crash of an incarnation was at a later life. Such lives get hashes of their own, numbered in order, so that boxes with the same evidence agree. Two reports of one crash still count once, also if one of them comes seconds late.

Request.SentAt has to be set by the gateway, in probeServer; without it nothing changes.

--- a/pkg/quarantine/fingerprint.go
+++ b/pkg/quarantine/fingerprint.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -23,6 +24,9 @@
 	// other requests may have, in order.
 	Service string
 	Parts   []string
+	// SentAt is when the request was sent to the server that it is reported with; zero if that is not known. It does
+	// not identify the request.
+	SentAt time.Time
 }
 
 // parts returns all fields except the body.
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -108,9 +108,10 @@
 
 // RecordCrash records that a server crashed while it had a request of this box.
 func (q *Quarantine) RecordCrash(r *Request, incarnation IncarnationHash, at time.Time) {
-	q.ledger.RecordCrash(FingerprintOf(r), incarnation, at)
+	life := q.ledger.lifeOf(incarnation, r.SentAt)
+	q.ledger.RecordCrash(FingerprintOf(r), life, at)
 	for n, f := range r.partFingerprints() {
-		q.ledger.RecordPartCrash(f, r.Parts[n], n, incarnation, at)
+		q.ledger.RecordPartCrash(f, r.Parts[n], n, life, at)
 	}
 }
 
