directory: the server at a reused address is the one that is listed

An address may be given to a server of another service, or to one with another ID, while the box still keeps the one that had it before. ServerAt returned either, in the order of a map: hallOfServer then chose relays by the hall of a server that has ended, retryDirect kept the new connection under its incarnation, where no request finds it, and the check of a stream's server (gateway.checkLife) found another ID than that of the server used.

Listed servers now come before removed ones of all services, and of those the last one counts.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -115,15 +115,21 @@
 	return list
 }
 
-// ServerAt returns a server with an address: one in the list, or one that was removed recently and may
+// ServerAt returns a server with an address: one in the list, or the last one that was removed recently and may
 // still be used.
 func (v *View) ServerAt(address string) (routing.Server, bool) {
+	var last Server
 	for _, p := range v.pools {
-		if s, ok := p.serverAt(address); ok {
+		if s, ok := p.listedAt(address); ok {
 			return s, true
 		}
+		for _, s := range p.removed {
+			if s.Address == address && s.RemovedAt.After(last.RemovedAt) {
+				last = s
+			}
+		}
 	}
-	return routing.Server{}, false
+	return last.Server, last.ID != ""
 }
 
 // AnyOther returns a listed server that gets new work and has another address.
--- a/pkg/directory/pools.go
+++ b/pkg/directory/pools.go
@@ -34,17 +34,15 @@
 	versions []serverVersion
 }
 
-// serverAt returns a server with an address, in any state.
-func (p *pool) serverAt(address string) (routing.Server, bool) {
+// listedAt returns a listed server with an address.
+func (p *pool) listedAt(address string) (routing.Server, bool) {
 	for _, list := range [][]routing.Server{p.ready, p.draining} {
 		if i := slices.IndexFunc(list, func(s routing.Server) bool { return s.Address == address }); i >= 0 {
 			return list[i], true
 		}
 	}
-	for _, list := range [][]Server{p.withheld, p.removed} {
-		if i := slices.IndexFunc(list, func(s Server) bool { return s.Address == address }); i >= 0 {
-			return list[i].Server, true
-		}
+	if i := slices.IndexFunc(p.withheld, func(s Server) bool { return s.Address == address }); i >= 0 {
+		return p.withheld[i].Server, true
 	}
 	return routing.Server{}, false
 }
