directory: a version is remembered for the service that its last server leaves under its ID

A server that comes back under its ID in another service, with the same version, took that version from its former service at once: only entries whose version differed were kept. A stream of that service which its caller takes up then counted as one of a service with one version, or none. Entries whose service differs are kept for the minute as well, also if the service has no other server.

TestVersionOfServerThatMovedIsRemembered failed before.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -188,7 +188,7 @@
 	// restoredEntries are the servers whose entries of an earlier incarnation came with a list of a new era, until
 	// onRestoredEntry is called with them.
 	restoredEntries []string
-	// former holds earlier lives of servers that had another version, and lives whose entries a restore has lost.
+	// former holds earlier lives of servers that had another version or service, and lives whose entries a restore has lost.
 	former []Server
 	// prunedAt is when servers were last pruned whose removal is older than the retention period.
 	prunedAt time.Time
--- a/pkg/directory/lives.go
+++ b/pkg/directory/lives.go
@@ -33,7 +33,7 @@
 		delete(d.replaced, after)
 		d.replaced[before] = at
 	}
-	if old.Version != s.Version {
+	if old.Version != s.Version || old.Service != s.Service {
 		old.RemovedAt, old.GraceEnd = at, time.Time{}
 		d.former = append(d.former, old)
 	}
@@ -52,10 +52,14 @@
 // published yet: those of some servers, or of all if ids is nil. The caller holds mu.
 func (d *Directory) addFormer(v *View, ids map[string]bool, at time.Time) {
 	for _, s := range d.former {
-		p := v.pools[s.Service]
-		if p == nil || ids != nil && !ids[s.ID] {
+		if ids != nil && !ids[s.ID] {
 			continue
 		}
+		p := v.pools[s.Service]
+		if p == nil {
+			p = &pool{}
+			v.pools[s.Service] = p
+		}
 		if s.GraceEnd.IsZero() {
 			p.departed = append(p.departed, s)
 			continue
--- a/pkg/directory/versions_test.go
+++ b/pkg/directory/versions_test.go
@@ -51,3 +51,23 @@
 		}
 	}
 }
+
+// Guards against a version of a service that is forgotten as its last server moves to another service under its ID.
+func TestVersionOfServerThatMovedIsRemembered(t *testing.T) {
+	for _, whole := range []bool{false, true} {
+		start := time.Now()
+		d := New(log.NewNopLogger())
+		server := routing.Server{ID: "a", Service: "s", Version: "v1", Started: 1}
+		d.setServers([]routing.Server{server}, start, false)
+		server.Service, server.Started = "other", 2
+		at := start.Add(time.Second)
+		if whole {
+			d.setServers([]routing.Server{server}, at, false)
+		} else {
+			d.changeServers([]ServerEvent{{Server: server}}, at)
+		}
+		assert.Equal(t, []string{"v1"}, d.View().Versions("s", at.Add(VersionRetention-time.Second)))
+		assert.Empty(t, d.View().Versions("s", at.Add(VersionRetention)))
+		assert.Equal(t, []string{"v1"}, d.View().Versions("other", at))
+	}
+}
