signals, balancer: what a restarted server signalled before its entry stays in force after it

A server that restarts under its ID has the incarnation of its earlier life until its entry is known.

What was received within a minute after a lost or refused connection now also counts for the incarnation that follows under the ID. A later answer ends what doesn't hold. What was signalled before the loss, and leaving, stays with the incarnation, as before. The balancer reports failed calls as losses; others that know of restarts can call Tracker.RecordLoss as well.

TestRetryAfterOfALifeWithoutAnEntryStaysInForce fails with the call of beginLife taken out.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -29,6 +29,8 @@
 
 	mu      sync.Mutex
 	servers map[ServerKey]*server
+	// latest holds, by ID, the incarnation of each server that was a candidate last.
+	latest map[string]routing.Incarnation
 	// peerLoads is the load that all other boxes together put on each server, received at
 	// peerLoadsAt.
 	peerLoads   map[ServerKey]Load
@@ -98,7 +100,9 @@
 
 // server is this box's state for one backend server.
 type server struct {
-	key     ServerKey
+	key ServerKey
+	// id is set once the server was a candidate.
+	id      string
 	running int
 	// memoryTokens is the maximum number of tokens that the running requests may occupy.
 	memoryTokens int
@@ -133,7 +137,7 @@
 // New returns a balancer without any server state.
 func New(logger log.Logger) *Balancer {
 	b := &Balancer{
-		logger: logger, servers: make(map[ServerKey]*server), services: make(map[ServiceKey]*serviceStats),
+		logger: logger, servers: make(map[ServerKey]*server), latest: make(map[string]routing.Incarnation), services: make(map[ServiceKey]*serviceStats),
 		holders: make(map[partKey][]ServerKey), indexes: make(map[string]*candidateIndex),
 	}
 	b.signals = signals.NewTracker(logger, b.notifyChange)
@@ -240,6 +244,9 @@
 	for key, s := range b.servers {
 		if s.running == 0 && now.Sub(s.lastUsed) > serverRetention {
 			delete(b.servers, key)
+			if KeyOf(b.latest[s.id]) == key {
+				delete(b.latest, s.id)
+			}
 		}
 	}
 }
--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -144,6 +144,9 @@
 			continue
 		}
 		s := b.server(KeyOf(c.Incarnation()), now)
+		if s.id == "" {
+			b.beginLife(s, c.Incarnation(), now)
+		}
 		state := b.signals.State(s.key, now)
 		if state.Leaving {
 			q.Draining = append(slices.Clip(q.Draining), *c)
--- a/pkg/balancer/lease.go
+++ b/pkg/balancer/lease.go
@@ -153,6 +153,9 @@
 		b.signals.RecordRejection(l.Server.Incarnation(), now)
 		s.rejectedUntil = now.Add(rejectionHold)
 	}
+	if r == ResultFailed || r == ResultUnreached {
+		b.signals.RecordLoss(l.Server.Incarnation(), now)
+	}
 	wasEjected := now.Before(s.health.ejectedUntil)
 	ejected := s.health.record(r, now)
 	if ejected > 0 && s.health.unreachable || r == ResultFailed {
--- a/pkg/signals/backoff.go
+++ b/pkg/signals/backoff.go
@@ -29,24 +29,31 @@
 	halfOpenTTL = time.Minute
 )
 
-// backoffs maps each server to the time from which it may get requests again.
-type backoffs map[Key]time.Time
+// backoffs holds the servers that have sent a Retry-After.
+type backoffs map[Key]backoff
+
+type backoff struct {
+	// end is the time from which the server may get requests again.
+	end time.Time
+	// receivedAt is when the Retry-After was received.
+	receivedAt time.Time
+}
 
 // extend starts or extends the backoff of a server. It returns false if the current one ends later.
 func (b backoffs) extend(key Key, retryAfter time.Duration, now time.Time) bool {
 	retryAfter = min(retryAfter, maxBackoff)
-	if len(b) >= maxServers || !now.Add(retryAfter).After(b[key]) {
+	if len(b) >= maxServers || !now.Add(retryAfter).After(b[key].end) {
 		return false
 	}
-	b[key] = now.Add(retryAfter + rand.N(min(retryAfter/jitterDivisor, maxJitter)+1))
+	b[key] = backoff{end: now.Add(retryAfter + rand.N(min(retryAfter/jitterDivisor, maxJitter)+1)), receivedAt: now}
 	return true
 }
 
 // end handles a response without Retry-After to a request that was sent at the given time. It reports
 // whether that ends a backoff.
 func (b backoffs) end(key Key, sent time.Time) bool {
-	until, ok := b[key]
-	if !ok || sent.Before(until) {
+	last, ok := b[key]
+	if !ok || sent.Before(last.end) {
 		return false
 	}
 	delete(b, key)
@@ -54,11 +61,11 @@
 }
 
 func (b backoffs) state(key Key, now time.Time) Backoff {
-	until, ok := b[key]
+	last, ok := b[key]
 	switch {
 	case !ok:
 		return Accepting
-	case now.Before(until):
+	case now.Before(last.end):
 		return BackingOff
 	}
 	return HalfOpen
@@ -66,5 +73,5 @@
 
 // sweep evicts servers that have been half-open for longer than halfOpenTTL.
 func (b backoffs) sweep(now time.Time) {
-	maps.DeleteFunc(b, func(_ Key, until time.Time) bool { return now.Sub(until) > halfOpenTTL })
+	maps.DeleteFunc(b, func(_ Key, last backoff) bool { return now.Sub(last.end) > halfOpenTTL })
 }
--- a/pkg/signals/tracker.go
+++ b/pkg/signals/tracker.go
@@ -32,6 +32,7 @@
 	local    Observations
 	remote   Observations
 	backoffs backoffs
+	losses   losses
 	// malformed holds the servers for which a malformed signal has been logged.
 	malformed map[Key]bool
 	lastSweep time.Time
@@ -41,6 +42,7 @@
 func NewTracker(logger log.Logger, onChange func()) *Tracker {
 	return &Tracker{
 		logger: logger, onChange: onChange, local: make(Observations), remote: make(Observations), backoffs: make(backoffs),
+		losses:    make(losses),
 		malformed: make(map[Key]bool),
 	}
 }
@@ -139,7 +141,7 @@
 	switch {
 	case retryAfter > 0 && t.backoffs.extend(key, retryAfter, now):
 		_ = level.Info(t.logger).Log("msg", "server signal", "signal", "retry-after", "server", server, "source", "answer",
-			"retry_after_ms", retryAfter.Milliseconds(), "until_ms", t.backoffs[key].Sub(now).Milliseconds(), "age_ms", now.Sub(sent).Milliseconds())
+			"retry_after_ms", retryAfter.Milliseconds(), "until_ms", t.backoffs[key].end.Sub(now).Milliseconds(), "age_ms", now.Sub(sent).Milliseconds())
 	case retryAfter == 0 && t.backoffs.end(key, sent):
 		_ = level.Info(t.logger).Log("msg", "server signal", "signal", "retry-after", "server", server, "source", "answer",
 			"retry_after_ms", 0, "age_ms", now.Sub(sent).Milliseconds())
@@ -198,7 +200,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o := t.current(key, now)
-	return State{Limit: o.Limit, Brittle: o.Brittle, RejectedAt: o.RejectedAt, Leaving: o.Leaving, Backoff: t.backoffs.state(key, now), BackoffEnd: t.backoffs[key]}
+	return State{Limit: o.Limit, Brittle: o.Brittle, RejectedAt: o.RejectedAt, Leaving: o.Leaving, Backoff: t.backoffs.state(key, now), BackoffEnd: t.backoffs[key].end}
 }
 
 // Report returns the observations made by this box, for broadcast to the other boxes.
@@ -240,6 +242,7 @@
 		maps.DeleteFunc(list, func(_ Key, o Observation) bool { return !o.valid(now) })
 	}
 	t.backoffs.sweep(now)
+	t.losses.sweep(now)
 	t.updateHasSignals()
 }
 
