resumption: a reply to another question, or about another stream, is dropped

Callers could get a stream that went on at the version of another one. A box that was suspended, or slow, answers late. If the box that asked has restarted meanwhile, it counts its questions from 1 again, and has one under way with the same ID: replies were matched by that number only, and the key of the record in them was not compared. Such a reply could also confirm that a service has one version, for a question about another service.

IDs of questions begin at a random value in each life of a box, and a reply whose record has another key than the question is dropped. Both are counted ("replies dropped", with replies that are late within one life) and logged at debug level. Nothing changes on the wire.

--- a/pkg/resumption/exchange.go
+++ b/pkg/resumption/exchange.go
@@ -1,9 +1,11 @@
 package resumption
 
 import (
+	"bytes"
 	"context"
 	"iter"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -65,33 +67,44 @@
 	Deps
 	registry *Registry
 	changed  chan struct{}
-	lastID   atomic.Uint64
+	// lastID is the ID of the last question. It begins at a random value, as replies to an earlier life of this box may
+	// still arrive.
+	lastID atomic.Uint64
 	// counts of what was recorded and found, see Counts.
-	recorded, found, oneVersion, unknown atomic.Int64
+	recorded, found, oneVersion, unknown, dropped atomic.Int64
 
 	mu sync.Mutex
-	// waiting holds the channels of questions that are not answered yet.
-	waiting map[uint64]chan *resumptionpb.Reply
+	// waiting holds the questions that are not answered yet.
+	waiting map[uint64]question
 
 	// several holds the services with several versions whose streams were recorded. It is used by Run.
 	several map[string]bool
 }
 
+// question is a question about a stream, with the channel for its replies.
+type question struct {
+	key     []byte
+	replies chan<- *resumptionpb.Reply
+}
+
 // New returns an Exchange and registers it for messages on the port.
 func New(d Deps) *Exchange {
 	e := &Exchange{
 		Deps: d, registry: NewRegistry(), changed: make(chan struct{}, 1),
-		waiting: make(map[uint64]chan *resumptionpb.Reply), several: make(map[string]bool),
+		waiting: make(map[uint64]question), several: make(map[string]bool),
 	}
+	e.lastID.Store(rand.Uint64())
 	d.Port.Handle(datagramKind, e.receive)
 	return e
 }
 
-// Counts returns the records that are kept, and what was recorded and found since the start.
+// Counts returns the records that are kept, what was recorded and found since the start, and the replies that were
+// dropped: late ones, and those about another stream.
 func (e *Exchange) Counts() map[string]int64 {
 	return map[string]int64{
 		"kept": int64(e.registry.Len()), "recorded": e.recorded.Load(), "found": e.found.Load(),
 		"one version": e.oneVersion.Load(), "unknown": e.unknown.Load(),
+		"replies dropped": e.dropped.Load(),
 	}
 }
 
@@ -175,8 +188,8 @@
 func (e *Exchange) askGroup(ctx context.Context, boxes []roster.Entry, q *resumptionpb.Query, evidence *Evidence) {
 	replies := make(chan *resumptionpb.Reply, len(boxes))
 	q.Id = e.lastID.Add(1)
-	e.await(q.Id, replies)
-	defer e.await(q.Id, nil)
+	e.await(q.Id, question{q.GetKey(), replies})
+	defer e.endWait(q.Id)
 	e.send(&resumptionpb.Message{Query: q}, boxes)
 	timer := time.NewTimer(answerTimeout)
 	defer timer.Stop()
@@ -211,15 +224,17 @@
 	}
 }
 
-// await sets the channel for the answers to a question; nil ends the wait.
-func (e *Exchange) await(id uint64, replies chan *resumptionpb.Reply) {
+// await registers a question for its replies.
+func (e *Exchange) await(id uint64, q question) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if replies == nil {
-		delete(e.waiting, id)
-		return
-	}
-	e.waiting[id] = replies
+	e.waiting[id] = q
+}
+
+func (e *Exchange) endWait(id uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.waiting, id)
 }
 
 // receive handles a message of another box. It must not block.
@@ -241,7 +256,7 @@
 		e.answer(q, m.From)
 	}
 	if r := p.GetReply(); r != nil {
-		e.deliver(r)
+		e.deliver(r, m.Box)
 	}
 }
 
@@ -268,11 +283,19 @@
 	return Origin{}, false
 }
 
-func (e *Exchange) deliver(r *resumptionpb.Reply) {
+// deliver passes a reply on to the one who asked. It drops one whose question has ended or is of an earlier life of
+// this box, and one whose record is of another stream.
+func (e *Exchange) deliver(r *resumptionpb.Reply, from string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	q, asked := e.waiting[r.GetId()]
+	if !asked || r.GetRecord() != nil && !bytes.Equal(r.GetRecord().GetKey(), q.key) {
+		e.dropped.Add(1)
+		_ = level.Debug(e.Logger).Log("msg", "reply about a stream dropped", "from", from, "question", r.GetId(), "asked", asked, "record", r.GetRecord() != nil)
+		return
+	}
 	select {
-	case e.waiting[r.GetId()] <- r:
+	case q.replies <- r:
 	default:
 	}
 }
