resumption: a reply of an earlier build confirms no version

A reply without history_known, of a build that does not know whether it has seen the recent versions, counted as a confirmation. With all boxes killed during an upgrade, boxes of the earlier build that had just started confirmed the version of the moment to each other's callers and to the new ones: a stream of the version before went on at it.

Such a reply still says that its box knows several versions, and still carries a record; it does not confirm that there is one version.

--- a/pkg/resumption/exchange.go
+++ b/pkg/resumption/exchange.go
@@ -211,8 +211,8 @@
 // add adds an answer.
 func (e *Evidence) add(r *resumptionpb.Reply) {
 	e.Answers++
-	// Builds that don't state whether they know the recent versions count as before.
-	if r.HistoryKnown == nil || r.GetHistoryKnown() {
+	// An earlier build does not state whether it knows the recent versions, so it confirms none.
+	if r.GetHistoryKnown() {
 		e.Confirming++
 	}
 	e.OthersSeveral = e.OthersSeveral || r.GetSeveral()
--- a/pkg/resumption/replies_test.go
+++ b/pkg/resumption/replies_test.go
@@ -151,3 +151,32 @@
 		assert.Equal(t, int64(1), e.Counts()["replies dropped"])
 	})
 }
+
+// Guards against boxes of an earlier build, which don't say whether they know the recent versions, that confirm a version
+// after all boxes were killed during an upgrade; and against a box that refuses streams for long because of them.
+func TestRepliesOfAnEarlierBuildConfirmNothing(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			n, list := newLossless(), boxes(4, 1)
+			e := startAsking(t, n, list, ServiceVersions{Versions: []string{"v1"}, HistoryKnown: known})
+			for _, entry := range list[1:] {
+				p := startPeer(t, n, entry)
+				go func() {
+					for q := range p.queries {
+						p.reply(t, &resumptionpb.Reply{Id: q.GetId()}, q.from)
+					}
+				}()
+				t.Cleanup(func() { close(p.queries) })
+			}
+			v := <-find(t, e, "stream")
+			assert.False(t, v.Known, "%+v", v)
+			assert.Positive(t, v.Evidence.Answers)
+			assert.Zero(t, v.Evidence.Confirming)
+			e.Versions = func(string) ServiceVersions {
+				return ServiceVersions{Versions: []string{"v1"}, HistoryKnown: known, Age: -time.Second}
+			}
+			v = <-find(t, e, "stream")
+			assert.Equal(t, known, v.Known, "the list was confirmed: %+v", v)
+		})
+	}
+}
