resumption: no record of versions beside boxes of a build that keeps none says nothing

With no record in the store, a box that had just started took the versions of the moment for all of late. After an upgrade from a build that keeps no record, by ending all boxes at once while servers are replaced, streams of the version before went on at the new one.

Where the roster has, or still has, boxes of such a build (forms level below 7), a box that finds no record confirms nothing for 6 s, by which callers have taken up what was interrupted or given it up. It still writes what it sees, marked as unconfirmed, and confirms it as soon as it can; a box that reads such a record waits as long, so that the boxes that start last, when the entries are replaced, wait too. The build before ignores the mark. At a fleet's first start nothing changes.

What remains: a fleet of one box, and a box whose own entry was the only one of the build before, have replaced it by then.

--- a/pkg/resumption/histories_test.go
+++ b/pkg/resumption/histories_test.go
@@ -155,7 +155,7 @@
 		Box: e.Box, Port: port, Boxes: func() []roster.Entry { return h.roster }, BoxesKnown: func() bool { return true }, Versions: b.versionsOf, InProgress: b.streams, Logger: log.NewNopLogger(),
 	})
 	b.versions = NewVersionHistory(VersionHistoryDeps{
-		Store: h.store, Listed: b.allListed, Rank: func() int { return i }, Boxes: func() int { return len(h.roster) }, OnLoaded: b.exchange.ServersChanged,
+		Store: h.store, Listed: b.allListed, Rank: func() int { return i }, Boxes: func() int { return len(h.roster) }, OnLoaded: b.exchange.ServersChanged, EarlierBuild: h.store.hasEarlierBuild,
 		Timeout: 700 * time.Millisecond, Logger: log.NewNopLogger(),
 	})
 	go port.Listen()
--- a/pkg/resumption/versions.go
+++ b/pkg/resumption/versions.go
@@ -27,6 +27,8 @@
 	Era uint64 `json:"era,omitempty"`
 	// Incomplete is set if only boxes have written it that did not know the recent versions.
 	Incomplete bool `json:"incomplete,omitempty"`
+	// Unconfirmed is set if boxes ran before that kept no record, and none has written it since that knew the recent versions.
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
 	// Unreadable is set if the stored record could not be decoded.
 	Unreadable bool `json:"-"`
 }
@@ -37,6 +39,26 @@
 	Revision storerev.Revision
 }
 
+// absent reports whether there is no record.
+func (s StoredVersions) absent() bool { return s.Revision == storerev.StartOf(s.Revision.Era()) }
+
+// unconfirmed reports whether any version of late may be missing in the record, as boxes of a build that keeps none ran
+// before it was written.
+func (s StoredVersions) unconfirmed(earlierBuild bool) bool {
+	return s.Record.Unconfirmed || s.absent() && earlierBuild
+}
+
+// wait returns for how long a box that starts must not rely on the record.
+func (s StoredVersions) wait(earlierBuild bool) time.Duration {
+	switch {
+	case s.unconfirmed(earlierBuild):
+		return unconfirmedRecordWait
+	case s.Record.Era != s.Revision.Era():
+		return restoredRecordWait
+	}
+	return 0
+}
+
 // VersionStore reads and writes the record.
 type VersionStore interface {
 	Read(ctx context.Context) (StoredVersions, error)
@@ -66,6 +88,9 @@
 	// written. A version that appeared in the lost seconds, and was gone before any box started again, is in neither, and
 	// callers take up interrupted streams within a few seconds. Longer would refuse streams of all services for it.
 	restoredRecordWait = 3 * time.Second
+	// unconfirmedRecordWait is the same if boxes of a build that keeps no record ran before. Any version may be missing, so
+	// it is longer: callers notice the end of a stream after two seconds of silence, and may try twice.
+	unconfirmedRecordWait = 6 * time.Second
 	// versionRetryDelay is the delay before the next attempt to reach the store, to which jitter is added.
 	versionRetryDelay = 300 * time.Millisecond
 	// A box that starts reads the record after a random part of versionReadSpread for each box of the fleet, up to
@@ -85,6 +110,8 @@
 	Boxes func() int
 	// OnLoaded is called once the record was read and held versions that the list does not have.
 	OnLoaded func()
+	// EarlierBuild reports whether the roster has boxes of a build that keeps no record.
+	EarlierBuild func() bool
 	// Timeout limits each call to the store.
 	Timeout time.Duration
 	Logger  log.Logger
@@ -189,7 +216,11 @@
 	for ctx.Err() == nil {
 		s, err := h.read(ctx)
 		if err == nil {
-			_ = level.Info(h.Logger).Log("msg", "loaded software versions", "services", len(s.Record.Services), "revision", s.Revision, "readable", !s.Record.Unreadable, "incomplete", s.Record.Incomplete, "era", s.Record.Era)
+			_ = level.Info(h.Logger).Log("msg", "loaded software versions", "services", len(s.Record.Services), "revision", s.Revision, "readable", !s.Record.Unreadable, "incomplete", s.Record.Incomplete, "unconfirmed", s.Record.Unconfirmed, "era", s.Record.Era)
+			if wait := s.wait(h.EarlierBuild()); wait > 0 {
+				// The record is confirmed as soon as this box can do that.
+				time.AfterFunc(wait, h.ServersChanged)
+			}
 			if h.hasFormer() {
 				h.OnLoaded()
 			}
@@ -238,16 +269,13 @@
 	maps.DeleteFunc(h.former, func(v serviceVersion, until time.Time) bool {
 		return !now.Before(until) && !slices.Contains(s.Record.Services[v.service], v.version)
 	})
-	known := now
-	restored := s.Record.Era != s.Revision.Era()
-	if restored {
-		known = now.Add(restoredRecordWait)
-	}
+	wait := s.wait(h.EarlierBuild())
+	known := now.Add(wait)
 	incomplete := s.Record.Unreadable || s.Record.Incomplete
 	if !incomplete && (h.knownSince.IsZero() || known.Before(h.knownSince)) {
 		h.knownSince = known
 	}
-	h.stored, h.confirmed = s.Record.Services, !restored && !incomplete
+	h.stored, h.confirmed = s.Record.Services, wait == 0 && !incomplete
 	return s, nil
 }
 
@@ -314,6 +342,7 @@
 	known := h.Known(now)
 	if !known {
 		next.Era, next.Incomplete = s.Record.Era, s.Record.Incomplete || s.Record.Unreadable
+		next.Unconfirmed = s.unconfirmed(h.EarlierBuild())
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.Timeout)
 	defer cancel()
--- a/pkg/resumption/versions_test.go
+++ b/pkg/resumption/versions_test.go
@@ -33,6 +33,10 @@
 	reads    int
 	writes   int
 	disabled bool
+	// absent is set if the record is always missing, as with builds that keep none.
+	absent bool
+	// earlierBuild is set while the roster has boxes of a build that keeps no record.
+	earlierBuild bool
 }
 
 func (s *versionStore) revision() storerev.Revision {
@@ -62,6 +66,9 @@
 		return StoredVersions{}, errSilent
 	}
 	s.reads++
+	if s.absent {
+		return StoredVersions{Revision: storerev.StartOf(s.era)}, nil
+	}
 	if s.disabled {
 		return StoredVersions{Revision: s.revision()}, nil
 	}
@@ -74,6 +81,9 @@
 	if s.silent {
 		return errSilent
 	}
+	if s.absent {
+		return nil
+	}
 	if revision != s.revision() {
 		return &VersionConflictError{Revision: revision}
 	}
@@ -90,6 +100,25 @@
 	return s.record.Services
 }
 
+func (s *versionStore) hasEarlierBuild() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.earlierBuild
+}
+
+func (s *versionStore) setEarlierBuild(earlier bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.earlierBuild = earlier
+}
+
+// written returns how often the record was written.
+func (s *versionStore) written() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
 // copyRecord keeps the record for a later restore.
 func (s *versionStore) copyRecord() {
 	s.mu.Lock()
@@ -254,6 +283,21 @@
 	assert.Positive(t, mixed)
 }
 
+// Guards against streams of two versions after a restart of all boxes with another build, where the build before kept no
+// record.
+func TestStreamsStayAtTheirVersionWithoutRecord(t *testing.T) {
+	wentOn, refused := 0, 0
+	for i := range *historiesCount {
+		seed := *historiesFirst + uint64(i)
+		h := playRestarts(t, seed, &versionStore{absent: true, earlierBuild: true}, false)
+		if h.mixed > 0 {
+			t.Errorf("seed %d: %d streams of two versions, %d went on, %d refused, %d boxes", seed, h.mixed, h.wentOn, h.refused, len(h.roster))
+		}
+		wentOn, refused = wentOn+h.wentOn, refused+h.refused
+	}
+	t.Logf("%d histories: %d streams went on, %d were refused", *historiesCount, wentOn, refused)
+}
+
 const (
 	// minGoingOnOneVersion is the share of the streams that go on while a service has one version, from
 	// restartSettleTime after a restart of all boxes.
@@ -301,12 +345,12 @@
 }
 
 // newTestHistory returns a VersionHistory of a box with a list of servers.
-func newTestHistory(t *testing.T, store VersionStore, versions map[string][]string) (*VersionHistory, *listing) {
+func newTestHistory(t *testing.T, store *versionStore, versions map[string][]string) (*VersionHistory, *listing) {
 	listed := &listing{}
 	listed.Store(&versions)
 	h := NewVersionHistory(VersionHistoryDeps{
 		Store: store, Listed: func() (map[string][]string, bool) { return *listed.Load(), true }, Rank: func() int { return 0 }, Boxes: func() int { return 1 },
-		OnLoaded: func() {}, Timeout: time.Second, Logger: log.NewNopLogger(),
+		OnLoaded: func() {}, EarlierBuild: store.hasEarlierBuild, Timeout: time.Second, Logger: log.NewNopLogger(),
 	})
 	go h.Run(t.Context())
 	return h, listed
@@ -365,6 +409,31 @@
 	})
 }
 
+// Guards against a box that takes a record that isn't there for one that says that there were no other versions: a build
+// that keeps none may have run until now. A fleet's first start must refuse none.
+func TestAbsentRecordConfirmsNothingAtFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		never, _ := newTestHistory(t, &versionStore{}, map[string][]string{"s": {"v1"}})
+		store := &versionStore{earlierBuild: true}
+		h, _ := newTestHistory(t, store, map[string][]string{"s": {"v1"}})
+		time.Sleep(100 * time.Millisecond)
+		later, _ := newTestHistory(t, store, map[string][]string{"s": {"v1"}})
+		time.Sleep(time.Second)
+		assert.True(t, never.Known(clock.Now()), "no box has run before")
+		assert.False(t, h.Known(clock.Now()))
+		store.setEarlierBuild(false)
+		assert.False(t, later.Known(clock.Now()), "a box that reads what the first one wrote")
+		assert.Equal(t, []string{"v1"}, store.services()["s"], "it is kept nevertheless")
+		time.Sleep(unconfirmedRecordWait)
+		assert.True(t, h.Known(clock.Now()))
+		assert.True(t, later.Known(clock.Now()))
+		after, _ := newTestHistory(t, store, map[string][]string{"s": {"v1"}})
+		time.Sleep(time.Second)
+		assert.True(t, after.Known(clock.Now()), "a box that reads what was written once the others knew")
+		assert.LessOrEqual(t, store.written(), 2)
+	})
+}
+
 // Guards against a box that takes a record from before a restore for the versions of late, and against one that refuses all
 // streams for long because of it.
 func TestRecordFromBeforeARestoreCountsAfterAMoment(t *testing.T) {
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -213,7 +213,7 @@
 	})
 	d.versions = resumption.NewVersionHistory(resumption.VersionHistoryDeps{
 		Store: a.Versions(access), Listed: d.listedVersions, Rank: d.roster.Rank, Boxes: func() int { return len(d.roster.Entries()) },
-		OnLoaded: d.streams.ServersChanged, Timeout: storeLimits.FirstByte, Logger: logs.For(logflags.Directory),
+		OnLoaded: d.streams.ServersChanged, EarlierBuild: d.hasBoxesWithoutVersionRecord, Timeout: storeLimits.FirstByte, Logger: logs.For(logflags.Directory),
 	})
 	d.directory.OnServersChange(func() {
 		d.streams.ServersChanged()
@@ -252,6 +252,12 @@
 	}
 }
 
+// hasBoxesWithoutVersionRecord reports whether the roster has boxes whose build keeps no record of versions, also such
+// as ended without removing their entries.
+func (d *Daemon) hasBoxesWithoutVersionRecord() bool {
+	return d.roster.LowestLevel() < forms.LevelKeysRequired
+}
+
 // listedVersions returns the versions of the software of all services, once a list of servers was read.
 func (d *Daemon) listedVersions() (versions map[string][]string, ok bool) {
 	v := d.directory.View()
