lease: a late announcement of a former holder sets no clock back

The holder of the lease announces its estimate of the time with each renewal. A box took it over from each announcement whose sender named itself as the holder, also from one with a lower revision than the record it knew: one that was under way while another box took over, or from before a restore. Boxes with fewer than three clocks, which go by that estimate, then had a clock set back by as long as the message had been under way.

The estimate of an announcement with a lower revision is dropped. How far its sender got with the usage windows counts all the same, as the highest number does. The test is red without the change: estimates of revisions 6 and, after an era has ended, 10 were taken over.

--- a/pkg/lease/announce.go
+++ b/pkg/lease/announce.go
@@ -46,10 +46,11 @@
 	s := VersionedRecord{Revision: revision, Record: Record{Holder: msg.GetHolder(), Incarnation: msg.GetIncarnation(), Fence: msg.GetFence(), Era: msg.GetWrittenEra()}}
 	m.mu.Lock()
 	previous := m.elector.Latest().Holder
+	late := s.Revision < m.elector.Latest().Revision
 	m.elector.ObserveAnnounced(s, d.Received)
 	changed := previous != m.elector.Latest().Holder
 	m.mu.Unlock()
-	if d.Box == msg.GetHolder() && len(msg.GetTold()) > 0 {
+	if d.Box == msg.GetHolder() && len(msg.GetTold()) > 0 && !late {
 		m.OnAnnouncement(msg.GetTold(), d.Received)
 	}
 	if d.Box == msg.GetHolder() && msg.GetProgress() > 0 {
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -4,8 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/forms/formstest"
 	"headhill.example/headhill/pkg/lease/leasepb"
 	"pgregory.net/rapid"
@@ -269,6 +272,32 @@
 	assert.Empty(t, sim.violation())
 }
 
+// Guards against a clock estimate of a former holder that arrives late. How far it got with the duties counts all the same.
+func TestLateAnnouncementOfAHolderIsIgnored(t *testing.T) {
+	var told []string
+	var progress []uint64
+	m := NewManager(Deps{
+		Box: "a", Timing: TimingFor(leaseDuration), Port: datagram.NewPort(datagram.Deps{Box: "a"}), Logger: log.NewNopLogger(),
+		OnAnnouncement: func(payload []byte, _ time.Time) { told = append(told, string(payload)) },
+		OnProgress:     func(p uint64) { progress = append(progress, p) },
+		OnHolderChange: func(string) {},
+	})
+	for _, l := range []*leasepb.Lease{
+		{Holder: "b", Revision: 5, Told: []byte("b at 5"), Progress: 3},
+		{Holder: "c", Revision: 9, Told: []byte("c at 9"), Progress: 4},
+		{Holder: "b", Revision: 6, Told: []byte("b at 6"), Progress: 7},
+		{Holder: "c", Revision: 2, Era: 1, Told: []byte("c in the next era"), Progress: 8},
+		{Holder: "c", Revision: 10, Told: []byte("c at 10"), Progress: 5},
+	} {
+		body, err := proto.Marshal(l)
+		require.NoError(t, err)
+		m.handleAnnouncement(datagram.Message{Box: l.GetHolder(), Received: time.Now(), Body: body})
+	}
+	assert.Equal(t, []string{"b at 5", "c at 9", "c in the next era"}, told)
+	assert.Equal(t, []uint64{3, 4, 7, 8, 5}, progress)
+	assert.Equal(t, "c", m.Holder())
+}
+
 func TestLeaseWireForm(t *testing.T) {
 	formstest.CheckShape(t, "lease", &leasepb.Lease{}, Record{})
 }
