announce, datagram: a check that was queued while the box was suspended confirms nothing as of now

A box that was suspended reads what its socket has queued since. An announced check counted from the moment at which it was read, so the list and the table were confirmed as of 50 ms ago by a check as old as the suspension, and what rests on a confirmed list (streams of services with one version, denials, the age that callers see) relied on it.

The kernel tells when each datagram arrived, and a message carries how long it had been queued. Checks and evacuations count from their arrival. Other receivers go on counting from when they read, which is the safe side for the lease. The time of arrival is by the wall clock; if that is set back meanwhile, the message counts as new, as before.

TestQueuedTimeIsKnown and TestQueuedCheckKeepsItsAge are red without the change. A test of announcements that arrive late or from an era that has ended is added; it passed before.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -350,7 +350,7 @@
 
 // parse decodes and validates a message.
 func parse(d datagram.Message) (message, error) {
-	m := message{received: d.Received}
+	m := message{received: d.Received.Add(-d.Queued)}
 	if err := json.Unmarshal(d.Body, &m); err != nil {
 		return m, err
 	}
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/forms"
@@ -332,6 +333,31 @@
 	}
 }
 
+// Guards against a check that confirms the list as of now, although it was queued while this box was suspended.
+func TestQueuedCheckKeepsItsAge(t *testing.T) {
+	now := time.Now()
+	body, err := json.Marshal(message{Level: forms.Level, Check: &checkMessage{AgeMillis: 20, Revision: 4}})
+	require.NoError(t, err)
+	m, err := parse(datagram.Message{Received: now, Queued: 5 * time.Second, Body: body})
+	require.NoError(t, err)
+	assert.Equal(t, now.Add(-5*time.Second-20*time.Millisecond-maxTransitTime), m.check().AskedAt)
+}
+
+// Guards against announcements that set a part back: a delta, a check or a table that arrive late, or from before a restore.
+func TestLateAnnouncementsChangeNothing(t *testing.T) {
+	d := directoryAt(t, 9)
+	checker := New(Deps{Port: port(listen(t)), Directory: d, RosterDigest: unknownRoster, Eras: storerev.NewTracker(func(uint64, uint64) {}), Logger: log.NewNopLogger()})
+	late := []directory.ServerEvent{{Server: routing.Server{ID: "i-late", Service: "calls"}}}
+	before := d.View()
+	checker.handle(message{Level: forms.Level, received: clock.Now(), Delta: &deltaMessage{From: 4, To: 5, Events: late}})
+	checker.handle(message{Level: forms.Level, received: clock.Now().Add(-time.Hour), Check: &checkMessage{Revision: 5, ServersChanged: 5}, ServersChanged: 5, TableChanged: 5})
+	assert.Empty(t, d.View().Listed("calls"))
+	assert.Equal(t, before.ServersConfirmedAt, d.View().ServersConfirmedAt)
+	require.NoError(t, checker.Eras.Observe(2))
+	assert.False(t, checker.handle(message{Level: forms.Level, Era: 1, received: clock.Now(), Check: &checkMessage{Revision: 900, ServersChanged: 900}}))
+	assert.Equal(t, before.ServersConfirmedAt, d.View().ServersConfirmedAt, "an era that has ended")
+}
+
 func TestFormOfAnnouncements(t *testing.T) { formstest.CheckShape(t, "announce", message{}) }
 
 // Guards against a box that goes without some boxes for good: those that check the store do so for it, and the ones that
--- a/pkg/datagram/port.go
+++ b/pkg/datagram/port.go
@@ -25,7 +25,10 @@
 	Box      string
 	From     *net.UDPAddr
 	Received time.Time
-	Body     []byte
+	// Queued is how long the message had waited to be read by then, as while this process was suspended. It is measured
+	// with the wall clock, and zero if it is unknown.
+	Queued time.Duration
+	Body   []byte
 }
 
 // Deps are the dependencies of a Port.
@@ -82,28 +85,28 @@
 
 // Listen dispatches messages to their handlers until the connection is closed.
 func (p *Port) Listen() {
-	buffer := make([]byte, MaxDatagramBytes)
+	buffer, receive := make([]byte, MaxDatagramBytes), receiver(p.Conn)
 	for {
-		n, from, err := p.Conn.ReadFrom(buffer)
+		n, from, queued, err := receive(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
 			continue
 		}
-		p.receive(buffer[:n], from)
+		p.receive(buffer[:n], from, queued)
 	}
 }
 
 // receive dispatches one datagram to its handler.
-func (p *Port) receive(data []byte, from net.Addr) {
+func (p *Port) receive(data []byte, from net.Addr, queued time.Duration) {
 	var e datagrampb.Envelope
 	err := proto.Unmarshal(data, &e)
 	handler, handled := p.handlers[e.GetKind()]
 	sender, known := p.peerAddress(from)
 	if err == nil && handled && known {
 		p.onReceive(e.GetBox())
-		handler(Message{Box: e.GetBox(), From: sender, Received: clock.Now(), Body: e.GetBody()})
+		handler(Message{Box: e.GetBox(), From: sender, Received: clock.Now(), Queued: queued, Body: e.GetBody()})
 		return
 	}
 	if err == nil && handled {
--- a/pkg/datagram/port_test.go
+++ b/pkg/datagram/port_test.go
@@ -73,6 +73,33 @@
 	}
 }
 
+// Guards against a message that counts as new although it was queued while the process was suspended.
+func TestQueuedTimeIsKnown(t *testing.T) {
+	const suspended = 300 * time.Millisecond
+	var known addressSet
+	sender, senderAddress := listen(t, "sender", &known)
+	receiver, receiverAddress := listen(t, "receiver", &known)
+	known.add(senderAddress.AddrPort())
+	conn := receiver.Conn.(*net.UDPConn)
+	require.True(t, enableTimestamps(conn))
+	got := make(chan Message, 10)
+	receiver.Handle(testKind, func(m Message) { got <- m })
+	require.True(t, sender.Send(testKind, []byte("old"), receiverAddress))
+	time.Sleep(suspended)
+	go receiver.Listen()
+	old := <-got
+	assert.GreaterOrEqual(t, old.Queued, suspended-10*time.Millisecond)
+	assert.Less(t, old.Queued, 10*time.Second)
+	require.True(t, sender.Send(testKind, []byte("new"), receiverAddress))
+	assert.Less(t, (<-got).Queued, old.Queued)
+}
+
+func TestQueuedTimeOfDamagedControlDataIsUnknown(t *testing.T) {
+	for _, control := range [][]byte{nil, {1}, make([]byte, 32), make([]byte, 33)} {
+		assert.Zero(t, queuedTime(control, time.Now()))
+	}
+}
+
 // Boxes of a newer build send kinds that this one does not know. They are dropped, and those that
 // follow are delivered.
 func TestUnknownKindsAreDropped(t *testing.T) {
@@ -107,7 +134,7 @@
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		p := NewPort(Deps{Logger: log.NewNopLogger(), IsPeer: func(netip.AddrPort) bool { return true }})
 		p.Handle(testKind, func(Message) {})
-		p.receive(data, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 5000})
+		p.receive(data, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 5000}, 0)
 	})
 }
 
