loadshare: loads don't go back to an older round

Boxes number their rounds of reports and summaries, but a receiver compared the numbers for equality only. An older round that was overtaken on its way replaced a newer one until the next report, up to a second later, and a single part of it displaced a newer round of which parts had arrived, which then was never complete: servers looked less, or more, loaded than they were.

A round that is up to 4,096 below the last one of its sender and kind is ignored for 3 s. A sender that has restarted counts from a random number, so that it is ignored with a probability of one in a million, and then for 3 s at most. Reports and summaries are told apart, as a box numbers them by one count.

TestOlderRoundsAreIgnored is red without the change.

--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -227,31 +227,59 @@
 type rounds map[string]*pendingRound
 
 type pendingRound struct {
-	round uint32
-	parts map[uint32]bool
-	work  work
+	round      uint32
+	receivedAt time.Time
+	parts      map[uint32]bool
+	work       work
+	// complete is set once all parts have arrived.
+	complete bool
 }
 
-// maxParts limits the parts of a round. Rounds with more are dropped.
-const maxParts = 1000
+const (
+	// maxParts limits the parts of a round. Rounds with more are dropped.
+	maxParts = 1000
+	// maxReorderedRounds is by how many a round may be lower than the latest to count as an older one. A sender that has
+	// restarted counts from a random number.
+	maxReorderedRounds = 1 << 12
+)
 
-// add records a part of a round. It returns the work of the round once all parts have arrived.
+// add records a part of a round. It returns the work of the round once all parts have arrived. Parts of older rounds
+// are ignored.
 func (r rounds) add(sender string, m *loadpb.Loads, received time.Time) (work, bool) {
 	if m.GetParts() > maxParts || m.GetPart() >= m.GetParts() || !wellFormed(m) {
 		return work{}, false
 	}
 	p := r[sender]
-	if p == nil || p.round != m.GetRound() {
+	if p.precedes(m.GetRound(), received) {
 		p = &pendingRound{round: m.GetRound(), parts: make(map[uint32]bool), work: newWork()}
 		r[sender] = p
 	}
+	if p.round != m.GetRound() || p.complete {
+		return work{}, false
+	}
+	p.receivedAt = received
 	p.parts[m.GetPart()] = true
 	mergeMessage(m, p.work, received)
 	if len(p.parts) < int(m.GetParts()) {
 		return work{}, false
 	}
-	delete(r, sender)
-	return p.work, true
+	all := p.work
+	p.complete, p.parts, p.work = true, nil, work{}
+	return all, true
+}
+
+// precedes reports whether a round that is received now replaces this one.
+func (p *pendingRound) precedes(round uint32, received time.Time) bool {
+	if p == nil || received.Sub(p.receivedAt) > reportTTL {
+		return true
+	}
+	ahead := int32(round - p.round)
+	return ahead > 0 || ahead < -maxReorderedRounds
+}
+
+// evictStale removes the rounds that have expired.
+func (r rounds) evictStale(now time.Time) {
+	maps.DeleteFunc(r, func(_ string, p *pendingRound) bool { return now.Sub(p.receivedAt) > reportTTL })
 }
 
 // wellFormed reports whether the parallel lists of a message have equal lengths.
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -45,7 +45,7 @@
 	relayHealth relayHealth
 	// round is the number of the last round that this box sent.
 	round uint32
-	// rounds holds the received rounds that are incomplete.
+	// rounds holds the latest round of each sender.
 	rounds rounds
 	// boxReports holds the reports of the boxes of this hall, hallSummaries the summaries of
 	// the other halls.
@@ -151,6 +151,7 @@
 		case <-ticker.C:
 			s.boxReports.evictStale(clock.Now())
 			s.hallSummaries.evictStale(clock.Now())
+			s.rounds.evictStale(clock.Now())
 			s.refreshSummaries()
 			s.report(clock.Now())
 			s.reportStatistics(clock.Now())
@@ -191,7 +192,8 @@
 		s.handleStatistics(in)
 		return
 	}
-	all, complete := s.rounds.add(in.from, in.loads, in.received)
+	// Reports and summaries of a box are rounds of one count.
+	all, complete := s.rounds.add(in.kind+" "+in.from, in.loads, in.received)
 	switch {
 	case !complete:
 	case in.kind == kindReport:
--- a/pkg/loadshare/sharer_test.go
+++ b/pkg/loadshare/sharer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"slices"
@@ -259,6 +260,39 @@
 	assert.Len(t, splitRound("hall", 8, work{}, now), 1, "an empty round is sent as well")
 }
 
+// Guards against loads that go back: an older round that arrives after a newer one, and a part of it that displaces one.
+func TestOlderRoundsAreIgnored(t *testing.T) {
+	now := time.Now()
+	round := func(number uint32, parts int) []*loadpb.Loads {
+		all := make(loads)
+		for i := range (parts-1)*maxLoadsPerDatagram + 1 {
+			all[balancer.ServerKey(i)] = balancer.Load{Backlog: 5}
+		}
+		return splitRound("hall", number, work{loads: all}, now)
+	}
+	for _, base := range []uint32{100, math.MaxUint32} {
+		r := make(rounds)
+		_, complete := r.add("box", round(base, 1)[0], now)
+		require.True(t, complete)
+		_, complete = r.add("box", round(base-1, 1)[0], now)
+		assert.False(t, complete, "an older round")
+		_, complete = r.add("box", round(base+1, 2)[0], now)
+		assert.False(t, complete)
+		_, complete = r.add("box", round(base, 2)[1], now)
+		assert.False(t, complete, "a part of an older round")
+		_, complete = r.add("box", round(base+1, 2)[1], now)
+		assert.True(t, complete, "the newer round is complete")
+		_, complete = r.add("other", round(base-1, 1)[0], now)
+		assert.True(t, complete, "another sender")
+		_, complete = r.add("box", round(base-maxReorderedRounds-1, 1)[0], now)
+		assert.True(t, complete, "the sender has restarted, and counts from another number")
+		_, complete = r.add("box", round(base-maxReorderedRounds-2, 1)[0], now.Add(2*reportTTL))
+		assert.True(t, complete, "a number that has expired")
+		r.evictStale(now.Add(4 * reportTTL))
+		assert.Empty(t, r)
+	}
+}
+
 func TestSumCountsEachBoxOnce(t *testing.T) {
 	now := time.Now()
 	table := workTable{
