gateway: a response longer than a link can carry in time is no answer

A server that announces 10^12 bytes and sends without end cost the callers of repeatable routes theirs: once more has come than is buffered, the response is passed on, can't be repeated, and ends with the caller's time.

A declared length that 100 Gbit/s don't carry in the time left shows before the first byte is passed on that no whole answer comes. Such an attempt fails at once: it is repeated elsewhere where that is allowed, and counts against the server.

Endless bodies in chunks or without a length can't be told so and go on as before.

--- a/pkg/gateway/buffer_test.go
+++ b/pkg/gateway/buffer_test.go
@@ -3,14 +3,17 @@
 import (
 	"bytes"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 
+	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/upstream"
 )
 
@@ -71,3 +74,19 @@
 		}
 	})
 }
+
+// Responses of any length that a link can carry in the time left must be accepted.
+func TestLengthThatCanArriveInTime(t *testing.T) {
+	for _, c := range []struct {
+		method   string
+		length   int64
+		left     time.Duration
+		accepted bool
+	}{
+		{http.MethodGet, -1, time.Millisecond, true}, {http.MethodGet, 0, time.Millisecond, true}, {http.MethodGet, 10 << 20, 10 * time.Millisecond, true},
+		{http.MethodGet, 12e9, time.Second, true}, {http.MethodGet, 13e9, time.Second, false}, {http.MethodHead, 1e12, time.Second, true},
+	} {
+		x := &exchange{request: &http.Request{Method: c.method}, deadline: clock.Now().Add(c.left)}
+		assert.Equal(t, c.accepted, x.checkLength(&upstream.Response{Length: c.length}) == nil, "%s, %d bytes in %s", c.method, c.length, c.left)
+	}
+}
--- a/pkg/gateway/errors.go
+++ b/pkg/gateway/errors.go
@@ -53,6 +53,16 @@
 func (e *callerGoneError) Error() string { return "caller disconnected: " + e.Cause.Error() }
 func (e *callerGoneError) Unwrap() error { return e.Cause }
 
+// lengthError is returned if a response is longer than what a server can send in the time left.
+type lengthError struct {
+	Length   int64
+	TimeLeft time.Duration
+}
+
+func (e *lengthError) Error() string {
+	return fmt.Sprintf("server announced %d bytes, more than can be sent in the %s left: look at what it answers", e.Length, e.TimeLeft)
+}
+
 // truncatedError is returned if a response failed after its header was sent to the caller.
 type truncatedError struct{ Cause error }
 
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -21,6 +21,8 @@
 	maxBufferedBytes = 512 << 10
 	// maxDrainBytes is how much of an unwanted response is read to keep its connection reusable.
 	maxDrainBytes = 64 << 10
+	// maxBytesPerSecond is more than a link between machines carries, 100 Gbit/s.
+	maxBytesPerSecond = 12.5e9
 	// callerWriteTimeout is the timeout of one write to the caller.
 	callerWriteTimeout = 10 * time.Second
 
@@ -50,6 +52,10 @@
 // response never reaches the caller.
 func (x *exchange) forwardBuffered(ctx context.Context, resp *upstream.Response, lease *balancer.Lease) (*failure, error) {
 	x.recordStart(x.attemptStart)
+	if err := x.checkLength(resp); err != nil {
+		resp.Close()
+		return &failure{result: balancer.ResultFailed, cause: err}, nil
+	}
 	body, end, err := x.bufferResponse(resp.Body)
 	if err != nil {
 		resp.Close()
@@ -67,6 +73,16 @@
 	return nil, x.sendBuffered(buffered)
 }
 
+// checkLength returns an error if the body of a response can't arrive in the time left. Nothing of it has been
+// forwarded yet, so that the request may still be repeated.
+func (x *exchange) checkLength(resp *upstream.Response) error {
+	left := clock.Until(x.deadline)
+	if x.request.Method == http.MethodHead || left <= 0 || float64(resp.Length) <= maxBytesPerSecond*left.Seconds() {
+		return nil
+	}
+	return &lengthError{Length: resp.Length, TimeLeft: left}
+}
+
 // resultOfStatus maps an error status to the result reported to the balancer. A 504 is no server
 // failure: the time left for the request was too short.
 func resultOfStatus(status int) balancer.Result {
