serverpath: a box that goes round one path checks another one

One bypassed path is not evidence enough that the box is cut, so it took the paths to all other servers for sound, until streams were lost on them.

When a path is bypassed and no server has sent anything since, the box now checks the path to another server, at most each 0.5 s, or 5 s after a sound one. One more request that runs nothing.

A check over a connection that can't be reused also added no connection to the idle ones (nil); that is left out now.

--- a/pkg/serverpath/acceptance_test.go
+++ b/pkg/serverpath/acceptance_test.go
@@ -220,6 +220,47 @@
 	})
 }
 
+// Guards against a cut box that uses one server by way of others and takes the paths to all others for sound.
+func TestPathsThatCarryNoRequestsAreChecked(t *testing.T) {
+	for _, state := range []pathState{pathSilent, pathEnds} {
+		synctest.Test(t, func(t *testing.T) {
+			p, d := newAcceptingPaths()
+			for _, s := range servers {
+				require.True(t, serve(t, d, s))
+			}
+			time.Sleep(time.Second)
+			p.set(p.direct, state, servers...)
+			d.AwaitsResponse("a", "a", time.Now())
+			time.Sleep(d.Timeout + 10*time.Millisecond)
+			for range 35 {
+				time.Sleep(20 * time.Millisecond)
+				serve(t, d, "a")
+			}
+			assert.True(t, d.Tracker.Isolated())
+			assert.True(t, serve(t, d, "c"))
+			time.Sleep(time.Second)
+		})
+	}
+}
+
+// Guards against a box that checks the paths to all servers for the loss of one, while others send.
+func TestLossOfOnePathHasNoOthersChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, d := newAcceptingPaths()
+		p.set(p.direct, pathSilent, "a")
+		d.AwaitsResponse("a", "a", time.Now())
+		for range 100 {
+			time.Sleep(20 * time.Millisecond)
+			serve(t, d, "a")
+			require.True(t, serve(t, d, "b"))
+		}
+		assert.False(t, d.Tracker.Isolated())
+		assert.Equal(t, 1, d.Tracker.Bypassed())
+		time.Sleep(time.Second)
+		assert.LessOrEqual(t, p.added, 1, "connections that were opened to check other paths")
+	})
+}
+
 // Guards against tunnels through a box that is behind such a path itself.
 func TestRelayBehindAcceptingPathIsNotUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/serverpath/dialer.go
+++ b/pkg/serverpath/dialer.go
@@ -111,7 +111,7 @@
 	for _, relay := range relays[:min(len(relays), maxRelays)] {
 		conn, err := d.dialRelay(ctx, relay, serverKey, address, d.Tracker.CheckModeOf(address, clock.Now()))
 		if err == nil {
-			d.Tracker.RecordRelayed(address, true, clock.Now())
+			d.bypass(address)
 			_ = conn.Close()
 			return upstream.StateUp
 		}
@@ -132,18 +132,21 @@
 	if !d.Tracker.takeCheck(address, sent, clock.Now()) {
 		return
 	}
-	go func() {
-		conn, err := d.Dial(context.Background(), serverKey, address)
-		if err != nil {
-			return
-		}
-		if direct, ok := conn.(*directConn); ok && d.Check != nil {
-			conn, err = d.compare(direct, serverKey, address)
-		}
-		if err == nil {
-			d.AddIdle(serverKey, conn)
-		}
-	}()
+	go d.checkPath(serverKey, address)
+}
+
+// checkPath opens a connection to a server, and checks it if it is a direct one.
+func (d *Dialer) checkPath(serverKey, address string) {
+	conn, err := d.Dial(context.Background(), serverKey, address)
+	if err != nil {
+		return
+	}
+	if direct, ok := conn.(*directConn); ok && d.Check != nil {
+		conn, err = d.compare(direct, serverKey, address)
+	}
+	if err == nil && conn != nil {
+		d.AddIdle(serverKey, conn)
+	}
 }
 
 // maxCompared is the number of other boxes by way of which a silent path is compared.
@@ -164,27 +167,83 @@
 		return c, nil
 	}
 	_ = c.Conn.Close()
+	conn, relayErr := d.dialCompared(serverKey, address)
+	if relayErr != nil {
+		return nil, err
+	}
+	d.Tracker.RecordUnanswered(address, FailureOf(err), begun, clock.Now())
+	d.bypass(address)
+	return conn, nil
+}
+
+// dialCompared opens a connection by way of another box that carries a response.
+func (d *Dialer) dialCompared(serverKey, address string) (conn net.Conn, err error) {
+	err = &UnreachableError{Address: address}
 	relays := d.relayOrder(address)
 	for _, relay := range relays[:min(len(relays), maxCompared)] {
-		conn, relayErr := d.dialRelay(context.Background(), relay, serverKey, address, RequireResponse)
-		if relayErr == nil {
-			d.Tracker.RecordUnanswered(address, FailureOf(err), begun, clock.Now())
-			d.Tracker.RecordRelayed(address, true, clock.Now())
+		if conn, err = d.dialRelay(context.Background(), relay, serverKey, address, RequireResponse); err == nil {
 			return conn, nil
 		}
 	}
 	return nil, err
 }
 
+// bypass records that another box has connected to a server to which this one could not.
+func (d *Dialer) bypass(address string) {
+	d.Tracker.RecordRelayed(address, true, clock.Now())
+	d.checkOther(address)
+}
+
+// checkOther checks the path to another server than the bypassed one at an address, unless servers have sent something
+// since. Requests may use the one server alone by way of other boxes, so that they would show the state of no other path.
+func (d *Dialer) checkOther(address string) {
+	if !d.Tracker.takeControl(address, clock.Now()) {
+		return
+	}
+	for range maxControls {
+		key, other, ok := d.OtherServer(address)
+		if ok && !d.Tracker.hasFailed(other) {
+			go d.checkDirect(key, other)
+			return
+		}
+	}
+}
+
+// checkDirect checks the direct path to a server. A connection by way of another box that is opened sooner would leave its
+// state open.
+func (d *Dialer) checkDirect(serverKey, address string) {
+	conn, err := d.dialDirect(context.Background(), address, NoCheck)
+	switch direct, ok := conn.(*directConn); {
+	case err != nil:
+		if conn, err = d.dialCompared(serverKey, address); err == nil {
+			d.bypass(address)
+		}
+	case ok && d.Check != nil:
+		conn, err = d.compare(direct, serverKey, address)
+	}
+	if err != nil {
+		return
+	}
+	if !d.Tracker.hasFailed(address) {
+		d.Tracker.recordControl(clock.Now())
+	}
+	if conn != nil {
+		d.AddIdle(serverKey, conn)
+	}
+}
+
 // RetryDirect tries in the background whether the direct path to a server is back, if that is due.
 func (d *Dialer) RetryDirect(serverKey, address string) {
 	if !d.Tracker.takeRetry(address, clock.Now()) {
 		return
 	}
 	go func() {
-		if conn, err := d.DialDirect(context.Background(), address); err == nil {
-			d.AddIdle(serverKey, conn)
+		conn, err := d.DialDirect(context.Background(), address)
+		if err != nil {
+			d.checkOther(address)
+			return
 		}
+		d.AddIdle(serverKey, conn)
 	}()
 }
 
--- a/pkg/serverpath/race.go
+++ b/pkg/serverpath/race.go
@@ -154,7 +154,7 @@
 func (r *race) won(a attempt) {
 	if a.relay != "" {
 		if r.directErr != nil {
-			r.Tracker.RecordRelayed(r.address, true, clock.Now())
+			r.bypass(r.address)
 		}
 		_ = level.Debug(r.Logger).Log("msg", "connection leads through another box", "address", r.address, "box", a.relay, "asked", r.asked, "direct", r.directErr)
 	}
@@ -180,7 +180,7 @@
 			case a.err == nil:
 				_ = a.conn.Close()
 			case a.relay == "" && relayed:
-				r.Tracker.RecordRelayed(r.address, true, clock.Now())
+				r.bypass(r.address)
 			}
 		}
 	}()
--- a/pkg/serverpath/tracker.go
+++ b/pkg/serverpath/tracker.go
@@ -28,6 +28,10 @@
 	maxDownTime = 8 * time.Second
 	// pathCheckInterval is the minimum time between two checks of paths over which nothing arrives.
 	pathCheckInterval = 100 * time.Millisecond
+	// controlInterval is the minimum time between two checks of other paths than a bypassed one, controlTTL the time for
+	// which one that was sound counts.
+	controlInterval = 500 * time.Millisecond
+	controlTTL      = 5 * time.Second
 	// pathRetention is how long a failed path without further attempts is remembered.
 	pathRetention = time.Minute
 	// minHeadStart and maxHeadStart bound the time that a direct connection has before another way is
@@ -105,6 +109,7 @@
 	isolatedSince time.Time
 	nextBoxProbe  time.Time
 	nextCheck     time.Time
+	nextControl   time.Time
 	connectTime   time.Duration
 	connected     int64
 	failures      map[Failure]int64
@@ -283,6 +288,33 @@
 	return true
 }
 
+// takeControl reports whether the path to another server is to be checked, as that to an address is bypassed and no server
+// has sent anything since. It counts the check.
+func (t *Tracker) takeControl(address string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.failed[address]
+	if p == nil || !p.relayed || t.heardAt.After(p.triedAt) || t.isolated() || now.Before(t.nextControl) {
+		return false
+	}
+	t.nextControl = now.Add(controlInterval)
+	return true
+}
+
+// recordControl records that another path than a bypassed one is sound.
+func (t *Tracker) recordControl(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.nextControl = now.Add(controlTTL)
+}
+
+// hasFailed reports whether the last direct connection to an address failed.
+func (t *Tracker) hasFailed(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.failed[address] != nil
+}
+
 // evictStale forgets the paths that were not tried within pathRetention.
 func (t *Tracker) evictStale(now time.Time) {
 	for address, p := range t.failed {
