serverpath: a path that failed before a later connection is checked again

The check took the servers of the one service by turns that hit the other service seldom.

Only servers to which other boxes could not connect either are left out. TestPathThatFailedEarlierIsCheckedAgain was red without it.

--- a/pkg/serverpath/acceptance_test.go
+++ b/pkg/serverpath/acceptance_test.go
@@ -243,6 +243,28 @@
 	}
 }
 
+// Guards against a path that is never checked again because it failed before a later connection was accepted.
+func TestPathThatFailedEarlierIsCheckedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, d := newAcceptingPaths()
+		d.OtherServer = func(string) (string, string, bool) { return "b", "b", true }
+		p.set(p.direct, pathSilent, servers...)
+		begun := time.Now()
+		time.Sleep(10 * time.Millisecond)
+		d.Tracker.RecordConnected("c", time.Millisecond, false, time.Now())
+		d.Tracker.RecordUnanswered("b", FailureSilent, begun, time.Now())
+		d.Tracker.RecordRelayed("b", true, time.Now())
+		d.AwaitsResponse("a", "a", time.Now())
+		time.Sleep(d.Timeout + 10*time.Millisecond)
+		for range 35 {
+			time.Sleep(20 * time.Millisecond)
+			serve(t, d, "a")
+		}
+		assert.True(t, d.Tracker.Isolated())
+		time.Sleep(time.Second)
+	})
+}
+
 // Guards against a box that checks the paths to all servers for the loss of one, while others send.
 func TestLossOfOnePathHasNoOthersChecked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/serverpath/dialer.go
+++ b/pkg/serverpath/dialer.go
@@ -202,7 +202,7 @@
 	}
 	for range maxControls {
 		key, other, ok := d.OtherServer(address)
-		if ok && !d.Tracker.hasFailed(other) {
+		if ok && !d.Tracker.isDown(other, clock.Now()) {
 			go d.checkDirect(key, other)
 			return
 		}
--- a/pkg/serverpath/tracker.go
+++ b/pkg/serverpath/tracker.go
@@ -315,6 +315,14 @@
 	return t.failed[address] != nil
 }
 
+// isDown reports whether other boxes could not connect to an address lately either.
+func (t *Tracker) isDown(address string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.failed[address]
+	return p != nil && now.Before(p.downUntil)
+}
+
 // evictStale forgets the paths that were not tried within pathRetention.
 func (t *Tracker) evictStale(now time.Time) {
 	for address, p := range t.failed {
