gateway: a crash is told with the time at which the request was sent

Callers: a request that crashes its server was sent to it again and again while the server's entry did not tell of its restarts: each further crash counted as a report of the first. TestRequestThatCrashesUnlistedLivesIsQuarantined: 9 crashes without this line (4 allowed), passed twice with it.

--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -181,6 +181,7 @@
 // response may be complete, which a server that still runs confirms.
 func (x *exchange) probeServer(lease *balancer.Lease, orderly bool) {
 	r, brokenAt := x.quarantineRequest(), clock.Now()
+	r.SentAt = x.attemptStart
 	since := time.Time{}
 	if orderly {
 		// A server that ran a moment before may have crashed with this response.
