resumption, platform: boxes save where streams began in the store, for the case that all of them end

Each box now saves, while a service has several versions, where its streams in progress and the interrupted ones began: an object each, conditional PUT, every 0.5 s, less often in large fleets (at most 0.4 of the store's writes). A box that starts and finds several versions reads them; in fleets of more than 32 boxes the first 32 read for the others. Saved records are marked on the wire and used only if no box that was asked has one itself; those from before a restore of the store are not used. With one version no call is made.

--- a/cmd/headhill/cmds/route.go
+++ b/cmd/headhill/cmds/route.go
@@ -88,6 +88,9 @@
 		Versions: func(access routerd.StoreAccess) resumption.VersionStore {
 			return platform.NewVersions(platform.NewStore(access))
 		},
+		SavedStreams: func(access routerd.StoreAccess) resumption.StreamStore {
+			return platform.NewStreams(platform.NewStore(access))
+		},
 		Cloud: func(address func() string) duties.Cloud { return platform.NewCloud(address) },
 	}
 }
--- a/pkg/resumption/decide.go
+++ b/pkg/resumption/decide.go
@@ -7,6 +7,9 @@
 	// Origin is where the stream began, if Found is set.
 	Origin Origin
 	Found  bool
+	// Saved is set if no box had a record, and Origin was read from the store as boxes started. Loading is set while this
+	// box reads.
+	Saved, Loading bool
 	ServiceVersions
 	// ListConfirmed is set if the list of servers was confirmed after the stream was taken up.
 	ListConfirmed bool
@@ -73,14 +76,16 @@
 
 func decide(service string, e *Evidence) Verdict {
 	switch {
-	case e.Found && e.Origin.Ambiguous:
+	case (e.Found || e.Saved) && e.Origin.Ambiguous:
 		return Verdict{Reason: "its version is ambiguous"}
 	case e.Found && e.Origin.Uncertain:
 		return Verdict{Reason: "its server may have restarted with another version before it began"}
+	case e.Saved:
+		return Verdict{Known: true, Origin: e.Origin, Recorded: true, Reason: "recorded in the store"}
 	case e.Found:
 		return Verdict{Known: true, Origin: e.Origin, Recorded: true, Reason: "recorded"}
 	case len(e.Versions) > 1 || e.OthersSeveral:
-		return Verdict{Reason: "no box has a record of it, and there are several versions"}
+		return Verdict{Reason: "no box has a record of it, and there are several versions", mayResolve: e.Loading}
 	case len(e.Versions) == 0:
 		return Verdict{Reason: "no server of the service is known"}
 	case !e.confirmed():
--- a/pkg/resumption/exchange.go
+++ b/pkg/resumption/exchange.go
@@ -66,12 +66,19 @@
 type Exchange struct {
 	Deps
 	registry *Registry
-	changed  chan struct{}
+	// interrupted are the streams that were interrupted at this box, loaded those that boxes had saved before this one
+	// started. What boxes know themselves goes before the latter.
+	interrupted, loaded *Registry
+	// loading is set until the saved streams were read.
+	loading atomic.Bool
+	changed chan struct{}
 	// lastID is the ID of the last question. It begins at a random value, as replies to an earlier life of this box may
 	// still arrive.
 	lastID atomic.Uint64
 	// counts of what was recorded and found, see Counts.
 	recorded, found, oneVersion, unknown, dropped atomic.Int64
+	// savedNow is the number of streams that this box has in the store, saves that of writes.
+	savedNow, saves atomic.Int64
 
 	mu sync.Mutex
 	// waiting holds the questions that are not answered yet.
@@ -90,7 +97,7 @@
 // New returns an Exchange and registers it for messages on the port.
 func New(d Deps) *Exchange {
 	e := &Exchange{
-		Deps: d, registry: NewRegistry(), changed: make(chan struct{}, 1),
+		Deps: d, registry: NewRegistry(), interrupted: NewRegistry(), loaded: NewRegistry(), changed: make(chan struct{}, 1),
 		waiting: make(map[uint64]question), several: make(map[string]bool),
 	}
 	e.lastID.Store(rand.Uint64())
@@ -105,6 +112,7 @@
 		"kept": int64(e.registry.Len()), "recorded": e.recorded.Load(), "found": e.found.Load(),
 		"one version": e.oneVersion.Load(), "unknown": e.unknown.Load(),
 		"replies dropped": e.dropped.Load(),
+		"loaded":          int64(e.loaded.Len()), "saved": e.savedNow.Load(), "saves": e.saves.Load(),
 	}
 }
 
@@ -121,7 +129,9 @@
 
 // Interrupted keeps where a stream began that did not reach its end, and so may be taken up.
 func (e *Exchange) Interrupted(k Key, o Origin) {
-	e.registry.Put(k, o, true, clock.Now())
+	now := clock.Now()
+	e.registry.Put(k, o, true, now)
+	e.interrupted.Put(k, o, true, now)
 	if o.Uncertain || o.Ambiguous || e.hasSeveral(o.Service) {
 		e.sendRecords(map[Key]Origin{k: o})
 	}
@@ -162,7 +172,7 @@
 // collect asks other boxes for the record of a stream that was taken up at a time, unless this box has it.
 func (e *Exchange) collect(ctx context.Context, k Key, service string, since time.Time) Evidence {
 	versions := e.Versions(service)
-	evidence := Evidence{ServiceVersions: versions, ListConfirmed: versions.Age < clock.Since(since)}
+	evidence := Evidence{ServiceVersions: versions, ListConfirmed: versions.Age < clock.Since(since), Loading: e.loading.Load()}
 	if evidence.Origin, evidence.Found = e.origin(k); evidence.Found {
 		return evidence
 	}
@@ -180,6 +190,9 @@
 			break
 		}
 	}
+	if o, ok := e.loaded.Get(k, clock.Now()); ok && !evidence.Found {
+		evidence.addSaved(o)
+	}
 	return evidence
 }
 
@@ -219,8 +232,13 @@
 	if r.GetRecord() == nil {
 		return
 	}
-	if _, o, err := decodeRecord(r.GetRecord()); err == nil {
-		e.Origin, e.Found = o, true
+	_, o, err := decodeRecord(r.GetRecord())
+	switch {
+	case err != nil:
+	case r.GetRecord().GetSaved():
+		e.addSaved(o)
+	default:
+		e.Origin, e.Found, e.Saved = o, true, false
 	}
 }
 
@@ -250,6 +268,10 @@
 			_ = level.Debug(e.Logger).Log("msg", "record of a stream dropped", "from", m.Box, "err", err)
 			continue
 		}
+		if r.GetSaved() {
+			e.loaded.Put(k, o, false, m.Received)
+			continue
+		}
 		e.registry.Put(k, o, false, m.Received)
 	}
 	if q := p.GetQuery(); q != nil && len(q.GetKey()) == keyBytes {
@@ -266,6 +288,9 @@
 	r := &resumptionpb.Reply{Id: q.GetId(), Several: len(versions.Versions) > 1, HistoryKnown: proto.Bool(versions.HistoryKnown)}
 	if o, ok := e.origin(k); ok {
 		r.Record = encodeRecord(k, o)
+	} else if o, ok := e.loaded.Get(k, clock.Now()); ok {
+		r.Record = encodeRecord(k, o)
+		r.Record.Saved = true
 	}
 	e.sendTo(&resumptionpb.Message{Reply: r}, to)
 }
@@ -397,13 +422,17 @@
 	if len(streams) == 0 {
 		return
 	}
+	e.sendEach(streams, encodeRecord)
+}
+
+func (e *Exchange) sendEach(streams map[Key]Origin, encode func(Key, Origin) *resumptionpb.Record) {
 	boxes := e.Boxes()
 	records := make(map[string][]*resumptionpb.Record)
 	keepers := make(map[string]roster.Entry)
 	for k, o := range streams {
 		for _, keeper := range Keepers(boxes, k, copiesOf(len(boxes)), e.Box) {
 			keepers[keeper.Box] = keeper
-			records[keeper.Box] = append(records[keeper.Box], encodeRecord(k, o))
+			records[keeper.Box] = append(records[keeper.Box], encode(k, o))
 		}
 	}
 	for name, list := range records {
--- a/pkg/resumption/registry.go
+++ b/pkg/resumption/registry.go
@@ -46,6 +46,7 @@
 		if known.Service == o.Service {
 			differs := !known.Uncertain && (known.Version != o.Version || o.Uncertain)
 			o.Ambiguous = o.Ambiguous || known.Ambiguous || differs
+			o.Uncertain = o.Uncertain && !o.Ambiguous
 		}
 	}
 	r.newer[k] = record{o, own}
--- /dev/null
+++ b/pkg/resumption/saved.go
@@ -0,0 +1,172 @@
+package resumption
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"headhill.example/headhill/pkg/resumption/resumptionpb"
+	"headhill.example/headhill/pkg/storerev"
+)
+
+// SavedStreams is what a box saves in the store: where the streams began that it forwards, and those that were
+// interrupted at it. It outlives a restart of all boxes.
+type SavedStreams struct {
+	Origins []SavedOrigin `json:"origins"`
+	// Era is the era of the store in which it was written. A copy from before a restore may lack that a stream has
+	// become ambiguous since.
+	Era uint64 `json:"era,omitempty"`
+}
+
+// SavedOrigin holds the streams that began at one version.
+type SavedOrigin struct {
+	Service   string `json:"service"`
+	Version   string `json:"version"`
+	Ambiguous bool   `json:"ambiguous,omitempty"`
+	// Keys holds the keys of the streams, one after the other.
+	Keys []byte `json:"keys"`
+}
+
+// StoredStreams is what a box saved, with its revision in the store, which is the start of an era if there is nothing.
+type StoredStreams struct {
+	Streams  SavedStreams
+	Revision storerev.Revision
+}
+
+// StreamStore keeps what each box saves.
+type StreamStore interface {
+	// All calls f for each box that saved something.
+	All(ctx context.Context, f func(box string, s StoredStreams)) error
+	Read(ctx context.Context, box string) (StoredStreams, error)
+	// Write replaces what a box saved at the given revision and returns the new one; the start of an era creates it.
+	// The error is a *StreamsConflictError if the store has another revision.
+	Write(ctx context.Context, box string, s SavedStreams, revision storerev.Revision) (storerev.Revision, error)
+	// Remove removes what a box saved, unless the store has another revision.
+	Remove(ctx context.Context, box string, revision storerev.Revision) error
+}
+
+// StreamsConflictError reports that what a box saved has changed since it was read.
+type StreamsConflictError struct{ Revision storerev.Revision }
+
+func (e *StreamsConflictError) Error() string {
+	return fmt.Sprintf("saved streams changed since revision %s: read them again", e.Revision)
+}
+
+const (
+	// maxSaved is the number of streams that a box saves, about 350 kB.
+	maxSaved = 16 << 10
+	// minSaveInterval is the least time between two writes of a box.
+	minSaveInterval = 500 * time.Millisecond
+	// saveShare is the share of the store's writes that all boxes together may use.
+	saveShare = 0.4
+)
+
+// SaveInterval returns how often each box of a fleet may write what it saves, at a rate of writes that the store allows
+// to the whole fleet.
+func SaveInterval(boxes int, writesPerSecond float64) time.Duration {
+	return max(minSaveInterval, time.Duration(float64(boxes)/(saveShare*writesPerSecond)*float64(time.Second)))
+}
+
+// encodeStreams returns the saved form of streams.
+func encodeStreams(streams map[Key]Origin, era uint64) SavedStreams {
+	byOrigin := make(map[Origin]*SavedOrigin)
+	for k, o := range streams {
+		saved := byOrigin[o]
+		if saved == nil {
+			saved = &SavedOrigin{Service: o.Service, Version: o.Version, Ambiguous: o.Ambiguous}
+			byOrigin[o] = saved
+		}
+		saved.Keys = append(saved.Keys, k[:]...)
+	}
+	s := SavedStreams{Era: era}
+	for _, o := range byOrigin {
+		s.Origins = append(s.Origins, *o)
+	}
+	return s
+}
+
+// each calls f for the streams that were saved in an era.
+func (s SavedStreams) each(era uint64, f func(Key, Origin)) {
+	if s.Era != era {
+		return
+	}
+	for _, o := range s.Origins {
+		for k := range slices.Chunk(o.Keys, keyBytes) {
+			if len(k) == keyBytes {
+				f(Key(k), Origin{Service: o.Service, Version: o.Version, Ambiguous: o.Ambiguous})
+			}
+		}
+	}
+}
+
+// toSave returns the streams to save: those in progress, then those that were interrupted, of services with several
+// versions.
+func (e *Exchange) toSave(now time.Time) map[Key]Origin {
+	streams := make(map[Key]Origin)
+	for _, list := range []map[Key]Origin{maps.Collect(e.InProgress()), e.interrupted.newest(maxSaved, now)} {
+		several := make(map[string]bool)
+		for k, o := range list {
+			if _, asked := several[o.Service]; !asked {
+				several[o.Service] = e.hasSeveral(o.Service)
+			}
+			if !several[o.Service] || len(streams) >= maxSaved {
+				continue
+			}
+			// A statement of another box may have made it ambiguous.
+			if known, ok := e.registry.Get(k, now); ok && known.Service == o.Service {
+				o = known
+			}
+			// What is uncertain can't become certain any more once all boxes have ended.
+			o.Ambiguous, o.Uncertain = o.Ambiguous || o.Uncertain, false
+			streams[k] = o
+		}
+	}
+	return streams
+}
+
+// addSaved adds a record that was read from the store.
+func (e *Evidence) addSaved(o Origin) {
+	if e.Saved && e.Origin.Service == o.Service {
+		o.Ambiguous = o.Ambiguous || e.Origin.Ambiguous || e.Origin.Version != o.Version
+	}
+	if !e.Found {
+		e.Origin, e.Saved = o, true
+	}
+}
+
+// sendSaved sends records that were read from the store to the boxes that keep them.
+func (e *Exchange) sendSaved(streams map[Key]Origin) {
+	e.sendEach(streams, func(k Key, o Origin) *resumptionpb.Record {
+		r := encodeRecord(k, o)
+		r.Saved = true
+		return r
+	})
+}
+
+// newest returns up to n streams, those of the newer generation first.
+func (r *Registry) newest(n int, now time.Time) map[Key]Origin {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rotate(now)
+	streams := make(map[Key]Origin)
+	for _, generation := range []map[Key]record{r.newer, r.older} {
+		for k, known := range generation {
+			if _, newer := streams[k]; !newer && len(streams) < n {
+				streams[k] = known.Origin
+			}
+		}
+	}
+	return streams
+}
+
+// adds reports whether streams hold what the saved ones do not.
+func adds(streams, saved map[Key]Origin) bool {
+	for k, o := range streams {
+		if known, ok := saved[k]; !ok || known != o {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/resumption/saver.go
@@ -0,0 +1,300 @@
+package resumption
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/pause"
+	"headhill.example/headhill/pkg/storerev"
+)
+
+const (
+	// maxReaders is the number of boxes, the first ones by rank, that read what all boxes saved as they start. In a larger
+	// fleet each of them reads for the others: it sends a part of the records to the boxes that keep them.
+	maxReaders = 32
+	// streamsPollInterval is how often a box that starts looks whether it knows the versions of its services.
+	streamsPollInterval = 50 * time.Millisecond
+	// maxRosterWait limits how long a box that starts waits for the list of all boxes.
+	maxRosterWait = time.Second
+	// streamsCheckInterval is how often a box looks for something to save while each service has one version.
+	streamsCheckInterval = 5 * time.Second
+	// sendPeriod is how long a box sends to others what it has read for them.
+	sendPeriod = 3 * time.Second
+	// sweepInterval is how often the first box by rank looks for what boxes saved that are gone.
+	sweepInterval = 2 * Retention
+	// maxCallsPerList limits the time of a list of all boxes, which may take several calls.
+	maxCallsPerList = 5
+)
+
+// StreamSaverDeps are the dependencies of a StreamSaver.
+type StreamSaverDeps struct {
+	Store StreamStore
+	// Several reports whether a service has several versions. HistoryKnown reports whether this box knows all of them.
+	Several, HistoryKnown func() bool
+	// Rank returns the rank of this box in the fleet, WritesPerSecond the writes that the store allows to all boxes.
+	Rank            func() int
+	WritesPerSecond func() float64
+	// Timeout limits each call to the store.
+	Timeout time.Duration
+	Logger  log.Logger
+}
+
+// StreamSaver saves where the streams of a box began, for the case that all boxes end. It makes no calls while each
+// service has one version. Streams don't wait for it.
+type StreamSaver struct {
+	StreamSaverDeps
+	exchange *Exchange
+	changed  chan struct{}
+
+	// saved is what this box has in the store at revision; known is unset if that is not certain.
+	saved    map[Key]Origin
+	revision storerev.Revision
+	known    bool
+	// nextSweep is when objects of boxes that are gone are looked for; unchanged has those of the last time.
+	nextSweep time.Time
+	unchanged map[string]storerev.Revision
+	failing   bool
+	// forOthers are the records that this box has read for others, to which it sends them until sendUntil, as they may
+	// start later.
+	forOthers map[Key]Origin
+	sendUntil time.Time
+	// restored is set if the store may have lost what this box saved.
+	restored atomic.Bool
+}
+
+// NewStreamSaver returns a StreamSaver for the streams of an Exchange.
+func NewStreamSaver(e *Exchange, d StreamSaverDeps) *StreamSaver {
+	e.loading.Store(true)
+	return &StreamSaver{StreamSaverDeps: d, exchange: e, changed: make(chan struct{}, 1)}
+}
+
+// ServersChanged is called when the list of servers has changed. It does not block.
+func (s *StreamSaver) ServersChanged() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Run reads what all boxes saved, and then saves the streams of this box until ctx is done.
+func (s *StreamSaver) Run(ctx context.Context) {
+	s.load(ctx)
+	s.exchange.loading.Store(false)
+	for ctx.Err() == nil {
+		several := s.Several()
+		s.sendAgain()
+		if several || len(s.saved) > 0 {
+			s.report(s.save(ctx))
+		}
+		if several || len(s.unchanged) > 0 {
+			s.sweep(ctx)
+		}
+		if several {
+			interval := SaveInterval(len(s.exchange.Boxes()), s.WritesPerSecond())
+			pause.For(ctx, interval-rand.N(interval/10))
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-s.changed:
+		case <-time.After(streamsCheckInterval):
+		}
+	}
+}
+
+// sendAgain sends once more what this box has read for others.
+func (s *StreamSaver) sendAgain() {
+	s.exchange.sendSaved(s.forOthers)
+	if clock.Now().After(s.sendUntil) {
+		s.forOthers = nil
+	}
+}
+
+// report logs the first of several failures, and the end of them.
+func (s *StreamSaver) report(err error) {
+	switch {
+	case err != nil && !s.failing:
+		_ = level.Info(s.Logger).Log("msg", "saving streams failed", "err", err, "outcome", "retrying; streams that began since are refused after a restart of all boxes")
+	case err == nil && s.failing:
+		_ = level.Info(s.Logger).Log("msg", "saving streams works again", "saved", len(s.saved))
+	}
+	s.failing = err != nil
+}
+
+// load reads what all boxes saved, if a service has several versions.
+func (s *StreamSaver) load(ctx context.Context) {
+	for ctx.Err() == nil && !s.Several() && !s.HistoryKnown() {
+		pause.For(ctx, streamsPollInterval)
+	}
+	if !s.Several() {
+		return
+	}
+	for start := clock.Now(); ctx.Err() == nil && !s.exchange.BoxesKnown() && clock.Since(start) < maxRosterWait; {
+		pause.For(ctx, streamsPollInterval)
+	}
+	boxes := len(s.exchange.Boxes())
+	forOthers := boxes > maxReaders
+	if forOthers && s.Rank() >= maxReaders {
+		return
+	}
+	pause.For(ctx, rand.N(min(maxVersionReadSpread, time.Duration(boxes)*versionReadSpread)+1))
+	for ctx.Err() == nil {
+		start := clock.Now()
+		read, err := s.readAll(ctx)
+		if err == nil {
+			_ = level.Info(s.Logger).Log("msg", "loaded streams", "objects", read.objects, "of_earlier_era", read.ofEarlierEra, "streams", len(read.streams), "for_others", forOthers, "after_ms", clock.Since(start).Milliseconds())
+			s.take(read, forOthers)
+			return
+		}
+		_ = level.Info(s.Logger).Log("msg", "reading saved streams failed", "err", err, "outcome", "retrying; streams whose version no box has recorded are refused")
+		pause.For(ctx, versionRetryDelay+rand.N(versionRetryDelay))
+	}
+}
+
+// readStreams is what all boxes saved.
+type readStreams struct {
+	streams               []savedStream
+	own                   StoredStreams
+	objects, ofEarlierEra int
+}
+
+type savedStream struct {
+	key    Key
+	origin Origin
+}
+
+func (s *StreamSaver) readAll(ctx context.Context) (r readStreams, err error) {
+	ctx, cancel := context.WithTimeout(ctx, maxCallsPerList*s.Timeout)
+	defer cancel()
+	err = s.Store.All(ctx, func(box string, stored StoredStreams) {
+		era := stored.Revision.Era()
+		r.objects++
+		if stored.Streams.Era != era {
+			r.ofEarlierEra++
+		}
+		if box == s.exchange.Box {
+			r.own = stored
+		}
+		stored.Streams.each(era, func(k Key, o Origin) { r.streams = append(r.streams, savedStream{k, o}) })
+	})
+	return r, err
+}
+
+// take keeps what was read. What this box had saved before it ended is saved again, as its callers may still retry.
+func (s *StreamSaver) take(r readStreams, forOthers bool) {
+	now := clock.Now()
+	s.forOthers, s.sendUntil = make(map[Key]Origin), now.Add(sendPeriod)
+	for _, stream := range r.streams {
+		if forOthers && int(stream.key[keyBytes-1])%maxReaders != s.Rank() {
+			continue
+		}
+		s.exchange.loaded.Put(stream.key, stream.origin, false, now)
+		if forOthers {
+			s.forOthers[stream.key] = stream.origin
+		}
+	}
+	s.exchange.sendSaved(s.forOthers)
+	if r.own.Revision != 0 {
+		s.takeOwn(r.own, now)
+	}
+}
+
+// takeOwn keeps what this box has in the store.
+func (s *StreamSaver) takeOwn(stored StoredStreams, now time.Time) {
+	s.saved = make(map[Key]Origin)
+	stored.Streams.each(stored.Revision.Era(), func(k Key, o Origin) {
+		s.saved[k] = o
+		s.exchange.interrupted.Put(k, o, true, now)
+	})
+	s.revision, s.known = stored.Revision, true
+}
+
+// save writes the streams of this box if there are new ones.
+func (s *StreamSaver) save(ctx context.Context) error {
+	now := clock.Now()
+	if s.restored.Swap(false) {
+		s.known = false
+	}
+	streams := s.exchange.toSave(now)
+	if s.known && len(streams) > 0 && !adds(streams, s.saved) || len(streams) == 0 && len(s.saved) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*s.Timeout)
+	defer cancel()
+	if !s.known {
+		stored, err := s.Store.Read(ctx, s.exchange.Box)
+		if err != nil {
+			return err
+		}
+		s.takeOwn(stored, now)
+		streams = s.exchange.toSave(now)
+	}
+	return s.write(ctx, streams)
+}
+
+func (s *StreamSaver) write(ctx context.Context, streams map[Key]Origin) (err error) {
+	defer func() { s.known = err == nil }()
+	if len(streams) == 0 {
+		if s.revision.Number() > 0 {
+			err = s.Store.Remove(ctx, s.exchange.Box, s.revision)
+		}
+		if err == nil {
+			s.saved, s.revision = nil, storerev.StartOf(s.revision.Era())
+			_ = level.Info(s.Logger).Log("msg", "removed saved streams")
+		}
+		return err
+	}
+	revision, err := s.Store.Write(ctx, s.exchange.Box, encodeStreams(streams, s.revision.Era()), s.revision)
+	if err != nil {
+		return err
+	}
+	if len(s.saved) == 0 {
+		_ = level.Info(s.Logger).Log("msg", "saved streams", "streams", len(streams), "revision", revision)
+	}
+	s.saved, s.revision = streams, revision
+	s.exchange.savedNow.Store(int64(len(streams)))
+	s.exchange.saves.Add(1)
+	return nil
+}
+
+// ObserveEra is called when the store was restored from an older copy, which may have lost what this box saved. It does
+// not block.
+func (s *StreamSaver) ObserveEra() {
+	s.restored.Store(true)
+	s.ServersChanged()
+}
+
+// sweep removes what boxes saved that are gone, once it has not changed between two sweeps. The first box by rank does it.
+func (s *StreamSaver) sweep(ctx context.Context) {
+	now := clock.Now()
+	if now.Before(s.nextSweep) || s.Rank() != 0 || !s.exchange.BoxesKnown() {
+		return
+	}
+	s.nextSweep = now.Add(sweepInterval)
+	ctx, cancel := context.WithTimeout(ctx, maxCallsPerList*s.Timeout)
+	defer cancel()
+	gone := make(map[string]storerev.Revision)
+	err := s.Store.All(ctx, func(box string, stored StoredStreams) { gone[box] = stored.Revision })
+	for _, b := range s.exchange.Boxes() {
+		delete(gone, b.Box)
+	}
+	removed := 0
+	for box, revision := range gone {
+		if err == nil && s.unchanged[box] == revision {
+			err = s.Store.Remove(ctx, box, revision)
+			removed++
+		}
+	}
+	var conflict *StreamsConflictError
+	if err != nil && !errors.As(err, &conflict) || removed > 0 {
+		_ = level.Info(s.Logger).Log("msg", "removing streams that boxes saved which are gone", "boxes", len(gone), "removed", removed, "err", err)
+	}
+	s.unchanged = gone
+}
--- a/pkg/resumption/versions.go
+++ b/pkg/resumption/versions.go
@@ -301,6 +301,16 @@
 	return all
 }
 
+// AnySeveral reports whether a service has several versions.
+func (h *VersionHistory) AnySeveral(now time.Time) bool {
+	for _, versions := range h.current(now) {
+		if len(versions) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // upToDate reports whether the record holds the current versions, and is confirmed if this box can do that, as far as it
 // knows.
 func (h *VersionHistory) upToDate(now time.Time) bool {
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -81,6 +81,8 @@
 	Quarantine func(StoreAccess) quarantine.Store
 	// Versions returns the store of the software versions of services.
 	Versions func(StoreAccess) resumption.VersionStore
+	// SavedStreams returns the store of where streams began.
+	SavedStreams func(StoreAccess) resumption.StreamStore
 	// Cloud returns the client for the calls that fleet duties make.
 	Cloud func(address func() string) duties.Cloud
 	// PathCheck returns the header of a request that a server answers without running it; nil if there is none.
@@ -121,7 +123,9 @@
 	incarnations *incarnation.Tracker
 	restarts     *incarnation.Exchange
 	// versions knows the software versions that services had before this box started.
-	versions    *resumption.VersionHistory
+	versions *resumption.VersionHistory
+	// saver saves where streams began, for the case that all boxes end.
+	saver       *resumption.StreamSaver
 	retryBudget *retry.Budget
 	retryInputs atomic.Pointer[retryInputs]
 	// limiter limits the request rate to servers that signal a rate limit.
@@ -215,9 +219,16 @@
 		Store: a.Versions(access), Listed: d.listedVersions, Rank: d.roster.Rank, Boxes: func() int { return len(d.roster.Entries()) },
 		OnLoaded: d.streams.ServersChanged, EarlierBuild: d.hasBoxesWithoutVersionRecord, Timeout: storeLimits.FirstByte, Logger: logs.For(logflags.Directory),
 	})
+	d.saver = resumption.NewStreamSaver(d.streams, resumption.StreamSaverDeps{
+		Store: a.SavedStreams(access), Rank: d.roster.Rank, Timeout: storeLimits.FirstByte, Logger: logs.For(logflags.Directory),
+		Several:         func() bool { return d.versions.AnySeveral(clock.Now()) },
+		HistoryKnown:    func() bool { return d.versions.Known(clock.Now()) },
+		WritesPerSecond: func() float64 { return d.settings.Load().CallBudget.WritesPerSecond },
+	})
 	d.directory.OnServersChange(func() {
 		d.streams.ServersChanged()
 		d.versions.ServersChanged()
+		d.saver.ServersChanged()
 	})
 	d.watchIncarnations(peerLogger)
 	d.gateway = gateway.New(gateway.Deps{
@@ -418,6 +429,7 @@
 		func() { d.streams.Run(d.ctx) },
 		func() { d.versions.Run(d.ctx) },
 		func() { d.restarts.Run(d.ctx) },
+		func() { d.saver.Run(d.ctx) },
 		func() { d.logSuspensions(d.ctx) },
 		d.peers.Listen,
 		func() { d.upstream.Run(d.ctx) },
--- a/pkg/routerd/gauges.go
+++ b/pkg/routerd/gauges.go
@@ -137,7 +137,7 @@
 // streamsGauge returns the gauge for the records of where streams began.
 func streamsGauge(e *resumption.Exchange) telemetry.Gauge {
 	return telemetry.Gauge{
-		Name: "headhill_stream_versions", Help: "Records of the software versions at which streams began (kept), and since the start: streams recorded here, and taken up with a record (found), with one version, and refused as unknown.",
+		Name: "headhill_stream_versions", Help: "Records of the software versions at which streams began (kept), of those read from the store at the start (loaded) and of those in it of this box (saved), and since the start: writes of them (saves), streams recorded here, and taken up with a record (found), with one version, and refused as unknown.",
 		Attribute: "state", Observe: e.Counts,
 	}
 }
--- a/pkg/routerd/join_test.go
+++ b/pkg/routerd/join_test.go
@@ -50,10 +50,11 @@
 	s.Listen = ListenSettings{Caller: "127.0.0.1:0", Ready: "127.0.0.1:0", Metrics: "127.0.0.1:0", Peer: "127.0.0.1:0"}
 	s.Bounds.RetrySlack = 200
 	d, err := New(s, Adapter{
-		Source:     func(StoreAccess) directory.Source { return nil },
-		Roster:     func(StoreAccess) roster.Store { return r },
-		Quarantine: func(StoreAccess) quarantine.Store { return nil },
-		Versions:   func(StoreAccess) resumption.VersionStore { return nil },
+		Source:       func(StoreAccess) directory.Source { return nil },
+		Roster:       func(StoreAccess) roster.Store { return r },
+		Quarantine:   func(StoreAccess) quarantine.Store { return nil },
+		Versions:     func(StoreAccess) resumption.VersionStore { return nil },
+		SavedStreams: func(StoreAccess) resumption.StreamStore { return nil },
 	}, logflags.New(io.Discard, "logfmt", "info", nil))
 	require.NoError(t, err)
 	t.Cleanup(func() {
--- a/pkg/routerd/storeera.go
+++ b/pkg/routerd/storeera.go
@@ -25,6 +25,7 @@
 	d.duties.observeEra(era)
 	d.quarantine.ObserveEra()
 	d.versions.ObserveEra()
+	d.saver.ObserveEra()
 }
 
 // storeEraGauge returns the gauge for the latest known era of the store.
