incarnation: connections of several boxes count together, and few restarts are announced at once

A second notice waited for the interval of the fleet (1 s at 200 boxes) although a burst was allowed, and replaced a certain one. TestConnectionsOfSeveralBoxesCountTogether and TestFewRestartsAreAnnouncedWithoutDelay.

--- a/pkg/incarnation/exchange.go
+++ b/pkg/incarnation/exchange.go
@@ -26,6 +26,8 @@
 	// sendIntervalPerPeer times the number of boxes, which bounds what each box receives whatever their number.
 	sendBurst           = 6
 	sendIntervalPerPeer = 5 * time.Millisecond
+	// sendPause is the pause after a datagram to each box, in which further restarts are collected.
+	sendPause = 20 * time.Millisecond
 	// maxRestarts limits the restarts of a datagram, maxPending those that wait to be sent.
 	maxRestarts = 64
 	maxPending  = 1024
@@ -68,6 +70,10 @@
 // Announce informs the other boxes of a restart. It does not block.
 func (e *Exchange) Announce(r Restart) {
 	e.mu.Lock()
+	if before, ok := e.pending[r.Server]; ok {
+		r.Certain = r.Certain || before.Certain
+		r.At = earlier(r.At, before.At)
+	}
 	if len(e.pending) < maxPending {
 		e.pending[r.Server] = pendingRestart{r, sends}
 	}
@@ -99,7 +105,7 @@
 		}
 		allowance--
 		e.send(batch, peers)
-		pause.For(ctx, interval)
+		pause.For(ctx, sendPause)
 	}
 }
 
@@ -139,7 +145,7 @@
 	if t.IsZero() {
 		return 0
 	}
-	return uint32(min(max(0, now.Sub(t).Milliseconds()), math.MaxUint32))
+	return uint32(min(max(1, now.Sub(t).Milliseconds()), math.MaxUint32))
 }
 
 // receive handles a message of another box. It must not block.
@@ -152,8 +158,11 @@
 	for _, r := range p.GetRestarts() {
 		age := time.Duration(r.GetAgeMs()) * time.Millisecond
 		if r.GetServer() != "" && age <= maxAge {
-			opened := time.Duration(r.GetConnectionAgeMs()) * time.Millisecond
-			e.Receive(m.Box, Restart{Server: r.GetServer(), At: m.Received.Add(-age), Opened: m.Received.Add(-opened), Certain: r.GetCertain()})
+			restart := Restart{Server: r.GetServer(), At: m.Received.Add(-age), Certain: r.GetCertain()}
+			if opened := r.GetConnectionAgeMs(); opened > 0 {
+				restart.Opened = m.Received.Add(-time.Duration(opened) * time.Millisecond)
+			}
+			e.Receive(m.Box, restart)
 		}
 	}
 }
--- a/pkg/incarnation/exchange_test.go
+++ b/pkg/incarnation/exchange_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -38,7 +39,8 @@
 	return b.received[box]
 }
 
-func startBoxes(t *testing.T, n int) []*peerBox {
+// startBoxes starts boxes that inform each other. change is called with the dependencies of each.
+func startBoxes(t *testing.T, n int, change func(i int, d *ExchangeDeps)) []*peerBox {
 	boxes := make([]*peerBox, n)
 	for i := range boxes {
 		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
@@ -54,14 +56,16 @@
 				peers = append(peers, other.conn.LocalAddr().(*net.UDPAddr))
 			}
 		}
-		b.exchange = NewExchange(ExchangeDeps{
+		deps := ExchangeDeps{
 			Port: port, Peers: func() []*net.UDPAddr { return peers }, Logger: log.NewNopLogger(),
 			Receive: func(box string, r Restart) {
 				b.mu.Lock()
 				defer b.mu.Unlock()
 				b.received[box] = append(b.received[box], r)
 			},
-		})
+		}
+		change(i, &deps)
+		b.exchange = NewExchange(deps)
 		go port.Listen()
 		go b.exchange.Run(ctx)
 	}
@@ -75,21 +79,24 @@
 }
 
 func TestRestartsReachAllBoxes(t *testing.T) {
-	boxes := startBoxes(t, 5)
+	boxes := startBoxes(t, 5, func(int, *ExchangeDeps) {})
 	at := clock.Now().Add(-200 * time.Millisecond)
-	boxes[0].exchange.Announce(Restart{Server: "a", At: at, Certain: true})
+	opened := at.Add(-time.Second)
+	boxes[0].exchange.Announce(Restart{Server: "a", At: at, Opened: opened, Certain: true})
+	boxes[0].exchange.Announce(Restart{Server: "a", At: at.Add(50 * time.Millisecond), Opened: opened})
 	for _, b := range boxes[1:] {
 		require.Eventually(t, func() bool { return len(b.restarts("box-0")) == sends }, 5*time.Second, time.Millisecond)
 		r := b.restarts("box-0")[0]
 		assert.Equal(t, "a", r.Server)
 		assert.True(t, r.Certain)
-		assert.WithinDuration(t, at, r.At, 100*time.Millisecond)
+		assert.WithinDuration(t, at, r.At, 40*time.Millisecond)
+		assert.WithinDuration(t, opened, r.Opened, 40*time.Millisecond)
 	}
 }
 
 // Guards against datagrams that grow with the number of connections that break.
 func TestRestartsAreSentTogether(t *testing.T) {
-	boxes := startBoxes(t, 2)
+	boxes := startBoxes(t, 2, func(int, *ExchangeDeps) {})
 	for round := range 20 {
 		for i := range 50 {
 			boxes[0].exchange.Announce(Restart{Server: fmt.Sprint(round%2, "-", i), At: clock.Now()})
@@ -100,3 +107,36 @@
 	time.Sleep(200 * time.Millisecond)
 	assert.LessOrEqual(t, len(boxes[1].restarts("box-0")), 20*maxRestarts)
 }
+
+// Guards against connections of several boxes that break at once and do not count together.
+func TestConnectionsOfSeveralBoxesCountTogether(t *testing.T) {
+	trackers := make([]*fakeTracker, burstLosses)
+	for i := range trackers {
+		trackers[i] = newFakeTracker()
+	}
+	boxes := startBoxes(t, burstLosses, func(i int, d *ExchangeDeps) { d.Receive = trackers[i].RecordRemote })
+	now := clock.Now()
+	for i, f := range trackers {
+		f.RecordLost(Connection{Server: f.server, Opened: now.Add(-time.Second), Broken: now}, true)
+		boxes[i].exchange.Announce(f.announced[0])
+	}
+	for _, f := range trackers {
+		require.Eventually(t, func() bool { return f.MayHaveRestarted(f.server, true, clock.Now()) }, 5*time.Second, time.Millisecond)
+	}
+}
+
+// Guards against restarts that are announced seconds late in a large fleet because others were announced before.
+func TestFewRestartsAreAnnouncedWithoutDelay(t *testing.T) {
+	boxes := startBoxes(t, 2, func(_ int, d *ExchangeDeps) {
+		other := d.Peers()[0]
+		d.Peers = func() []*net.UDPAddr { return slices.Repeat([]*net.UDPAddr{other}, 200) }
+	})
+	boxes[0].exchange.Announce(Restart{Server: "a", At: clock.Now()})
+	require.Eventually(t, func() bool { return len(boxes[1].restarts("box-0")) > 0 }, 5*time.Second, time.Millisecond)
+	begun := clock.Now()
+	boxes[0].exchange.Announce(Restart{Server: "b", At: clock.Now()})
+	require.Eventually(t, func() bool {
+		return slices.ContainsFunc(boxes[1].restarts("box-0"), func(r Restart) bool { return r.Server == "b" })
+	}, 5*time.Second, time.Millisecond)
+	assert.Less(t, clock.Since(begun), 500*time.Millisecond)
+}
