resumption: a certain record of a stream goes before an uncertain one

Callers: a stream whose origin had become certain at the box that began it stayed refused at others for a minute, also where one version is known. Such records are sent once they are certain, a box with an uncertain one asks the others, and a certain answer is preferred. TestCertainRecordGoesBeforeUncertain.

--- a/pkg/resumption/decide.go
+++ b/pkg/resumption/decide.go
@@ -45,7 +45,7 @@
 
 // settled reports whether further answers are not needed.
 func (e *Evidence) settled() bool {
-	return e.Found || len(e.Versions) == 1 && e.confirmed() && !e.OthersSeveral
+	return e.Found && !e.Origin.Uncertain || len(e.Versions) == 1 && !e.Found && e.confirmed() && !e.OthersSeveral
 }
 
 // Verdict says at which version a stream goes on.
--- a/pkg/resumption/exchange.go
+++ b/pkg/resumption/exchange.go
@@ -130,9 +130,10 @@
 // Interrupted keeps where a stream began that did not reach its end, and so may be taken up.
 func (e *Exchange) Interrupted(k Key, o Origin) {
 	now := clock.Now()
+	before, known := e.registry.Get(k, now)
 	e.registry.Put(k, o, true, now)
 	e.interrupted.Put(k, o, true, now)
-	if o.Uncertain || o.Ambiguous || e.hasSeveral(o.Service) {
+	if o.Uncertain || o.Ambiguous || known && before.Uncertain || e.hasSeveral(o.Service) {
 		e.sendRecords(map[Key]Origin{k: o})
 	}
 }
@@ -173,7 +174,7 @@
 func (e *Exchange) collect(ctx context.Context, k Key, service string, since time.Time) Evidence {
 	versions := e.Versions(service)
 	evidence := Evidence{ServiceVersions: versions, ListConfirmed: versions.Age < clock.Since(since), Loading: e.loading.Load()}
-	if evidence.Origin, evidence.Found = e.origin(k); evidence.Found {
+	if evidence.Origin, evidence.Found = e.origin(k); evidence.Found && !evidence.Origin.Uncertain {
 		return evidence
 	}
 	ask := Keepers(e.Boxes(), k, maxAsked, e.Box)
@@ -234,7 +235,7 @@
 	}
 	_, o, err := decodeRecord(r.GetRecord())
 	switch {
-	case err != nil:
+	case err != nil, e.Found && !e.Origin.Uncertain && o.Uncertain:
 	case r.GetRecord().GetSaved():
 		e.addSaved(o)
 	default:
