--- a/pkg/gateway/attemptend.go
+++ b/pkg/gateway/attemptend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"headhill.example/headhill/pkg/balancer"
@@ -21,22 +22,31 @@
 
 	once   sync.Once
 	result balancer.Result
-	// reportedAt is when the server was done.
-	reportedAt time.Time
+	// reportedAt is when the server was done, nil before.
+	reportedAt atomic.Pointer[time.Time]
 }
 
 // report reports the end of the attempt with a failure or an error, or with neither. Only the first
 // call has an effect. All calls return the result that was reported.
 func (e *attemptEnd) report(f *failure, err error) balancer.Result {
 	e.once.Do(func() {
-		e.reportedAt = clock.Now()
+		now := clock.Now()
+		e.reportedAt.Store(&now)
 		e.result = attemptResult(e.ctx, f, err)
-		e.lease.Done(e.result, e.reportedAt)
+		e.lease.Done(e.result, now)
 		e.exchange.reportToQuarantine(e.lease, e.result, f, err)
 	})
 	return e.result
 }
 
+// doneAt returns when the server was done, zero before.
+func (e *attemptEnd) doneAt() time.Time {
+	if at := e.reportedAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // attemptResult returns the result of an attempt for the balancer.
 func attemptResult(ctx context.Context, f *failure, err error) balancer.Result {
 	switch {
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -16,6 +16,7 @@
 	"headhill.example/headhill/pkg/quarantine"
 	"headhill.example/headhill/pkg/routing"
 	"headhill.example/headhill/pkg/signals"
+	"headhill.example/headhill/pkg/tunnel"
 	"headhill.example/headhill/pkg/upstream"
 )
 
@@ -295,20 +296,34 @@
 	return x.forwardBuffered(ctx, resp, lease)
 }
 
-// recordLoss records that the connection to a server broke, from which its restart may be concluded.
+// recordLoss records that the connection to a server broke or was refused, from which its restart may be concluded.
 func (x *exchange) recordLoss(lease *balancer.Lease, f *failure) {
-	if f == nil || !f.disconnected || f.result == balancer.ResultAbandoned {
+	if f == nil || f.result == balancer.ResultAbandoned {
 		return
 	}
-	c := incarnation.Connection{Server: &lease.Server, Broken: clock.Now()}
+	var refused *tunnel.RefusedError
+	switch {
+	case f.disconnected:
+		c := incarnation.Connection{Server: &lease.Server, Opened: x.connectionOpened(f), Broken: x.end.doneAt()}
+		if c.Broken.IsZero() {
+			c.Broken = clock.Now()
+		}
+		x.gateway.Incarnations.RecordLost(c, x.gateway.Upstream.InUse(lease.Server.Incarnation().String()) == 0)
+	case f.notSent && errors.As(f.cause, &refused) && refused.Reason == tunnel.ReasonServerRefused:
+		x.gateway.Incarnations.RecordEnded(&lease.Server, clock.Now())
+	}
+}
+
+// connectionOpened returns when the connection of a failed attempt was established.
+func (x *exchange) connectionOpened(f *failure) time.Time {
 	var interrupted *upstream.InterruptedError
 	switch {
 	case x.response != nil:
-		c.Opened = x.response.ConnOpened
+		return x.response.ConnOpened
 	case errors.As(f.cause, &interrupted):
-		c.Opened = interrupted.ConnOpened
+		return interrupted.ConnOpened
 	}
-	x.gateway.Incarnations.RecordLost(c, x.gateway.Upstream.InUse(lease.Server.Incarnation().String()) == 0)
+	return time.Time{}
 }
 
 // observeSignals passes the signals of a response to the balancer. An error response without a signal
--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -144,22 +144,23 @@
 	if !x.resumable() {
 		return nil
 	}
-	b := x.bound.Load()
 	if x.end.bound {
 		return nil
 	}
-	x.end.bound = true
-	if b != nil {
-		if version, ok := x.attemptVersion(); !ok || version != b.origin.Version {
+	version, ok := x.attemptVersion()
+	if b := x.bound.Load(); b != nil {
+		origin := b.resolve(x.gateway.Incarnations, clock.Now())
+		if !ok || origin.Uncertain || version != origin.Version {
 			return errUncertainVersion
 		}
+		x.end.bound = true
 		if x.firstEventTime.IsZero() && x.firstCall() != "" {
-			x.gateway.Streams.Began(b.key, b.origin)
+			x.gateway.Streams.Began(b.key, origin)
 		}
 		return nil
 	}
-	version, ok := x.attemptVersion()
-	b = &boundStream{
+	x.end.bound = true
+	b := &boundStream{
 		key: x.streamKey(), origin: resumption.Origin{Service: x.service.Name, Version: version, Uncertain: !ok}, connection: x.attemptConnection(),
 	}
 	x.bound.Store(b)
@@ -175,7 +176,7 @@
 }
 
 func (x *exchange) attemptConnection() incarnation.Connection {
-	return incarnation.Connection{Server: &x.end.lease.Server, Opened: x.response.ConnOpened, Broken: x.end.reportedAt}
+	return incarnation.Connection{Server: &x.end.lease.Server, Opened: x.response.ConnOpened, Broken: x.end.doneAt()}
 }
 
 // ofBoundVersion returns those of the servers at which the stream may go on, without those that may have restarted
--- a/pkg/gateway/streamversion_test.go
+++ b/pkg/gateway/streamversion_test.go
@@ -7,9 +7,12 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
 
+	"headhill.example/headhill/pkg/balancer"
 	"headhill.example/headhill/pkg/directory"
 	"headhill.example/headhill/pkg/incarnation"
+	"headhill.example/headhill/pkg/resumption"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/upstream"
 )
 
 // fakeRestarts is one server that may have restarted, and the version that connections led to, "" for unknown.
@@ -63,3 +66,29 @@
 	b.origin.Ambiguous = true
 	assert.Empty(t, x.ofBoundVersion(servers))
 }
+
+type fakeStreams struct{ Streams }
+
+func (fakeStreams) Began(resumption.Key, resumption.Origin) {}
+
+// Guards against a stream that stays cut because a server was tried that may have another version.
+func TestRejectedServerLeavesStreamBound(t *testing.T) {
+	restarts := &fakeRestarts{}
+	x := &exchange{
+		service: &routing.Service{Name: "s"}, route: &routing.Route{Kind: routing.KindStream, Resumable: true},
+		gateway:  &Gateway{Deps: Deps{Directory: directory.New(log.NewNopLogger()), Incarnations: restarts, Streams: fakeStreams{}}},
+		response: &upstream.Response{}, end: &attemptEnd{lease: &balancer.Lease{Server: routing.Server{ID: "a", Version: "v1"}}},
+	}
+	v1 := resumption.Origin{Service: "s", Version: "v1"}
+	x.bound.Store(&boundStream{origin: v1})
+	assert.ErrorIs(t, x.bindStream(), errUncertainVersion)
+	x.checkLife()
+	assert.Equal(t, v1, x.bound.Load().origin)
+	restarts.version = "v2"
+	assert.ErrorIs(t, x.bindStream(), errUncertainVersion)
+	restarts.version = "v1"
+	assert.NoError(t, x.bindStream())
+	restarts.version = ""
+	x.checkLife()
+	assert.True(t, x.bound.Load().origin.Ambiguous, "events of the server were forwarded, and it may have had another version")
+}
--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,7 +20,7 @@
 	// break for other reasons as well.
 	burstLosses = 3
 	// massLoss is the number of servers from which on the box itself has lost connections, and not the servers.
-	massLoss = 4
+	massLoss = 3
 	// noticeDelay is how much later than the restart a box may notice it. Connections that were opened that long before
 	// may lead to the new process.
 	noticeDelay = 300 * time.Millisecond
@@ -35,8 +36,12 @@
 	confirmDelay = 4500 * time.Millisecond
 	// recoveryDelay is the time after an outage of the source within which servers write their entries again.
 	recoveryDelay = 2 * time.Second
-	// retention is how long resolved restarts are kept, for connections that were opened before.
-	retention = 5 * time.Minute
+	// retention is how long resolved restarts are kept, for connections that were opened before, and maxResolved how many of
+	// a server.
+	retention   = time.Hour
+	maxResolved = 8
+	// sweepInterval is how often restarts are resolved of servers that are not used.
+	sweepInterval = 10 * time.Second
 )
 
 // Entry is the entry of a server in the list.
@@ -84,17 +89,21 @@
 	Deps
 	// pending is the number of restarts that are not resolved, so that requests don't take the lock in vain.
 	pending atomic.Int64
+	// noticed is set once there was a restart.
+	noticed atomic.Bool
 
 	mu sync.Mutex
 	// restarts holds the servers that may have restarted and whose entries were not confirmed since, by ID.
 	restarts map[string]*restart
-	// resolved holds the latest resolved restart of each server.
-	resolved map[string]resolution
+	// resolved holds the resolved restarts of each server, the latest last.
+	resolved map[string][]resolution
 	// bursts holds the connections to each server that broke lately.
 	bursts map[string]*burst
 	// lost holds the servers to which this box has lost connections since lostSince.
 	lost      map[string]bool
 	lostSince time.Time
+	// sweptAt is when all restarts were last resolved.
+	sweptAt time.Time
 }
 
 // restart is a possible restart of a server, or a series of them.
@@ -102,8 +111,9 @@
 	first, last time.Time
 	// loss is when this box lost its last connection since, from which no restart need follow.
 	loss time.Time
-	// certain is as in Restart.
-	certain bool
+	// certain is as in Restart. proved is set if this box knows that a process has ended, which bytes that it had sent before
+	// and that are read late don't refute.
+	certain, proved bool
 	// ownOnly is set while only this box has noticed it, address is that at which it did.
 	ownOnly bool
 	address string
@@ -145,7 +155,7 @@
 
 // New returns a tracker that knows of no restarts.
 func New(d Deps) *Tracker {
-	return &Tracker{Deps: d, restarts: make(map[string]*restart), resolved: make(map[string]resolution), bursts: make(map[string]*burst), lost: make(map[string]bool)}
+	return &Tracker{Deps: d, restarts: make(map[string]*restart), resolved: make(map[string][]resolution), bursts: make(map[string]*burst), lost: make(map[string]bool)}
 }
 
 // Count returns the number of servers that may have restarted.
@@ -176,16 +186,18 @@
 	// source is the box that noticed it, "" for this one.
 	source  string
 	address string
-	last    bool
+	// last is set if the box has no other connection in use.
+	last bool
 }
 
 func (t *Tracker) record(l loss) {
 	t.mu.Lock()
+	t.sweep(l.At)
 	b := t.burstOf(l)
 	first := b.count() == 0
-	b.add(l.source)
 	many := t.lostMany(l)
-	ended := l.Certain || b.count() >= burstLosses || b.own > 1 && l.last && !many
+	b.add(l.source)
+	ended := l.Certain || !many && (b.count() >= burstLosses || b.own > 1 && l.last)
 	news := false
 	if ended || l.last {
 		news = t.add(l, b.began, ended)
@@ -195,7 +207,18 @@
 		_ = level.Info(t.Logger).Log("msg", "server may have restarted", "server", l.Server, "reported_by", l.source, "certain", ended, "connections", b.count(), "outcome", "its entry is not relied on until it is confirmed")
 	}
 	if l.source == "" && !many && (first || news) {
-		t.Announce(Restart{Server: l.Server, At: l.At, Certain: ended})
+		t.Announce(Restart{Server: l.Server, At: l.At, Opened: l.Opened, Certain: ended})
+	}
+}
+
+// sweep resolves what the list has confirmed since, of servers that nobody asks for any more. The caller holds mu.
+func (t *Tracker) sweep(now time.Time) {
+	if now.Sub(t.sweptAt) < sweepInterval {
+		return
+	}
+	t.sweptAt = now
+	for id := range maps.Clone(t.restarts) {
+		t.unresolved(id, now)
 	}
 }
 
@@ -219,12 +242,14 @@
 		s = &restart{first: began, last: l.At, ownOnly: true, version: entry.Version}
 		t.restarts[l.Server] = s
 		t.pending.Add(1)
+		t.noticed.Store(true)
 		news = true
 	}
 	if l.source == "" {
 		s.address = l.address
 	}
 	s.ownOnly = s.ownOnly && l.source == ""
+	s.proved = s.proved || l.Certain && l.source == ""
 	switch {
 	case ended:
 		news = news || !s.certain || l.At.Sub(s.last) > burstWindow
@@ -281,7 +306,7 @@
 	if s.ownOnly && s.address != "" && t.LinkFailed(s.address) {
 		return true
 	}
-	return t.ranAt(id, s.first, t.lastOf(id, s))
+	return !s.proved && t.ranAt(id, s.first, t.lastOf(id, s))
 }
 
 // ranAt reports whether one process of a server has been running from before a time until after another. The caller
@@ -318,21 +343,24 @@
 // Version returns the version of the software of the server's process to which a connection leads. It returns false if
 // that can't be told. A single connection that broke is no reason to doubt the entry.
 func (t *Tracker) Version(c Connection, now time.Time) (string, bool) {
+	if !t.noticed.Load() {
+		return c.Server.Version, true
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.unresolved(c.Server.ID, now); s != nil && s.certain && c.concerns(s.first) {
 		return c.Server.Version, false
 	}
-	r, ok := t.resolved[c.Server.ID]
-	switch {
-	case !ok || !c.concerns(r.first):
-		return c.Server.Version, true
-	case r.listed && !c.Opened.Before(r.last):
-		return r.after, true
-	case r.listed && r.unchanged() && c.Server.Version == r.after:
-		return r.after, true
+	for _, r := range slices.Backward(t.resolved[c.Server.ID]) {
+		switch {
+		case !c.concerns(r.first):
+		case r.listed && !c.Opened.Before(r.last), r.listed && r.unchanged() && c.Server.Version == r.after:
+			return r.after, true
+		default:
+			return c.Server.Version, false
+		}
 	}
-	return c.Server.Version, false
+	return c.Server.Version, true
 }
 
 // MayHaveRestarted reports whether a server may have restarted since its entry was confirmed. With certainOnly, a single
@@ -365,9 +393,10 @@
 		return s
 	}
 	t.remove(id)
-	maps.DeleteFunc(t.resolved, func(_ string, r resolution) bool { return now.Sub(r.at) > retention })
+	maps.DeleteFunc(t.resolved, func(_ string, list []resolution) bool { return now.Sub(list[len(list)-1].at) > retention })
 	if s.certain || entry.Version != s.version {
-		t.resolved[id] = resolution{first: s.first, last: last, before: s.version, after: entry.Version, listed: listed, at: now}
+		list := append(t.resolved[id], resolution{first: s.first, last: last, before: s.version, after: entry.Version, listed: listed, at: now})
+		t.resolved[id] = slices.Clone(list[max(0, len(list)-maxResolved):])
 	}
 	_ = level.Info(t.Logger).Log("msg", "entry of server confirmed after possible restart", "server", id, "listed", listed, "version", entry.Version, "before", s.version, "after_ms", now.Sub(s.first).Milliseconds())
 	return nil
@@ -375,9 +404,9 @@
 
 // confirmedSince reports whether the entry of a server describes the process that runs since a restart.
 func (t *Tracker) confirmedSince(restart time.Time, entry Entry, listed bool) bool {
-	if listed && !entry.ListedAt.Before(restart.Add(entryDelay)) {
+	confirmed, recovered := t.List.ServersConfirmed()
+	if listed && !entry.ListedAt.Before(restart.Add(entryDelay)) && (recovered.Before(restart) || !entry.ListedAt.Before(recovered.Add(recoveryDelay))) {
 		return true
 	}
-	confirmed, recovered := t.List.ServersConfirmed()
 	return !confirmed.Before(restart.Add(confirmDelay)) && !confirmed.Before(recovered.Add(recoveryDelay))
 }
