--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -197,14 +197,15 @@
 	first := b.count() == 0
 	many := t.lostMany(l)
 	b.add(l.source)
-	ended := l.Certain || !many && (b.count() >= burstLosses || b.own > 1 && l.last)
+	connections := b.count()
+	ended := l.Certain || !many && (connections >= burstLosses || b.own > 1 && l.last)
 	news := false
 	if ended || l.last {
 		news = t.add(l, b.began, ended)
 	}
 	t.mu.Unlock()
 	if news {
-		_ = level.Info(t.Logger).Log("msg", "server may have restarted", "server", l.Server, "reported_by", l.source, "certain", ended, "connections", b.count(), "outcome", "its entry is not relied on until it is confirmed")
+		_ = level.Info(t.Logger).Log("msg", "server may have restarted", "server", l.Server, "reported_by", l.source, "certain", ended, "connections", connections, "outcome", "its entry is not relied on until it is confirmed")
 	}
 	if l.source == "" && !many && (first || news) {
 		t.Announce(Restart{Server: l.Server, At: l.At, Opened: l.Opened, Certain: ended})
