directory: a test waits for the position of the list, which is advanced after its publication

The list is published before its position is advanced; the report of restored entries had come between the two and comes after both now. The check is as before.

--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -214,7 +214,8 @@
 		d.Follow(ctx, standalone(source, testTiming()))
 		close(done)
 	}()
-	assert.Eventually(t, d.Loaded, 20*time.Second, time.Millisecond)
+	// The position is advanced after the list is published.
+	assert.Eventually(t, func() bool { return d.Loaded() && d.list.position().revision > 0 }, 20*time.Second, time.Millisecond)
 	f(ctx, d)
 	cancel()
 	<-done
--- a/pkg/directory/providers.go
+++ b/pkg/directory/providers.go
@@ -111,7 +111,6 @@
 	before := d.list.position().revision
 	newEra := before > 0 && !before.SameEra(revision)
 	events := d.setServers(list, at, newEra)
-	d.reportRestoredEntries(at)
 	if newEra {
 		_ = level.Info(d.logger).Log("msg", "server list of a new era", "revision", revision, "before", before, "changes", len(events), "departed", len(d.departed), "outcome", "restored entries of departed servers are withheld for a time")
 	}
@@ -121,6 +120,7 @@
 		d.history.addFullRead(Delta{From: before, To: revision, Events: events})
 	}
 	d.list.advance(position{revision: revision})
+	d.reportRestoredEntries(at)
 	return events
 }
 
