incarnation, upstream: an entry that may be old is relied on only once it is proved

Callers: streams with events of two software versions. A server restarts under its ID with another version while no connection to it is in use, so that no box notices; streams that begin there are recorded with the version of the entry before.

Change, only where a service has several versions: - A connection leads to the process of the entry if it, or connections that were open side by side with it, date from a time whose restarts are in the list (Client.RunningSince, Tracker.Reliable). A response proves that its process ran when the request was sent; bytes prove no more than that it ran when the connection was last empty, as they may be read late. - That proof is asked for once a connection to the server was lost, if only an idle one, or while the box has just started. Idle connections are checked five times a second for a close by the server, and other boxes are informed. - Until then a stream is uncertain: its box goes on checking, also after it was interrupted, and passes the version on once it is certain. Before, a stream that was interrupted while uncertain stayed refused for good. A stream that is taken up waits up to 1.5 s for that.

Weighed: proof for each connection.

--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -399,5 +399,16 @@
 		Body:            x.body,
 		MatchesResponse: func(h http.Header) bool { return x.gateway.Protocol.MatchesResponse(&x.call, h) },
 		OnSend:          x.beforeSend,
+		OnIdleClosed:    x.gateway.idleClosed(lease.Server),
+	}
+}
+
+// idleClosed returns what is called if a server closes an idle connection, nil if nothing depends on its version.
+func (g *Gateway) idleClosed(server routing.Server) func(opened time.Time) {
+	if g.Streams == nil || !g.Streams.SeveralVersions(server.Service) {
+		return nil
+	}
+	return func(opened time.Time) {
+		g.Incarnations.RecordIdleClosed(incarnation.Connection{Server: &server, Opened: opened, Broken: clock.Now()})
 	}
 }
--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -23,6 +23,8 @@
 	Began(resumption.Key, resumption.Origin)
 	// Interrupted is called for a stream that was not forwarded to its end. It must not block.
 	Interrupted(resumption.Key, resumption.Origin)
+	// SeveralVersions reports whether the servers of a service have several versions, or had lately.
+	SeveralVersions(service string) bool
 	// Find finds out where a stream of a service began that its caller takes up.
 	Find(ctx context.Context, k resumption.Key, service string) resumption.Verdict
 }
@@ -31,11 +33,15 @@
 type Incarnations interface {
 	// Version returns the version of the server to which a connection leads, and false if that can't be told.
 	Version(c incarnation.Connection, now time.Time) (string, bool)
+	// Reliable reports whether the entry of a server may be relied on for a connection.
+	Reliable(c incarnation.Connection, now time.Time) bool
 	// MayHaveRestarted reports whether the entry of a server is not to be relied on. With certainOnly, a single
 	// connection that broke does not count.
 	MayHaveRestarted(server *routing.Server, certainOnly bool, now time.Time) bool
 	// RecordLost records that a connection to a server broke; last is set if it was the last one in use.
 	RecordLost(c incarnation.Connection, last bool)
+	// RecordIdleClosed records that a server has closed an idle connection.
+	RecordIdleClosed(c incarnation.Connection)
 	// RecordEnded records that the process of a server has ended.
 	RecordEnded(server *routing.Server, at time.Time)
 }
@@ -46,31 +52,45 @@
 func (noRestarts) Version(c incarnation.Connection, _ time.Time) (string, bool) {
 	return c.Server.Version, true
 }
+func (noRestarts) Reliable(incarnation.Connection, time.Time) bool        { return true }
 func (noRestarts) MayHaveRestarted(*routing.Server, bool, time.Time) bool { return false }
 func (noRestarts) RecordLost(incarnation.Connection, bool)                {}
+func (noRestarts) RecordIdleClosed(incarnation.Connection)                {}
 func (noRestarts) RecordEnded(*routing.Server, time.Time)                 {}
 
 // unknownVersionRetryAfter is the Retry-After of a stream whose version nobody knows, before jitter: a box
 // that knows it may be out of reach for a moment.
 const unknownVersionRetryAfter = 300 * time.Millisecond
 
+// uncertainVersionRetryAfter is that of a stream whose version the list of servers will tell.
+const uncertainVersionRetryAfter = 700 * time.Millisecond
+
 // boundStream is a stream that must go on where it began.
 type boundStream struct {
 	key    resumption.Key
 	origin resumption.Origin
-	// connection is the one over which the stream began, if its origin is uncertain.
+	// connection is the one over which the stream began, and certainty its origin once that is certain. needsProof is set if
+	// the entry of the server must be proved.
 	connection incarnation.Connection
+	certainty  *certainty
+	needsProof bool
 }
 
 // resolve returns the origin, which the list of servers may tell by now.
 func (b *boundStream) resolve(i Incarnations, now time.Time) resumption.Origin {
 	o := b.origin
-	if !o.Uncertain {
+	if !o.Uncertain || o.Ambiguous {
 		return o
 	}
-	if version, ok := i.Version(b.connection, now); ok {
-		o.Version, o.Uncertain = version, false
+	if certain := b.certainty.origin.Load(); certain != nil {
+		return *certain
+	}
+	version, ok := i.Version(b.connection, now)
+	if !ok || b.needsProof && version == b.connection.Server.Version && !i.Reliable(b.connection, now) {
+		return o
 	}
+	o.Version, o.Uncertain = version, false
+	b.certainty.origin.Store(&o)
 	return o
 }
 
@@ -109,7 +129,11 @@
 		"versions", strings.Join(v.Evidence.Versions, ","), "history_known", v.Evidence.HistoryKnown, "list_confirmed", v.Evidence.ListConfirmed,
 		"others", v.Evidence.Others, "answers", v.Evidence.Answers, "confirming", v.Evidence.Confirming, "others_several", v.Evidence.OthersSeveral, "after_ms", clock.Since(x.arrival).Milliseconds())
 	if !v.Known {
-		return &RefusedError{Reason: "the software version at which the stream began is not known: " + v.Reason, RetryAfter: jitter(unknownVersionRetryAfter)}
+		retryAfter := unknownVersionRetryAfter
+		if v.Uncertain {
+			retryAfter = uncertainVersionRetryAfter
+		}
+		return &RefusedError{Reason: "the software version at which the stream began is not known: " + v.Reason, RetryAfter: jitter(retryAfter)}
 	}
 	if v.Origin.Service != x.service.Name && !x.switchService(v.Origin.Service) {
 		// The stream goes on at another service, whose versions are not comparable.
@@ -150,7 +174,7 @@
 	version, ok := x.attemptVersion()
 	if b := x.bound.Load(); b != nil {
 		origin := b.resolve(x.gateway.Incarnations, clock.Now())
-		if !ok || origin.Uncertain || version != origin.Version {
+		if !ok || origin.Uncertain || version != origin.Version || x.needsProof() {
 			return errUncertainVersion
 		}
 		x.end.bound = true
@@ -160,16 +184,34 @@
 		return nil
 	}
 	x.end.bound = true
-	b := &boundStream{
-		key: x.streamKey(), origin: resumption.Origin{Service: x.service.Name, Version: version, Uncertain: !ok}, connection: x.attemptConnection(),
-	}
+	b := x.newBoundStream(version, ok)
 	x.bound.Store(b)
-	if x.firstCall() != "" {
-		x.gateway.Streams.Began(b.key, b.origin)
+	if x.firstCall() == "" {
+		return nil
+	}
+	x.gateway.Streams.Began(b.key, b.origin)
+	if b.origin.Uncertain {
+		_ = level.Info(x.gateway.Logger).Log("msg", "version of a stream is not certain", "id", x.call.ID, "server", b.connection.Server.ID, "server_version", version, "connection_age_ms", clock.Since(b.connection.Opened).Milliseconds(), "may_have_restarted", !ok)
+		x.gateway.addUncertain(b)
 	}
 	return nil
 }
 
+// newBoundStream returns a stream that began at the server of the latest attempt.
+func (x *exchange) newBoundStream(version string, ok bool) *boundStream {
+	b := &boundStream{key: x.streamKey(), connection: x.attemptConnection(), certainty: &certainty{}}
+	b.connection.Server = new(x.end.lease.Server)
+	b.needsProof = ok && x.needsProof()
+	b.origin = resumption.Origin{Service: x.service.Name, Version: version, Uncertain: !ok || b.needsProof}
+	return b
+}
+
+// needsProof reports whether the entry of the latest attempt's server is not to be relied on for its connection as yet, and
+// there are several versions.
+func (x *exchange) needsProof() bool {
+	return x.gateway.Streams.SeveralVersions(x.service.Name) && !x.gateway.Incarnations.Reliable(x.attemptConnection(), clock.Now())
+}
+
 // attemptVersion returns the version of the server of the latest attempt. It returns false if that can't be told.
 func (x *exchange) attemptVersion() (string, bool) {
 	return x.gateway.Incarnations.Version(x.attemptConnection(), clock.Now())
@@ -246,6 +288,7 @@
 func (x *exchange) keepInterrupted() {
 	x.checkLife()
 	if b := x.bound.Load(); b != nil && !x.firstEventTime.IsZero() && x.firstCall() != "" {
+		x.gateway.uncertain.markInterrupted(b.key)
 		x.gateway.Streams.Interrupted(b.key, b.origin)
 	}
 }
--- a/pkg/gateway/streamversion_test.go
+++ b/pkg/gateway/streamversion_test.go
@@ -51,7 +51,7 @@
 	restarts := &fakeRestarts{}
 	x := &exchange{service: &routing.Service{Name: "s"}, gateway: &Gateway{Deps: Deps{Directory: directory.New(log.NewNopLogger()), Incarnations: restarts}}}
 	assert.Len(t, x.ofBoundVersion(servers), 3, "not bound")
-	b := &boundStream{}
+	b := &boundStream{certainty: &certainty{}}
 	b.origin.Version = "v1"
 	x.bound.Store(b)
 	assert.Equal(t, []routing.Server{servers[0], servers[2]}, x.ofBoundVersion(servers))
@@ -70,6 +70,7 @@
 type fakeStreams struct{ Streams }
 
 func (fakeStreams) Began(resumption.Key, resumption.Origin) {}
+func (fakeStreams) SeveralVersions(string) bool             { return false }
 
 // Guards against a stream that stays cut because a server was tried that may have another version.
 func TestRejectedServerLeavesStreamBound(t *testing.T) {
--- a/pkg/incarnation/exchange.go
+++ b/pkg/incarnation/exchange.go
@@ -71,7 +71,7 @@
 func (e *Exchange) Announce(r Restart) {
 	e.mu.Lock()
 	if before, ok := e.pending[r.Server]; ok {
-		r.Certain = r.Certain || before.Certain
+		r.Certain, r.Idle = r.Certain || before.Certain, r.Idle || before.Idle
 		r.At = earlier(r.At, before.At)
 	}
 	if len(e.pending) < maxPending {
@@ -132,7 +132,7 @@
 	now := clock.Now()
 	m := &incarnationpb.Restarts{}
 	for _, r := range batch {
-		m.Restarts = append(m.Restarts, &incarnationpb.Restart{Server: r.Server, AgeMs: ageMS(r.At, now), Certain: r.Certain, ConnectionAgeMs: ageMS(r.Opened, now)})
+		m.Restarts = append(m.Restarts, &incarnationpb.Restart{Server: r.Server, AgeMs: ageMS(r.At, now), Certain: r.Certain, ConnectionAgeMs: ageMS(r.Opened, now), Idle: r.Idle})
 	}
 	body, err := proto.Marshal(m)
 	if err != nil || !e.Port.Send(datagramKind, body, peers...) {
@@ -158,7 +158,7 @@
 	for _, r := range p.GetRestarts() {
 		age := time.Duration(r.GetAgeMs()) * time.Millisecond
 		if r.GetServer() != "" && age <= maxAge {
-			restart := Restart{Server: r.GetServer(), At: m.Received.Add(-age), Certain: r.GetCertain()}
+			restart := Restart{Server: r.GetServer(), At: m.Received.Add(-age), Certain: r.GetCertain(), Idle: r.GetIdle()}
 			if opened := r.GetConnectionAgeMs(); opened > 0 {
 				restart.Opened = m.Received.Add(-time.Duration(opened) * time.Millisecond)
 			}
--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -34,8 +34,11 @@
 	// confirmDelay is the time after a restart from which on the list has the entry of the new process, or none: that of
 	// the old one expires, and an outage of the source up to directory.MinOutage goes unnoticed.
 	confirmDelay = 4500 * time.Millisecond
-	// recoveryDelay is the time after an outage of the source within which servers write their entries again.
+	// recoveryDelay is the time after a restart, or after an outage of the source, within which servers write their entries.
 	recoveryDelay = 2 * time.Second
+	// entryLateness is how much later than a restart the list has the entry of the new process, while the source answers: that
+	// it is written takes up to recoveryDelay.
+	entryLateness = 2500 * time.Millisecond
 	// retention is how long resolved restarts are kept, for connections that were opened before, and maxResolved how many of
 	// a server.
 	retention   = time.Hour
@@ -63,8 +66,13 @@
 // Deps are the dependencies of a Tracker.
 type Deps struct {
 	List List
+	// Started is when this box started. It does not know of an outage of the source before.
+	Started time.Time
 	// Alive reports whether bytes of a server came after a time over a connection that was opened before another.
 	Alive func(server routing.Incarnation, openedBefore, readAfter time.Time) bool
+	// RunningSince returns since when the process of a server has been running to which a connection led that was opened at a
+	// time, as far as connections prove. It returns false if they prove nothing.
+	RunningSince func(server routing.Incarnation, opened time.Time) (time.Time, bool)
 	// LinkFailed reports whether this box has lost its link to a server, so that broken connections tell nothing of the
 	// server.
 	LinkFailed func(address string) bool
@@ -80,8 +88,8 @@
 	At time.Time
 	// Opened is when the connection was opened that broke; zero for none.
 	Opened time.Time
-	// Certain is set if a process has ended, and not just a connection.
-	Certain bool
+	// Certain is set if a process has ended, and not just a connection. Idle is set if the connection was not in use.
+	Certain, Idle bool
 }
 
 // Tracker holds the servers that may have restarted.
@@ -104,6 +112,8 @@
 	lostSince time.Time
 	// sweptAt is when all restarts were last resolved.
 	sweptAt time.Time
+	// settled is a time up to which each restart is in the list.
+	settled time.Time
 }
 
 // restart is a possible restart of a server, or a series of them.
@@ -167,6 +177,11 @@
 	t.record(loss{Restart: Restart{Server: c.Server.ID, At: c.Broken, Opened: c.Opened}, address: c.Server.Address, last: last})
 }
 
+// RecordIdleClosed records that a server closed an idle connection.
+func (t *Tracker) RecordIdleClosed(c Connection) {
+	t.record(loss{Restart: Restart{Server: c.Server.ID, At: c.Broken, Opened: c.Opened, Idle: true}, address: c.Server.Address})
+}
+
 // RecordEnded records that the process of a server has ended.
 func (t *Tracker) RecordEnded(server *routing.Server, at time.Time) {
 	t.record(loss{Restart: Restart{Server: server.ID, At: at, Certain: true}, address: server.Address})
@@ -196,19 +211,21 @@
 	b := t.burstOf(l)
 	first := b.count() == 0
 	many := t.lostMany(l)
-	b.add(l.source)
+	if !l.Idle {
+		b.add(l.source)
+	}
 	connections := b.count()
 	ended := l.Certain || !many && (connections >= burstLosses || b.own > 1 && l.last)
 	news := false
-	if ended || l.last {
+	if ended || l.last || l.Idle {
 		news = t.add(l, b.began, ended)
 	}
 	t.mu.Unlock()
 	if news {
 		_ = level.Info(t.Logger).Log("msg", "server may have restarted", "server", l.Server, "reported_by", l.source, "certain", ended, "connections", connections, "outcome", "its entry is not relied on until it is confirmed")
 	}
-	if l.source == "" && !many && (first || news) {
-		t.Announce(Restart{Server: l.Server, At: l.At, Opened: l.Opened, Certain: ended})
+	if l.source == "" && !many && (first && !l.Idle || news) {
+		t.Announce(Restart{Server: l.Server, At: l.At, Opened: l.Opened, Certain: ended, Idle: l.Idle})
 	}
 }
 
@@ -364,6 +381,40 @@
 	return c.Server.Version, true
 }
 
+// Reliable reports whether the entry of a server may be relied on for a connection. If this box has lost a connection to it, if
+// only an idle one, or had not started when others may have, the entry counts only once it is proved.
+func (t *Tracker) Reliable(c Connection, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	watched := !c.Opened.Before(t.Started.Add(recoveryDelay))
+	return watched && t.unresolved(c.Server.ID, now) == nil || t.proved(c)
+}
+
+// proved reports whether a connection is proved to lead to the process that the entry of its server describes: the connection,
+// or others that were open side by side, date from a time whose restarts are in the list. The caller holds mu.
+func (t *Tracker) proved(c Connection) bool {
+	entry, listed := t.List.ServerEntry(c.Server.ID)
+	if listed && (entry.Incarnation != c.Server.Incarnation() || entry.Version != c.Server.Version) {
+		return false
+	}
+	settled := t.settledAt()
+	if !c.Opened.After(settled) {
+		return true
+	}
+	since, ok := t.RunningSince(c.Server.Incarnation(), c.Opened)
+	return ok && !since.After(settled)
+}
+
+// settledAt returns a time up to which each restart is in the list. The source may have been out of reach before this box
+// started. The caller holds mu.
+func (t *Tracker) settledAt() time.Time {
+	confirmed, recovered := t.List.ServersConfirmed()
+	if !confirmed.Before(later(recovered, t.Started).Add(recoveryDelay)) {
+		t.settled = later(t.settled, confirmed.Add(-entryLateness))
+	}
+	return t.settled
+}
+
 // MayHaveRestarted reports whether a server may have restarted since its entry was confirmed. With certainOnly, a single
 // connection that broke does not count.
 func (t *Tracker) MayHaveRestarted(server *routing.Server, certainOnly bool, now time.Time) bool {
--- a/pkg/incarnation/tracker_test.go
+++ b/pkg/incarnation/tracker_test.go
@@ -28,7 +28,9 @@
 	server            *routing.Server
 	start             time.Time
 	alive, linkFailed bool
-	announced         []Restart
+	// runningSince is what connections prove, zero for nothing.
+	runningSince time.Time
+	announced    []Restart
 }
 
 func newFakeTracker() *fakeTracker {
@@ -38,6 +40,9 @@
 		List: f.list, Logger: log.NewNopLogger(), Announce: func(r Restart) { f.announced = append(f.announced, r) },
 		Alive:      func(routing.Incarnation, time.Time, time.Time) bool { return f.alive },
 		LinkFailed: func(string) bool { return f.linkFailed },
+		RunningSince: func(routing.Incarnation, time.Time) (time.Time, bool) {
+			return f.runningSince, !f.runningSince.IsZero()
+		},
 	})
 	return f
 }
@@ -149,6 +154,37 @@
 	}
 }
 
+// Guards against an entry that is relied on because nobody noticed a restart, where nobody could.
+func TestEntryIsReliableOrProved(t *testing.T) {
+	idle := func(f *fakeTracker) {
+		f.RecordIdleClosed(Connection{Server: f.server, Opened: f.at(3), Broken: f.at(5)})
+	}
+	for name, c := range map[string]struct {
+		record      func(*fakeTracker)
+		opened, now float64
+		want        bool
+	}{
+		"nothing happened":                  {func(*fakeTracker) {}, 6, 6, true},
+		"an idle connection was closed":     {idle, 5.1, 6, false},
+		"a connection broke":                {func(f *fakeTracker) { f.lose(f.server, true, 5) }, 5.1, 6, false},
+		"opened long before":                {func(f *fakeTracker) { idle(f); f.list.confirmed = f.at(6) }, 3.4, 6, true},
+		"confirmed too early":               {func(f *fakeTracker) { idle(f); f.list.confirmed = f.at(7.5) }, 5.1, 7.5, false},
+		"confirmed since":                   {func(f *fakeTracker) { idle(f); f.list.confirmed = f.at(7.7) }, 5.1, 7.7, true},
+		"confirmed just after an outage":    {func(f *fakeTracker) { idle(f); f.list.confirmed, f.list.recovered = f.at(8), f.at(7) }, 5.1, 8, false},
+		"an older connection ran beside it": {func(f *fakeTracker) { idle(f); f.list.confirmed, f.runningSince = f.at(6), f.at(3) }, 5.1, 6, true},
+		"others ran beside it that are new": {func(f *fakeTracker) { idle(f); f.list.confirmed, f.runningSince = f.at(6), f.at(4) }, 5.1, 6, false},
+		"listed anew":                       {func(f *fakeTracker) { idle(f); f.relist("v2", 5.5); f.list.confirmed = f.at(9) }, 5.1, 9, false},
+		"this box has just started":         {func(f *fakeTracker) { f.Started = f.at(5) }, 6.9, 7, false},
+		"this box started some time ago":    {func(f *fakeTracker) { f.Started = f.at(5) }, 7.1, 7.1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFakeTracker()
+			c.record(f)
+			assert.Equal(t, c.want, f.Reliable(Connection{Server: f.server, Opened: f.at(c.opened)}, f.at(c.now)))
+		})
+	}
+}
+
 // Guards against a box that informs others of restarts of all servers when it has lost its own links.
 func TestLossOfManyConnectionsIsNotAnnounced(t *testing.T) {
 	f := newFakeTracker()
--- a/pkg/resumption/decide.go
+++ b/pkg/resumption/decide.go
@@ -57,6 +57,8 @@
 	// Recorded is set if a box had a record.
 	Recorded bool
 	Reason   string
+	// Uncertain is set if there is a record, and the box that forwarded the stream will know its version.
+	Uncertain bool
 	// Evidence is what the verdict rests on.
 	Evidence Evidence
 	// mayResolve is set if the next confirmation of the list of servers, or reading the recent versions, may decide.
@@ -79,7 +81,7 @@
 	case (e.Found || e.Saved) && e.Origin.Ambiguous:
 		return Verdict{Reason: "its version is ambiguous"}
 	case e.Found && e.Origin.Uncertain:
-		return Verdict{Reason: "its server may have restarted with another version before it began"}
+		return Verdict{Reason: "its server may have restarted with another version before it began", Uncertain: true, mayResolve: true}
 	case e.Saved:
 		return Verdict{Known: true, Origin: e.Origin, Recorded: true, Reason: "recorded in the store"}
 	case e.Found:
--- a/pkg/resumption/exchange.go
+++ b/pkg/resumption/exchange.go
@@ -38,10 +38,15 @@
 	// retryPause is the pause before boxes are asked again. The record of a stream that a box sent just
 	// before it was lost may be on its way, as may that of a version that has just appeared.
 	retryPause = 80 * time.Millisecond
+	// uncertainPause is the pause before they are asked again for the version of a stream that is not certain yet.
+	uncertainPause = 200 * time.Millisecond
 	// lookupRounds is how often boxes are asked where there are several versions and no record.
 	lookupRounds = 3
 	// maxListWait limits how long a stream waits for the list of servers to be confirmed.
 	maxListWait = 1200 * time.Millisecond
+	// maxUncertainWait limits how long a stream waits for its version to become certain. Callers give a stream up after two
+	// seconds without an event, and the server that resumes it has to prefill.
+	maxUncertainWait = 1500 * time.Millisecond
 	// recordInterval is how often the streams in progress are recorded again.
 	recordInterval = Retention / 3
 )
@@ -142,9 +147,9 @@
 func (e *Exchange) Find(ctx context.Context, k Key, service string) Verdict {
 	start := clock.Now()
 	var v Verdict
-	for round := 0; round < lookupRounds || v.mayResolve && clock.Since(start) < maxListWait; round++ {
+	for round := 0; round < lookupRounds || v.mayResolve && clock.Since(start) < maxWaitFor(v); round++ {
 		if round > 0 {
-			pause.For(ctx, retryPause)
+			pause.For(ctx, pauseFor(v))
 		}
 		v = Decide(service, e.collect(ctx, k, service, start))
 		if v.Known || ctx.Err() != nil {
@@ -162,6 +167,22 @@
 	return v
 }
 
+// maxWaitFor returns how long a stream waits while its verdict may become another one.
+func maxWaitFor(v Verdict) time.Duration {
+	if v.Uncertain {
+		return maxUncertainWait
+	}
+	return maxListWait
+}
+
+// pauseFor returns the pause before boxes are asked again after a verdict.
+func pauseFor(v Verdict) time.Duration {
+	if v.Uncertain {
+		return uncertainPause
+	}
+	return retryPause
+}
+
 // copiesOf returns the number of boxes that keep a record in a fleet of a size.
 func copiesOf(boxes int) int {
 	if boxes <= smallFleet {
@@ -326,6 +347,9 @@
 	}
 }
 
+// SeveralVersions reports whether the servers of a service have several versions, or had lately.
+func (e *Exchange) SeveralVersions(service string) bool { return e.hasSeveral(service) }
+
 func (e *Exchange) hasSeveral(service string) bool {
 	return len(e.Versions(service).Versions) > 1
 }
--- a/pkg/routerd/incarnations.go
+++ b/pkg/routerd/incarnations.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-kit/log"
 
+	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/incarnation"
 	"headhill.example/headhill/pkg/routing"
 )
@@ -16,10 +17,13 @@
 		Port: d.peers, Peers: d.roster.Peers, Receive: func(box string, r incarnation.Restart) { d.incarnations.RecordRemote(box, r) }, Logger: logger,
 	})
 	d.incarnations = incarnation.New(incarnation.Deps{
-		List: d.directory, LinkFailed: d.paths.LinkFailed, Announce: d.restarts.Announce, Logger: logger,
+		List: d.directory, Started: clock.Now(), LinkFailed: d.paths.LinkFailed, Announce: d.restarts.Announce, Logger: logger,
 		Alive: func(server routing.Incarnation, openedBefore, readAfter time.Time) bool {
 			return d.upstream.Carries(server.String(), openedBefore, readAfter)
 		},
+		RunningSince: func(server routing.Incarnation, opened time.Time) (time.Time, bool) {
+			return d.upstream.RunningSince(server.String(), opened)
+		},
 	})
 	d.directory.OnRestoredEntry(d.incarnations.RecordRestoredEntry)
 }
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -35,6 +35,9 @@
 	// OnSend is called once a connection is open, just before the first byte is written; nil for none. If it
 	// returns an error, nothing is written.
 	OnSend func() error
+	// OnIdleClosed is called if the server closes the connection, which was established at a time, while it is idle after the
+	// response; nil for none. It must not block.
+	OnIdleClosed func(opened time.Time)
 }
 
 // Response is a response whose header has been read. Close must be called to release its
@@ -81,10 +84,12 @@
 
 // Client sends requests to servers over pooled connections.
 type Client struct {
-	pool   *pool
-	busy   busyConns
-	probes *probes
-	dialer Dialer
+	pool *pool
+	busy busyConns
+	// lifetimes is what connections prove that carry no exchange.
+	lifetimes lifetimes
+	probes    *probes
+	dialer    Dialer
 	// reused and dialed count the connections over which requests were sent.
 	reused, dialed atomic.Int64
 	ends           endCounts
@@ -127,9 +132,10 @@
 			return nil, &NotSentError{Address: r.Address, Cause: err}
 		}
 	}
-	x := &exchange{client: c, conn: conn, serverKey: r.ServerKey, writeResult: make(chan error, 1)}
+	x := &exchange{client: c, conn: conn, serverKey: r.ServerKey, onIdleClosed: r.OnIdleClosed, writeResult: make(chan error, 1)}
 	x.stopAbort = context.AfterFunc(ctx, func() { conn.Close() })
 	c.busy.add(r.ServerKey, conn)
+	sent := clock.Now()
 	go func() { x.writeResult <- x.write(r) }()
 	raw, err := x.readHead(r)
 	if err != nil {
@@ -139,6 +145,7 @@
 		}
 		return nil, &InterruptedError{Address: r.Address, Via: conn.via(), ConnOpened: conn.opened, Cause: err}
 	}
+	conn.recordRan(sent)
 	framing := framingOf(raw)
 	return &Response{
 		Via: conn.via(), ConnOpened: conn.opened, Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, Framing: framing,
@@ -148,7 +155,9 @@
 
 func (c *Client) acquireConn(ctx context.Context, r Request) (*conn, error) {
 	if !r.NewConnection {
-		if pooled := c.pool.take(r.ServerKey, clock.Now()); pooled != nil {
+		pooled, closed := c.pool.take(r.ServerKey, clock.Now())
+		reportClosed(closed)
+		if pooled != nil {
 			c.reused.Add(1)
 			pooled.reused = true
 			return pooled, nil
@@ -164,10 +173,12 @@
 
 // exchange is one request and its response on a connection.
 type exchange struct {
-	client      *Client
-	conn        *conn
-	serverKey   string
-	writeResult chan error
+	client    *Client
+	conn      *conn
+	serverKey string
+	// onIdleClosed is as in Request.
+	onIdleClosed func(opened time.Time)
+	writeResult  chan error
 	// stopAbort cancels the closing of the connection at the end of the context. It returns false
 	// if that has already begun.
 	stopAbort func() bool
@@ -231,10 +242,16 @@
 	return nil, &MalformedResponseError{Reason: "only answers to other requests came"}
 }
 
+// release records that the connection carries the exchange no longer, and what it proves of the server.
+func (x *exchange) release() {
+	x.client.busy.remove(x.serverKey, x.conn)
+	x.client.lifetimes.add(x.serverKey, x.conn.span())
+}
+
 func (x *exchange) abort() {
 	x.once.Do(func() {
 		x.stopAbort()
-		x.client.busy.remove(x.serverKey, x.conn)
+		x.release()
 		x.conn.Close()
 	})
 }
@@ -269,13 +286,14 @@
 }
 
 func (x *exchange) returnToPool(h http.Header) {
-	x.client.busy.remove(x.serverKey, x.conn)
+	x.release()
 	x.conn.idleSince = clock.Now()
 	x.conn.idleTimeout = idleTimeout(h)
 	if x.conn.idleTimeout <= 0 || x.conn.reader.Buffered() > 0 || !x.conn.fit() {
 		x.conn.Close()
 		return
 	}
+	x.conn.onIdleClosed = x.onIdleClosed
 	x.client.pool.put(x.serverKey, x.conn)
 }
 
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -42,8 +42,16 @@
 	// opened is when the connection was established, lastRead how many nanoseconds later bytes last came over it.
 	opened   time.Time
 	lastRead atomic.Int64
+	// ranAt is how many nanoseconds after opened the process of the server ran at least. emptyAt is when all bytes were last
+	// read that had arrived, zero if some may have been left; it is used by the reader only.
+	ranAt   atomic.Int64
+	emptyAt time.Time
 	// reused is set once the connection was taken from the pool.
 	reused bool
+	// peerClosed is set if the server was found to have closed the connection while it was idle, onIdleClosed is called then;
+	// nil for none.
+	peerClosed   bool
+	onIdleClosed func(opened time.Time)
 	// idleSince is the end of the last exchange. idleTimeout is how long the connection may be
 	// reused after that.
 	idleSince   time.Time
@@ -58,14 +66,16 @@
 	return timed
 }
 
-// readTimer reads from the connection and sets its lastRead.
+// readTimer reads from the connection and records when bytes came.
 type readTimer struct{ conn *conn }
 
 // Read implements io.Reader.
 func (r readTimer) Read(b []byte) (int, error) {
 	n, err := r.conn.Conn.Read(b)
 	if n > 0 {
-		r.conn.lastRead.Store(int64(clock.Since(r.conn.opened)))
+		now := clock.Now()
+		r.conn.lastRead.Store(int64(now.Sub(r.conn.opened)))
+		r.conn.recordRead(now, n < len(b))
 	}
 	return n, err
 }
@@ -155,7 +165,7 @@
 	return !ok || r.Reusable()
 }
 
-// reusable reports whether an idle connection is still open and has received no unsolicited data.
+// reusable reports whether an idle connection is still open and has received no unsolicited data. It sets peerClosed.
 func (c *conn) reusable() bool {
 	if c.reader.Buffered() > 0 {
 		return false
@@ -177,8 +187,9 @@
 	open := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, err := syscall.Read(int(fd), b[:])
+		n, err := syscall.Read(int(fd), b[:])
 		open = err == syscall.EAGAIN
+		c.peerClosed = !open && (err != nil || n == 0)
 		return true
 	})
 	return err == nil && open
--- /dev/null
+++ b/pkg/upstream/lifetime_test.go
@@ -0,0 +1,91 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"headhill.example/headhill/pkg/clock"
+)
+
+func TestSpansOfOneProcessAreMerged(t *testing.T) {
+	at := func(seconds int) time.Time { return time.Unix(1000+int64(seconds), 0) }
+	c := NewClient(time.Second)
+	for _, s := range []span{{at(0), at(2)}, {at(5), at(7)}, {at(10), at(10)}, {at(1), at(3)}} {
+		c.lifetimes.add("a", s)
+	}
+	for opened, since := range map[int]int{0: 0, 3: 0, 5: 5, 7: 5} {
+		from, ok := c.RunningSince("a", at(opened))
+		assert.True(t, ok, opened)
+		assert.Equal(t, at(since), from, opened)
+	}
+	for _, opened := range []int{4, 8, 10} {
+		_, ok := c.RunningSince("a", at(opened))
+		assert.False(t, ok, opened)
+	}
+	c.lifetimes.add("a", span{at(2), at(6)})
+	from, _ := c.RunningSince("a", at(7))
+	assert.Equal(t, at(0), from, "a connection that was open side by side with both")
+	c.lifetimes.add("b", span{at(100), at(101)})
+	_, ok := c.RunningSince("a", at(7))
+	assert.False(t, ok, "too long ago")
+}
+
+// Guards against bytes that were read late, of a process that has ended since they came.
+func TestLateReadsProveNoMoreThanThatTheProcessRanBefore(t *testing.T) {
+	c := newConn(nil)
+	at := func(ms int) time.Time { return c.opened.Add(time.Duration(ms) * time.Millisecond) }
+	c.recordRan(at(100))
+	c.recordRead(at(200), true)
+	assert.Equal(t, at(100), c.span().until, "the request was sent then")
+	c.recordRead(at(5000), false)
+	assert.Equal(t, at(200).Add(-transitTime), c.span().until, "nothing had come by then")
+	c.recordRead(at(9000), true)
+	assert.Equal(t, at(200).Add(-transitTime), c.span().until, "it may have come at any time")
+	c.recordRead(at(9100), true)
+	assert.Equal(t, at(9000).Add(-transitTime), c.span().until)
+}
+
+// Guards against a restart that nobody notices, as only idle connections broke.
+func TestIdleConnectionClosedByServerIsReported(t *testing.T) {
+	ended := make(chan struct{})
+	withServer(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		<-ended
+		c.Close()
+	}, func(c *Client, r Request) {
+		var reported []time.Time
+		r.OnIdleClosed = func(opened time.Time) { reported = append(reported, opened) }
+		send := func() time.Time {
+			resp, err := c.Do(context.Background(), r)
+			require.NoError(t, err)
+			_, err = io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			resp.Close()
+			return resp.ConnOpened
+		}
+		opened := send()
+		assert.Empty(t, reported)
+		close(ended)
+		require.Eventually(t, func() bool {
+			reportClosed(c.pool.removeClosed(clock.Now()))
+			return len(reported) > 0
+		}, 5*time.Second, time.Millisecond)
+		assert.Equal(t, []time.Time{opened}, reported)
+		assert.Empty(t, c.pool.idle)
+		send()
+		c.pool.sweep(clock.Now().Add(time.Minute))
+		send()
+		assert.Len(t, reported, 1, "this box has closed it")
+	})
+}
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -17,6 +17,8 @@
 	idleMargin       = time.Second
 	sweepInterval    = 2 * time.Second
 	maxIdlePerServer = 32
+	// closedInterval is how often idle connections are checked for a close by the server.
+	closedInterval = 200 * time.Millisecond
 )
 
 // pool holds idle connections by server key.
@@ -27,15 +29,20 @@
 
 func newPool() *pool { return &pool{idle: make(map[string][]*conn)} }
 
-// take removes and returns the most recently used connection that can be reused, or nil.
-func (p *pool) take(key string, now time.Time) *conn {
+// take removes and returns the most recently used connection that can be reused, or nil. closed are those that the server
+// has closed before their idle timeout.
+func (p *pool) take(key string, now time.Time) (reusable *conn, closed []*conn) {
 	for {
 		c := p.pop(key)
 		if c == nil {
-			return nil
+			return nil, closed
 		}
-		if !c.expired(now) && c.reusable() {
-			return c
+		expired := c.expired(now)
+		if !expired && c.reusable() {
+			return c, closed
+		}
+		if c.peerClosed {
+			closed = append(closed, c)
 		}
 		c.Close()
 	}
@@ -96,15 +103,48 @@
 	}
 }
 
-// Run closes expired idle connections until ctx is done, and then closes all idle connections.
+// removeClosed removes and returns the connections that servers have closed before their idle timeout.
+func (p *pool) removeClosed(now time.Time) (closed []*conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, conns := range p.idle {
+		p.idle[key] = slices.DeleteFunc(conns, func(c *conn) bool {
+			gone := !c.expired(now) && !c.reusable() && c.peerClosed
+			if gone {
+				closed = append(closed, c)
+				c.Close()
+			}
+			return gone
+		})
+		if len(p.idle[key]) == 0 {
+			delete(p.idle, key)
+		}
+	}
+	return closed
+}
+
+// reportClosed reports connections that servers have closed while they were idle.
+func reportClosed(closed []*conn) {
+	for _, c := range closed {
+		if c.onIdleClosed != nil {
+			c.onIdleClosed(c.opened)
+		}
+	}
+}
+
+// Run closes expired idle connections, and looks for closed ones, until ctx is done, and then closes all idle connections.
 func (c *Client) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	closedTicker := time.NewTicker(closedInterval)
+	defer closedTicker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			c.pool.sweep(clock.Now().Add(time.Hour))
 			return
+		case <-closedTicker.C:
+			reportClosed(c.pool.removeClosed(clock.Now()))
 		case <-ticker.C:
 			c.pool.sweep(clock.Now())
 		}
