upstream: bytes that were read late don't refute the restart of a server

Carries took the time of the read for a time at which the process ran.

Fix: Carries compares the time at which the process is proved to have run, as RunningSince does. TestConnectionsThatCarryBytes asked that a single byte read is proof, which is the fault. It asks now that it is none, and that the next one is: red without the fix.

--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -26,8 +26,7 @@
 	noticeDelay = 300 * time.Millisecond
 	// sameBreak is how long before the break of a connection another one may have broken by the same end of a process.
 	sameBreak = 150 * time.Millisecond
-	// aliveDelay is how long after a loss bytes of the server must have come over an older connection to show that
-	// its process has not ended. Bytes sent before may be on their way.
+	// aliveDelay is how much later than a loss a process must have run to show that it has not ended.
 	aliveDelay = 50 * time.Millisecond
 	// entryDelay is the time after a restart from which on a changed entry was written by the new process.
 	entryDelay = time.Second
@@ -68,8 +67,8 @@
 	List List
 	// Started is when this box started. It does not know of an outage of the source before.
 	Started time.Time
-	// Alive reports whether bytes of a server came after a time over a connection that was opened before another.
-	Alive func(server routing.Incarnation, openedBefore, readAfter time.Time) bool
+	// Alive reports whether the process of a server ran after a time, to which a connection leads that was opened before another.
+	Alive func(server routing.Incarnation, openedBefore, ranAfter time.Time) bool
 	// RunningSince returns since when the process of a server has been running to which a connection led that was opened at a
 	// time, as far as connections prove. It returns false if they prove nothing.
 	RunningSince func(server routing.Incarnation, opened time.Time) (time.Time, bool)
--- a/pkg/routerd/incarnations.go
+++ b/pkg/routerd/incarnations.go
@@ -18,8 +18,8 @@
 	})
 	d.incarnations = incarnation.New(incarnation.Deps{
 		List: d.directory, Started: clock.Now(), LinkFailed: d.paths.LinkFailed, Announce: d.restarts.Announce, Logger: logger,
-		Alive: func(server routing.Incarnation, openedBefore, readAfter time.Time) bool {
-			return d.upstream.Carries(server.String(), openedBefore, readAfter)
+		Alive: func(server routing.Incarnation, openedBefore, ranAfter time.Time) bool {
+			return d.upstream.Carries(server.String(), openedBefore, ranAfter)
 		},
 		RunningSince: func(server routing.Incarnation, opened time.Time) (time.Time, bool) {
 			return d.upstream.RunningSince(server.String(), opened)
--- a/pkg/upstream/busy.go
+++ b/pkg/upstream/busy.go
@@ -39,13 +39,13 @@
 	return len(c.busy.byKey[serverKey])
 }
 
-// Carries reports whether a connection to a server that was opened before a time carries an exchange and has
-// carried bytes of the server after another.
-func (c *Client) Carries(serverKey string, openedBefore, readAfter time.Time) bool {
+// Carries reports whether a connection to a server that was opened before a time carries an exchange, and the process to which it
+// leads ran after another. Bytes that are read late don't show that.
+func (c *Client) Carries(serverKey string, openedBefore, ranAfter time.Time) bool {
 	c.busy.mu.Lock()
 	defer c.busy.mu.Unlock()
 	for open := range c.busy.byKey[serverKey] {
-		if open.opened.Before(openedBefore) && open.opened.Add(time.Duration(open.lastRead.Load())).After(readAfter) {
+		if open.opened.Before(openedBefore) && open.span().until.After(ranAfter) {
 			return true
 		}
 	}
--- a/pkg/upstream/busy_test.go
+++ b/pkg/upstream/busy_test.go
@@ -15,7 +15,7 @@
 	"headhill.example/headhill/pkg/clock"
 )
 
-// Only a connection that was opened before and has carried bytes since shows that a process has run all the time.
+// Only a connection that was opened before and has carried bytes that were sent since shows that a process has run all the time.
 func TestConnectionsThatCarryBytes(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -34,7 +34,7 @@
 	}()
 	client := NewClient(time.Second)
 	before := clock.Now()
-	go func() { send <- "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" }()
+	go func() { send <- "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n" }()
 	resp, err := client.Do(context.Background(), Request{ServerKey: "a", Address: listener.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h"})
 	require.NoError(t, err)
 	opened := clock.Now()
@@ -44,11 +44,17 @@
 	assert.False(t, client.Carries("b", opened, before), "another server")
 	assert.False(t, client.Carries("a", before, before), "opened since")
 	assert.False(t, client.Carries("a", opened, opened), "no bytes since")
-	send <- "x"
-	_, err = io.ReadFull(resp.Body, make([]byte, 1))
-	require.NoError(t, err)
-	assert.True(t, client.Carries("a", opened, opened))
-	send <- "y"
+	receive := func(text string) {
+		time.Sleep(2 * transitTime)
+		send <- text
+		_, err = io.ReadFull(resp.Body, make([]byte, 1))
+		require.NoError(t, err)
+	}
+	receive("x")
+	assert.False(t, client.Carries("a", opened, opened), "the byte may have come at any time since the head")
+	receive("y")
+	assert.True(t, client.Carries("a", opened, opened), "nothing had come by then")
+	send <- "z"
 	_, err = io.ReadAll(resp.Body)
 	require.NoError(t, err)
 	resp.Close()
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -39,9 +39,8 @@
 	limit  *io.LimitedReader
 	head   *headRecorder
 	reader *bufio.Reader
-	// opened is when the connection was established, lastRead how many nanoseconds later bytes last came over it.
-	opened   time.Time
-	lastRead atomic.Int64
+	// opened is when the connection was established.
+	opened time.Time
 	// ranAt is how many nanoseconds after opened the process of the server ran at least. emptyAt is when all bytes were last
 	// read that had arrived, zero if some may have been left; it is used by the reader only.
 	ranAt   atomic.Int64
@@ -73,9 +72,7 @@
 func (r readTimer) Read(b []byte) (int, error) {
 	n, err := r.conn.Conn.Read(b)
 	if n > 0 {
-		now := clock.Now()
-		r.conn.lastRead.Store(int64(now.Sub(r.conn.opened)))
-		r.conn.recordRead(now, n < len(b))
+		r.conn.recordRead(clock.Now(), n < len(b))
 	}
 	return n, err
 }
