incarnation: a server that has restarted lately is relied on only once it is proved

A restart under the ID is the sign that another one may come.

Fix: for 30 s after the list has another incarnation or version under an ID, connections to it need the proof. Table of TestEntryIsReliableOrProved; the directory tells when (TestServerEntriesTellSinceWhen).

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -21,6 +21,8 @@
 	// ListedAt is when this box learned of the incarnation and version that the entry has; zero if the entry came with a
 	// list of a new era, which may be older.
 	ListedAt time.Time
+	// RestartedAt is when this box learned of the latest restart of the server under its ID; zero for none.
+	RestartedAt time.Time
 	// RemovedAt is when the server was removed from the list; zero while it is listed.
 	RemovedAt time.Time
 	// GraceEnd is set if the entry expired during an outage of the source: until then the server
@@ -396,6 +398,12 @@
 	if exists && old.Incarnation() == s.Incarnation() && old.Version == s.Version {
 		listed.ListedAt = old.ListedAt
 	}
+	switch {
+	case exists && (old.Incarnation() != s.Incarnation() || old.Version != s.Version):
+		listed.RestartedAt = at
+	case exists:
+		listed.RestartedAt = old.RestartedAt
+	}
 	line := level.Info(d.logger)
 	if bulk {
 		line = level.Debug(d.logger)
--- a/pkg/directory/incarnations.go
+++ b/pkg/directory/incarnations.go
@@ -15,7 +15,7 @@
 	if !ok || !s.RemovedAt.IsZero() {
 		return incarnation.Entry{}, false
 	}
-	return incarnation.Entry{Incarnation: s.Incarnation(), Version: s.Version, ListedAt: s.ListedAt}, true
+	return incarnation.Entry{Incarnation: s.Incarnation(), Version: s.Version, ListedAt: s.ListedAt, RestartedAt: s.RestartedAt}, true
 }
 
 // ServersConfirmed implements incarnation.List.
--- a/pkg/directory/incarnations_test.go
+++ b/pkg/directory/incarnations_test.go
@@ -27,6 +27,10 @@
 			want = start
 		}
 		assert.Equal(t, want, e.ListedAt, "entry %d", i)
+		if i < 2 {
+			want = time.Time{}
+		}
+		assert.Equal(t, want, e.RestartedAt, "entry %d", i)
 	}
 	d.changeServers([]ServerEvent{{Server: routing.Server{ID: "a"}, Removed: true}}, start.Add(5*time.Second))
 	_, ok := d.ServerEntry("a")
--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -38,6 +38,8 @@
 	// entryLateness is how much later than a restart the list has the entry of the new process, while the source answers: that
 	// it is written takes up to recoveryDelay.
 	entryLateness = 2500 * time.Millisecond
+	// unstableTime is how long a server that has restarted counts as one that may restart again.
+	unstableTime = 30 * time.Second
 	// retention is how long resolved restarts are kept, for connections that were opened before, and maxResolved how many of
 	// a server.
 	retention   = time.Hour
@@ -52,6 +54,8 @@
 	Version     string
 	// ListedAt is when this box learned of the incarnation, zero if it came with a list that may be outdated.
 	ListedAt time.Time
+	// RestartedAt is when this box learned that the server had restarted under its ID, zero if it has not.
+	RestartedAt time.Time
 }
 
 // List is the list of servers as the tracker sees it.
@@ -381,12 +385,15 @@
 }
 
 // Reliable reports whether the entry of a server may be relied on for a connection. If this box has lost a connection to it, if
-// only an idle one, or had not started when others may have, the entry counts only once it is proved.
+// only an idle one, or had not started when others may have, the entry counts only once it is proved. So does that of a server
+// that has restarted lately, as it may have again while nobody was connected.
 func (t *Tracker) Reliable(c Connection, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	watched := !c.Opened.Before(t.Started.Add(recoveryDelay))
-	return watched && t.unresolved(c.Server.ID, now) == nil || t.proved(c)
+	entry, _ := t.List.ServerEntry(c.Server.ID)
+	stable := entry.RestartedAt.IsZero() || now.Sub(entry.RestartedAt) > unstableTime
+	return watched && stable && t.unresolved(c.Server.ID, now) == nil || t.proved(c)
 }
 
 // proved reports whether a connection is proved to lead to the process that the entry of its server describes: the connection,
--- a/pkg/incarnation/tracker_test.go
+++ b/pkg/incarnation/tracker_test.go
@@ -174,8 +174,18 @@
 		"an older connection ran beside it": {func(f *fakeTracker) { idle(f); f.list.confirmed, f.runningSince = f.at(6), f.at(3) }, 5.1, 6, true},
 		"others ran beside it that are new": {func(f *fakeTracker) { idle(f); f.list.confirmed, f.runningSince = f.at(6), f.at(4) }, 5.1, 6, false},
 		"listed anew":                       {func(f *fakeTracker) { idle(f); f.relist("v2", 5.5); f.list.confirmed = f.at(9) }, 5.1, 9, false},
-		"this box has just started":         {func(f *fakeTracker) { f.Started = f.at(5) }, 6.9, 7, false},
-		"this box started some time ago":    {func(f *fakeTracker) { f.Started = f.at(5) }, 7.1, 7.1, true},
+		"restarted lately": {func(f *fakeTracker) {
+			f.list.entries["a"] = Entry{Incarnation: f.server.Incarnation(), Version: "v1", RestartedAt: f.at(5)}
+		}, 34, 34.9, false},
+		"restarted some time ago": {func(f *fakeTracker) {
+			f.list.entries["a"] = Entry{Incarnation: f.server.Incarnation(), Version: "v1", RestartedAt: f.at(5)}
+		}, 34, 35.1, true},
+		"restarted lately, others ran beside it": {func(f *fakeTracker) {
+			f.list.entries["a"] = Entry{Incarnation: f.server.Incarnation(), Version: "v1", RestartedAt: f.at(5)}
+			f.list.confirmed, f.runningSince = f.at(34), f.at(31)
+		}, 34, 34, true},
+		"this box has just started":      {func(f *fakeTracker) { f.Started = f.at(5) }, 6.9, 7, false},
+		"this box started some time ago": {func(f *fakeTracker) { f.Started = f.at(5) }, 7.1, 7.1, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFakeTracker()
