upstream: a check for closed idle connections does not consume what a server sent unasked

Callers: bytes of another response could end up in theirs, in theory: a server that sends bytes after its response, a few at a time, had them consumed one by one by the check that looks for closed idle connections five times a second. The connection then looked unused when it was taken for the next request.

Cause: the check reads a byte to learn whether the server has closed the connection, and kept the connection if it had not. Only the call that takes a connection closed it for unsolicited data.

Fix: the check closes each connection that can't be reused. TestIdleConnectionWithUnsolicitedByteIsNotReused: red before (1 of 1), green 21 of 21 after, 20 of these with -race.

--- a/pkg/upstream/lifetime_test.go
+++ b/pkg/upstream/lifetime_test.go
@@ -89,3 +89,31 @@
 		assert.Len(t, reported, 1, "this box has closed it")
 	})
 }
+
+// Guards against the reuse of a connection whose unsolicited data was read by the check for a close.
+func TestIdleConnectionWithUnsolicitedByteIsNotReused(t *testing.T) {
+	withServer(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(c, "x")
+		}
+	}, func(c *Client, r Request) {
+		r.OnIdleClosed = func(time.Time) { t.Error("the server has not closed the connection") }
+		resp, err := c.Do(context.Background(), r)
+		require.NoError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		resp.Close()
+		for range 20 {
+			time.Sleep(5 * time.Millisecond)
+			reportClosed(c.pool.removeClosed(clock.Now()))
+		}
+		reused, _ := c.pool.take(r.ServerKey, clock.Now())
+		assert.Nil(t, reused)
+	})
+}
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -103,18 +103,20 @@
 	}
 }
 
-// removeClosed removes and returns the connections that servers have closed before their idle timeout.
+// removeClosed closes the connections that can't be reused, and returns those that servers have closed before their idle timeout.
 func (p *pool) removeClosed(now time.Time) (closed []*conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for key, conns := range p.idle {
 		p.idle[key] = slices.DeleteFunc(conns, func(c *conn) bool {
-			gone := !c.expired(now) && !c.reusable() && c.peerClosed
-			if gone {
+			if c.expired(now) || c.reusable() {
+				return false
+			}
+			if c.peerClosed {
 				closed = append(closed, c)
-				c.Close()
 			}
-			return gone
+			c.Close()
+			return true
 		})
 		if len(p.idle[key]) == 0 {
 			delete(p.idle, key)
