upstream: idle connections to servers of services with one version are not checked

Cost: each idle connection was checked for a close five times a second, a system call under the lock of the pool, also where nothing follows from it. Streams of services with one version are to cost nothing.

Processor time was not measured.

--- a/pkg/upstream/lifetime_test.go
+++ b/pkg/upstream/lifetime_test.go
@@ -117,3 +117,28 @@
 		assert.Nil(t, reused)
 	})
 }
+
+// Guards against system calls for connections to servers of services that have one version.
+func TestIdleConnectionIsCheckedOnlyIfItsCloseIsReported(t *testing.T) {
+	checks := 0
+	c := newConn(countedConn{checks: &checks})
+	c.idleSince, c.idleTimeout = clock.Now(), time.Minute
+	p := newPool()
+	p.put("a", c)
+	assert.Empty(t, p.removeClosed(clock.Now()))
+	assert.Zero(t, checks)
+	c.onIdleClosed = func(time.Time) {}
+	assert.Empty(t, p.removeClosed(clock.Now()))
+	assert.Equal(t, 1, checks)
+}
+
+// countedConn counts how often it is checked.
+type countedConn struct {
+	net.Conn
+	checks *int
+}
+
+func (c countedConn) Reusable() bool {
+	*c.checks++
+	return true
+}
