incarnation: a server whose entry is in doubt is asked when it started

A process can tell whether it is the one of the entry: born sits at the top level of all that a server says of itself, so in GET /report too.

Fix: where a stream begins or goes on and the entry is in doubt, the box asks. The process of the entry that runs as the query is sent ran as the connection was opened; another one shows that it has ended. No query where nothing is in doubt, nor with one version unless a restart was noticed; a server without born in its entry or report is judged by the list, as before.

--- a/cmd/headhill/cmds/route.go
+++ b/cmd/headhill/cmds/route.go
@@ -85,6 +85,7 @@
 			return platform.NewQuarantine(platform.NewStore(access))
 		},
 		PathCheck: platform.PathCheckHeader,
+		Report:    platform.ServerReport(),
 		Versions: func(access routerd.StoreAccess) resumption.VersionStore {
 			return platform.NewVersions(platform.NewStore(access))
 		},
--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -35,6 +35,9 @@
 	Version(c incarnation.Connection, now time.Time) (string, bool)
 	// Reliable reports whether the entry of a server may be relied on for a connection.
 	Reliable(c incarnation.Connection, now time.Time) bool
+	// Query has the server of a connection queried whether its entry describes the process that runs, and reports whether an
+	// answer may come. It must not block.
+	Query(c incarnation.Connection) bool
 	// MayHaveRestarted reports whether the entry of a server is not to be relied on. With certainOnly, a single
 	// connection that broke does not count.
 	MayHaveRestarted(server *routing.Server, certainOnly bool, now time.Time) bool
@@ -53,6 +56,7 @@
 	return c.Server.Version, true
 }
 func (noRestarts) Reliable(incarnation.Connection, time.Time) bool        { return true }
+func (noRestarts) Query(incarnation.Connection) bool                      { return false }
 func (noRestarts) MayHaveRestarted(*routing.Server, bool, time.Time) bool { return false }
 func (noRestarts) RecordLost(incarnation.Connection, bool)                {}
 func (noRestarts) RecordIdleClosed(incarnation.Connection)                {}
@@ -65,6 +69,13 @@
 // uncertainVersionRetryAfter is that of a stream whose version the list of servers will tell.
 const uncertainVersionRetryAfter = 700 * time.Millisecond
 
+const (
+	// maxProofWait limits how long the first event of a stream that goes on waits until the version of its server is certain,
+	// proofInterval is the pause before each look.
+	maxProofWait  = 300 * time.Millisecond
+	proofInterval = 10 * time.Millisecond
+)
+
 // boundStream is a stream that must go on where it began.
 type boundStream struct {
 	key    resumption.Key
@@ -171,10 +182,10 @@
 	if x.end.bound {
 		return nil
 	}
-	version, ok := x.attemptVersion()
 	if b := x.bound.Load(); b != nil {
 		origin := b.resolve(x.gateway.Incarnations, clock.Now())
-		if !ok || origin.Uncertain || version != origin.Version || x.needsProof() {
+		version, ok := x.provedVersion()
+		if !ok || origin.Uncertain || version != origin.Version {
 			return errUncertainVersion
 		}
 		x.end.bound = true
@@ -184,6 +195,7 @@
 		return nil
 	}
 	x.end.bound = true
+	version, ok := x.attemptVersion()
 	b := x.newBoundStream(version, ok)
 	x.bound.Store(b)
 	if x.firstCall() == "" {
@@ -206,6 +218,19 @@
 	return b
 }
 
+// provedVersion returns the version of the server of the latest attempt. If it is not certain, the server is queried, and the first
+// event waits for that.
+func (x *exchange) provedVersion() (version string, ok bool) {
+	for wait := maxProofWait; ; wait -= proofInterval {
+		version, ok = x.attemptVersion()
+		ok = ok && !x.needsProof()
+		if ok || wait <= 0 || !x.gateway.Incarnations.Query(x.attemptConnection()) {
+			return version, ok
+		}
+		time.Sleep(proofInterval)
+	}
+}
+
 // needsProof reports whether the entry of the latest attempt's server is not to be relied on for its connection as yet, and
 // there are several versions.
 func (x *exchange) needsProof() bool {
--- a/pkg/gateway/uncertain.go
+++ b/pkg/gateway/uncertain.go
@@ -13,7 +13,7 @@
 
 const (
 	// uncertainInterval is how often it is checked whether the versions of uncertain streams are certain by now.
-	uncertainInterval = 200 * time.Millisecond
+	uncertainInterval = 100 * time.Millisecond
 	// maxUncertain is the number of streams that are checked. Further ones stay uncertain once they have ended.
 	maxUncertain = 4096
 )
@@ -51,6 +51,7 @@
 		time.AfterFunc(uncertainInterval, g.checkUncertain)
 	}
 	u.byKey[b.key] = &uncertainStream{boundStream: b, began: clock.Now()}
+	g.Incarnations.Query(b.connection)
 }
 
 // markInterrupted records that a stream was interrupted.
@@ -75,6 +76,8 @@
 			delete(u.byKey, k)
 		case now.Sub(s.began) > resumption.Retention:
 			delete(u.byKey, k)
+		default:
+			g.Incarnations.Query(s.connection)
 		}
 	}
 	if len(u.byKey) > 0 {
--- /dev/null
+++ b/pkg/incarnation/reports.go
@@ -0,0 +1,154 @@
+package incarnation
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/pause"
+	"headhill.example/headhill/pkg/routing"
+)
+
+const (
+	// queryInterval is the pause between two queries of a server, silentInterval that after a report that does not state a start.
+	queryInterval  = 100 * time.Millisecond
+	silentInterval = 5 * time.Second
+	// queryTimeout limits a query.
+	queryTimeout = 500 * time.Millisecond
+	// maxQueries is the number of servers that are queried at a time.
+	maxQueries = 64
+	// reportRetention is how long what a server stated is kept.
+	reportRetention = time.Minute
+)
+
+// ErrNoStart is returned for a server whose report does not state when its process started.
+var ErrNoStart = errors.New("the server does not state when it started")
+
+// QuerierDeps are the dependencies of a Querier.
+type QuerierDeps struct {
+	// Query asks the process that runs at the address of a server when it started, as in routing.Incarnation. The error is
+	// ErrNoStart if it does not say.
+	Query func(ctx context.Context, server *routing.Server) (started int64, err error)
+	// Record is called with each answer and the time at which the query was sent.
+	Record func(server *routing.Server, started int64, sent time.Time)
+	Logger log.Logger
+}
+
+// Querier asks servers when their processes started: each server one query at a time, with pauses.
+type Querier struct {
+	QuerierDeps
+	mu sync.Mutex
+	// byServer holds the servers that are queried or were lately, by ID.
+	byServer map[string]*querying
+}
+
+// querying is a server that is queried. repeat is set if another query is wanted, silent if its report does not state a start.
+type querying struct{ repeat, silent bool }
+
+// NewQuerier returns a Querier.
+func NewQuerier(d QuerierDeps) *Querier {
+	return &Querier{QuerierDeps: d, byServer: make(map[string]*querying)}
+}
+
+// Query has a server queried after the call, and reports whether an answer may come. It does not block.
+func (q *Querier) Query(server *routing.Server) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if s, ok := q.byServer[server.ID]; ok {
+		s.repeat = true
+		return !s.silent
+	}
+	if len(q.byServer) >= maxQueries {
+		return false
+	}
+	q.byServer[server.ID] = &querying{}
+	go q.run(*server)
+	return true
+}
+
+// run queries a server until no further query is wanted.
+func (q *Querier) run(server routing.Server) {
+	for again := true; again; again = q.wanted(server.ID) {
+		pause.For(context.Background(), q.query(&server))
+	}
+}
+
+// wanted reports whether another query of a server is wanted.
+func (q *Querier) wanted(id string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.byServer[id]
+	if !s.repeat {
+		delete(q.byServer, id)
+		return false
+	}
+	s.repeat = false
+	return true
+}
+
+// query queries a server, and returns the pause before the next query.
+func (q *Querier) query(server *routing.Server) time.Duration {
+	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
+	defer cancel()
+	sent := clock.Now()
+	started, err := q.QuerierDeps.Query(ctx, server)
+	_ = level.Info(q.Logger).Log("msg", "queried when server started", "server", server.ID, "entry_started", server.Started, "started", started, "took_ms", clock.Since(sent).Milliseconds(), "err", err)
+	silent := errors.Is(err, ErrNoStart)
+	q.mu.Lock()
+	q.byServer[server.ID].silent = silent
+	q.mu.Unlock()
+	if silent {
+		return silentInterval
+	}
+	if err == nil {
+		q.Record(server, started, sent)
+	}
+	return queryInterval
+}
+
+// RecordReport records when the process of a server started, as it stated in answer to a query that was sent at a time. If that is
+// not the process of the entry with which it was queried, that one has ended.
+func (t *Tracker) RecordReport(server *routing.Server, started int64, sent time.Time) {
+	process := routing.Incarnation{ID: server.ID, Started: started}
+	t.mu.Lock()
+	maps.DeleteFunc(t.running, func(_ routing.Incarnation, at time.Time) bool { return sent.Sub(at) > reportRetention })
+	_, known := t.running[process]
+	t.running[process] = later(t.running[process], sent)
+	entry, _ := t.List.ServerEntry(server.ID)
+	s := t.unresolved(server.ID, sent)
+	ended := !known && entry.Incarnation != process && (s == nil || !s.certain)
+	t.mu.Unlock()
+	if ended {
+		t.RecordEnded(server, sent)
+	}
+}
+
+// Query has the server of a connection queried, and reports whether an answer may come. It returns false if there has been one
+// since the connection was opened.
+func (t *Tracker) Query(c Connection) bool {
+	return c.Server.Started != 0 && t.Deps.Query != nil && !t.answered(c) && t.Deps.Query(c.Server)
+}
+
+// answered reports whether the server of a connection has answered a query that was sent since the connection was opened.
+func (t *Tracker) answered(c Connection) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for process, at := range t.running {
+		if process.ID == c.Server.ID && !at.Before(c.Opened) {
+			return true
+		}
+	}
+	return false
+}
+
+// ranSince reports whether the process of an entry stated that it runs when it was queried after a time. The caller holds mu.
+func (t *Tracker) ranSince(process routing.Incarnation, at time.Time) bool {
+	sent, ok := t.running[process]
+	return ok && process.Started != 0 && !sent.Before(at)
+}
--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -79,6 +79,9 @@
 	// LinkFailed reports whether this box has lost its link to a server, so that broken connections tell nothing of the
 	// server.
 	LinkFailed func(address string) bool
+	// Query has a server queried when its process started, see RecordReport, and reports whether an answer may come; nil if
+	// servers can't be queried. It must not block.
+	Query func(*routing.Server) bool
 	// Announce informs other boxes. It must not block.
 	Announce func(Restart)
 	Logger   log.Logger
@@ -117,6 +120,8 @@
 	sweptAt time.Time
 	// settled is a time up to which each restart is in the list.
 	settled time.Time
+	// running holds when processes stated that they run.
+	running map[routing.Incarnation]time.Time
 }
 
 // restart is a possible restart of a server, or a series of them.
@@ -130,7 +135,8 @@
 	// ownOnly is set while only this box has noticed it, address is that at which it did.
 	ownOnly bool
 	address string
-	// version is that of the entry when the restart was noticed.
+	// process and version are those of the entry when the restart was noticed.
+	process routing.Incarnation
 	version string
 }
 
@@ -168,7 +174,7 @@
 
 // New returns a tracker that knows of no restarts.
 func New(d Deps) *Tracker {
-	return &Tracker{Deps: d, restarts: make(map[string]*restart), resolved: make(map[string][]resolution), bursts: make(map[string]*burst), lost: make(map[string]bool)}
+	return &Tracker{Deps: d, restarts: make(map[string]*restart), resolved: make(map[string][]resolution), bursts: make(map[string]*burst), lost: make(map[string]bool), running: make(map[routing.Incarnation]time.Time)}
 }
 
 // Count returns the number of servers that may have restarted.
@@ -260,7 +266,7 @@
 	s := t.unresolved(l.Server, l.At)
 	if s == nil {
 		entry, _ := t.List.ServerEntry(l.Server)
-		s = &restart{first: began, last: l.At, ownOnly: true, version: entry.Version}
+		s = &restart{first: began, last: l.At, ownOnly: true, process: entry.Incarnation, version: entry.Version}
 		t.restarts[l.Server] = s
 		t.pending.Add(1)
 		t.noticed.Store(true)
@@ -327,7 +333,8 @@
 	if s.ownOnly && s.address != "" && t.LinkFailed(s.address) {
 		return true
 	}
-	return !s.proved && t.ranAt(id, s.first, t.lastOf(id, s))
+	last := t.lastOf(id, s)
+	return t.ranSince(s.process, last.Add(aliveDelay)) || !s.proved && t.ranAt(id, s.first, last)
 }
 
 // ranAt reports whether one process of a server has been running from before a time until after another. The caller
@@ -369,6 +376,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.ranSince(c.Server.Incarnation(), c.Opened) {
+		return c.Server.Version, true
+	}
 	if s := t.unresolved(c.Server.ID, now); s != nil && s.certain && c.concerns(s.first) {
 		return c.Server.Version, false
 	}
@@ -399,6 +409,9 @@
 // proved reports whether a connection is proved to lead to the process that the entry of its server describes: the connection,
 // or others that were open side by side, date from a time whose restarts are in the list. The caller holds mu.
 func (t *Tracker) proved(c Connection) bool {
+	if t.ranSince(c.Server.Incarnation(), c.Opened) {
+		return true
+	}
 	entry, listed := t.List.ServerEntry(c.Server.ID)
 	if listed && (entry.Incarnation != c.Server.Incarnation() || entry.Version != c.Server.Version) {
 		return false
@@ -462,6 +475,9 @@
 
 // confirmedSince reports whether the entry of a server describes the process that runs since a restart.
 func (t *Tracker) confirmedSince(restart time.Time, entry Entry, listed bool) bool {
+	if listed && t.ranSince(entry.Incarnation, restart.Add(aliveDelay)) {
+		return true
+	}
 	confirmed, recovered := t.List.ServersConfirmed()
 	if listed && !entry.ListedAt.Before(restart.Add(entryDelay)) && (recovered.Before(restart) || !entry.ListedAt.Before(recovered.Add(recoveryDelay))) {
 		return true
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -87,6 +87,8 @@
 	Cloud func(address func() string) duties.Cloud
 	// PathCheck returns the header of a request that a server answers without running it; nil if there is none.
 	PathCheck func() http.Header
+	// Report is the request for what a server says of itself; the zero value if there is none.
+	Report ServerReport
 	// DialServer opens a direct connection to a server; nil for a TCP connection.
 	DialServer func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -230,7 +232,7 @@
 		d.versions.ServersChanged()
 		d.saver.ServersChanged()
 	})
-	d.watchIncarnations(peerLogger)
+	d.watchIncarnations(a.Report, peerLogger)
 	d.gateway = gateway.New(gateway.Deps{
 		Protocol: a.Protocol, Directory: d.directory, Balancer: balance,
 		Budget: d.retryBudget, Upstream: d.upstream, Quarantine: d.quarantine, Recorder: recorder{metrics}, Usage: d.duties, Logger: logs.For(logflags.Gateway),
--- a/pkg/routerd/incarnations.go
+++ b/pkg/routerd/incarnations.go
@@ -1,6 +1,10 @@
 package routerd
 
 import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
 	"time"
 
 	"github.com/go-kit/log"
@@ -8,16 +12,29 @@
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/incarnation"
 	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/signals"
+	"headhill.example/headhill/pkg/upstream"
 )
 
+// maxReportBytes is the part of a server's report that is read.
+const maxReportBytes = 64 << 10
+
+// ServerReport is a request for what a server says of itself, which it answers without running anything.
+type ServerReport struct {
+	// Target is the request target.
+	Target string
+	// Started returns when the process started, as in routing.Incarnation. It returns false if the report does not say so.
+	Started func(report []byte) (int64, bool)
+}
+
 // watchIncarnations creates what notices restarts of servers. It requires the directory, the peers and the client of
 // the servers.
-func (d *Daemon) watchIncarnations(logger log.Logger) {
+func (d *Daemon) watchIncarnations(report ServerReport, logger log.Logger) {
 	d.restarts = incarnation.NewExchange(incarnation.ExchangeDeps{
 		Port: d.peers, Peers: d.roster.Peers, Receive: func(box string, r incarnation.Restart) { d.incarnations.RecordRemote(box, r) }, Logger: logger,
 	})
 	d.incarnations = incarnation.New(incarnation.Deps{
-		List: d.directory, Started: clock.Now(), LinkFailed: d.paths.LinkFailed, Announce: d.restarts.Announce, Logger: logger,
+		List: d.directory, Started: clock.Now(), LinkFailed: d.paths.LinkFailed, Announce: d.restarts.Announce, Query: d.queryOf(report, logger), Logger: logger,
 		Alive: func(server routing.Incarnation, openedBefore, ranAfter time.Time) bool {
 			return d.upstream.Carries(server.String(), openedBefore, ranAfter)
 		},
@@ -27,3 +44,46 @@
 	})
 	d.directory.OnRestoredEntry(d.incarnations.RecordRestoredEntry)
 }
+
+// queryOf returns what has a server queried when it started, nil if servers can't be queried. One whose requests are restricted
+// is not, as it may count a query as a request.
+func (d *Daemon) queryOf(report ServerReport, logger log.Logger) func(*routing.Server) bool {
+	if report.Target == "" {
+		return nil
+	}
+	q := incarnation.NewQuerier(incarnation.QuerierDeps{
+		Logger: logger,
+		Query: func(ctx context.Context, server *routing.Server) (int64, error) {
+			return d.readStart(ctx, report, server)
+		},
+		Record: func(server *routing.Server, started int64, sent time.Time) {
+			d.incarnations.RecordReport(server, started, sent)
+		},
+	})
+	return func(server *routing.Server) bool {
+		return !d.balancer.Signals().State(signals.KeyOf(server.Incarnation()), clock.Now()).Constrained() && q.Query(server)
+	}
+}
+
+// readStart reads when the process of a server started.
+func (d *Daemon) readStart(ctx context.Context, report ServerReport, server *routing.Server) (int64, error) {
+	resp, err := d.upstream.Do(ctx, upstream.Request{
+		ServerKey: server.Incarnation().String(), Address: server.Address, Method: http.MethodGet, Target: report.Target, Host: server.Address,
+	})
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	if err != nil {
+		return 0, err
+	}
+	if resp.Status != http.StatusOK {
+		return 0, fmt.Errorf("server %s answered the query with status %d", server.ID, resp.Status)
+	}
+	started, ok := report.Started(body)
+	if !ok {
+		return 0, incarnation.ErrNoStart
+	}
+	return started, nil
+}
