incarnation: a report tells to which process a connection leads

Cause: after a noticed restart each connection that was opened since counted as one to the process that is listed next. Between the two may lie a further restart that nobody notices. The same class: absence of evidence.

Fix: a process that states that it runs, at a time at which the connection proves its own process to have run at the same address, is the one to which the connection leads; its version is that of its entry, and not known as long as that was not listed. Where a server states its start, a connection that was opened in doubt has no version without that. A stream that was interrupted while uncertain stays uncertain and may become certain, where it was marked as ambiguous if the entry had another version by then.

TestReportsProveOrRefuteEntries has the cases.

--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -301,7 +301,8 @@
 	}
 	used := x.end.lease.Server
 	listed, ok := x.gateway.Directory.View().ServerAt(used.Address)
-	if ok && listed.ID == used.ID && listed.Version != used.Version && (after.origin.Uncertain || after.origin.Version != listed.Version) {
+	provable := used.Started != 0 && after.origin.Uncertain
+	if ok && listed.ID == used.ID && listed.Version != used.Version && !provable && (after.origin.Uncertain || after.origin.Version != listed.Version) {
 		after.origin.Ambiguous = true
 	}
 	if after.origin != b.origin {
--- a/pkg/incarnation/reports.go
+++ b/pkg/incarnation/reports.go
@@ -112,14 +112,22 @@
 	return queryInterval
 }
 
+// statement is when a process stated that it runs, for the first and the last time, and at which address. version is that of its
+// entry, if that was listed.
+type statement struct {
+	first, last time.Time
+	address     string
+	version     string
+	listed      bool
+}
+
 // RecordReport records when the process of a server started, as it stated in answer to a query that was sent at a time. If that is
 // not the process of the entry with which it was queried, that one has ended.
 func (t *Tracker) RecordReport(server *routing.Server, started int64, sent time.Time) {
 	process := routing.Incarnation{ID: server.ID, Started: started}
 	t.mu.Lock()
-	maps.DeleteFunc(t.running, func(_ routing.Incarnation, at time.Time) bool { return sent.Sub(at) > reportRetention })
-	_, known := t.running[process]
-	t.running[process] = later(t.running[process], sent)
+	t.sweepStatements(sent)
+	known := t.addStatement(process, server.Address, sent)
 	entry, _ := t.List.ServerEntry(server.ID)
 	s := t.unresolved(server.ID, sent)
 	ended := !known && entry.Incarnation != process && (s == nil || !s.certain)
@@ -129,6 +137,68 @@
 	}
 }
 
+// sweepStatements removes what servers stated too long ago. The caller holds mu.
+func (t *Tracker) sweepStatements(now time.Time) {
+	for id, processes := range t.stated {
+		maps.DeleteFunc(processes, func(_ int64, s *statement) bool { return now.Sub(s.last) > reportRetention })
+		if len(processes) == 0 {
+			delete(t.stated, id)
+		}
+	}
+}
+
+// addStatement adds what a process stated, and reports whether it had done so before. The caller holds mu.
+func (t *Tracker) addStatement(process routing.Incarnation, address string, sent time.Time) (known bool) {
+	processes := t.stated[process.ID]
+	if processes == nil {
+		processes = make(map[int64]*statement)
+		t.stated[process.ID] = processes
+	}
+	s, known := processes[process.Started]
+	if !known {
+		processes[process.Started] = &statement{first: sent, last: sent, address: address}
+		return false
+	}
+	s.first, s.last = earlier(s.first, sent), later(s.last, sent)
+	return true
+}
+
+// processOf returns the process to which a connection leads, and what it stated. It returns false if no report tells. The caller
+// holds mu.
+func (t *Tracker) processOf(c Connection) (routing.Incarnation, *statement, bool) {
+	own := c.Server.Incarnation()
+	processes := t.stated[own.ID]
+	if len(processes) == 0 {
+		return own, nil, false
+	}
+	if t.ranSince(own, c.Opened) {
+		return own, processes[own.Started], true
+	}
+	from, until, ok := t.Lifetime(own, c.Opened)
+	for started, s := range processes {
+		if ok && s.address == c.Server.Address && !s.first.After(until) && !s.last.Before(from) {
+			return routing.Incarnation{ID: own.ID, Started: started}, s, true
+		}
+	}
+	return own, nil, false
+}
+
+// statedVersion returns the version of the process to which a connection leads. told is unset if no report tells the process, ok if the
+// entry of that process is not known. The caller holds mu.
+func (t *Tracker) statedVersion(c Connection) (version string, told, ok bool) {
+	process, s, told := t.processOf(c)
+	if !told {
+		return "", false, false
+	}
+	if process == c.Server.Incarnation() {
+		return c.Server.Version, true, true
+	}
+	if entry, listed := t.List.ServerEntry(process.ID); listed && entry.Incarnation == process {
+		s.version, s.listed = entry.Version, true
+	}
+	return s.version, true, s.listed
+}
+
 // Query has the server of a connection queried, and reports whether an answer may come. It returns false if there has been one
 // since the connection was opened.
 func (t *Tracker) Query(c Connection) bool {
@@ -139,16 +209,16 @@
 func (t *Tracker) answered(c Connection) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for process, at := range t.running {
-		if process.ID == c.Server.ID && !at.Before(c.Opened) {
+	for _, s := range t.stated[c.Server.ID] {
+		if !s.last.Before(c.Opened) {
 			return true
 		}
 	}
 	return false
 }
 
-// ranSince reports whether the process of an entry stated that it runs when it was queried after a time. The caller holds mu.
+// ranSince reports whether a process stated that it runs when it was queried after a time. The caller holds mu.
 func (t *Tracker) ranSince(process routing.Incarnation, at time.Time) bool {
-	sent, ok := t.running[process]
-	return ok && process.Started != 0 && !sent.Before(at)
+	s, ok := t.stated[process.ID][process.Started]
+	return ok && process.Started != 0 && !s.last.Before(at)
 }
--- a/pkg/incarnation/reports_test.go
+++ b/pkg/incarnation/reports_test.go
@@ -27,24 +27,31 @@
 		}
 	}
 	for name, c := range map[string]struct {
-		record          func(*fakeTracker)
-		opened, now     float64
+		record      func(*fakeTracker)
+		opened, now float64
+		// until is up to when the connection proves that its process ran, 0 for nothing.
+		until           float64
 		version         string
 		reliable, maybe bool
 	}{
-		"runs on":                              {record: report(idle, 1, 5.2), opened: 5.1, now: 5.3, version: "v1", reliable: true},
-		"opened after the query":               {record: report(idle, 1, 5.2), opened: 5.25, now: 5.3, version: "v1", reliable: true},
-		"queried before the connection broke":  {record: report(idle, 1, 4.9), opened: 5.1, now: 5.3, version: "v1", maybe: true},
-		"runs on, taken for ended":             {record: report(ended, 1, 5.2), opened: 5.1, now: 5.3, version: "v1", reliable: true},
-		"queried as it ended":                  {record: report(ended, 1, 5.01), opened: 5.1, now: 5.3, maybe: true},
-		"another process":                      {record: report(idle, 2, 5.2), opened: 5.1, now: 5.3, maybe: true},
-		"another process, no sign before":      {record: report(func(*fakeTracker) {}, 2, 5.2), opened: 5.3, now: 5.3, maybe: true},
-		"another process, opened before":       {record: report(func(*fakeTracker) {}, 2, 5.2), opened: 4, now: 5.3, version: "v1", maybe: true},
-		"another process, listed by now":       {record: func(f *fakeTracker) { ended(f); f.relist("v2", 5.3); f.RecordReport(f.server, 2, f.at(5.4)) }, opened: 5.2, now: 5.5, version: "v2", reliable: true},
-		"another process, listed before query": {record: func(f *fakeTracker) { report(ended, 2, 5.2)(f); f.relist("v2", 5.3) }, opened: 5.2, now: 5.5, version: "v2", reliable: true},
+		"runs on":                             {record: report(idle, 1, 5.2), opened: 5.1, now: 5.3, version: "v1", reliable: true},
+		"opened after the query":              {record: report(idle, 1, 5.2), opened: 5.25, now: 5.3, version: "v1", reliable: true},
+		"queried before the connection broke": {record: report(idle, 1, 4.9), opened: 5.1, now: 5.3, version: "v1", maybe: true},
+		"runs on, taken for ended":            {record: report(ended, 1, 5.2), opened: 5.1, now: 5.3, version: "v1", reliable: true},
+		"queried as it ended":                 {record: report(ended, 1, 5.01), opened: 5.1, now: 5.3, maybe: true},
+		"another process":                     {record: report(idle, 2, 5.2), opened: 5.1, now: 5.3, maybe: true},
+		"another process, no sign before":     {record: report(func(*fakeTracker) {}, 2, 5.2), opened: 5.3, now: 5.3, maybe: true},
+		"another process, opened before":      {record: report(func(*fakeTracker) {}, 2, 5.2), opened: 4, now: 5.3, version: "v1", maybe: true},
+		"another process, listed by now":      {record: func(f *fakeTracker) { ended(f); f.relist("v2", 5.3); f.RecordReport(f.server, 2, f.at(5.4)) }, opened: 5.2, until: 5.45, now: 5.5, version: "v2", reliable: true},
+		"another process, listed since":       {record: func(f *fakeTracker) { report(ended, 2, 5.2)(f); f.relist("v2", 5.3) }, opened: 5.1, until: 5.3, now: 5.5, version: "v2", reliable: true},
+		"it may have ended before the query":  {record: func(f *fakeTracker) { report(ended, 2, 5.2)(f); f.relist("v2", 6.5) }, opened: 5.1, until: 5.15, now: 7, reliable: true},
+		"another one was listed":              {record: func(f *fakeTracker) { report(ended, 3, 5.2)(f); f.relist("v2", 6.5) }, opened: 5.1, until: 5.3, now: 7},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFakeTracker()
+			if c.until > 0 {
+				f.runningSince, f.runningUntil = f.at(c.opened), f.at(c.until)
+			}
 			c.record(f)
 			assert.Equal(t, c.version, f.versionOf(c.opened, 0, c.now))
 			assert.Equal(t, c.maybe, f.MayHaveRestarted(f.server, false, f.at(c.now)))
@@ -60,6 +67,7 @@
 		f.RecordReport(f.server, 2, f.at(5+float64(i)))
 	}
 	f.relist("v2", 9)
+	f.runningSince, f.runningUntil = f.at(6), f.at(9)
 	assert.Equal(t, "v2", f.versionOf(6, 0, 9.5))
 }
 
--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -73,9 +73,9 @@
 	Started time.Time
 	// Alive reports whether the process of a server ran after a time, to which a connection leads that was opened before another.
 	Alive func(server routing.Incarnation, openedBefore, ranAfter time.Time) bool
-	// RunningSince returns since when the process of a server has been running to which a connection led that was opened at a
-	// time, as far as connections prove. It returns false if they prove nothing.
-	RunningSince func(server routing.Incarnation, opened time.Time) (time.Time, bool)
+	// Lifetime returns a time during which one process of a server ran, that to which a connection led which was opened at a time,
+	// as far as connections prove. It returns false if they prove nothing.
+	Lifetime func(server routing.Incarnation, opened time.Time) (from, until time.Time, ok bool)
 	// LinkFailed reports whether this box has lost its link to a server, so that broken connections tell nothing of the
 	// server.
 	LinkFailed func(address string) bool
@@ -120,8 +120,8 @@
 	sweptAt time.Time
 	// settled is a time up to which each restart is in the list.
 	settled time.Time
-	// running holds when processes stated that they run.
-	running map[routing.Incarnation]time.Time
+	// stated holds what processes stated, by the ID of the server and when they started.
+	stated map[string]map[int64]*statement
 }
 
 // restart is a possible restart of a server, or a series of them.
@@ -174,7 +174,7 @@
 
 // New returns a tracker that knows of no restarts.
 func New(d Deps) *Tracker {
-	return &Tracker{Deps: d, restarts: make(map[string]*restart), resolved: make(map[string][]resolution), bursts: make(map[string]*burst), lost: make(map[string]bool), running: make(map[routing.Incarnation]time.Time)}
+	return &Tracker{Deps: d, restarts: make(map[string]*restart), resolved: make(map[string][]resolution), bursts: make(map[string]*burst), lost: make(map[string]bool), stated: make(map[string]map[int64]*statement)}
 }
 
 // Count returns the number of servers that may have restarted.
@@ -376,8 +376,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.ranSince(c.Server.Incarnation(), c.Opened) {
-		return c.Server.Version, true
+	if version, told, ok := t.statedVersion(c); told {
+		return version, ok
 	}
 	if s := t.unresolved(c.Server.ID, now); s != nil && s.certain && c.concerns(s.first) {
 		return c.Server.Version, false
@@ -385,6 +385,8 @@
 	for _, r := range slices.Backward(t.resolved[c.Server.ID]) {
 		switch {
 		case !c.concerns(r.first):
+		case len(t.stated[c.Server.ID]) > 0:
+			return c.Server.Version, false
 		case r.listed && !c.Opened.Before(r.last), r.listed && r.unchanged() && c.Server.Version == r.after:
 			return r.after, true
 		default:
@@ -404,6 +406,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if _, told, ok := t.statedVersion(c); told {
+		return ok
+	}
 	watched := !c.Opened.Before(t.Started.Add(recoveryDelay))
 	entry, _ := t.List.ServerEntry(c.Server.ID)
 	stable := entry.RestartedAt.IsZero() || now.Sub(entry.RestartedAt) > unstableTime
@@ -413,9 +418,6 @@
 // proved reports whether a connection is proved to lead to the process that the entry of its server describes: the connection,
 // or others that were open side by side, date from a time whose restarts are in the list. The caller holds mu.
 func (t *Tracker) proved(c Connection) bool {
-	if t.ranSince(c.Server.Incarnation(), c.Opened) {
-		return true
-	}
 	entry, listed := t.List.ServerEntry(c.Server.ID)
 	if listed && (entry.Incarnation != c.Server.Incarnation() || entry.Version != c.Server.Version) {
 		return false
@@ -424,7 +426,7 @@
 	if !c.Opened.After(settled) {
 		return true
 	}
-	since, ok := t.RunningSince(c.Server.Incarnation(), c.Opened)
+	since, _, ok := t.Lifetime(c.Server.Incarnation(), c.Opened)
 	return ok && !since.After(settled)
 }
 
--- a/pkg/incarnation/tracker_test.go
+++ b/pkg/incarnation/tracker_test.go
@@ -28,9 +28,9 @@
 	server            *routing.Server
 	start             time.Time
 	alive, linkFailed bool
-	// runningSince is what connections prove, zero for nothing.
-	runningSince time.Time
-	announced    []Restart
+	// runningSince and runningUntil are what connections prove, zero for nothing.
+	runningSince, runningUntil time.Time
+	announced                  []Restart
 }
 
 func newFakeTracker() *fakeTracker {
@@ -40,8 +40,8 @@
 		List: f.list, Logger: log.NewNopLogger(), Announce: func(r Restart) { f.announced = append(f.announced, r) },
 		Alive:      func(routing.Incarnation, time.Time, time.Time) bool { return f.alive },
 		LinkFailed: func(string) bool { return f.linkFailed },
-		RunningSince: func(routing.Incarnation, time.Time) (time.Time, bool) {
-			return f.runningSince, !f.runningSince.IsZero()
+		Lifetime: func(routing.Incarnation, time.Time) (time.Time, time.Time, bool) {
+			return f.runningSince, f.runningUntil, !f.runningSince.IsZero()
 		},
 	})
 	return f
--- a/pkg/routerd/incarnations.go
+++ b/pkg/routerd/incarnations.go
@@ -38,8 +38,8 @@
 		Alive: func(server routing.Incarnation, openedBefore, ranAfter time.Time) bool {
 			return d.upstream.Carries(server.String(), openedBefore, ranAfter)
 		},
-		RunningSince: func(server routing.Incarnation, opened time.Time) (time.Time, bool) {
-			return d.upstream.RunningSince(server.String(), opened)
+		Lifetime: func(server routing.Incarnation, opened time.Time) (from, until time.Time, ok bool) {
+			return d.upstream.Lifetime(server.String(), opened)
 		},
 	})
 	d.directory.OnRestoredEntry(d.incarnations.RecordRestoredEntry)
--- a/pkg/upstream/lifetime.go
+++ b/pkg/upstream/lifetime.go
@@ -75,19 +75,19 @@
 	return append(merged, s)
 }
 
-// RunningSince returns since when the process has been running to which a connection led that was opened at a time, as far as
-// the connections to the server prove. It returns false if they prove nothing.
-func (c *Client) RunningSince(serverKey string, opened time.Time) (time.Time, bool) {
+// Lifetime returns a time during which the process ran to which a connection led that was opened at a time, as far as the
+// connections to the server prove. It returns false if they prove nothing.
+func (c *Client) Lifetime(serverKey string, opened time.Time) (from, until time.Time, ok bool) {
 	spans := c.lifetimes.of(serverKey)
 	for _, s := range c.busy.spans(serverKey) {
 		spans = merge(spans, s)
 	}
 	for _, s := range spans {
 		if !opened.Before(s.from) && !opened.After(s.until) {
-			return s.from, true
+			return s.from, s.until, true
 		}
 	}
-	return time.Time{}, false
+	return time.Time{}, time.Time{}, false
 }
 
 // spans returns what the connections to a server prove that carry an exchange.
--- a/pkg/upstream/lifetime_test.go
+++ b/pkg/upstream/lifetime_test.go
@@ -22,19 +22,20 @@
 		c.lifetimes.add("a", s)
 	}
 	for opened, since := range map[int]int{0: 0, 3: 0, 5: 5, 7: 5} {
-		from, ok := c.RunningSince("a", at(opened))
+		from, _, ok := c.Lifetime("a", at(opened))
 		assert.True(t, ok, opened)
 		assert.Equal(t, at(since), from, opened)
 	}
 	for _, opened := range []int{4, 8, 10} {
-		_, ok := c.RunningSince("a", at(opened))
+		_, _, ok := c.Lifetime("a", at(opened))
 		assert.False(t, ok, opened)
 	}
 	c.lifetimes.add("a", span{at(2), at(6)})
-	from, _ := c.RunningSince("a", at(7))
+	from, until, _ := c.Lifetime("a", at(7))
+	assert.Equal(t, at(7), until)
 	assert.Equal(t, at(0), from, "a connection that was open side by side with both")
 	c.lifetimes.add("b", span{at(100), at(101)})
-	_, ok := c.RunningSince("a", at(7))
+	_, _, ok := c.Lifetime("a", at(7))
 	assert.False(t, ok, "too long ago")
 }
 
