upstream: a query of a server leaves its idle connections watched

Callers: streams of two versions, if a server restarts while its only idle connection has last carried a query: its close was reported to nobody.

Cause: a connection that goes back to the pool got the callback of its last request, and a query has none.

Fix: a request without the callback leaves the one of before.

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -293,7 +293,9 @@
 		x.conn.Close()
 		return
 	}
-	x.conn.onIdleClosed = x.onIdleClosed
+	if x.onIdleClosed != nil {
+		x.conn.onIdleClosed = x.onIdleClosed
+	}
 	x.client.pool.put(x.serverKey, x.conn)
 }
 
