incarnation: what a server states outweighs the list, and a doubt ends by proof only

Absence of a sign ended the doubt, and an older statement replaced a newer one.

Changes: an entry that another process has denied since it was listed is not relied on; a restart that a query finds begins where the process of the entry was last proved to run; an entry that is not the one of the connection proves nothing; the list proves what is 4.5 s older, as a process may end before it writes its entry and the one of the process before expires then; a box that has run for less than 30 s needs proof.

--- a/pkg/incarnation/reports.go
+++ b/pkg/incarnation/reports.go
@@ -48,8 +48,12 @@
 	byServer map[string]*querying
 }
 
-// querying is a server that is queried. repeat is set if another query is wanted, silent if its report does not state a start.
-type querying struct{ repeat, silent bool }
+// querying is a server that is queried, as its entry was when a query was last wanted. repeat is set if another one is wanted, silent
+// if its report does not state a start.
+type querying struct {
+	server         routing.Server
+	repeat, silent bool
+}
 
 // NewQuerier returns a Querier.
 func NewQuerier(d QuerierDeps) *Querier {
@@ -61,35 +65,36 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if s, ok := q.byServer[server.ID]; ok {
-		s.repeat = true
+		s.silent = s.silent && s.server.Incarnation() == server.Incarnation()
+		s.server, s.repeat = *server, true
 		return !s.silent
 	}
 	if len(q.byServer) >= maxQueries {
 		return false
 	}
-	q.byServer[server.ID] = &querying{}
+	q.byServer[server.ID] = &querying{server: *server}
 	go q.run(*server)
 	return true
 }
 
 // run queries a server until no further query is wanted.
 func (q *Querier) run(server routing.Server) {
-	for again := true; again; again = q.wanted(server.ID) {
+	for again := true; again; server, again = q.next(server.ID) {
 		pause.For(context.Background(), q.query(&server))
 	}
 }
 
-// wanted reports whether another query of a server is wanted.
-func (q *Querier) wanted(id string) bool {
+// next returns the server for another query, if one is wanted.
+func (q *Querier) next(id string) (server routing.Server, wanted bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s := q.byServer[id]
 	if !s.repeat {
 		delete(q.byServer, id)
-		return false
+		return routing.Server{}, false
 	}
 	s.repeat = false
-	return true
+	return s.server, true
 }
 
 // query queries a server, and returns the pause before the next query.
@@ -101,7 +106,9 @@
 	_ = level.Info(q.Logger).Log("msg", "queried when server started", "server", server.ID, "entry_started", server.Started, "started", started, "took_ms", clock.Since(sent).Milliseconds(), "err", err)
 	silent := errors.Is(err, ErrNoStart)
 	q.mu.Lock()
-	q.byServer[server.ID].silent = silent
+	if s := q.byServer[server.ID]; s.server.Incarnation() == server.Incarnation() {
+		s.silent = silent
+	}
 	q.mu.Unlock()
 	if silent {
 		return silentInterval
@@ -131,10 +138,40 @@
 	entry, _ := t.List.ServerEntry(server.ID)
 	s := t.unresolved(server.ID, sent)
 	ended := !known && entry.Incarnation != process && (s == nil || !s.certain)
+	ran := t.lastProved(server.Incarnation())
 	t.mu.Unlock()
-	if ended {
-		t.RecordEnded(server, sent)
+	if !ended {
+		return
 	}
+	t.RecordEnded(server, sent)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.restarts[server.ID]; s != nil {
+		s.first = earlier(s.first, ran)
+	}
+}
+
+// lastProved returns a time up to which the process of an entry is proved to have run. The caller holds mu.
+func (t *Tracker) lastProved(process routing.Incarnation) time.Time {
+	ran := t.settledAt()
+	if s, ok := t.stated[process.ID][process.Started]; ok {
+		ran = later(ran, s.last)
+	}
+	return ran
+}
+
+// denied reports whether another process than that of an entry stated that it runs since the entry was listed. The caller holds mu.
+func (t *Tracker) denied(entry Entry) bool {
+	own := entry.ListedAt
+	if s, ok := t.stated[entry.Incarnation.ID][entry.Incarnation.Started]; ok {
+		own = later(own, s.last)
+	}
+	for started, s := range t.stated[entry.Incarnation.ID] {
+		if started != entry.Incarnation.Started && s.last.After(own) {
+			return true
+		}
+	}
+	return false
 }
 
 // sweepStatements removes what servers stated too long ago. The caller holds mu.
--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -35,9 +35,8 @@
 	confirmDelay = 4500 * time.Millisecond
 	// recoveryDelay is the time after a restart, or after an outage of the source, within which servers write their entries.
 	recoveryDelay = 2 * time.Second
-	// entryLateness is how much later than a restart the list has the entry of the new process, while the source answers: that
-	// it is written takes up to recoveryDelay.
-	entryLateness = 2500 * time.Millisecond
+	// entryLateness is how much later than a restart the list has the entry of the new process, or none if that has ended too.
+	entryLateness = confirmDelay
 	// unstableTime is how long a server that has restarted counts as one that may restart again.
 	unstableTime = 30 * time.Second
 	// retention is how long resolved restarts are kept, for connections that were opened before, and maxResolved how many of
@@ -330,10 +329,13 @@
 // refuted reports whether the process of a server has been running since before its possible restart, or whether
 // the loss of this box's link explains what was noticed. The caller holds mu.
 func (t *Tracker) refuted(id string, s *restart) bool {
+	last := t.lastOf(id, s)
+	if entry, listed := t.List.ServerEntry(id); listed && t.denied(entry) {
+		return false
+	}
 	if s.ownOnly && s.address != "" && t.LinkFailed(s.address) {
 		return true
 	}
-	last := t.lastOf(id, s)
 	return t.ranSince(s.process, last.Add(aliveDelay)) || !s.proved && t.ranAt(id, s.first, last)
 }
 
@@ -398,9 +400,10 @@
 
 // Reliable reports whether the entry of a server may be relied on for a connection. If this box has lost a connection to it, if
 // only an idle one, or had not started when others may have, the entry counts only once it is proved. So does that of a server
-// that has restarted lately, as it may have again while nobody was connected. A server whose entry does not state when it started
-// has another ID after each start.
-func (t *Tracker) Reliable(c Connection, now time.Time) bool {
+// that has restarted lately, as it may have again while nobody was connected. These doubts don't count while answering is set: the
+// server was queried and may answer. Nothing can be proved of a server whose entry does not state when it started, so that only a
+// restart that was noticed counts.
+func (t *Tracker) Reliable(c Connection, answering bool, now time.Time) bool {
 	if c.Server.Started == 0 {
 		return true
 	}
@@ -409,17 +412,25 @@
 	if _, told, ok := t.statedVersion(c); told {
 		return ok
 	}
-	watched := !c.Opened.Before(t.Started.Add(recoveryDelay))
-	entry, _ := t.List.ServerEntry(c.Server.ID)
+	entry, listed := t.List.ServerEntry(c.Server.ID)
+	if !listed || entry.Incarnation != c.Server.Incarnation() || t.denied(entry) {
+		return false
+	}
+	return answering || t.undoubted(c, entry, now) || t.proved(c)
+}
+
+// undoubted reports whether there is no sign that a server may have restarted before a connection was opened. The caller holds mu.
+func (t *Tracker) undoubted(c Connection, entry Entry, now time.Time) bool {
+	watched := !c.Opened.Before(t.Started.Add(unstableTime))
 	stable := entry.RestartedAt.IsZero() || now.Sub(entry.RestartedAt) > unstableTime
-	return watched && stable && t.unresolved(c.Server.ID, now) == nil || t.proved(c)
+	return watched && stable && t.unresolved(c.Server.ID, now) == nil
 }
 
 // proved reports whether a connection is proved to lead to the process that the entry of its server describes: the connection,
 // or others that were open side by side, date from a time whose restarts are in the list. The caller holds mu.
 func (t *Tracker) proved(c Connection) bool {
 	entry, listed := t.List.ServerEntry(c.Server.ID)
-	if listed && (entry.Incarnation != c.Server.Incarnation() || entry.Version != c.Server.Version) {
+	if !listed || entry.Incarnation != c.Server.Incarnation() || entry.Version != c.Server.Version || t.denied(entry) {
 		return false
 	}
 	settled := t.settledAt()
@@ -484,6 +495,9 @@
 	if listed && t.ranSince(entry.Incarnation, restart.Add(aliveDelay)) {
 		return true
 	}
+	if listed && t.denied(entry) {
+		return false
+	}
 	confirmed, recovered := t.List.ServersConfirmed()
 	if listed && !entry.ListedAt.Before(restart.Add(entryDelay)) && (recovered.Before(restart) || !entry.ListedAt.Before(recovered.Add(recoveryDelay))) {
 		return true
