gateway: the servers of several versions are asked for each connection, and those left out are asked too

Changes, where a service has several versions: the server of each connection that is not proved is asked. A new stream is recorded at once; if its server denies the entry, the stream becomes ambiguous, as its version has been passed on. One that goes on waits for the answer with its first event, up to 0.3 s. Servers that are left out are asked.

Red and listed: the first servers of a version that restart unused.

--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -33,8 +33,8 @@
 type Incarnations interface {
 	// Version returns the version of the server to which a connection leads, and false if that can't be told.
 	Version(c incarnation.Connection, now time.Time) (string, bool)
-	// Reliable reports whether the entry of a server may be relied on for a connection.
-	Reliable(c incarnation.Connection, now time.Time) bool
+	// Reliable reports whether the entry of a server may be relied on for a connection. answering is set if Query returned true.
+	Reliable(c incarnation.Connection, answering bool, now time.Time) bool
 	// Query has the server of a connection queried whether its entry describes the process that runs, and reports whether an
 	// answer may come. It must not block.
 	Query(c incarnation.Connection) bool
@@ -55,7 +55,7 @@
 func (noRestarts) Version(c incarnation.Connection, _ time.Time) (string, bool) {
 	return c.Server.Version, true
 }
-func (noRestarts) Reliable(incarnation.Connection, time.Time) bool        { return true }
+func (noRestarts) Reliable(incarnation.Connection, bool, time.Time) bool  { return true }
 func (noRestarts) Query(incarnation.Connection) bool                      { return false }
 func (noRestarts) MayHaveRestarted(*routing.Server, bool, time.Time) bool { return false }
 func (noRestarts) RecordLost(incarnation.Connection, bool)                {}
@@ -74,30 +74,42 @@
 	// proofInterval is the pause before each look.
 	maxProofWait  = 300 * time.Millisecond
 	proofInterval = 10 * time.Millisecond
+	// maxAnswerWait limits how long the answer of a server is awaited that is not in doubt.
+	maxAnswerWait = time.Second
 )
 
 // boundStream is a stream that must go on where it began.
 type boundStream struct {
 	key    resumption.Key
 	origin resumption.Origin
-	// connection is the one over which the stream began, and certainty its origin once that is certain. needsProof is set if
+	// connection is the one over which the stream began, and certainty its origin once it was resolved. needsProof is set if
 	// the entry of the server must be proved.
 	connection incarnation.Connection
 	certainty  *certainty
 	needsProof bool
+	// answerBy is up to when an answer of a server is awaited that is not in doubt; zero for none.
+	answerBy time.Time
 }
 
-// resolve returns the origin, which the list of servers may tell by now.
+// known returns the origin as it was last resolved.
+func (b *boundStream) known() resumption.Origin {
+	if b.certainty == nil || b.origin.Ambiguous {
+		return b.origin
+	}
+	if known := b.certainty.origin.Load(); known != nil {
+		return *known
+	}
+	return b.origin
+}
+
+// resolve returns the origin, which the list of servers or the server may tell by now.
 func (b *boundStream) resolve(i Incarnations, now time.Time) resumption.Origin {
-	o := b.origin
+	o := b.known()
 	if !o.Uncertain || o.Ambiguous {
 		return o
 	}
-	if certain := b.certainty.origin.Load(); certain != nil {
-		return *certain
-	}
 	version, ok := i.Version(b.connection, now)
-	if !ok || b.needsProof && version == b.connection.Server.Version && !i.Reliable(b.connection, now) {
+	if !ok || b.needsProof && version == b.connection.Server.Version && !i.Reliable(b.connection, false, now) {
 		return o
 	}
 	o.Version, o.Uncertain = version, false
@@ -105,6 +117,21 @@
 	return o
 }
 
+// verify checks the origin of a stream that is not in doubt once its server has answered. It returns false while an answer may
+// come. The stream is ambiguous if the server has restarted, as its version has been passed on.
+func (b *boundStream) verify(i Incarnations, now time.Time) bool {
+	if now.Before(b.answerBy) && i.Query(b.connection) {
+		return false
+	}
+	version, ok := i.Version(b.connection, now)
+	if !ok || version != b.origin.Version {
+		o := b.origin
+		o.Ambiguous = true
+		b.certainty.origin.Store(&o)
+	}
+	return true
+}
+
 // takesUpStream reports whether the caller takes up a stream after its last event.
 func (x *exchange) takesUpStream() bool {
 	return x.resumable() && x.call.LastEventID != ""
@@ -204,6 +231,8 @@
 	x.gateway.Streams.Began(b.key, b.origin)
 	if b.origin.Uncertain {
 		_ = level.Info(x.gateway.Logger).Log("msg", "version of a stream is not certain", "id", x.call.ID, "server", b.connection.Server.ID, "server_version", version, "connection_age_ms", clock.Since(b.connection.Opened).Milliseconds(), "may_have_restarted", !ok)
+	}
+	if b.origin.Uncertain || !b.answerBy.IsZero() {
 		x.gateway.addUncertain(b)
 	}
 	return nil
@@ -213,18 +242,24 @@
 func (x *exchange) newBoundStream(version string, ok bool) *boundStream {
 	b := &boundStream{key: x.streamKey(), connection: x.attemptConnection(), certainty: &certainty{}}
 	b.connection.Server = new(x.end.lease.Server)
-	b.needsProof = ok && x.needsProof()
+	several := x.gateway.Streams.SeveralVersions(x.service.Name)
+	answering := several && x.gateway.Incarnations.Query(b.connection)
+	b.needsProof = ok && several && !x.gateway.Incarnations.Reliable(b.connection, answering, clock.Now())
 	b.origin = resumption.Origin{Service: x.service.Name, Version: version, Uncertain: !ok || b.needsProof}
+	if answering && !b.origin.Uncertain {
+		b.answerBy = clock.Now().Add(maxAnswerWait)
+	}
 	return b
 }
 
 // provedVersion returns the version of the server of the latest attempt. If it is not certain, the server is queried, and the first
 // event waits for that.
 func (x *exchange) provedVersion() (version string, ok bool) {
+	several := x.gateway.Streams.SeveralVersions(x.service.Name)
 	for wait := maxProofWait; ; wait -= proofInterval {
 		version, ok = x.attemptVersion()
 		ok = ok && !x.needsProof()
-		if ok || wait <= 0 || !x.gateway.Incarnations.Query(x.attemptConnection()) {
+		if ok && !several || wait <= 0 || !x.gateway.Incarnations.Query(x.attemptConnection()) {
 			return version, ok
 		}
 		time.Sleep(proofInterval)
@@ -234,7 +269,7 @@
 // needsProof reports whether the entry of the latest attempt's server is not to be relied on for its connection as yet, and
 // there are several versions.
 func (x *exchange) needsProof() bool {
-	return x.gateway.Streams.SeveralVersions(x.service.Name) && !x.gateway.Incarnations.Reliable(x.attemptConnection(), clock.Now())
+	return x.gateway.Streams.SeveralVersions(x.service.Name) && !x.gateway.Incarnations.Reliable(x.attemptConnection(), false, clock.Now())
 }
 
 // attemptVersion returns the version of the server of the latest attempt. It returns false if that can't be told.
@@ -259,7 +294,7 @@
 		return nil
 	}
 	fit := filterServers(servers, func(s *routing.Server) bool {
-		return s.Version == origin.Version && !x.gateway.Incarnations.MayHaveRestarted(s, true, now)
+		return s.Version == origin.Version && !x.mayHaveRestarted(s, now)
 	})
 	sound := filterServers(fit, func(s *routing.Server) bool { return !x.gateway.Incarnations.MayHaveRestarted(s, false, now) })
 	if len(sound) > 0 {
@@ -268,6 +303,15 @@
 	return fit
 }
 
+// mayHaveRestarted reports whether a server is left out for a stream that goes on, as its process may have ended. It is queried then.
+func (x *exchange) mayHaveRestarted(server *routing.Server, now time.Time) bool {
+	may := x.gateway.Incarnations.MayHaveRestarted(server, true, now)
+	if may {
+		x.gateway.Incarnations.Query(incarnation.Connection{Server: server, Opened: now})
+	}
+	return may
+}
+
 // filterServers returns the servers for which keep returns true, without a copy if these are all.
 func filterServers(servers []routing.Server, keep func(*routing.Server) bool) []routing.Server {
 	for i := range servers {
@@ -315,7 +359,7 @@
 	x.checkLife()
 	if b := x.bound.Load(); b != nil && !x.firstEventTime.IsZero() && x.firstCall() != "" {
 		x.gateway.uncertain.markInterrupted(b.key)
-		x.gateway.Streams.Interrupted(b.key, b.origin)
+		x.gateway.Streams.Interrupted(b.key, b.known())
 	}
 }
 
--- a/pkg/gateway/uncertain.go
+++ b/pkg/gateway/uncertain.go
@@ -13,13 +13,13 @@
 
 const (
 	// uncertainInterval is how often it is checked whether the versions of uncertain streams are certain by now.
-	uncertainInterval = 100 * time.Millisecond
+	uncertainInterval = 50 * time.Millisecond
 	// maxUncertain is the number of streams that are checked. Further ones stay uncertain once they have ended.
 	maxUncertain = 4096
 )
 
-// uncertainStreams holds the streams that began where the version of the server was not certain, in progress or interrupted,
-// until it is.
+// uncertainStreams holds the streams, in progress or interrupted, that began where the version of the server was not certain until it
+// is, and those whose server has not answered yet.
 type uncertainStreams struct {
 	mu    sync.Mutex
 	byKey map[resumption.Key]*uncertainStream
@@ -31,7 +31,7 @@
 	interrupted bool
 }
 
-// certainty is the origin of an uncertain stream once it is known. It does not change after that.
+// certainty is the origin of a stream once it was resolved. It does not change after that.
 type certainty struct {
 	origin atomic.Pointer[resumption.Origin]
 }
@@ -63,16 +63,23 @@
 	}
 }
 
-// checkUncertain passes on the origins that are certain by now, and goes on while there are others.
+// checkUncertain passes on the origins that were resolved, and goes on while there are others.
 func (g *Gateway) checkUncertain() {
 	now := clock.Now()
 	u := &g.uncertain
 	u.mu.Lock()
-	certain := make(map[resumption.Key]*uncertainStream)
+	resolved := make(map[resumption.Key]*uncertainStream)
 	for k, s := range u.byKey {
 		switch {
+		case !s.origin.Uncertain:
+			if s.verify(g.Incarnations, now) {
+				delete(u.byKey, k)
+			}
+			if s.known().Ambiguous {
+				resolved[k] = s
+			}
 		case !s.resolve(g.Incarnations, now).Uncertain:
-			certain[k] = s
+			resolved[k] = s
 			delete(u.byKey, k)
 		case now.Sub(s.began) > resumption.Retention:
 			delete(u.byKey, k)
@@ -84,14 +91,14 @@
 		time.AfterFunc(uncertainInterval, g.checkUncertain)
 	}
 	u.mu.Unlock()
-	for k, s := range certain {
-		g.passOnCertain(k, s, now)
+	for k, s := range resolved {
+		g.passOnResolved(k, s, now)
 	}
 }
 
-func (g *Gateway) passOnCertain(k resumption.Key, s *uncertainStream, now time.Time) {
+func (g *Gateway) passOnResolved(k resumption.Key, s *uncertainStream, now time.Time) {
 	origin := s.resolve(g.Incarnations, now)
-	_ = level.Info(g.Logger).Log("msg", "version of a stream is certain", "server", s.connection.Server.ID, "server_version", origin.Version, "interrupted", s.interrupted, "after_ms", now.Sub(s.began).Milliseconds())
+	_ = level.Info(g.Logger).Log("msg", "version of a stream was resolved", "ambiguous", origin.Ambiguous, "server", s.connection.Server.ID, "server_version", origin.Version, "interrupted", s.interrupted, "after_ms", now.Sub(s.began).Milliseconds())
 	if s.interrupted {
 		g.Streams.Interrupted(k, origin)
 		return
