resumption: a repeated reply about a stream counts once

A stream without a record goes on at the only known version if two other boxes confirm that there was no other of late. Datagrams may be repeated on their way, and a question that is repeated is answered twice: one box then confirmed alone, and callers could get events of two versions if it had missed one. Repetitions could also fill the channel of the question, so that answers of other boxes were dropped.

Cause: replies were counted by question, not by box.

A question holds the boxes that have answered it; a second reply of a box is dropped and counted among the dropped ones. A box in the roster under two names answers both questions under one name, and counts once as well.

Evidence: TestRepeatedReplyCountsOnce is red before (one box that repeats its reply: known, 2 confirming) and passes with the change, as do the other tests of replies.

--- a/pkg/resumption/exchange.go
+++ b/pkg/resumption/exchange.go
@@ -93,10 +93,11 @@
 	several map[string]bool
 }
 
-// question is a question about a stream, with the channel for its replies.
+// question is a question about a stream, with the boxes that have answered it and the channel for their replies.
 type question struct {
-	key     []byte
-	replies chan<- *resumptionpb.Reply
+	key      []byte
+	answered map[string]bool
+	replies  chan<- *resumptionpb.Reply
 }
 
 // New returns an Exchange and registers it for messages on the port.
@@ -111,7 +112,7 @@
 }
 
 // Counts returns the records that are kept, what was recorded and found since the start, and the replies that were
-// dropped: late ones, and those about another stream.
+// dropped: late ones, repeated ones, and those about another stream.
 func (e *Exchange) Counts() map[string]int64 {
 	return map[string]int64{
 		"kept": int64(e.registry.Len()), "recorded": e.recorded.Load(), "found": e.found.Load(),
@@ -223,7 +224,7 @@
 func (e *Exchange) askGroup(ctx context.Context, boxes []roster.Entry, q *resumptionpb.Query, evidence *Evidence) {
 	replies := make(chan *resumptionpb.Reply, len(boxes))
 	q.Id = e.lastID.Add(1)
-	e.await(q.Id, question{q.GetKey(), replies})
+	e.await(q.Id, question{q.GetKey(), make(map[string]bool, len(boxes)), replies})
 	defer e.endWait(q.Id)
 	e.send(&resumptionpb.Message{Query: q}, boxes)
 	timer := time.NewTimer(answerTimeout)
@@ -331,16 +332,17 @@
 }
 
 // deliver passes a reply on to the one who asked. It drops one whose question has ended or is of an earlier life of
-// this box, and one whose record is of another stream.
+// this box, one whose record is of another stream, and a second one of a box: datagrams may be repeated on their way.
 func (e *Exchange) deliver(r *resumptionpb.Reply, from string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	q, asked := e.waiting[r.GetId()]
-	if !asked || r.GetRecord() != nil && !bytes.Equal(r.GetRecord().GetKey(), q.key) {
+	if !asked || q.answered[from] || r.GetRecord() != nil && !bytes.Equal(r.GetRecord().GetKey(), q.key) {
 		e.dropped.Add(1)
-		_ = level.Debug(e.Logger).Log("msg", "reply about a stream dropped", "from", from, "question", r.GetId(), "asked", asked, "record", r.GetRecord() != nil)
+		_ = level.Debug(e.Logger).Log("msg", "reply about a stream dropped", "from", from, "question", r.GetId(), "asked", asked, "repeated", q.answered[from], "record", r.GetRecord() != nil)
 		return
 	}
+	q.answered[from] = true
 	select {
 	case q.replies <- r:
 	default:
--- a/pkg/resumption/replies_test.go
+++ b/pkg/resumption/replies_test.go
@@ -180,3 +180,33 @@
 		})
 	}
 }
+
+// Guards against a datagram that is repeated on its way and counts as the answers of two boxes, and against repetitions that
+// leave no room for the answers of others.
+func TestRepeatedReplyCountsOnce(t *testing.T) {
+	for _, second := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			n, list := newLossless(), boxes(4, 1)
+			one := ServiceVersions{Versions: []string{"v1"}}
+			repeats := map[string]int{list[1].Box: 2 * len(list), list[2].Box: 1}
+			if !second {
+				delete(repeats, list[2].Box)
+			}
+			e := startAsking(t, n, list, one)
+			for _, entry := range list[1:] {
+				p := startPeer(t, n, entry)
+				go func() {
+					for q := range p.queries {
+						for range repeats[entry.Box] {
+							p.reply(t, &resumptionpb.Reply{Id: q.GetId(), HistoryKnown: proto.Bool(true)}, q.from)
+						}
+					}
+				}()
+				t.Cleanup(func() { close(p.queries) })
+			}
+			v := <-find(t, e, "stream")
+			assert.Equal(t, second, v.Known, "%+v", v)
+			assert.Equal(t, len(repeats), v.Evidence.Confirming)
+		})
+	}
+}
