metering: a collecting box that restarts at its address gets all counts

Usage of windows that were still open was reported too low if the box that collects had restarted at its address, as while the store was silent: the other boxes took it for informed and sent it the counts that changed.

Cause: publishers remembered whom they had sent all counts by address. An address is not a process. All counts were also sent once, so that one lost datagram had the same effect.

Collecting boxes are known by address and incarnation, as the roster has it, and a new one is sent all counts as often as a change. Counts of one process are merged by the highest, so repetition does no harm.

Evidence: TestNewCollectorReceivesAllCounts, which now plays a second incarnation at one address, is red with the incarnation left out (0 windows received of 1) and passes with it. It is as strict as before on the first incarnation, and requires two sends instead of one. The caller in pkg/routerd changes with the interface.

--- a/pkg/metering/metering_test.go
+++ b/pkg/metering/metering_test.go
@@ -102,41 +102,60 @@
 	assert.Len(t, c.Changes(startTime.Add(windowLength)), 1, "all counts of the window that ended")
 }
 
-// A box that starts to collect must receive the counts published before.
-func TestNewCollectorReceivesAllCounts(t *testing.T) {
+// publishingBox is a box that publishes counts to a collecting one, whose messages a test reads.
+type publishingBox struct {
+	*Publisher
+	conn       *net.UDPConn
+	collectors []CollectorBox
+}
+
+func newPublishingBox(t *testing.T) *publishingBox {
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
-	defer conn.Close()
-	counter := NewCounter(windowLength, trueTime)
-	var collectors []*net.UDPAddr
-	publisher := NewPublisher(PublisherDeps{
+	t.Cleanup(func() { conn.Close() })
+	b := &publishingBox{conn: conn}
+	b.Publisher = NewPublisher(PublisherDeps{
 		NextWindow: func() Window { return 0 }, OnNextWindow: func(Window) {},
-		Box: "a", Port: datagram.NewPort(datagram.Deps{Box: "a", Conn: conn, Logger: log.NewNopLogger()}), Counter: counter,
+		Box: "a", Port: datagram.NewPort(datagram.Deps{Box: "a", Conn: conn, Logger: log.NewNopLogger()}), Counter: NewCounter(windowLength, trueTime),
 		Collector: NewCollector(), Clock: fleetclock.New(), Logger: log.NewNopLogger(),
-		CollectorAddrs: func() []*net.UDPAddr { return collectors },
+		Collectors: func() []CollectorBox { return b.collectors },
 	})
-	counter.RequestStarted("alpha", time.Now())
-	for range 4 {
-		publisher.publish(counter.Changes(time.Now()))
-	}
-	collectors = []*net.UDPAddr{conn.LocalAddr().(*net.UDPAddr)}
-	publisher.lastPublished = time.Time{}
-	publisher.publish(counter.Changes(time.Now()))
+	return b
+}
+
+// collect publishes once to a process that collects, and returns the number of windows that it receives.
+func (b *publishingBox) collect(t *testing.T, incarnation uint64) (windows int) {
+	b.collectors = []CollectorBox{{Addr: b.conn.LocalAddr().(*net.UDPAddr), Incarnation: incarnation}}
+	b.lastPublished = time.Now()
+	b.publish(b.Counter.Changes(time.Now()))
 	buffer := make([]byte, datagram.MaxDatagramBytes)
-	counts := 0
-	for range 2 {
-		require.NoError(t, conn.SetReadDeadline(time.Now().Add(200*time.Millisecond)))
-		n, _, err := conn.ReadFrom(buffer)
+	for {
+		require.NoError(t, b.conn.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+		n, _, err := b.conn.ReadFrom(buffer)
 		if err != nil {
-			break
+			return windows
 		}
 		var e datagrampb.Envelope
 		m := &usagepb.Usage{}
 		require.NoError(t, proto.Unmarshal(buffer[:n], &e))
 		require.NoError(t, proto.Unmarshal(e.GetBody(), m))
-		counts += len(m.GetWindows())
+		windows += len(m.GetWindows())
+	}
+}
+
+// A box that starts to collect must receive the counts published before, also if it collected at this address in an
+// earlier life, and if a datagram is lost.
+func TestNewCollectorReceivesAllCounts(t *testing.T) {
+	b := newPublishingBox(t)
+	b.Counter.RequestStarted("alpha", time.Now().Add(-3*windowLength))
+	for range 4 {
+		b.publish(b.Counter.Changes(time.Now()))
+	}
+	for _, incarnation := range []uint64{1, 2} {
+		for i, want := range []int{1, 1, 0} {
+			assert.Equal(t, want, b.collect(t, incarnation), "incarnation %d, message %d", incarnation, i)
+		}
 	}
-	assert.Equal(t, 1, counts)
 }
 
 func TestMessagesFitDatagram(t *testing.T) {
--- a/pkg/metering/publisher.go
+++ b/pkg/metering/publisher.go
@@ -30,6 +30,19 @@
 	maxEntriesPerDatagram = 500
 )
 
+// CollectorBox is a box that collects counts. Its incarnation identifies the process: one that has restarted at its address
+// knows no counts.
+type CollectorBox struct {
+	Addr        *net.UDPAddr
+	Incarnation uint64
+}
+
+// collectorKey identifies a process at an address.
+type collectorKey struct {
+	address     netip.AddrPort
+	incarnation uint64
+}
+
 // PublisherDeps are the dependencies of a Publisher.
 type PublisherDeps struct {
 	Box         string
@@ -38,8 +51,8 @@
 	Counter     *Counter
 	Collector   *Collector
 	Clock       *fleetclock.Clock
-	// CollectorAddrs returns the addresses of the other boxes that collect counts.
-	CollectorAddrs func() []*net.UDPAddr
+	// Collectors returns the other boxes that collect counts.
+	Collectors func() []CollectorBox
 	// NextWindow returns the first window that no lease holder has closed and stored, as far as this box knows.
 	// OnNextWindow receives what other boxes know.
 	NextWindow   func() Window
@@ -57,13 +70,13 @@
 	// mu guards the fields below, as Flush may run concurrently with Run.
 	mu            sync.Mutex
 	lastPublished time.Time
-	// informed holds the addresses that have been sent all counts so far.
-	informed map[netip.AddrPort]bool
+	// fullSends is how often each collecting box has been sent all counts, at most sendsPerChange.
+	fullSends map[collectorKey]int
 }
 
 // NewPublisher returns a publisher that handles usage messages received on the port.
 func NewPublisher(d PublisherDeps) *Publisher {
-	p := &Publisher{PublisherDeps: d, wake: make(chan struct{}, 1), informed: make(map[netip.AddrPort]bool)}
+	p := &Publisher{PublisherDeps: d, wake: make(chan struct{}, 1), fullSends: make(map[collectorKey]int)}
 	d.Port.Handle(datagramKind, p.handleUsage)
 	return p
 }
@@ -108,7 +121,7 @@
 func (p *Publisher) Flush() { p.publish(p.Counter.All()) }
 
 // publish sends counts to the collecting boxes, and all retained counts to those among them that
-// are new.
+// are new, as often as a change, as datagrams may be lost.
 func (p *Publisher) publish(windows []*usagepb.Window) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -125,19 +138,19 @@
 	}
 }
 
-// recipients returns the collecting boxes, split into known and new ones.
+// recipients returns the addresses of the collecting boxes, split into known and new ones.
 func (p *Publisher) recipients() (informed, uninformed []*net.UDPAddr) {
-	addresses := make(map[netip.AddrPort]bool)
-	for _, a := range p.CollectorAddrs() {
-		address := datagram.CanonicalAddrPort(a)
-		addresses[address] = true
-		if p.informed[address] {
-			informed = append(informed, a)
+	fullSends := make(map[collectorKey]int)
+	for _, c := range p.Collectors() {
+		key := collectorKey{datagram.CanonicalAddrPort(c.Addr), c.Incarnation}
+		fullSends[key] = min(p.fullSends[key]+1, sendsPerChange)
+		if p.fullSends[key] == sendsPerChange {
+			informed = append(informed, c.Addr)
 			continue
 		}
-		uninformed = append(uninformed, a)
+		uninformed = append(uninformed, c.Addr)
 	}
-	p.informed = addresses
+	p.fullSends = fullSends
 	return informed, uninformed
 }
 
--- a/pkg/routerd/fleetduties.go
+++ b/pkg/routerd/fleetduties.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"net"
 	"sync"
 	"time"
 
@@ -69,7 +68,7 @@
 	}
 	f.publisher = metering.NewPublisher(metering.PublisherDeps{
 		Box: s.Box.ID, Incarnation: d.roster.Incarnation(), Port: d.peers, Counter: f.counter, Collector: f.collector, Clock: f.clock,
-		CollectorAddrs: f.collectorAddrs, NextWindow: f.nextWindow, OnNextWindow: f.onNextWindow, Logger: logger,
+		Collectors: f.collectors, NextWindow: f.nextWindow, OnNextWindow: f.onNextWindow, Logger: logger,
 	})
 	f.leaseManager = lease.NewManager(lease.Deps{
 		Box: s.Box.ID, Incarnation: d.roster.Incarnation(), Timing: lease.TimingFor(s.Duties.Lease),
@@ -192,20 +191,19 @@
 // onHolderChange publishes counts to a new holder, which may not have been a collector.
 func (f *fleetDuties) onHolderChange(string) { f.publisher.Wake() }
 
-// collectorAddrs returns the addresses of the collectors: the first boxes in roster order and the
-// lease holder.
-func (f *fleetDuties) collectorAddrs() []*net.UDPAddr {
+// collectors returns the other collectors: the first boxes in roster order and the lease holder.
+func (f *fleetDuties) collectors() []metering.CollectorBox {
 	holder := f.leaseManager.Holder()
-	var addrs []*net.UDPAddr
+	var list []metering.CollectorBox
 	for i, e := range f.roster.ListByRank() {
 		if e.Box == f.publisher.Box || i >= collectorCount && e.Box != holder {
 			continue
 		}
 		if a := e.Address(); a != nil {
-			addrs = append(addrs, a)
+			list = append(list, metering.CollectorBox{Addr: a, Incarnation: e.Incarnation})
 		}
 	}
-	return addrs
+	return list
 }
 
 // organisationNames returns the names of all organisations in the current and earlier tables, by
