--- a/pkg/duties/duties_test.go
+++ b/pkg/duties/duties_test.go
@@ -360,3 +360,24 @@
 	assert.Zero(t, b.duties.Reporter.Ledger().Next)
 	assert.Empty(t, b.duties.Scaler.Ordered())
 }
+
+// Guards against windows that are reported too low by a holder that has just started: those that nobody closed while the
+// store was silent are due at once, and the other boxes send their counts when they learn of the holder.
+func TestHolderThatHasJustStartedWaitsForCounts(t *testing.T) {
+	runBoxes(t, func(t *testing.T, cloud *fakeCloud, start func() *testBox) {
+		a := start()
+		a.acquireLease(7, time.Hour, nil)
+		time.Sleep(2 * windowLength)
+		state := a.duties.State()
+		a.lease.update(func(l *fakeLease) { l.until = time.Now() })
+		window := metering.WindowAt(time.Now(), windowLength)
+		time.Sleep(4 * windowLength)
+
+		b := start()
+		b.acquireLease(9, time.Hour, state)
+		time.Sleep(time.Second)
+		b.countIn(window, 3)
+		time.Sleep(2 * windowLength)
+		assert.Equal(t, map[string]int{"alpha": 3}, cloud.countsByWindow(t)[window])
+	})
+}
