loadshare: statistics and usages have a round

Statistics and usages that were overtaken by later ones of their sender replaced them until the next second. Worse, a sum that a box had withdrawn, as its reports go to another box of the tree now, counted again beside that box: the same usage twice for 5 s, timings for up to 30 s. Fair shares and the choice of servers follow them.

Cause: these messages had no number, and the last to arrive counted.

Each box numbers its statistics, from a random value as for loads, once a second. A message of a lower round is dropped, except after 3 s without any, or if it is lower by more than 4,096, as the sender has restarted. Messages of one round are parts of it. The field is new and not forwarded: builds before ignore it, and theirs, which lack it, count as they arrive. No level is needed.

Evidence: with the comparison left out, TestOvertakenStatisticsAreIgnored is red in three parts (overtaken, also as the number wraps, and withdrawn), and passes with it, as do ./pkg/loadshare and ./pkg/forms.

--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -57,6 +57,9 @@
 	otherHalls destination
 	// reported is the last report of this box.
 	reported work
+	// statisticsRound is the round of the statistics that this box sends, statisticsRounds has the last of each sender.
+	statisticsRound  uint32
+	statisticsRounds statisticsRounds
 	// timings are the statistics of servers.
 	timings timingExchange
 	usages  usageExchange
@@ -90,6 +93,7 @@
 	s := &Sharer{
 		Deps: d, changed: make(chan struct{}, 1), inbox: make(chan message, inboxCapacity), round: rand.Uint32(),
 		relayHealth: newRelayHealth(), boxReports: make(workTable), hallSummaries: make(workTable), rounds: make(rounds),
+		statisticsRound: rand.Uint32(), statisticsRounds: make(statisticsRounds),
 		timings: newTimingExchange(),
 		usages:  newUsageExchange(),
 		links:   newTreeLinks(),
--- a/pkg/loadshare/statistics.go
+++ b/pkg/loadshare/statistics.go
@@ -1,8 +1,13 @@
 package loadshare
 
 import (
+	"maps"
 	"net"
 	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"headhill.example/headhill/pkg/loadshare/loadpb"
 )
 
 // Statistics change slowly and are exchanged once per refresh interval, apart from the loads.
@@ -27,6 +32,8 @@
 // reportStatistics sends the statistics of this box to the relays of its hall, and summaries if it
 // is one, and passes those of the other boxes to the balancer.
 func (s *Sharer) reportStatistics(now time.Time) {
+	s.statisticsRound++
+	s.statisticsRounds.evictStale(now)
 	own := s.Balancer.TimingReport(now)
 	members := s.members()
 	if p, ok := s.position(now); ok {
@@ -82,7 +89,7 @@
 	}
 	keys := r.take(list)
 	for _, m := range encodeTimings(s.Hall, keys, list) {
-		s.send(kind, m, to)
+		s.sendStatistics(kind, m, to)
 	}
 	sent := make(timings, len(keys))
 	for _, key := range keys {
@@ -91,9 +98,18 @@
 	return sent
 }
 
+// sendStatistics sends a message as a part of the present round.
+func (s *Sharer) sendStatistics(kind string, m *loadpb.Statistics, to []*net.UDPAddr) {
+	m.Round = proto.Uint32(s.statisticsRound)
+	s.send(kind, m, to)
+}
+
 // handleStatistics records received statistics. The balancer gets them with the next report of this
 // box: adding them up for each datagram would cost several times as much.
 func (s *Sharer) handleStatistics(in message) {
+	if !s.statisticsRounds.accept(in.from, in.statistics, in.received) {
+		return
+	}
 	s.handleLink(in)
 	s.handleUsages(in)
 	list, ok := decodeTimings(in.statistics)
@@ -120,3 +136,31 @@
 	s.timings.sent.addTo(own, now)
 	s.Balancer.SetPeerTimings(without(total, own), now)
 }
+
+// statisticsRounds holds the last round of each sender of statistics.
+type statisticsRounds map[string]receivedRound
+
+type receivedRound struct {
+	round      uint32
+	receivedAt time.Time
+}
+
+// accept reports whether a message was not overtaken by one of a later round. Messages of earlier builds have none and
+// count in the order in which they arrive.
+func (r statisticsRounds) accept(sender string, m *loadpb.Statistics, received time.Time) bool {
+	if m.Round == nil {
+		return true
+	}
+	last, known := r[sender]
+	behind := last.round - m.GetRound()
+	if known && received.Sub(last.receivedAt) <= reportTTL && behind > 0 && behind <= maxReorderedRounds {
+		return false
+	}
+	r[sender] = receivedRound{m.GetRound(), received}
+	return true
+}
+
+// evictStale removes the rounds that have expired.
+func (r statisticsRounds) evictStale(now time.Time) {
+	maps.DeleteFunc(r, func(_ string, last receivedRound) bool { return now.Sub(last.receivedAt) > reportTTL })
+}
--- a/pkg/loadshare/statistics_test.go
+++ b/pkg/loadshare/statistics_test.go
@@ -17,6 +17,7 @@
 	"headhill.example/headhill/pkg/balancer"
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/datagram/datagrampb"
+	"headhill.example/headhill/pkg/fairshare"
 	"headhill.example/headhill/pkg/forms"
 	"headhill.example/headhill/pkg/loadshare/loadpb"
 	"headhill.example/headhill/pkg/roster"
@@ -414,3 +415,73 @@
 	l.PrefillDone(now)
 	l.Done(balancer.ResultDone, now)
 }
+
+// Guards against statistics and usages that were overtaken by later ones of their sender, and against a sum that counts
+// again although it was withdrawn. Messages of earlier builds have no round.
+func TestOvertakenStatisticsAreIgnored(t *testing.T) {
+	round := func(n uint32) *uint32 { return &n }
+	withdrawn, empty := &loadpb.Statistics{Restart: true}, []fairshare.Usage{}
+	of := func(admitted float64) *loadpb.Statistics {
+		return &loadpb.Statistics{
+			Servers: []uint32{1}, ElapsedMs: []uint32{uint32(admitted)}, ExpectedMs: []uint32{uint32(admitted)},
+			Usage: encodeUsages([]fairshare.Usage{usage(1, admitted, 0)}),
+		}
+	}
+	for name, c := range map[string]struct {
+		first, second *loadpb.Statistics
+		rounds        [2]*uint32
+		after         time.Duration
+		want          float64
+	}{
+		"overtaken":              {of(50), of(100), [2]*uint32{round(6), round(5)}, 0, 50},
+		"withdrawn":              {withdrawn, of(100), [2]*uint32{round(6), round(5)}, 0, 0},
+		"of one round":           {of(50), of(100), [2]*uint32{round(6), round(6)}, 0, 100},
+		"later":                  {of(50), of(100), [2]*uint32{round(6), round(7)}, 0, 100},
+		"later, from zero":       {of(50), of(100), [2]*uint32{round(math.MaxUint32), round(0)}, 0, 100},
+		"overtaken, from zero":   {of(50), of(100), [2]*uint32{round(0), round(math.MaxUint32)}, 0, 50},
+		"sender restarted":       {of(50), of(100), [2]*uint32{round(maxReorderedRounds + 9), round(5)}, 0, 100},
+		"last round expired":     {of(50), of(100), [2]*uint32{round(6), round(5)}, reportTTL + time.Second, 100},
+		"both of an early build": {of(50), of(100), [2]*uint32{nil, nil}, 0, 100},
+		"upgraded":               {of(50), of(100), [2]*uint32{nil, round(5)}, 0, 100},
+		"rolled back":            {of(50), of(100), [2]*uint32{round(6), nil}, 0, 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newSimulatedFleet(2, 1)
+			s := f.order[0]
+			for i, m := range []*loadpb.Statistics{c.first, c.second} {
+				m.Hall, m.Round = s.Hall, c.rounds[i]
+				s.handle(message{kind: kindStatisticsReport, from: "other", received: f.now.Add(time.Duration(i) * c.after), statistics: m})
+			}
+			want, total := empty, make(timings)
+			if c.want > 0 {
+				want = []fairshare.Usage{usage(1, c.want, 0)}
+			}
+			assert.ElementsMatch(t, want, s.usages.boxes.sum(f.now).list)
+			s.timings.boxes.addTo(total, f.now)
+			assert.InDelta(t, c.want, total[1].ExpectedMS, 0.5*c.want)
+		})
+	}
+}
+
+// All messages of statistics carry the round of their sender, along a tree too.
+func TestStatisticsCarryTheirRound(t *testing.T) {
+	for _, boxes := range []int{3, 200} {
+		f := newSimulatedFleet(boxes, 2)
+		sender := make(map[string]*Sharer)
+		for _, s := range f.order {
+			sender[s.Box] = s
+			f.observe(s, 1)
+		}
+		f.step()
+		heard := make(map[string]bool)
+		f.step()
+		for _, s := range f.order {
+			assert.NotEmpty(t, s.statisticsRounds, s.Box)
+			for from, last := range s.statisticsRounds {
+				heard[from] = true
+				assert.LessOrEqual(t, sender[from].statisticsRound-last.round, uint32(1), "%s from %s", s.Box, from)
+			}
+		}
+		assert.Len(t, heard, boxes)
+	}
+}
--- a/pkg/loadshare/treelinks.go
+++ b/pkg/loadshare/treelinks.go
@@ -172,7 +172,7 @@
 		to := p.boxes[i]
 		m, keys := packStatistics(s.Hall, usages, sum, r, p.reportBytes(i, n)-len(s.Hall)-len(s.Box), now)
 		m.Restart = s.links.restart
-		s.send(kindStatisticsReport, m, []*net.UDPAddr{to.address})
+		s.sendStatistics(kindStatisticsReport, m, []*net.UDPAddr{to.address})
 		sent := make(timings)
 		for _, key := range keys {
 			if t, ok := own[key]; ok {
@@ -203,7 +203,7 @@
 		for _, other := range s.links.others {
 			to = append(to, other.address)
 		}
-		s.send(kindStatisticsReport, &loadpb.Statistics{Hall: s.Hall, Restart: true}, to)
+		s.sendStatistics(kindStatisticsReport, &loadpb.Statistics{Hall: s.Hall, Restart: true}, to)
 		s.links.restart = true
 		clear(s.links.others)
 	}
@@ -236,7 +236,7 @@
 // sendSummary sends a summary that contains something.
 func (s *Sharer) sendSummary(m *loadpb.Statistics, to []*net.UDPAddr) {
 	if len(m.GetServers()) > 0 || len(m.GetUsage()) > 0 {
-		s.send(kindStatisticsSummary, m, to)
+		s.sendStatistics(kindStatisticsSummary, m, to)
 	}
 }
 
@@ -278,7 +278,7 @@
 	}
 	if in.kind == kindStatisticsReport {
 		s.links.heard[in.from] = in.received
-		s.send(kindStatisticsSummary, &loadpb.Statistics{Hall: s.Hall}, []*net.UDPAddr{p.boxes[from].address})
+		s.sendStatistics(kindStatisticsSummary, &loadpb.Statistics{Hall: s.Hall}, []*net.UDPAddr{p.boxes[from].address})
 		return
 	}
 	delete(s.links.unanswered, in.from)
@@ -299,5 +299,5 @@
 	s.links.forwardedAt = in.received
 	bytes := statisticsBytesPerSecond/max(p.partners(p.self), len(below)+1) - len(s.Hall) - len(s.Box)
 	passed, _ := packStatistics(s.Hall, decodeUsageMessage(m, in.received), list, &s.links.down, bytes, in.received)
-	s.send(kindStatisticsSummary, passed, below)
+	s.sendStatistics(kindStatisticsSummary, passed, below)
 }
--- a/pkg/loadshare/usages.go
+++ b/pkg/loadshare/usages.go
@@ -107,7 +107,7 @@
 func (s *Sharer) sendUsages(kind string, usages receivedUsages, to []*net.UDPAddr, now time.Time) {
 	if len(to) > 0 && len(usages.list) > 0 {
 		m := &loadpb.Statistics{Hall: s.Hall, Usage: encodeUsages(usages.list), UsageAgeMs: encodeAge(now.Sub(usages.reportedAt)), UsageCut: usages.cut}
-		s.send(kind, m, to)
+		s.sendStatistics(kind, m, to)
 	}
 }
 
