duties: tests of windows that go back and of all boxes killed

A first open window that is announced late, lower or not at all changes nothing, and a closed window is reported as it was stored after all boxes were killed. Both pass on the code as it is: go test -race ./pkg/duties.

--- a/pkg/duties/duties_test.go
+++ b/pkg/duties/duties_test.go
@@ -381,3 +381,30 @@
 		assert.Equal(t, map[string]int{"alpha": 3}, cloud.countsByWindow(t)[window])
 	})
 }
+
+// Guards against a window that is reported twice with different counts, or not at all, after all boxes were killed: the
+// counts of those that were not closed end with their processes, and what was closed is reported as it was stored.
+func TestClosedWindowsOutliveAllBoxes(t *testing.T) {
+	runBoxes(t, func(t *testing.T, cloud *fakeCloud, start func() *testBox) {
+		a := start()
+		cloud.update(func(c *fakeCloud) { c.err = errors.New("response lost") })
+		a.acquireLease(7, time.Hour, nil)
+		window := metering.WindowAt(time.Now(), windowLength)
+		a.countNow(3)
+		time.Sleep(2 * windowLength)
+		require.NotEmpty(t, cloud.reported())
+		state := a.duties.State()
+		a.lease.update(func(l *fakeLease) { l.until = time.Now() })
+		cloud.update(func(c *fakeCloud) { c.err = nil })
+
+		b := start()
+		b.countIn(window, 1)
+		b.acquireLease(9, time.Hour, state)
+		time.Sleep(3 * windowLength)
+		counts := cloud.countsByWindow(t)
+		assert.Equal(t, map[string]int{"alpha": 3}, counts[window])
+		for w := window; w < window+4; w++ {
+			assert.Contains(t, counts, w)
+		}
+	})
+}
--- a/pkg/duties/reporter_restore_test.go
+++ b/pkg/duties/reporter_restore_test.go
@@ -61,3 +61,14 @@
 	assert.True(t, r.ensureCaughtUp(clock.Now().Add(2*catchUpDelay)))
 	assert.Equal(t, metering.Window(100), r.Ledger().Next)
 }
+
+// Guards against a first open window that goes back: messages may be late, from a box that knows less, or from a build that
+// sends none.
+func TestNextWindowDoesNotGoBack(t *testing.T) {
+	r := NewReporter(ReporterDeps{Collector: metering.NewCollector(), WindowLength: time.Second, Clock: startOfTime})
+	r.attach(&fencedCaller{lease: &fakeLease{}}, nil, log.NewNopLogger())
+	for _, c := range []struct{ observed, want metering.Window }{{0, 0}, {8, 8}, {8, 8}, {5, 8}, {0, 8}, {9, 9}} {
+		r.ObserveNext(c.observed)
+		assert.Equal(t, c.want, r.NextWindow(), "after %d", c.observed)
+	}
+}
