resumption: a box with several entries in the roster answers once

A box that has restarted under another name is in the roster under its former name too, until that entry is removed. A box that asks nine others for a stream asks it with each group of three, and took its answers for those of several boxes. A box with a former entry of its own asked itself, and its own answer counted as another box's. Two answers confirm that a service had one version of late: callers could get events of two versions.

Cause: the boxes that have answered were kept for each question, and the name of the box that asks was not compared.

They are kept for the stream, for all groups, and the box that asks is among them from the start.

The tests of replies no longer close a channel that a port may write to: the race detector reported TestRepeatedReplyCountsOnce once for it. Their assertions are unchanged.

--- a/pkg/resumption/exchange.go
+++ b/pkg/resumption/exchange.go
@@ -93,7 +93,7 @@
 	several map[string]bool
 }
 
-// question is a question about a stream, with the boxes that have answered it and the channel for their replies.
+// question is a question about a stream, with the boxes that have answered and the channel for their replies.
 type question struct {
 	key      []byte
 	answered map[string]bool
@@ -205,9 +205,11 @@
 		evidence.Others = max(evidence.Others, minAnswers)
 	}
 	group := copiesOf(len(ask) + 1)
+	// A box that has restarted under another name may have several entries, and so may this one.
+	answered := map[string]bool{e.Box: true}
 	for len(ask) > 0 && ctx.Err() == nil {
 		n := min(group, len(ask))
-		e.askGroup(ctx, ask[:n], &resumptionpb.Query{Key: k[:], Service: service}, &evidence)
+		e.askGroup(ctx, ask[:n], &resumptionpb.Query{Key: k[:], Service: service}, answered, &evidence)
 		ask = ask[n:]
 		if evidence.settled() {
 			break
@@ -220,11 +222,11 @@
 }
 
 // askGroup asks some boxes at once, and adds their answers until these settle the question, all have answered,
-// or answerTimeout has passed.
-func (e *Exchange) askGroup(ctx context.Context, boxes []roster.Entry, q *resumptionpb.Query, evidence *Evidence) {
+// or answerTimeout has passed. answered has the boxes that have answered for the same stream.
+func (e *Exchange) askGroup(ctx context.Context, boxes []roster.Entry, q *resumptionpb.Query, answered map[string]bool, evidence *Evidence) {
 	replies := make(chan *resumptionpb.Reply, len(boxes))
 	q.Id = e.lastID.Add(1)
-	e.await(q.Id, question{q.GetKey(), make(map[string]bool, len(boxes)), replies})
+	e.await(q.Id, question{q.GetKey(), answered, replies})
 	defer e.endWait(q.Id)
 	e.send(&resumptionpb.Message{Query: q}, boxes)
 	timer := time.NewTimer(answerTimeout)
--- a/pkg/resumption/replies_test.go
+++ b/pkg/resumption/replies_test.go
@@ -1,6 +1,7 @@
 package resumption
 
 import (
+	"fmt"
 	"iter"
 	"maps"
 	"math/rand/v2"
@@ -59,6 +60,20 @@
 	require.True(t, p.port.Send(datagramKind, body, to))
 }
 
+// answer replies to each question as often as given, until the test ends.
+func (p *peerBox) answer(t *testing.T, times int, historyKnown *bool) {
+	for {
+		select {
+		case q := <-p.queries:
+			for range times {
+				p.reply(t, &resumptionpb.Reply{Id: q.GetId(), HistoryKnown: historyKnown}, q.from)
+			}
+		case <-t.Context().Done():
+			return
+		}
+	}
+}
+
 func newTestPort(t *testing.T, n *network, e roster.Entry) *datagram.Port {
 	conn := n.listen(e.Address())
 	t.Cleanup(func() { conn.Close() })
@@ -160,13 +175,7 @@
 			n, list := newLossless(), boxes(4, 1)
 			e := startAsking(t, n, list, ServiceVersions{Versions: []string{"v1"}, HistoryKnown: known})
 			for _, entry := range list[1:] {
-				p := startPeer(t, n, entry)
-				go func() {
-					for q := range p.queries {
-						p.reply(t, &resumptionpb.Reply{Id: q.GetId()}, q.from)
-					}
-				}()
-				t.Cleanup(func() { close(p.queries) })
+				go startPeer(t, n, entry).answer(t, 1, nil)
 			}
 			v := <-find(t, e, "stream")
 			assert.False(t, v.Known, "%+v", v)
@@ -194,15 +203,7 @@
 			}
 			e := startAsking(t, n, list, one)
 			for _, entry := range list[1:] {
-				p := startPeer(t, n, entry)
-				go func() {
-					for q := range p.queries {
-						for range repeats[entry.Box] {
-							p.reply(t, &resumptionpb.Reply{Id: q.GetId(), HistoryKnown: proto.Bool(true)}, q.from)
-						}
-					}
-				}()
-				t.Cleanup(func() { close(p.queries) })
+				go startPeer(t, n, entry).answer(t, repeats[entry.Box], proto.Bool(true))
 			}
 			v := <-find(t, e, "stream")
 			assert.Equal(t, second, v.Known, "%+v", v)
@@ -210,3 +211,26 @@
 		})
 	}
 }
+
+// Guards against a box that counts as several since it has restarted under another name and its former entries are still
+// in the roster, and against one that confirms its own version so.
+func TestBoxWithSeveralEntriesCountsOnce(t *testing.T) {
+	for _, own := range []bool{false, true} {
+		t.Run(fmt.Sprintf("own entries %t", own), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n, list := newLossless(), boxes(3*copies+1, 1)
+				for i := range list[2:] {
+					list[2+i].Peer = list[1].Peer
+					if own {
+						list[2+i].Peer = list[0].Peer
+					}
+				}
+				e := startAsking(t, n, list, ServiceVersions{Versions: []string{"v1"}, HistoryKnown: true})
+				go startPeer(t, n, list[1]).answer(t, 1, proto.Bool(true))
+				v := <-find(t, e, "stream")
+				assert.False(t, v.Known, "%+v", v)
+				assert.Equal(t, 1, v.Evidence.Confirming)
+			})
+		})
+	}
+}
