gateway: the servers of the relay tests read the request before they answer

Cause: the stand-in answered without reading the body of 3 MB. net/http closes the connection of such a request 500 ms after the handler is done, and as part of the body is unread, the close is a reset, which drops what is left in the send buffer. A box that needs longer for the response loses the rest. It then looks a second for another server, of which there is none.

Fix: streamOf reads the body first, as a server does that needs the prompt. What the test checks is unchanged.

--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -36,9 +36,15 @@
 
 // streamOf returns a handler that sends events. They are formatted once: with the race detector,
 // formatting the events of many long streams takes longer than callerWriteTimeout on a busy machine.
+//
+// The body of the request is read first. net/http closes the connection 500 ms after a response to a long
+// body that was not read, which resets it, and a box that gets no core for so long loses the rest.
 func streamOf(events int) http.HandlerFunc {
 	text := []byte(relayEvents(events, eventSize))
 	return func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
 		if r.Header.Get("Last-Event-Id") != "" {
 			writeEvents(w, r, events, eventSize)
 			return
@@ -201,6 +207,27 @@
 	assert.Eventually(t, func() bool { return f.gateway.HeldBytes() == 0 }, relayWait, pollPeriod)
 }
 
+// Guards against a response that breaks off because the box reads it for longer than net/http keeps a
+// connection open whose request it has not read whole.
+func TestResponseToLongBodyIsDeliveredToSlowCaller(t *testing.T) {
+	const (
+		bodyBytes = 3 << 20
+		// pause is longer than the 500 ms after which net/http closes such a connection.
+		pause = 700 * time.Millisecond
+	)
+	f := newRelayFleet(t, relayConfig{maxHeld: 64 << 20, readAhead: true}, streamOf(8000))
+	c, err := net.Dial("tcp", f.caller.Listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(32<<10))
+	_, err = fmt.Fprintf(c, "POST /stream HTTP/1.1\r\nHost: h\r\nKey: a\r\nContent-Length: %d\r\n\r\n%s", bodyBytes, strings.Repeat("x", bodyBytes))
+	require.NoError(t, err)
+	time.Sleep(pause)
+	body, err := readBody(t, c)
+	require.NoError(t, err, "%s", f.logLines("broke during a request"))
+	assert.True(t, body == relayEvents(8000, eventSize), "%d bytes", len(body))
+}
+
 // Guards against a stream that stays stopped when its caller reads again, against events that are
 // lost or repeated there, and against missing or repeated log lines.
 func TestStreamStoppedAtBoundGoesOn(t *testing.T) {
