incarnation: a failed link does not refute an end that other boxes saw

Callers: a stream of two versions: it began at v2 of a server whose entry said v1, was recorded with v1 and went on there.

Cause: a box that has lost its link to a server does not hold it for restarted. But it refuted so an end that it knew from other boxes too, to which the server refused connections as well. Another box connects as soon as the next process runs, and what is tried directly is relayed from then on: the link counts as failed, and the restart as refuted, at the very moment at which the new process begins to serve.

Of what refutes, only the link is left: connections don't refute an end that the box itself found, and the server was not queried.

Fix: only what this box alone concluded from its own connections is explained by its link. The new case of TestVersionOfConnection is red without it.

--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -327,13 +327,14 @@
 }
 
 // refuted reports whether the process of a server has been running since before its possible restart, or whether
-// the loss of this box's link explains what was noticed. The caller holds mu.
+// the loss of this box's link explains what was noticed. That its process has ended is known from other boxes as well, so that the
+// link does not explain it. The caller holds mu.
 func (t *Tracker) refuted(id string, s *restart) bool {
 	last := t.lastOf(id, s)
 	if entry, listed := t.List.ServerEntry(id); listed && t.denied(entry) {
 		return false
 	}
-	if s.ownOnly && s.address != "" && t.LinkFailed(s.address) {
+	if s.ownOnly && !s.proved && s.address != "" && t.LinkFailed(s.address) {
 		return true
 	}
 	return t.ranSince(s.process, last.Add(aliveDelay)) || !s.proved && t.ranAt(id, s.first, last)
--- a/pkg/incarnation/tracker_test.go
+++ b/pkg/incarnation/tracker_test.go
@@ -133,6 +133,10 @@
 			f.RecordRemote("b", Restart{Server: "a", At: f.at(5.05), Opened: f.at(3), Certain: true})
 			f.linkFailed = true
 		}, 6, 0, 6.1, "", true, true},
+		"this box has lost its link after others saw the process end": {func(f *fakeTracker) {
+			ended(f)
+			f.linkFailed = true
+		}, 6, 0, 6.1, "", true, true},
 		"listed anew, opened since":                  {func(f *fakeTracker) { ended(f); f.relist("v2", 6.5) }, 6, 0, 7, "v2", false, false},
 		"listed anew, opened before":                 {func(f *fakeTracker) { ended(f); f.relist("v2", 6.5) }, 4, 0, 7, "v1", false, false},
 		"listed anew, opened at about the same time": {func(f *fakeTracker) { ended(f); f.relist("v2", 6.5) }, 4.8, 0, 7, "", false, false},
