--- a/pkg/duties/reporter.go
+++ b/pkg/duties/reporter.go
@@ -40,9 +40,7 @@
 	announcedNext atomic.Int64
 	// catchUp is set while the ledger from an older copy of the store has to be brought up to date.
 	catchUp mutexed[*pendingCatchUp]
-	// collectingUntil is when the counts have arrived that other boxes send as they learn of this holder.
-	collectingUntil mutexed[time.Time]
-	retryAt         time.Time
+	retryAt time.Time
 	// createdAt is when this box began to know anything of the windows.
 	createdAt time.Time
 	status    mutexed[ReporterStatus]
@@ -89,7 +87,7 @@
 	at  time.Time
 }
 
-// catchUpDelay lets each other box send its counts and what it knows of closed windows, as this box may just have started.
+// catchUpDelay lets each other box send what it knows of closed windows, as this box may just have started.
 const catchUpDelay = metering.MaxPublishInterval + 500*time.Millisecond
 
 // NextWindow returns the first window that no holder has closed and stored, as far as this box knows. After a
@@ -134,7 +132,6 @@
 		}
 		r.requiredSave.Store(0)
 	})
-	r.collectingUntil.with(func(until *time.Time) { *until = clock.Now().Add(catchUpDelay) })
 	r.catchUp.with(func(p **pendingCatchUp) { *p = pending })
 }
 
@@ -181,9 +178,7 @@
 	if !r.ensureCaughtUp(now) {
 		return
 	}
-	if r.collected(now) {
-		r.closeWindows(r.Clock(now))
-	}
+	r.closeWindows(r.Clock(now))
 	if !r.stored() || now.Before(r.retryAt) {
 		return
 	}
@@ -195,13 +190,6 @@
 	}
 }
 
-// collected reports whether other boxes have had the time to send their counts since this box acquired the lease. Those of
-// windows that ended before are sent to collecting boxes only, and this box may have started after them.
-func (r *Reporter) collected(now time.Time) (done bool) {
-	r.collectingUntil.with(func(until *time.Time) { done = !now.Before(*until) })
-	return done
-}
-
 // closeWindows closes the windows that have ended and requests that they be stored. The request is made under
 // the lock, as NextWindow must not take them for stored.
 func (r *Reporter) closeWindows(now time.Time) {
