--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -86,7 +86,7 @@
 	queues            queues
 	turns             returnTurns
 	closedProbes      closedProbes
-	uncertain         uncertainStreams
+	unchecked         uncheckedStreams
 	// readAhead accounts for the memory of streams that are read ahead of their callers.
 	readAhead *readahead.Ledger
 	// overLimit is the request whose incomplete event may exceed the limit of the box, or nil.
--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -33,8 +33,8 @@
 type Incarnations interface {
 	// Version returns the version of the server to which a connection leads, and false if that can't be told.
 	Version(c incarnation.Connection, now time.Time) (string, bool)
-	// Reliable reports whether the entry of a server may be relied on for a connection. answering is set if Query returned true.
-	Reliable(c incarnation.Connection, answering bool, now time.Time) bool
+	// Reliable reports whether the entry of a server may be relied on for a connection.
+	Reliable(c incarnation.Connection, now time.Time) bool
 	// Query has the server of a connection queried whether its entry describes the process that runs, and reports whether an
 	// answer may come. It must not block.
 	Query(c incarnation.Connection) bool
@@ -55,7 +55,7 @@
 func (noRestarts) Version(c incarnation.Connection, _ time.Time) (string, bool) {
 	return c.Server.Version, true
 }
-func (noRestarts) Reliable(incarnation.Connection, bool, time.Time) bool  { return true }
+func (noRestarts) Reliable(incarnation.Connection, time.Time) bool        { return true }
 func (noRestarts) Query(incarnation.Connection) bool                      { return false }
 func (noRestarts) MayHaveRestarted(*routing.Server, bool, time.Time) bool { return false }
 func (noRestarts) RecordLost(incarnation.Connection, bool)                {}
@@ -74,7 +74,7 @@
 	// proofInterval is the pause before each look.
 	maxProofWait  = 300 * time.Millisecond
 	proofInterval = 10 * time.Millisecond
-	// maxAnswerWait limits how long the answer of a server is awaited that is not in doubt.
+	// maxAnswerWait limits how long the answer is awaited of a server whose entry is not in doubt.
 	maxAnswerWait = time.Second
 )
 
@@ -82,21 +82,21 @@
 type boundStream struct {
 	key    resumption.Key
 	origin resumption.Origin
-	// connection is the one over which the stream began, and certainty its origin once it was resolved. needsProof is set if
-	// the entry of the server must be proved.
+	// connection is the one over which the stream began, resolution its origin as it was found later; nil for a stream that was taken
+	// up. needsProof is set if the entry of the server must be proved.
 	connection incarnation.Connection
-	certainty  *certainty
+	resolution *resolution
 	needsProof bool
-	// answerBy is up to when an answer of a server is awaited that is not in doubt; zero for none.
+	// answerBy is until when the answer of the server is awaited; zero for none. The origin counts as certain meanwhile.
 	answerBy time.Time
 }
 
 // known returns the origin as it was last resolved.
 func (b *boundStream) known() resumption.Origin {
-	if b.certainty == nil || b.origin.Ambiguous {
+	if b.resolution == nil || b.origin.Ambiguous {
 		return b.origin
 	}
-	if known := b.certainty.origin.Load(); known != nil {
+	if known := b.resolution.origin.Load(); known != nil {
 		return *known
 	}
 	return b.origin
@@ -109,17 +109,18 @@
 		return o
 	}
 	version, ok := i.Version(b.connection, now)
-	if !ok || b.needsProof && version == b.connection.Server.Version && !i.Reliable(b.connection, false, now) {
+	if !ok || b.needsProof && version == b.connection.Server.Version && !i.Reliable(b.connection, now) {
 		return o
 	}
 	o.Version, o.Uncertain = version, false
-	b.certainty.origin.Store(&o)
-	return o
+	b.resolution.set(o)
+	return b.known()
 }
 
-// verify checks the origin of a stream that is not in doubt once its server has answered. It returns false while an answer may
-// come. The stream is ambiguous if the server has restarted, as its version has been passed on.
-func (b *boundStream) verify(i Incarnations, now time.Time) bool {
+// checkAnswer checks a certain origin against the answer of the server, and reports whether the check is over: the server has answered,
+// or the time for it is up, so that the origin stands. The stream is ambiguous if the server denies its entry, as the version has been
+// passed on.
+func (b *boundStream) checkAnswer(i Incarnations, now time.Time) bool {
 	if now.Before(b.answerBy) && i.Query(b.connection) {
 		return false
 	}
@@ -127,7 +128,7 @@
 	if !ok || version != b.origin.Version {
 		o := b.origin
 		o.Ambiguous = true
-		b.certainty.origin.Store(&o)
+		b.resolution.set(o)
 	}
 	return true
 }
@@ -197,7 +198,7 @@
 
 // errUncertainVersion is the cause of an attempt whose server may have restarted with another version than that at which
 // the stream must go on.
-var errUncertainVersion = errors.New("the version of the server is not certain: the stream goes on at another one")
+var errUncertainVersion = errors.New("the server may have another software version than the stream")
 
 // bindStream binds a stream to the version of the server that brought its first event. It is called before
 // the event is forwarded; attempts that brought none don't count. A stream that is bound already must not get events of
@@ -210,9 +211,9 @@
 		return nil
 	}
 	if b := x.bound.Load(); b != nil {
+		version, ok := x.provedVersion(b)
 		origin := b.resolve(x.gateway.Incarnations, clock.Now())
-		version, ok := x.provedVersion()
-		if !ok || origin.Uncertain || version != origin.Version {
+		if !ok || origin.Uncertain || origin.Ambiguous || version != origin.Version {
 			return errUncertainVersion
 		}
 		x.end.bound = true
@@ -233,43 +234,44 @@
 		_ = level.Info(x.gateway.Logger).Log("msg", "version of a stream is not certain", "id", x.call.ID, "server", b.connection.Server.ID, "server_version", version, "connection_age_ms", clock.Since(b.connection.Opened).Milliseconds(), "may_have_restarted", !ok)
 	}
 	if b.origin.Uncertain || !b.answerBy.IsZero() {
-		x.gateway.addUncertain(b)
+		x.gateway.addUnchecked(b)
 	}
 	return nil
 }
 
 // newBoundStream returns a stream that began at the server of the latest attempt.
 func (x *exchange) newBoundStream(version string, ok bool) *boundStream {
-	b := &boundStream{key: x.streamKey(), connection: x.attemptConnection(), certainty: &certainty{}}
+	b := &boundStream{key: x.streamKey(), connection: x.attemptConnection(), resolution: &resolution{}}
 	b.connection.Server = new(x.end.lease.Server)
-	several := x.gateway.Streams.SeveralVersions(x.service.Name)
-	answering := several && x.gateway.Incarnations.Query(b.connection)
-	b.needsProof = ok && several && !x.gateway.Incarnations.Reliable(b.connection, answering, clock.Now())
+	b.needsProof = ok && x.needsProof()
 	b.origin = resumption.Origin{Service: x.service.Name, Version: version, Uncertain: !ok || b.needsProof}
-	if answering && !b.origin.Uncertain {
+	if !b.origin.Uncertain && x.gateway.Streams.SeveralVersions(x.service.Name) && x.gateway.Incarnations.Query(b.connection) {
 		b.answerBy = clock.Now().Add(maxAnswerWait)
+		b.origin.Uncertain = !x.gateway.unchecked.hasRoom()
 	}
 	return b
 }
 
-// provedVersion returns the version of the server of the latest attempt. If it is not certain, the server is queried, and the first
-// event waits for that.
-func (x *exchange) provedVersion() (version string, ok bool) {
+// provedVersion returns the version of the server of the latest attempt, for a stream that goes on. The first event waits for the
+// answers of that server and of the one at which the stream began, if these are asked.
+func (x *exchange) provedVersion(b *boundStream) (version string, ok bool) {
+	i := x.gateway.Incarnations
 	several := x.gateway.Streams.SeveralVersions(x.service.Name)
-	for wait := maxProofWait; ; wait -= proofInterval {
+	for end := clock.Now().Add(maxProofWait); ; time.Sleep(proofInterval) {
+		now := clock.Now()
 		version, ok = x.attemptVersion()
 		ok = ok && !x.needsProof()
-		if ok && !several || wait <= 0 || !x.gateway.Incarnations.Query(x.attemptConnection()) {
+		answered := ok && !several || !i.Query(x.attemptConnection())
+		if answered && (b.answerBy.IsZero() || b.checkAnswer(i, now)) || now.After(end) {
 			return version, ok
 		}
-		time.Sleep(proofInterval)
 	}
 }
 
 // needsProof reports whether the entry of the latest attempt's server is not to be relied on for its connection as yet, and
 // there are several versions.
 func (x *exchange) needsProof() bool {
-	return x.gateway.Streams.SeveralVersions(x.service.Name) && !x.gateway.Incarnations.Reliable(x.attemptConnection(), false, clock.Now())
+	return x.gateway.Streams.SeveralVersions(x.service.Name) && !x.gateway.Incarnations.Reliable(x.attemptConnection(), clock.Now())
 }
 
 // attemptVersion returns the version of the server of the latest attempt. It returns false if that can't be told.
@@ -346,7 +348,7 @@
 	used := x.end.lease.Server
 	listed, ok := x.gateway.Directory.View().ServerAt(used.Address)
 	provable := used.Started != 0 && after.origin.Uncertain
-	if ok && listed.ID == used.ID && listed.Version != used.Version && !provable && (after.origin.Uncertain || after.origin.Version != listed.Version) {
+	if x.end.bound && ok && listed.ID == used.ID && listed.Version != used.Version && !provable && (after.origin.Uncertain || after.origin.Version != listed.Version) {
 		after.origin.Ambiguous = true
 	}
 	if after.origin != b.origin {
@@ -358,7 +360,7 @@
 func (x *exchange) keepInterrupted() {
 	x.checkLife()
 	if b := x.bound.Load(); b != nil && !x.firstEventTime.IsZero() && x.firstCall() != "" {
-		x.gateway.uncertain.markInterrupted(b.key)
+		x.gateway.unchecked.markInterrupted(b.key)
 		x.gateway.Streams.Interrupted(b.key, b.known())
 	}
 }
--- a/pkg/gateway/streamversion_test.go
+++ b/pkg/gateway/streamversion_test.go
@@ -51,7 +51,7 @@
 	restarts := &fakeRestarts{}
 	x := &exchange{service: &routing.Service{Name: "s"}, gateway: &Gateway{Deps: Deps{Directory: directory.New(log.NewNopLogger()), Incarnations: restarts}}}
 	assert.Len(t, x.ofBoundVersion(servers), 3, "not bound")
-	b := &boundStream{certainty: &certainty{}}
+	b := &boundStream{resolution: &resolution{}}
 	b.origin.Version = "v1"
 	x.bound.Store(b)
 	assert.Equal(t, []routing.Server{servers[0], servers[2]}, x.ofBoundVersion(servers))
--- a/pkg/gateway/unchecked.go
+++ b/pkg/gateway/unchecked.go
@@ -12,50 +12,61 @@
 )
 
 const (
-	// uncertainInterval is how often it is checked whether the versions of uncertain streams are certain by now.
-	uncertainInterval = 50 * time.Millisecond
-	// maxUncertain is the number of streams that are checked. Further ones stay uncertain once they have ended.
-	maxUncertain = 4096
+	// uncheckedInterval is how often it is checked whether the origins of unchecked streams can be resolved. lateInterval applies to
+	// streams that began longer ago than maxAnswerWait.
+	uncheckedInterval = 25 * time.Millisecond
+	lateInterval      = 500 * time.Millisecond
+	// maxUnchecked is the number of streams that are checked. Further ones stay uncertain once they have ended.
+	maxUnchecked = 4096
 )
 
-// uncertainStreams holds the streams, in progress or interrupted, that began where the version of the server was not certain until it
-// is, and those whose server has not answered yet.
-type uncertainStreams struct {
+// uncheckedStreams holds the streams, in progress or interrupted, whose origin is to be checked: uncertain ones, and those whose server
+// was asked and has not answered.
+type uncheckedStreams struct {
 	mu    sync.Mutex
-	byKey map[resumption.Key]*uncertainStream
+	byKey map[resumption.Key]*uncheckedStream
 }
 
-type uncertainStream struct {
+type uncheckedStream struct {
 	*boundStream
-	began       time.Time
-	interrupted bool
+	began, checked time.Time
+	interrupted    bool
 }
 
-// certainty is the origin of a stream once it was resolved. It does not change after that.
-type certainty struct {
+// resolution is the origin of a stream as it was found later: certain, or ambiguous. It is set once.
+type resolution struct {
 	origin atomic.Pointer[resumption.Origin]
 }
 
-// addUncertain checks a stream that began until its origin is certain.
-func (g *Gateway) addUncertain(b *boundStream) {
-	u := &g.uncertain
+func (r *resolution) set(o resumption.Origin) { r.origin.CompareAndSwap(nil, &o) }
+
+// hasRoom reports whether another stream can be checked.
+func (u *uncheckedStreams) hasRoom() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.byKey) < maxUnchecked
+}
+
+// addUnchecked checks a stream that began until its origin is resolved, or stands.
+func (g *Gateway) addUnchecked(b *boundStream) {
+	u := &g.unchecked
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.byKey == nil {
-		u.byKey = make(map[resumption.Key]*uncertainStream)
+		u.byKey = make(map[resumption.Key]*uncheckedStream)
 	}
-	if len(u.byKey) >= maxUncertain {
+	if len(u.byKey) >= maxUnchecked {
 		return
 	}
 	if len(u.byKey) == 0 {
-		time.AfterFunc(uncertainInterval, g.checkUncertain)
+		time.AfterFunc(uncheckedInterval, g.checkStreams)
 	}
-	u.byKey[b.key] = &uncertainStream{boundStream: b, began: clock.Now()}
+	u.byKey[b.key] = &uncheckedStream{boundStream: b, began: clock.Now()}
 	g.Incarnations.Query(b.connection)
 }
 
 // markInterrupted records that a stream was interrupted.
-func (u *uncertainStreams) markInterrupted(k resumption.Key) {
+func (u *uncheckedStreams) markInterrupted(k resumption.Key) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if s, ok := u.byKey[k]; ok {
@@ -63,32 +74,27 @@
 	}
 }
 
-// checkUncertain passes on the origins that were resolved, and goes on while there are others.
-func (g *Gateway) checkUncertain() {
+// checkStreams passes on the origins that were resolved, and goes on while there are others.
+func (g *Gateway) checkStreams() {
 	now := clock.Now()
-	u := &g.uncertain
+	u := &g.unchecked
 	u.mu.Lock()
-	resolved := make(map[resumption.Key]*uncertainStream)
+	resolved := make(map[resumption.Key]*uncheckedStream)
 	for k, s := range u.byKey {
-		switch {
-		case !s.origin.Uncertain:
-			if s.verify(g.Incarnations, now) {
-				delete(u.byKey, k)
-			}
-			if s.known().Ambiguous {
-				resolved[k] = s
-			}
-		case !s.resolve(g.Incarnations, now).Uncertain:
+		if now.Sub(s.began) > maxAnswerWait && now.Sub(s.checked) < lateInterval {
+			continue
+		}
+		s.checked = now
+		origin, over := g.checkStream(s, now)
+		if origin != s.origin {
 			resolved[k] = s
+		}
+		if over || now.Sub(s.began) > resumption.Retention {
 			delete(u.byKey, k)
-		case now.Sub(s.began) > resumption.Retention:
-			delete(u.byKey, k)
-		default:
-			g.Incarnations.Query(s.connection)
 		}
 	}
 	if len(u.byKey) > 0 {
-		time.AfterFunc(uncertainInterval, g.checkUncertain)
+		time.AfterFunc(uncheckedInterval, g.checkStreams)
 	}
 	u.mu.Unlock()
 	for k, s := range resolved {
@@ -96,9 +102,26 @@
 	}
 }
 
-func (g *Gateway) passOnResolved(k resumption.Key, s *uncertainStream, now time.Time) {
-	origin := s.resolve(g.Incarnations, now)
-	_ = level.Info(g.Logger).Log("msg", "version of a stream was resolved", "ambiguous", origin.Ambiguous, "server", s.connection.Server.ID, "server_version", origin.Version, "interrupted", s.interrupted, "after_ms", now.Sub(s.began).Milliseconds())
+// checkStream returns the origin of a stream, and whether the check is over.
+func (g *Gateway) checkStream(s *uncheckedStream, now time.Time) (origin resumption.Origin, over bool) {
+	if !s.origin.Uncertain {
+		over = s.checkAnswer(g.Incarnations, now)
+		return s.known(), over
+	}
+	origin = s.resolve(g.Incarnations, now)
+	if origin.Uncertain {
+		g.Incarnations.Query(s.connection)
+	}
+	return origin, !origin.Uncertain
+}
+
+// passOnResolved passes on the origin of a stream that is another one than was recorded when it began.
+func (g *Gateway) passOnResolved(k resumption.Key, s *uncheckedStream, now time.Time) {
+	origin, msg := s.known(), "version of a stream is certain"
+	if origin.Ambiguous {
+		msg = "stream began at another version than was recorded"
+	}
+	_ = level.Info(g.Logger).Log("msg", msg, "server", s.connection.Server.ID, "server_version", origin.Version, "interrupted", s.interrupted, "after_ms", now.Sub(s.began).Milliseconds())
 	if s.interrupted {
 		g.Streams.Interrupted(k, origin)
 		return
--- /dev/null
+++ b/pkg/gateway/unchecked_test.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"headhill.example/headhill/pkg/balancer"
+	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/incarnation"
+	"headhill.example/headhill/pkg/resumption"
+	"headhill.example/headhill/pkg/routing"
+	"headhill.example/headhill/pkg/upstream"
+)
+
+// certainLater tells the version of connections once that is certain.
+type certainLater struct {
+	noRestarts
+	certain atomic.Bool
+}
+
+func (c *certainLater) Version(connection incarnation.Connection, _ time.Time) (string, bool) {
+	return connection.Server.Version, c.certain.Load()
+}
+
+// registeredStreams keeps streams as a box does.
+type registeredStreams struct {
+	fakeStreams
+	*resumption.Registry
+}
+
+func (s registeredStreams) Began(k resumption.Key, o resumption.Origin) {
+	s.Put(k, o, true, clock.Now())
+}
+
+func (s registeredStreams) Interrupted(k resumption.Key, o resumption.Origin) {
+	s.Put(k, o, true, clock.Now())
+}
+
+// Guards against a stream that is ambiguous for good since it broke off while its version became certain.
+func TestStreamThatBreaksOffAsItBecomesCertainIsKnown(t *testing.T) {
+	restarts, streams := &certainLater{}, registeredStreams{Registry: resumption.NewRegistry()}
+	g := &Gateway{Deps: Deps{Directory: directory.New(log.NewNopLogger()), Incarnations: restarts, Streams: streams, Logger: log.NewNopLogger()}}
+	x := &exchange{gateway: g, service: &routing.Service{Name: "s"}, call: Call{ID: "a"}, firstEventTime: clock.Now()}
+	b := &boundStream{
+		key: x.streamKey(), resolution: &resolution{}, connection: incarnation.Connection{Server: &routing.Server{ID: "i", Version: "v1"}},
+		origin: resumption.Origin{Service: "s", Version: "v1", Uncertain: true},
+	}
+	x.bound.Store(b)
+	streams.Began(b.key, b.origin)
+	g.unchecked.byKey = map[resumption.Key]*uncheckedStream{b.key: {boundStream: b, began: clock.Now()}}
+	// The check of streams has the lock as the stream breaks off.
+	g.unchecked.mu.Lock()
+	done := make(chan struct{})
+	go func() {
+		x.keepInterrupted()
+		close(done)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	restarts.certain.Store(true)
+	require.False(t, b.resolve(restarts, clock.Now()).Uncertain)
+	g.unchecked.mu.Unlock()
+	<-done
+	g.checkStreams()
+	origin, ok := streams.Get(b.key, clock.Now())
+	assert.True(t, ok)
+	assert.Equal(t, resumption.Origin{Service: "s", Version: "v1"}, origin)
+}
+
+// askedServer is a server that was asked and answers later, or not at all. Its entry is v1.
+type askedServer struct {
+	noRestarts
+	answers, denies bool
+}
+
+func (a *askedServer) Query(incarnation.Connection) bool { return !a.answers }
+func (a *askedServer) Version(incarnation.Connection, time.Time) (string, bool) {
+	return "v1", !a.answers || !a.denies
+}
+
+func newAskedStream(server *askedServer) (*Gateway, *boundStream) {
+	g := &Gateway{Deps: Deps{Directory: directory.New(log.NewNopLogger()), Incarnations: server, Streams: registeredStreams{Registry: resumption.NewRegistry()}, Logger: log.NewNopLogger()}}
+	return g, &boundStream{
+		key: resumption.KeyOf("o", "a"), resolution: &resolution{}, connection: incarnation.Connection{Server: &routing.Server{ID: "i", Version: "v1"}},
+		origin: resumption.Origin{Service: "s", Version: "v1"}, answerBy: clock.Now().Add(time.Hour),
+	}
+}
+
+// Guards against a stream that goes on at the version of an entry which its server has denied.
+func TestStreamWhoseServerDeniesItsEntryIsAmbiguous(t *testing.T) {
+	for name, c := range map[string]struct {
+		server          askedServer
+		ambiguous, over bool
+	}{
+		"no answer yet": {askedServer{}, false, false},
+		"confirmed":     {askedServer{answers: true}, false, true},
+		"denied":        {askedServer{answers: true, denies: true}, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, b := newAskedStream(&c.server)
+			streams := g.Streams.(registeredStreams)
+			streams.Began(b.key, b.origin)
+			g.addUnchecked(b)
+			g.checkStreams()
+			origin, _ := streams.Get(b.key, clock.Now())
+			assert.Equal(t, c.ambiguous, origin.Ambiguous, "as recorded")
+			assert.Equal(t, c.ambiguous, b.known().Ambiguous)
+			g.unchecked.mu.Lock()
+			defer g.unchecked.mu.Unlock()
+			assert.Equal(t, c.over, len(g.unchecked.byKey) == 0)
+		})
+	}
+}
+
+// Guards against an answer that is awaited for good: the entry was not in doubt, so it stands.
+func TestOriginStandsIfNoAnswerComes(t *testing.T) {
+	server := &askedServer{}
+	_, b := newAskedStream(server)
+	assert.True(t, b.checkAnswer(server, b.answerBy.Add(time.Millisecond)))
+	assert.Equal(t, b.origin, b.known())
+}
+
+// Guards against events of another server for a stream that was found ambiguous while the attempt was under way.
+func TestAmbiguousStreamGetsNoEvents(t *testing.T) {
+	server := &askedServer{answers: true}
+	g, b := newAskedStream(server)
+	b.resolution.set(resumption.Origin{Service: "s", Version: "v1", Ambiguous: true})
+	x := &exchange{
+		gateway: g, service: &routing.Service{Name: "s"}, route: &routing.Route{Kind: routing.KindStream, Resumable: true},
+		end: &attemptEnd{lease: &balancer.Lease{Server: routing.Server{ID: "j", Version: "v1"}}}, response: &upstream.Response{},
+	}
+	x.bound.Store(b)
+	assert.ErrorIs(t, x.bindStream(), errUncertainVersion)
+}
+
+// Guards against streams that are certain and unchecked, as too many are checked.
+func TestStreamsThatCannotBeCheckedAreUncertain(t *testing.T) {
+	u := uncheckedStreams{byKey: make(map[resumption.Key]*uncheckedStream)}
+	for i := range maxUnchecked {
+		assert.True(t, u.hasRoom())
+		u.byKey[resumption.KeyOf("o", fmt.Sprint(i))] = &uncheckedStream{}
+	}
+	assert.False(t, u.hasRoom())
+}
--- a/pkg/incarnation/reports.go
+++ b/pkg/incarnation/reports.go
@@ -16,27 +16,39 @@
 )
 
 const (
-	// queryInterval is the pause between two queries of a server, silentInterval that after a report that does not state a start.
-	queryInterval  = 100 * time.Millisecond
+	// queryInterval is the pause between two queries of a server, busyInterval that after ErrBusy, silentInterval that after ErrNoStart.
+	queryInterval  = 50 * time.Millisecond
+	busyInterval   = 2 * time.Second
 	silentInterval = 5 * time.Second
 	// queryTimeout limits a query.
 	queryTimeout = 500 * time.Millisecond
-	// maxQueries is the number of servers that are queried at a time.
+	// maxQueries is the number of queries under way.
 	maxQueries = 64
-	// reportRetention is how long what a server stated is kept.
+	// reportRetention is how long what a server stated is kept at least.
 	reportRetention = time.Minute
 )
 
-// ErrNoStart is returned for a server whose report does not state when its process started.
-var ErrNoStart = errors.New("the server does not state when it started")
+// ErrNoStart is returned for a server that will not tell when its process started.
+var ErrNoStart = errors.New("the server does not tell when it started")
+
+// ErrBusy is returned for a server that answers no queries at the moment.
+var ErrBusy = errors.New("the server answers no queries at the moment")
+
+// Answer is what a process states in answer to a query.
+type Answer struct {
+	// Started is as in routing.Incarnation.
+	Started int64
+	// Sent is when the query was sent, Received when the answer had come.
+	Sent, Received time.Time
+}
 
 // QuerierDeps are the dependencies of a Querier.
 type QuerierDeps struct {
 	// Query asks the process that runs at the address of a server when it started, as in routing.Incarnation. The error is
 	// ErrNoStart if it does not say.
 	Query func(ctx context.Context, server *routing.Server) (started int64, err error)
-	// Record is called with each answer and the time at which the query was sent.
-	Record func(server *routing.Server, started int64, sent time.Time)
+	// Record is called with each answer, see Tracker.RecordReport.
+	Record func(server *routing.Server, a Answer)
 	Logger log.Logger
 }
 
@@ -46,6 +58,8 @@
 	mu sync.Mutex
 	// byServer holds the servers that are queried or were lately, by ID.
 	byServer map[string]*querying
+	// underWay is the number of queries without an answer.
+	underWay int
 }
 
 // querying is a server that is queried, as its entry was when a query was last wanted. repeat is set if another one is wanted, silent
@@ -69,9 +83,10 @@
 		s.server, s.repeat = *server, true
 		return !s.silent
 	}
-	if len(q.byServer) >= maxQueries {
+	if q.underWay >= maxQueries {
 		return false
 	}
+	q.underWay++
 	q.byServer[server.ID] = &querying{server: *server}
 	go q.run(*server)
 	return true
@@ -94,6 +109,7 @@
 		return routing.Server{}, false
 	}
 	s.repeat = false
+	q.underWay++
 	return s.server, true
 }
 
@@ -103,24 +119,28 @@
 	defer cancel()
 	sent := clock.Now()
 	started, err := q.QuerierDeps.Query(ctx, server)
-	_ = level.Info(q.Logger).Log("msg", "queried when server started", "server", server.ID, "entry_started", server.Started, "started", started, "took_ms", clock.Since(sent).Milliseconds(), "err", err)
+	received := clock.Now()
+	_ = level.Info(q.Logger).Log("msg", "asked server for the start of its process", "server", server.ID, "entry_started", server.Started, "started", started, "took_ms", received.Sub(sent).Milliseconds(), "err", err)
 	silent := errors.Is(err, ErrNoStart)
 	q.mu.Lock()
+	q.underWay--
 	if s := q.byServer[server.ID]; s.server.Incarnation() == server.Incarnation() {
 		s.silent = silent
 	}
 	q.mu.Unlock()
-	if silent {
+	switch {
+	case silent:
 		return silentInterval
-	}
-	if err == nil {
-		q.Record(server, started, sent)
+	case errors.Is(err, ErrBusy):
+		return busyInterval
+	case err == nil:
+		q.Record(server, Answer{Started: started, Sent: sent, Received: received})
 	}
 	return queryInterval
 }
 
-// statement is when a process stated that it runs, for the first and the last time, and at which address. version is that of its
-// entry, if that was listed.
+// statement is what is known of a process from its own answers: a time from which on and one up to which it ran, the address at
+// which it answered, and the version of its entry once that was listed. It ran between the two, whichever is earlier.
 type statement struct {
 	first, last time.Time
 	address     string
@@ -128,50 +148,20 @@
 	listed      bool
 }
 
-// RecordReport records when the process of a server started, as it stated in answer to a query that was sent at a time. If that is
-// not the process of the entry with which it was queried, that one has ended.
-func (t *Tracker) RecordReport(server *routing.Server, started int64, sent time.Time) {
-	process := routing.Incarnation{ID: server.ID, Started: started}
+// RecordReport records when the process of a server started, as it stated in answer to a query. If that is not the process of the
+// entry with which it was queried, that one has ended.
+func (t *Tracker) RecordReport(server *routing.Server, a Answer) {
+	process := routing.Incarnation{ID: server.ID, Started: a.Started}
 	t.mu.Lock()
-	t.sweepStatements(sent)
-	known := t.addStatement(process, server.Address, sent)
+	known := t.addStatement(process, server.Address, a)
 	entry, _ := t.List.ServerEntry(server.ID)
-	s := t.unresolved(server.ID, sent)
+	s := t.unresolved(server.ID, a.Sent)
 	ended := !known && entry.Incarnation != process && (s == nil || !s.certain)
 	ran := t.lastProved(server.Incarnation())
 	t.mu.Unlock()
-	if !ended {
-		return
-	}
-	t.RecordEnded(server, sent)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s := t.restarts[server.ID]; s != nil {
-		s.first = earlier(s.first, ran)
-	}
-}
-
-// lastProved returns a time up to which the process of an entry is proved to have run. The caller holds mu.
-func (t *Tracker) lastProved(process routing.Incarnation) time.Time {
-	ran := t.settledAt()
-	if s, ok := t.stated[process.ID][process.Started]; ok {
-		ran = later(ran, s.last)
+	if ended {
+		t.record(loss{Restart: Restart{Server: server.ID, At: a.Sent, Certain: true}, address: server.Address, from: ran})
 	}
-	return ran
-}
-
-// denied reports whether another process than that of an entry stated that it runs since the entry was listed. The caller holds mu.
-func (t *Tracker) denied(entry Entry) bool {
-	own := entry.ListedAt
-	if s, ok := t.stated[entry.Incarnation.ID][entry.Incarnation.Started]; ok {
-		own = later(own, s.last)
-	}
-	for started, s := range t.stated[entry.Incarnation.ID] {
-		if started != entry.Incarnation.Started && s.last.After(own) {
-			return true
-		}
-	}
-	return false
 }
 
 // sweepStatements removes what servers stated too long ago. The caller holds mu.
@@ -185,7 +175,8 @@
 }
 
 // addStatement adds what a process stated, and reports whether it had done so before. The caller holds mu.
-func (t *Tracker) addStatement(process routing.Incarnation, address string, sent time.Time) (known bool) {
+func (t *Tracker) addStatement(process routing.Incarnation, address string, a Answer) (known bool) {
+	t.sweepStatements(a.Sent)
 	processes := t.stated[process.ID]
 	if processes == nil {
 		processes = make(map[int64]*statement)
@@ -193,13 +184,37 @@
 	}
 	s, known := processes[process.Started]
 	if !known {
-		processes[process.Started] = &statement{first: sent, last: sent, address: address}
+		processes[process.Started] = &statement{first: a.Received, last: a.Sent, address: address}
 		return false
 	}
-	s.first, s.last = earlier(s.first, sent), later(s.last, sent)
+	s.first, s.last = earlier(s.first, a.Received), later(s.last, a.Sent)
 	return true
 }
 
+// lastProved returns a time up to which the process of an entry is proved to have run, or that at which this box started. The caller
+// holds mu.
+func (t *Tracker) lastProved(process routing.Incarnation) time.Time {
+	ran := later(t.settledAt(), t.Started)
+	if s, ok := t.stated[process.ID][process.Started]; ok {
+		ran = later(ran, s.last)
+	}
+	return ran
+}
+
+// denied reports whether another process than that of an entry stated that it runs since the entry was listed. The caller holds mu.
+func (t *Tracker) denied(entry Entry) bool {
+	own := entry.ListedAt
+	if s, ok := t.stated[entry.Incarnation.ID][entry.Incarnation.Started]; ok {
+		own = later(own, s.last)
+	}
+	for started, s := range t.stated[entry.Incarnation.ID] {
+		if started != entry.Incarnation.Started && s.last.After(own) {
+			return true
+		}
+	}
+	return false
+}
+
 // processOf returns the process to which a connection leads, and what it stated. It returns false if no report tells. The caller
 // holds mu.
 func (t *Tracker) processOf(c Connection) (routing.Incarnation, *statement, bool) {
@@ -236,16 +251,19 @@
 	return s.version, true, s.listed
 }
 
-// Query has the server of a connection queried, and reports whether an answer may come. It returns false if there has been one
-// since the connection was opened.
+// Query has the server of a connection queried, and reports whether an answer may come. It returns false if the connection is
+// proved, or if there has been an answer since it was opened.
 func (t *Tracker) Query(c Connection) bool {
-	return c.Server.Started != 0 && t.Deps.Query != nil && !t.answered(c) && t.Deps.Query(c.Server)
+	return c.Server.Started != 0 && t.Deps.Query != nil && !t.settledFor(c) && t.Deps.Query(c.Server)
 }
 
-// answered reports whether the server of a connection has answered a query that was sent since the connection was opened.
-func (t *Tracker) answered(c Connection) bool {
+// settledFor reports whether another answer would tell nothing of a connection.
+func (t *Tracker) settledFor(c Connection) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.proved(c) && t.restarts[c.Server.ID] == nil {
+		return true
+	}
 	for _, s := range t.stated[c.Server.ID] {
 		if !s.last.Before(c.Opened) {
 			return true
--- a/pkg/incarnation/reports_test.go
+++ b/pkg/incarnation/reports_test.go
@@ -23,7 +23,7 @@
 	report := func(before func(*fakeTracker), started int64, at float64) func(*fakeTracker) {
 		return func(f *fakeTracker) {
 			before(f)
-			f.RecordReport(f.server, started, f.at(at))
+			f.report(started, at)
 		}
 	}
 	for name, c := range map[string]struct {
@@ -41,8 +41,8 @@
 		"queried as it ended":                 {record: report(ended, 1, 5.01), opened: 5.1, now: 5.3, maybe: true},
 		"another process":                     {record: report(idle, 2, 5.2), opened: 5.1, now: 5.3, maybe: true},
 		"another process, no sign before":     {record: report(func(*fakeTracker) {}, 2, 5.2), opened: 5.3, now: 5.3, maybe: true},
-		"another process, opened before":      {record: report(func(*fakeTracker) {}, 2, 5.2), opened: 4, now: 5.3, maybe: true},
-		"another process, listed by now":      {record: func(f *fakeTracker) { ended(f); f.relist("v2", 5.3); f.RecordReport(f.server, 2, f.at(5.4)) }, opened: 5.2, until: 5.45, now: 5.5, version: "v2", reliable: true},
+		"another process, opened before":      {record: report(func(f *fakeTracker) { f.list.confirmed = f.at(5) }, 2, 5.2), opened: 4, now: 5.3, maybe: true},
+		"another process, listed by now":      {record: func(f *fakeTracker) { ended(f); f.relist("v2", 5.3); f.report(2, 5.4) }, opened: 5.2, until: 5.45, now: 5.5, version: "v2", reliable: true},
 		"another process, listed since":       {record: func(f *fakeTracker) { report(ended, 2, 5.2)(f); f.relist("v2", 5.3) }, opened: 5.1, until: 5.3, now: 5.5, version: "v2", reliable: true},
 		"it may have ended before the query":  {record: func(f *fakeTracker) { report(ended, 2, 5.2)(f); f.relist("v2", 6.5) }, opened: 5.1, until: 5.15, now: 7},
 		"another one was listed":              {record: func(f *fakeTracker) { report(ended, 3, 5.2)(f); f.relist("v2", 6.5) }, opened: 5.1, until: 5.3, now: 7},
@@ -55,7 +55,7 @@
 			c.record(f)
 			assert.Equal(t, c.version, f.versionOf(c.opened, 0, c.now))
 			assert.Equal(t, c.maybe, f.MayHaveRestarted(f.server, false, f.at(c.now)))
-			assert.Equal(t, c.reliable, f.Reliable(Connection{Server: f.server, Opened: f.at(c.opened)}, false, f.at(c.now)))
+			assert.Equal(t, c.reliable, f.Reliable(Connection{Server: f.server, Opened: f.at(c.opened)}, f.at(c.now)))
 		})
 	}
 }
@@ -64,7 +64,7 @@
 func TestRepeatedReportsAreOneRestart(t *testing.T) {
 	f := newFakeTracker()
 	for i := range 5 {
-		f.RecordReport(f.server, 2, f.at(5+float64(i)))
+		f.report(2, 5+float64(i))
 	}
 	f.relist("v2", 9)
 	f.runningSince, f.runningUntil = f.at(6), f.at(9)
@@ -76,9 +76,9 @@
 	queries := 0
 	f.Deps.Query = func(*routing.Server) bool { queries++; return true }
 	c := Connection{Server: f.server, Opened: f.at(5)}
-	f.RecordReport(f.server, 1, f.at(4))
+	f.report(1, 4)
 	assert.True(t, f.Query(c))
-	f.RecordReport(f.server, 1, f.at(5.1))
+	f.report(1, 5.1)
 	assert.False(t, f.Query(c), "answered since the connection was opened")
 	assert.False(t, f.Query(Connection{Server: &routing.Server{ID: "b"}, Opened: f.at(5)}), "nothing to compare an answer with")
 	assert.Equal(t, 1, queries)
@@ -93,8 +93,9 @@
 			queries.Add(1)
 			return 7, err
 		},
-		Record: func(_ *routing.Server, started int64, _ time.Time) {
-			assert.EqualValues(t, 7, started)
+		Record: func(_ *routing.Server, a Answer) {
+			assert.EqualValues(t, 7, a.Started)
+			assert.False(t, a.Received.Before(a.Sent))
 			records.Add(1)
 		},
 		Logger: log.NewNopLogger(),
--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -35,7 +35,7 @@
 	confirmDelay = 4500 * time.Millisecond
 	// recoveryDelay is the time after a restart, or after an outage of the source, within which servers write their entries.
 	recoveryDelay = 2 * time.Second
-	// entryLateness is how much later than a restart the list has the entry of the new process, or none if that has ended too.
+	// entryLateness is how long after a restart the list may still have the entry of the process before.
 	entryLateness = confirmDelay
 	// unstableTime is how long a server that has restarted counts as one that may restart again.
 	unstableTime = 30 * time.Second
@@ -160,8 +160,10 @@
 // resolution is what the list said of a server after a possible restart.
 type resolution struct {
 	first, last time.Time
-	// before is the version of the entry before, after the one since; listed is unset if the server has no entry since.
+	// before is the version of the entry before, after the one since, which describes process; listed is unset if the server has no
+	// entry since.
 	before, after string
+	process       routing.Incarnation
 	listed        bool
 	at            time.Time
 }
@@ -211,6 +213,8 @@
 	address string
 	// last is set if the box has no other connection in use.
 	last bool
+	// from is since when the server may have restarted, zero for about the time of the notice.
+	from time.Time
 }
 
 func (t *Tracker) record(l loss) {
@@ -225,8 +229,12 @@
 	connections := b.count()
 	ended := l.Certain || !many && (connections >= burstLosses || b.own > 1 && l.last)
 	news := false
+	began := b.began
+	if !l.from.IsZero() {
+		began = earlier(began, l.from)
+	}
 	if ended || l.last || l.Idle {
-		news = t.add(l, b.began, ended)
+		news = t.add(l, began, ended)
 	}
 	t.mu.Unlock()
 	if news {
@@ -243,6 +251,7 @@
 		return
 	}
 	t.sweptAt = now
+	t.sweepStatements(now)
 	for id := range maps.Clone(t.restarts) {
 		t.unresolved(id, now)
 	}
@@ -327,8 +336,8 @@
 }
 
 // refuted reports whether the process of a server has been running since before its possible restart, or whether
-// the loss of this box's link explains what was noticed. That its process has ended is known from other boxes as well, so that the
-// link does not explain it. The caller holds mu.
+// the loss of this box's link explains what was noticed: it explains broken connections of this box, and nothing that others found or
+// that proves the end of the process. The caller holds mu.
 func (t *Tracker) refuted(id string, s *restart) bool {
 	last := t.lastOf(id, s)
 	if entry, listed := t.List.ServerEntry(id); listed && t.denied(entry) {
@@ -388,6 +397,8 @@
 	for _, r := range slices.Backward(t.resolved[c.Server.ID]) {
 		switch {
 		case !c.concerns(r.first):
+		case r.listed && r.process == c.Server.Incarnation() && !c.Opened.Before(r.last):
+			return c.Server.Version, true
 		case len(t.stated[c.Server.ID]) > 0:
 			return c.Server.Version, false
 		case r.listed && !c.Opened.Before(r.last), r.listed && r.unchanged() && c.Server.Version == r.after:
@@ -401,10 +412,9 @@
 
 // Reliable reports whether the entry of a server may be relied on for a connection. If this box has lost a connection to it, if
 // only an idle one, or had not started when others may have, the entry counts only once it is proved. So does that of a server
-// that has restarted lately, as it may have again while nobody was connected. These doubts don't count while answering is set: the
-// server was queried and may answer. Nothing can be proved of a server whose entry does not state when it started, so that only a
-// restart that was noticed counts.
-func (t *Tracker) Reliable(c Connection, answering bool, now time.Time) bool {
+// that has restarted lately, as it may have again while nobody was connected. Nothing can be proved of a server whose entry does not
+// state when it started, so that only a restart that was noticed counts.
+func (t *Tracker) Reliable(c Connection, now time.Time) bool {
 	if c.Server.Started == 0 {
 		return true
 	}
@@ -417,14 +427,9 @@
 	if !listed || entry.Incarnation != c.Server.Incarnation() || t.denied(entry) {
 		return false
 	}
-	return answering || t.undoubted(c, entry, now) || t.proved(c)
-}
-
-// undoubted reports whether there is no sign that a server may have restarted before a connection was opened. The caller holds mu.
-func (t *Tracker) undoubted(c Connection, entry Entry, now time.Time) bool {
 	watched := !c.Opened.Before(t.Started.Add(unstableTime))
 	stable := entry.RestartedAt.IsZero() || now.Sub(entry.RestartedAt) > unstableTime
-	return watched && stable && t.unresolved(c.Server.ID, now) == nil
+	return watched && stable && t.unresolved(c.Server.ID, now) == nil || t.proved(c)
 }
 
 // proved reports whether a connection is proved to lead to the process that the entry of its server describes: the connection,
@@ -484,7 +489,7 @@
 	t.remove(id)
 	maps.DeleteFunc(t.resolved, func(_ string, list []resolution) bool { return now.Sub(list[len(list)-1].at) > retention })
 	if s.certain || entry.Version != s.version {
-		list := append(t.resolved[id], resolution{first: s.first, last: last, before: s.version, after: entry.Version, listed: listed, at: now})
+		list := append(t.resolved[id], resolution{first: s.first, last: last, before: s.version, after: entry.Version, process: entry.Incarnation, listed: listed, at: now})
 		t.resolved[id] = slices.Clone(list[max(0, len(list)-maxResolved):])
 	}
 	_ = level.Info(t.Logger).Log("msg", "entry of server confirmed after possible restart", "server", id, "listed", listed, "version", entry.Version, "before", s.version, "after_ms", now.Sub(s.first).Milliseconds())
--- a/pkg/incarnation/tracker_test.go
+++ b/pkg/incarnation/tracker_test.go
@@ -51,6 +51,11 @@
 	return f.start.Add(time.Duration(seconds * float64(time.Second)))
 }
 
+// report records that the process that started at a time answered at once when it was queried at another.
+func (f *fakeTracker) report(started int64, at float64) {
+	f.RecordReport(f.server, Answer{Started: started, Sent: f.at(at), Received: f.at(at + 0.001)})
+}
+
 // lose records that a connection broke that was opened at 3 s.
 func (f *fakeTracker) lose(server *routing.Server, last bool, at float64) {
 	f.RecordLost(Connection{Server: server, Opened: f.at(3), Broken: f.at(at)}, last)
@@ -133,7 +138,7 @@
 			f.RecordRemote("b", Restart{Server: "a", At: f.at(5.05), Opened: f.at(3), Certain: true})
 			f.linkFailed = true
 		}, 6, 0, 6.1, "", true, true},
-		"this box has lost its link after others saw the process end": {func(f *fakeTracker) {
+		"this box has lost its link after it found that the process had ended": {func(f *fakeTracker) {
 			ended(f)
 			f.linkFailed = true
 		}, 6, 0, 6.1, "", true, true},
@@ -195,7 +200,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFakeTracker()
 			c.record(f)
-			assert.Equal(t, c.want, f.Reliable(Connection{Server: f.server, Opened: f.at(c.opened)}, false, f.at(c.now)))
+			assert.Equal(t, c.want, f.Reliable(Connection{Server: f.server, Opened: f.at(c.opened)}, f.at(c.now)))
 		})
 	}
 }
@@ -224,5 +229,5 @@
 	f := newFakeTracker()
 	f.server.Started = 0
 	f.lose(f.server, true, 5)
-	assert.True(t, f.Reliable(Connection{Server: f.server, Opened: f.at(5.1)}, false, f.at(6)))
+	assert.True(t, f.Reliable(Connection{Server: f.server, Opened: f.at(5.1)}, f.at(6)))
 }
--- a/pkg/routerd/incarnations.go
+++ b/pkg/routerd/incarnations.go
@@ -21,7 +21,7 @@
 
 // ServerReport is a request for what a server says of itself, which it answers without running anything.
 type ServerReport struct {
-	// Target is the request target, Header returns the header for a server with an ID, which others don't answer.
+	// Target is the request target. Header returns the header that keeps a server with another ID from answering.
 	Target string
 	Header func(id string) http.Header
 	// Started returns when the process started, as in routing.Incarnation. It returns false if the report does not say so.
@@ -57,9 +57,7 @@
 		Query: func(ctx context.Context, server *routing.Server) (int64, error) {
 			return d.readStart(ctx, report, server)
 		},
-		Record: func(server *routing.Server, started int64, sent time.Time) {
-			d.incarnations.RecordReport(server, started, sent)
-		},
+		Record: func(server *routing.Server, a incarnation.Answer) { d.incarnations.RecordReport(server, a) },
 	})
 	return func(server *routing.Server) bool {
 		state := d.balancer.Signals().State(signals.KeyOf(server.Incarnation()), clock.Now())
@@ -80,7 +78,11 @@
 	if err != nil {
 		return 0, err
 	}
-	if resp.Status != http.StatusOK {
+	switch resp.Status {
+	case http.StatusOK:
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return 0, fmt.Errorf("%w: status %d", incarnation.ErrBusy, resp.Status)
+	default:
 		return 0, fmt.Errorf("%w: status %d", incarnation.ErrNoStart, resp.Status)
 	}
 	started, ok := report.Started(body)
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -293,6 +293,7 @@
 		x.conn.Close()
 		return
 	}
+	// A query asks for no notice; that of the request before stays.
 	if x.onIdleClosed != nil {
 		x.conn.onIdleClosed = x.onIdleClosed
 	}
