--- a/pkg/incarnation/reports.go
+++ b/pkg/incarnation/reports.go
@@ -45,7 +45,7 @@
 // QuerierDeps are the dependencies of a Querier.
 type QuerierDeps struct {
 	// Query asks the process that runs at the address of a server when it started, as in routing.Incarnation. The error is
-	// ErrNoStart if it does not say.
+	// ErrNoStart if it does not say, and ErrBusy if it answers no queries at the moment.
 	Query func(ctx context.Context, server *routing.Server) (started int64, err error)
 	// Record is called with each answer, see Tracker.RecordReport.
 	Record func(server *routing.Server, a Answer)
@@ -235,8 +235,8 @@
 	return own, nil, false
 }
 
-// statedVersion returns the version of the process to which a connection leads. told is unset if no report tells the process, ok if the
-// entry of that process is not known. The caller holds mu.
+// statedVersion returns the version of the process to which a connection leads. told is set if a report tells which process that is, ok
+// if its version is known as well. The caller holds mu.
 func (t *Tracker) statedVersion(c Connection) (version string, told, ok bool) {
 	process, s, told := t.processOf(c)
 	if !told {
