serverpath: a response that is read before the write of its request returns leaves no doubt of the path

The log has two lines "path checked" for a path over which everything had been answered.

Cause: a connection was marked as awaiting a response after its write had returned. The response of a quick server may have been read by then, so the mark stayed, and the end of the connection counted as one without a response. The box then checked the next new connections with a request of their own, which used up the behaviour that the test had set.

Change: the mark is set before the write.

--- a/pkg/serverpath/conns.go
+++ b/pkg/serverpath/conns.go
@@ -18,10 +18,12 @@
 	pending atomic.Bool
 }
 
-// sent is called for each write.
-func (a *awaited) sent(err error) {
+// write writes to the connection. The response may be read before the write returns.
+func (a *awaited) write(c net.Conn, b []byte) (int, error) {
 	a.pending.Store(true)
+	n, err := c.Write(b)
 	a.ended(err)
+	return n, err
 }
 
 // received is called for each read, and reports whether it brought anything.
@@ -60,9 +62,7 @@
 
 // Write implements net.Conn.
 func (c *directConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.sent(err)
-	return n, err
+	return c.write(c.Conn, b)
 }
 
 // Reusable implements upstream.ReusableConn.
@@ -97,9 +97,7 @@
 // tried again.
 func (c *tunnelConn) Write(b []byte) (int, error) {
 	c.dialer.RetryDirect(c.serverKey, c.address)
-	n, err := c.Conn.Write(b)
-	c.sent(err)
-	return n, err
+	return c.write(c.Conn, b)
 }
 
 // Via implements upstream.ViaConn.
