resumption: an origin that became certain reaches the boxes that were told of an uncertain one

What callers saw: where a service has one version and a server of it may have restarted, its streams are recorded as uncertain. Once the version was found out, the box that had begun the stream dropped that, as streams of one version are not recorded: the other boxes, and its own record, stayed uncertain for the life of the record, and the stream was refused when it was taken up there.

Change: an origin replaces an uncertain record whatever the number of versions. An ambiguous one is recorded too.

Evidence: TestOriginThatBecameCertainReachesOtherBoxes, red before at each of three boxes. TestOneVersionCostsNothing stays green. Found by reading, while the streams of the first servers of a version were worked on.

--- a/pkg/resumption/exchange.go
+++ b/pkg/resumption/exchange.go
@@ -123,12 +123,14 @@
 }
 
 // Began records where a stream began, if its service has several versions or may have. It does not block, and is called
-// before the first event is forwarded.
+// before the first event is forwarded, and again once an uncertain origin is found out.
 func (e *Exchange) Began(k Key, o Origin) {
-	if !o.Uncertain && !e.hasSeveral(o.Service) {
+	now := clock.Now()
+	before, known := e.registry.Get(k, now)
+	if !o.Uncertain && !o.Ambiguous && !(known && before.Uncertain) && !e.hasSeveral(o.Service) {
 		return
 	}
-	e.registry.Put(k, o, true, clock.Now())
+	e.registry.Put(k, o, true, now)
 	e.recorded.Add(1)
 	e.sendRecords(map[Key]Origin{k: o})
 }
--- a/pkg/resumption/uncertain_test.go
+++ b/pkg/resumption/uncertain_test.go
@@ -1,10 +1,14 @@
 package resumption
 
 import (
+	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/resumption/resumptionpb"
 )
 
@@ -25,3 +29,25 @@
 	e.add(&resumptionpb.Reply{Record: encodeRecord(k, uncertain)})
 	assert.False(t, Decide("s", e).Known, "one version is known, but the server may have had another")
 }
+
+// Guards against a stream that other boxes refuse although its version was found out, as its service has one version only.
+func TestOriginThatBecameCertainReachesOtherBoxes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, list := newLossless(), boxes(3, 1)
+		var exchanges []*Exchange
+		for i := range list {
+			exchanges = append(exchanges, startAsking(t, n, slices.Concat(list[i:], list[:i]), ServiceVersions{Versions: []string{"v1"}, HistoryKnown: true}))
+		}
+		k, o := KeyOf("a", "b"), Origin{Service: testService, Version: "v1", Uncertain: true}
+		exchanges[0].Began(k, o)
+		time.Sleep(time.Second)
+		o.Uncertain = false
+		exchanges[0].Began(k, o)
+		time.Sleep(time.Second)
+		for _, e := range exchanges {
+			kept, known := e.registry.Get(k, clock.Now())
+			assert.True(t, known, e.Box)
+			assert.Equal(t, o, kept, e.Box)
+		}
+	})
+}
