gateway, upstream: a sign of a restart counts while a service has one version

What callers saw: streams of two software versions that began at the first servers of a second version. These had restarted under their IDs while nothing was in use; while there is one version, nobody looked at idle connections or asked servers.

Cause: the absence of a second version was taken for the absence of a restart. A connection that is found closed as it is taken for a request is a sign that costs nothing, and was dropped for services with one version.

Change: that close is recorded for requests of resumable streams (no checks of idle connections, as before). While a server has a sign, a stream that begins there is uncertain until the server has answered when it started, for a second at most; without an answer the entry counts, so that no stream is refused for good. A stream that goes on there waits for the answer up to 0.3 s, as with several versions.

Without a sign a stream costs one read of an atomic more.

--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -389,6 +389,7 @@
 	if x.organisation != nil {
 		a.Organisation = x.organisation.Name
 	}
+	several := x.gateway.Streams != nil && x.gateway.Streams.SeveralVersions(lease.Server.Service)
 	return upstream.Request{
 		ServerKey:       lease.Server.Incarnation().String(),
 		Address:         lease.Server.Address,
@@ -399,16 +400,17 @@
 		Body:            x.body,
 		MatchesResponse: func(h http.Header) bool { return x.gateway.Protocol.MatchesResponse(&x.call, h) },
 		OnSend:          x.beforeSend,
-		OnIdleClosed:    x.gateway.idleClosed(lease.Server),
+		OnIdleClosed:    x.idleClosed(lease.Server, several),
+		ReportOnReuse:   !several,
 	}
 }
 
-// idleClosed returns what is called if a server closes an idle connection, nil if nothing depends on its version.
-func (g *Gateway) idleClosed(server routing.Server) func(opened time.Time) {
-	if g.Streams == nil || !g.Streams.SeveralVersions(server.Service) {
+// idleClosed returns what is called if a server closes an idle connection, nil if no stream depends on its version.
+func (x *exchange) idleClosed(server routing.Server, several bool) func(opened time.Time) {
+	if !several && !x.resumable() {
 		return nil
 	}
 	return func(opened time.Time) {
-		g.Incarnations.RecordIdleClosed(incarnation.Connection{Server: &server, Opened: opened, Broken: clock.Now()})
+		x.gateway.Incarnations.RecordIdleClosed(incarnation.Connection{Server: &server, Opened: opened, Broken: clock.Now()})
 	}
 }
--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -83,10 +83,11 @@
 	key    resumption.Key
 	origin resumption.Origin
 	// connection is the one over which the stream began, resolution its origin as it was found later; nil for a stream that was taken
-	// up. needsProof is set if the entry of the server must be proved.
+	// up. needsProof is set if the entry of the server must be proved, proofBy is when it counts without a proof; zero for never.
 	connection incarnation.Connection
 	resolution *resolution
 	needsProof bool
+	proofBy    time.Time
 	// answerBy is until when the answer of the server is awaited; zero for none. The origin counts as certain meanwhile.
 	answerBy time.Time
 }
@@ -109,7 +110,8 @@
 		return o
 	}
 	version, ok := i.Version(b.connection, now)
-	if !ok || b.needsProof && version == b.connection.Server.Version && !i.Reliable(b.connection, now) {
+	proofDue := b.needsProof && (b.proofBy.IsZero() || now.Before(b.proofBy))
+	if !ok || proofDue && version == b.connection.Server.Version && !i.Reliable(b.connection, now) {
 		return o
 	}
 	o.Version, o.Uncertain = version, false
@@ -244,8 +246,12 @@
 	b := &boundStream{key: x.streamKey(), connection: x.attemptConnection(), resolution: &resolution{}}
 	b.connection.Server = new(x.end.lease.Server)
 	b.needsProof = ok && x.needsProof()
+	if b.needsProof && !x.severalVersions() {
+		b.needsProof = x.gateway.Incarnations.Query(b.connection)
+		b.proofBy = clock.Now().Add(maxAnswerWait)
+	}
 	b.origin = resumption.Origin{Service: x.service.Name, Version: version, Uncertain: !ok || b.needsProof}
-	if !b.origin.Uncertain && x.gateway.Streams.SeveralVersions(x.service.Name) && x.gateway.Incarnations.Query(b.connection) {
+	if !b.origin.Uncertain && x.severalVersions() && x.gateway.Incarnations.Query(b.connection) {
 		b.answerBy = clock.Now().Add(maxAnswerWait)
 		b.origin.Uncertain = !x.gateway.unchecked.hasRoom()
 	}
@@ -253,27 +259,32 @@
 }
 
 // provedVersion returns the version of the server of the latest attempt, for a stream that goes on. The first event waits for the
-// answers of that server and of the one at which the stream began, if these are asked.
+// answers of that server and of the one at which the stream began, if these are asked. With one version, the server's entry counts if
+// no answer comes.
 func (x *exchange) provedVersion(b *boundStream) (version string, ok bool) {
 	i := x.gateway.Incarnations
-	several := x.gateway.Streams.SeveralVersions(x.service.Name)
+	several := x.severalVersions()
 	for end := clock.Now().Add(maxProofWait); ; time.Sleep(proofInterval) {
 		now := clock.Now()
 		version, ok = x.attemptVersion()
-		ok = ok && !x.needsProof()
-		answered := ok && !several || !i.Query(x.attemptConnection())
+		proved := ok && !x.needsProof()
+		answered := proved && !several || !i.Query(x.attemptConnection())
 		if answered && (b.answerBy.IsZero() || b.checkAnswer(i, now)) || now.After(end) {
-			return version, ok
+			return version, proved || ok && !several
 		}
 	}
 }
 
-// needsProof reports whether the entry of the latest attempt's server is not to be relied on for its connection as yet, and
-// there are several versions.
+// needsProof reports whether the entry of the latest attempt's server is not to be relied on for its connection as yet. With one
+// version, only a sign of a restart is a reason not to.
 func (x *exchange) needsProof() bool {
-	return x.gateway.Streams.SeveralVersions(x.service.Name) && !x.gateway.Incarnations.Reliable(x.attemptConnection(), clock.Now())
+	i, now := x.gateway.Incarnations, clock.Now()
+	return (x.severalVersions() || i.MayHaveRestarted(&x.end.lease.Server, false, now)) && !i.Reliable(x.attemptConnection(), now)
 }
 
+// severalVersions reports whether the servers of the service have several versions, or had lately.
+func (x *exchange) severalVersions() bool { return x.gateway.Streams.SeveralVersions(x.service.Name) }
+
 // attemptVersion returns the version of the server of the latest attempt. It returns false if that can't be told.
 func (x *exchange) attemptVersion() (string, bool) {
 	return x.gateway.Incarnations.Version(x.attemptConnection(), clock.Now())
--- a/pkg/gateway/unchecked_test.go
+++ b/pkg/gateway/unchecked_test.go
@@ -148,3 +148,79 @@
 	}
 	assert.False(t, u.hasRoom())
 }
+
+// signedServer is a server of a service with one version, of which there was a sign that it may have restarted.
+type signedServer struct {
+	noRestarts
+	answerable, proved, denied bool
+}
+
+func (s *signedServer) MayHaveRestarted(_ *routing.Server, certainOnly bool, _ time.Time) bool {
+	return !certainOnly
+}
+func (s *signedServer) Reliable(incarnation.Connection, time.Time) bool { return s.proved }
+func (s *signedServer) Query(incarnation.Connection) bool {
+	return s.answerable && !s.proved && !s.denied
+}
+func (s *signedServer) Version(incarnation.Connection, time.Time) (string, bool) {
+	return "v1", !s.denied
+}
+
+func newSignedExchange(server *signedServer) *exchange {
+	return &exchange{
+		service: &routing.Service{Name: "s"}, route: &routing.Route{Kind: routing.KindStream, Resumable: true}, call: Call{ID: "a"},
+		gateway:  &Gateway{Deps: Deps{Directory: directory.New(log.NewNopLogger()), Incarnations: server, Streams: fakeStreams{}, Logger: log.NewNopLogger()}},
+		response: &upstream.Response{}, end: &attemptEnd{lease: &balancer.Lease{Server: routing.Server{ID: "i", Version: "v1"}}},
+	}
+}
+
+// Guards against a stream of two versions that began at the first server of its version, which had restarted while its
+// connections were idle.
+func TestSignOfRestartMakesStreamUncertainWithOneVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		server signedServer
+		// uncertain tells whether the stream is uncertain as it begins, stays whether it is once the time for an answer is up.
+		uncertain, stays         bool
+		laterProved, laterDenied bool
+	}{
+		"answer awaited": {server: signedServer{answerable: true}, uncertain: true},
+		"proved":         {server: signedServer{answerable: true, proved: true}},
+		"proved later":   {server: signedServer{answerable: true}, uncertain: true, laterProved: true},
+		"denied later":   {server: signedServer{answerable: true}, uncertain: true, laterDenied: true, stays: true},
+		"denied":         {server: signedServer{denied: true}, uncertain: true, stays: true},
+		"can't be asked": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := &c.server
+			x := newSignedExchange(server)
+			require.NoError(t, x.bindStream())
+			b, now := x.bound.Load(), clock.Now()
+			assert.Equal(t, c.uncertain, b.resolve(server, now).Uncertain)
+			server.proved, server.denied = server.proved || c.laterProved, server.denied || c.laterDenied
+			if c.laterProved {
+				assert.False(t, b.resolve(server, now).Uncertain, "at once with the answer")
+			}
+			assert.Equal(t, c.stays, b.resolve(server, now.Add(maxAnswerWait+time.Second)).Uncertain)
+		})
+	}
+}
+
+// Guards against events of a server that has restarted with another version for a stream that goes on, and against streams that
+// break off as the only server left answers no queries.
+func TestStreamGoesOnAtServerWithSignUnlessItDenies(t *testing.T) {
+	for name, c := range map[string]struct {
+		server signedServer
+		want   error
+	}{
+		"no answer":      {signedServer{answerable: true}, nil},
+		"can't be asked": {signedServer{}, nil},
+		"proved":         {signedServer{answerable: true, proved: true}, nil},
+		"denied":         {signedServer{denied: true}, errUncertainVersion},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newSignedExchange(&c.server)
+			x.bound.Store(&boundStream{key: x.streamKey(), origin: resumption.Origin{Service: "s", Version: "v1"}})
+			assert.ErrorIs(t, x.bindStream(), c.want)
+		})
+	}
+}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -38,6 +38,9 @@
 	// OnIdleClosed is called if the server closes the connection, which was established at a time, while it is idle after the
 	// response; nil for none. It must not block.
 	OnIdleClosed func(opened time.Time)
+	// ReportOnReuse has OnIdleClosed called only once the connection is to carry another request, which needs no checks of idle
+	// connections.
+	ReportOnReuse bool
 }
 
 // Response is a response whose header has been read. Close must be called to release its
@@ -132,7 +135,7 @@
 			return nil, &NotSentError{Address: r.Address, Cause: err}
 		}
 	}
-	x := &exchange{client: c, conn: conn, serverKey: r.ServerKey, onIdleClosed: r.OnIdleClosed, writeResult: make(chan error, 1)}
+	x := &exchange{client: c, conn: conn, serverKey: r.ServerKey, onIdleClosed: r.OnIdleClosed, reportOnReuse: r.ReportOnReuse, writeResult: make(chan error, 1)}
 	x.stopAbort = context.AfterFunc(ctx, func() { conn.Close() })
 	c.busy.add(r.ServerKey, conn)
 	sent := clock.Now()
@@ -176,9 +179,10 @@
 	client    *Client
 	conn      *conn
 	serverKey string
-	// onIdleClosed is as in Request.
-	onIdleClosed func(opened time.Time)
-	writeResult  chan error
+	// onIdleClosed and reportOnReuse are as in Request.
+	onIdleClosed  func(opened time.Time)
+	reportOnReuse bool
+	writeResult   chan error
 	// stopAbort cancels the closing of the connection at the end of the context. It returns false
 	// if that has already begun.
 	stopAbort func() bool
@@ -295,7 +299,7 @@
 	}
 	// A query asks for no notice; that of the request before stays.
 	if x.onIdleClosed != nil {
-		x.conn.onIdleClosed = x.onIdleClosed
+		x.conn.onIdleClosed, x.conn.reportOnReuse = x.onIdleClosed, x.reportOnReuse
 	}
 	x.client.pool.put(x.serverKey, x.conn)
 }
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -51,6 +51,8 @@
 	// nil for none.
 	peerClosed   bool
 	onIdleClosed func(opened time.Time)
+	// reportOnReuse is as in Request.
+	reportOnReuse bool
 	// idleSince is the end of the last exchange. idleTimeout is how long the connection may be
 	// reused after that.
 	idleSince   time.Time
--- a/pkg/upstream/lifetime_test.go
+++ b/pkg/upstream/lifetime_test.go
@@ -91,6 +91,36 @@
 	})
 }
 
+// Guards against restarts that go unnoticed as the idle connections to the server are not checked.
+func TestIdleCloseIsReportedOnReuse(t *testing.T) {
+	ended := make(chan struct{})
+	withServer(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+		<-ended
+		c.Close()
+	}, func(c *Client, r Request) {
+		reported := 0
+		r.OnIdleClosed, r.ReportOnReuse = func(time.Time) { reported++ }, true
+		resp, err := c.Do(context.Background(), r)
+		require.NoError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		resp.Close()
+		close(ended)
+		require.Eventually(t, func() bool {
+			idle, closed := c.pool.take(r.ServerKey, clock.Now())
+			if idle != nil {
+				c.pool.put(r.ServerKey, idle)
+			}
+			reportClosed(closed)
+			return reported > 0
+		}, 5*time.Second, 5*time.Millisecond)
+		assert.Equal(t, 1, reported)
+	})
+}
+
 // Guards against the reuse of a connection whose unsolicited data was read by the check for a close.
 func TestIdleConnectionWithUnsolicitedByteIsNotReused(t *testing.T) {
 	withServer(t, func(c net.Conn) {
@@ -128,7 +158,10 @@
 	p.put("a", c)
 	assert.Empty(t, p.removeClosed(clock.Now()))
 	assert.Zero(t, checks)
-	c.onIdleClosed = func(time.Time) {}
+	c.onIdleClosed, c.reportOnReuse = func(time.Time) {}, true
+	assert.Empty(t, p.removeClosed(clock.Now()))
+	assert.Zero(t, checks)
+	c.reportOnReuse = false
 	assert.Empty(t, p.removeClosed(clock.Now()))
 	assert.Equal(t, 1, checks)
 }
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -104,13 +104,13 @@
 }
 
 // removeClosed closes the connections that can't be reused, and returns those that servers have closed before their idle timeout.
-// It skips connections without onIdleClosed, as each check is a system call.
+// It skips those that need not be reported as yet, as each check is a system call.
 func (p *pool) removeClosed(now time.Time) (closed []*conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for key, conns := range p.idle {
 		p.idle[key] = slices.DeleteFunc(conns, func(c *conn) bool {
-			if c.onIdleClosed == nil || c.expired(now) || c.reusable() {
+			if c.onIdleClosed == nil || c.reportOnReuse || c.expired(now) || c.reusable() {
 				return false
 			}
 			if c.peerClosed {
