upstream: an idle close is reported to the request that finds it, if the one before asked for no report

Cause: what is called at a close came with the request before over the same connection. After requests of other kinds, queries, and on connections that carried nothing, the close that a resumable stream found was dropped, and so the only sign of a restart.

Evidence: TestIdleCloseIsReportedWhateverWasSentBefore, red before (0 reports instead of 1). Found in review.

Open: a request of another kind that finds such a connection closed asks for no report.

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -159,6 +159,11 @@
 func (c *Client) acquireConn(ctx context.Context, r Request) (*conn, error) {
 	if !r.NewConnection {
 		pooled, closed := c.pool.take(r.ServerKey, clock.Now())
+		for _, found := range closed {
+			if found.onIdleClosed == nil {
+				found.onIdleClosed = r.OnIdleClosed
+			}
+		}
 		reportClosed(closed)
 		if pooled != nil {
 			c.reused.Add(1)
--- a/pkg/upstream/lifetime_test.go
+++ b/pkg/upstream/lifetime_test.go
@@ -176,3 +176,29 @@
 	*c.checks++
 	return true
 }
+
+// Guards against restarts that go unnoticed as the last request over the idle connection was not one of a resumable stream.
+func TestIdleCloseIsReportedWhateverWasSentBefore(t *testing.T) {
+	ended := make(chan struct{})
+	withServer(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+		<-ended
+		c.Close()
+	}, func(c *Client, r Request) {
+		resp, err := c.Do(context.Background(), r)
+		require.NoError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		resp.Close()
+		close(ended)
+		time.Sleep(100 * time.Millisecond)
+		reported := 0
+		r.OnIdleClosed, r.ReportOnReuse = func(time.Time) { reported++ }, true
+		resp, err = c.Do(context.Background(), r)
+		require.NoError(t, err)
+		resp.Close()
+		assert.Equal(t, 1, reported)
+	})
+}
