gateway: a denial counts while a stream is bound, and nothing is awaited that can't come

Cause: where a service has one version, "the server needs no query" was taken for "it can't be asked". It is also so once it has denied its entry: the stream then counted as certain. The other way round, a stream stayed uncertain for a second although its server had turned out to answer no queries; one that broke off right after its first event got no candidates for so long, and was late or cut.

Evidence: TestDenialWhileStreamIsBoundMakesItUncertain and TestStreamIsCertainOnceItsServerCannotBeAsked, red before.

--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -110,8 +110,14 @@
 		return o
 	}
 	version, ok := i.Version(b.connection, now)
-	proofDue := b.needsProof && (b.proofBy.IsZero() || now.Before(b.proofBy))
-	if !ok || proofDue && version == b.connection.Server.Version && !i.Reliable(b.connection, now) {
+	if ok && b.needsProof && version == b.connection.Server.Version && !i.Reliable(b.connection, now) {
+		if b.proofBy.IsZero() || now.Before(b.proofBy) && i.Query(b.connection) {
+			return o
+		}
+		// No answer is to come, or it has come since the version was looked up.
+		version, ok = i.Version(b.connection, now)
+	}
+	if !ok {
 		return o
 	}
 	o.Version, o.Uncertain = version, false
@@ -248,7 +254,9 @@
 	b.needsProof = ok && x.needsProof()
 	if b.needsProof && !x.severalVersions() {
 		b.needsProof = x.gateway.Incarnations.Query(b.connection)
-		b.proofBy = clock.Now().Add(maxAnswerWait)
+		b.proofBy = clock.Now().Add(maxProofWait)
+		// The server may have denied its entry meanwhile, so that there is no need to ask.
+		version, ok = x.attemptVersion()
 	}
 	b.origin = resumption.Origin{Service: x.service.Name, Version: version, Uncertain: !ok || b.needsProof}
 	if !b.origin.Uncertain && x.severalVersions() && x.gateway.Incarnations.Query(b.connection) {
--- a/pkg/gateway/unchecked_test.go
+++ b/pkg/gateway/unchecked_test.go
@@ -224,3 +224,31 @@
 		})
 	}
 }
+
+// denyingServer denies its entry between two looks at what it has stated.
+type denyingServer struct{ signedServer }
+
+func (s *denyingServer) Query(incarnation.Connection) bool {
+	s.denied = true
+	return false
+}
+
+// Guards against a stream that counts as certain as the server denies its entry while the stream is bound.
+func TestDenialWhileStreamIsBoundMakesItUncertain(t *testing.T) {
+	server := &denyingServer{}
+	x := newSignedExchange(&server.signedServer)
+	x.gateway.Incarnations = server
+	require.NoError(t, x.bindStream())
+	assert.True(t, x.bound.Load().origin.Uncertain)
+}
+
+// Guards against a stream of one version that is withheld for a second though its server has turned out to answer no queries.
+func TestStreamIsCertainOnceItsServerCannotBeAsked(t *testing.T) {
+	server := &signedServer{answerable: true}
+	x := newSignedExchange(server)
+	require.NoError(t, x.bindStream())
+	b := x.bound.Load()
+	require.True(t, b.resolve(server, clock.Now()).Uncertain)
+	server.answerable = false
+	assert.False(t, b.resolve(server, clock.Now()).Uncertain)
+}
