incarnation: after a sign, an entry that the list has replaced does not count

Cause: a lost connection alone is no reason to doubt an entry, but the entry had been replaced since, less than a second after the sign. A stream of a service with one version then became certain with the version before once its server had not answered in time.

Change: a sign and another incarnation in the list are a restart.

Evidence: TestReplacedEntryDoesNotCountForStreamThatWasNotProved, red before.

--- a/pkg/gateway/unchecked_test.go
+++ b/pkg/gateway/unchecked_test.go
@@ -252,3 +252,35 @@
 	server.answerable = false
 	assert.False(t, b.resolve(server, clock.Now()).Uncertain)
 }
+
+// restartedList has the entry of a server that was replaced.
+type restartedList struct{ entry incarnation.Entry }
+
+func (l *restartedList) ServerEntry(string) (incarnation.Entry, bool) { return l.entry, true }
+func (l *restartedList) ServersConfirmed() (confirmed, recovered time.Time) {
+	return l.entry.ListedAt, time.Time{}
+}
+
+// Guards against a stream of two versions that began at a restarted server which answers no queries, and whose entry is replaced while the
+// answer is awaited.
+func TestReplacedEntryDoesNotCountForStreamThatWasNotProved(t *testing.T) {
+	now := clock.Now()
+	server := routing.Server{ID: "i", Version: "v1", Started: 1}
+	list := &restartedList{incarnation.Entry{Incarnation: server.Incarnation(), Version: "v1"}}
+	tracker := incarnation.New(incarnation.Deps{
+		List: list, Started: now.Add(-time.Hour), Logger: log.NewNopLogger(), Announce: func(incarnation.Restart) {},
+		Alive:      func(routing.Incarnation, time.Time, time.Time) bool { return false },
+		Lifetime:   func(routing.Incarnation, time.Time) (_, _ time.Time, ok bool) { return },
+		LinkFailed: func(string) bool { return false },
+		Query:      func(*routing.Server) bool { return true },
+	})
+	x := newSignedExchange(&signedServer{})
+	x.gateway.Incarnations, x.end.lease.Server, x.response.ConnOpened = tracker, server, now
+	tracker.RecordIdleClosed(incarnation.Connection{Server: &server, Opened: now.Add(-3 * time.Second), Broken: now})
+	require.NoError(t, x.bindStream())
+	b := x.bound.Load()
+	require.True(t, b.origin.Uncertain)
+	list.entry = incarnation.Entry{Incarnation: routing.Incarnation{ID: "i", Started: 2}, Version: "v2", ListedAt: now.Add(500 * time.Millisecond)}
+	origin := b.resolve(tracker, now.Add(maxAnswerWait+100*time.Millisecond))
+	assert.False(t, !origin.Uncertain && origin.Version == "v1", "the list has v2 by now")
+}
--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -391,7 +391,7 @@
 	if version, told, ok := t.statedVersion(c); told {
 		return version, ok
 	}
-	if s := t.unresolved(c.Server.ID, now); s != nil && s.certain && c.concerns(s.first) {
+	if s := t.unresolved(c.Server.ID, now); s != nil && (s.certain || t.replaced(c.Server)) && c.concerns(s.first) {
 		return c.Server.Version, false
 	}
 	for _, r := range slices.Backward(t.resolved[c.Server.ID]) {
@@ -410,6 +410,12 @@
 	return c.Server.Version, true
 }
 
+// replaced reports whether the list has another incarnation of a server by now. The caller holds mu.
+func (t *Tracker) replaced(server *routing.Server) bool {
+	entry, listed := t.List.ServerEntry(server.ID)
+	return listed && entry.Incarnation != server.Incarnation()
+}
+
 // Reliable reports whether the entry of a server may be relied on for a connection. If this box has lost a connection to it, if
 // only an idle one, or had not started when others may have, the entry counts only once it is proved. So does that of a server
 // that has restarted lately, as it may have again while nobody was connected. Nothing can be proved of a server whose entry does not
