incarnation: idle connections that are found closed hide no restart of a server that was in use

Cause: a box that loses connections to three servers within 150 ms takes that for a trouble of its own and tells nobody. Idle connections counted, which may have been closed long before they are found: closes at two other servers hid three lost connections in use to one server.

Change: connections in use are judged by those in use only; an idle close still by both.

Evidence: TestIdleClosesOfOtherServersDoNotHideARestart, red before. Found in review.

--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -112,9 +112,9 @@
 	resolved map[string][]resolution
 	// bursts holds the connections to each server that broke lately.
 	bursts map[string]*burst
-	// lost holds the servers to which this box has lost connections since lostSince.
-	lost      map[string]bool
-	lostSince time.Time
+	// lost holds the servers to which this box has lost connections since lostSince, lostInUse those of connections in use.
+	lost, lostInUse map[string]bool
+	lostSince       time.Time
 	// sweptAt is when all restarts were last resolved.
 	sweptAt time.Time
 	// settled is a time up to which each restart is in the list.
@@ -175,7 +175,7 @@
 
 // New returns a tracker that knows of no restarts.
 func New(d Deps) *Tracker {
-	return &Tracker{Deps: d, restarts: make(map[string]*restart), resolved: make(map[string][]resolution), bursts: make(map[string]*burst), lost: make(map[string]bool), stated: make(map[string]map[int64]*statement)}
+	return &Tracker{Deps: d, restarts: make(map[string]*restart), resolved: make(map[string][]resolution), bursts: make(map[string]*burst), lost: make(map[string]bool), lostInUse: make(map[string]bool), stated: make(map[string]map[int64]*statement)}
 }
 
 // Count returns the number of servers that may have restarted.
@@ -322,17 +322,23 @@
 	return b
 }
 
-// lostMany reports whether this box has lost connections to many servers at once. The caller holds mu.
+// lostMany reports whether this box has lost connections to many servers at once. Idle ones, which may have been lost long before they
+// are found, say nothing of those in use. The caller holds mu.
 func (t *Tracker) lostMany(l loss) bool {
 	if l.source != "" {
 		return false
 	}
 	if l.At.Sub(t.lostSince) > burstWindow {
 		clear(t.lost)
+		clear(t.lostInUse)
 		t.lostSince = l.At
 	}
 	t.lost[l.Server] = true
-	return len(t.lost) >= massLoss
+	if l.Idle {
+		return len(t.lost) >= massLoss
+	}
+	t.lostInUse[l.Server] = true
+	return len(t.lostInUse) >= massLoss
 }
 
 // refuted reports whether the process of a server has been running since before its possible restart, or whether
