incarnation: the box that noticed a sign of a restart asks the server

What callers saw: streams of two versions that began at the first servers of a second version, whose restart one box alone noticed, by its last connection in use or by idle ones. Servers were asked only when a stream began there, so a box without streams learned nothing, and the others, which do not count a single loss, relied on the entry.

Change: the box asks 0.1 s after the sign (an earlier answer does not refute it), and again with growing pauses for 4.5 s, as the next process may not have started. A denial is announced as the end of the process, as before. In turn, the close of an idle connection is not announced while a service has one version, as servers have idle timeouts of their own.

--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -411,6 +411,6 @@
 		return nil
 	}
 	return func(opened time.Time) {
-		x.gateway.Incarnations.RecordIdleClosed(incarnation.Connection{Server: &server, Opened: opened, Broken: clock.Now()})
+		x.gateway.Incarnations.RecordIdleClosed(incarnation.Connection{Server: &server, Opened: opened, Broken: clock.Now()}, several)
 	}
 }
--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -43,8 +43,8 @@
 	MayHaveRestarted(server *routing.Server, certainOnly bool, now time.Time) bool
 	// RecordLost records that a connection to a server broke; last is set if it was the last one in use.
 	RecordLost(c incarnation.Connection, last bool)
-	// RecordIdleClosed records that a server has closed an idle connection.
-	RecordIdleClosed(c incarnation.Connection)
+	// RecordIdleClosed records that a server has closed an idle connection. With announce, other boxes are told before the server was asked.
+	RecordIdleClosed(c incarnation.Connection, announce bool)
 	// RecordEnded records that the process of a server has ended.
 	RecordEnded(server *routing.Server, at time.Time)
 }
@@ -59,7 +59,7 @@
 func (noRestarts) Query(incarnation.Connection) bool                      { return false }
 func (noRestarts) MayHaveRestarted(*routing.Server, bool, time.Time) bool { return false }
 func (noRestarts) RecordLost(incarnation.Connection, bool)                {}
-func (noRestarts) RecordIdleClosed(incarnation.Connection)                {}
+func (noRestarts) RecordIdleClosed(incarnation.Connection, bool)          {}
 func (noRestarts) RecordEnded(*routing.Server, time.Time)                 {}
 
 // unknownVersionRetryAfter is the Retry-After of a stream whose version nobody knows, before jitter: a box
--- a/pkg/gateway/unchecked_test.go
+++ b/pkg/gateway/unchecked_test.go
@@ -276,7 +276,7 @@
 	})
 	x := newSignedExchange(&signedServer{})
 	x.gateway.Incarnations, x.end.lease.Server, x.response.ConnOpened = tracker, server, now
-	tracker.RecordIdleClosed(incarnation.Connection{Server: &server, Opened: now.Add(-3 * time.Second), Broken: now})
+	tracker.RecordIdleClosed(incarnation.Connection{Server: &server, Opened: now.Add(-3 * time.Second), Broken: now}, true)
 	require.NoError(t, x.bindStream())
 	b := x.bound.Load()
 	require.True(t, b.origin.Uncertain)
--- a/pkg/incarnation/reports.go
+++ b/pkg/incarnation/reports.go
@@ -160,7 +160,7 @@
 	ran := t.lastProved(server.Incarnation())
 	t.mu.Unlock()
 	if ended {
-		t.record(loss{Restart: Restart{Server: server.ID, At: a.Sent, Certain: true}, address: server.Address, from: ran})
+		t.record(loss{Restart: Restart{Server: server.ID, At: a.Sent, Certain: true}, server: server, from: ran})
 	}
 }
 
@@ -257,6 +257,38 @@
 	return c.Server.Started != 0 && t.Deps.Query != nil && !t.settledFor(c) && t.Deps.Query(c.Server)
 }
 
+const (
+	// firstAsk is how long after a sign of a restart the server is asked first, long enough for an answer to refute the sign. The time
+	// is doubled up to maxAskInterval while no answer comes: the next process may not have started.
+	firstAsk       = 2 * aliveDelay
+	maxAskInterval = 400 * time.Millisecond
+)
+
+// startAsking reports whether a server is to be asked because of a sign that this box noticed. The caller holds mu.
+func (t *Tracker) startAsking(l loss) bool {
+	s := t.restarts[l.Server]
+	if s == nil || s.certain || s.asked || l.server == nil || l.server.Started == 0 || t.Deps.Query == nil {
+		return false
+	}
+	s.asked = true
+	return true
+}
+
+// askLater has a server asked after a time, and again until its sign is resolved. Other boxes, which don't know of the sign, may send it
+// streams before one begins here.
+func (t *Tracker) askLater(server routing.Server, since time.Time, after time.Duration) {
+	time.AfterFunc(after, func() {
+		now := clock.Now()
+		t.mu.Lock()
+		s := t.unresolved(server.ID, now)
+		t.mu.Unlock()
+		if s != nil && !s.certain && now.Sub(since) < confirmDelay {
+			t.Deps.Query(&server)
+			t.askLater(server, since, min(2*after, maxAskInterval))
+		}
+	})
+}
+
 // settledFor reports whether another answer would tell nothing of a connection.
 func (t *Tracker) settledFor(c Connection) bool {
 	t.mu.Lock()
--- a/pkg/incarnation/reports_test.go
+++ b/pkg/incarnation/reports_test.go
@@ -17,7 +17,7 @@
 // Guards against doubt about an entry that the running process itself confirms, and against an entry of a process that it denies.
 func TestReportsProveOrRefuteEntries(t *testing.T) {
 	idle := func(f *fakeTracker) {
-		f.RecordIdleClosed(Connection{Server: f.server, Opened: f.at(3), Broken: f.at(5)})
+		f.RecordIdleClosed(Connection{Server: f.server, Opened: f.at(3), Broken: f.at(5)}, true)
 	}
 	ended := func(f *fakeTracker) { f.RecordEnded(f.server, f.at(5)) }
 	report := func(before func(*fakeTracker), started int64, at float64) func(*fakeTracker) {
--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -134,6 +134,8 @@
 	// ownOnly is set while only this box has noticed it, address is that at which it did.
 	ownOnly bool
 	address string
+	// asked is set once the server is asked, until the restart is resolved.
+	asked bool
 	// process and version are those of the entry when the restart was noticed.
 	process routing.Incarnation
 	version string
@@ -184,17 +186,17 @@
 // RecordLost records that a connection to a server broke while a response was awaited. last is set if the box has no
 // other one in use.
 func (t *Tracker) RecordLost(c Connection, last bool) {
-	t.record(loss{Restart: Restart{Server: c.Server.ID, At: c.Broken, Opened: c.Opened}, address: c.Server.Address, last: last})
+	t.record(loss{Restart: Restart{Server: c.Server.ID, At: c.Broken, Opened: c.Opened}, server: c.Server, last: last})
 }
 
-// RecordIdleClosed records that a server closed an idle connection.
-func (t *Tracker) RecordIdleClosed(c Connection) {
-	t.record(loss{Restart: Restart{Server: c.Server.ID, At: c.Broken, Opened: c.Opened, Idle: true}, address: c.Server.Address})
+// RecordIdleClosed records that a server closed an idle connection. With announce, other boxes are told before the server was asked.
+func (t *Tracker) RecordIdleClosed(c Connection, announce bool) {
+	t.record(loss{Restart: Restart{Server: c.Server.ID, At: c.Broken, Opened: c.Opened, Idle: true}, server: c.Server, unannounced: !announce})
 }
 
 // RecordEnded records that the process of a server has ended.
 func (t *Tracker) RecordEnded(server *routing.Server, at time.Time) {
-	t.record(loss{Restart: Restart{Server: server.ID, At: at, Certain: true}, address: server.Address})
+	t.record(loss{Restart: Restart{Server: server.ID, At: at, Certain: true}, server: server})
 }
 
 // RecordRestoredEntry records that a restored source has the entry of an earlier incarnation of a server.
@@ -209,8 +211,11 @@
 type loss struct {
 	Restart
 	// source is the box that noticed it, "" for this one.
-	source  string
-	address string
+	source string
+	// server is the server as this box lists it, nil if another one noticed it.
+	server *routing.Server
+	// unannounced is set if other boxes are not to be told of a sign.
+	unannounced bool
 	// last is set if the box has no other connection in use.
 	last bool
 	// from is since when the server may have restarted, zero for about the time of the notice.
@@ -236,11 +241,15 @@
 	if ended || l.last || l.Idle {
 		news = t.add(l, began, ended)
 	}
+	ask := !ended && t.startAsking(l)
 	t.mu.Unlock()
 	if news {
 		_ = level.Info(t.Logger).Log("msg", "server may have restarted", "server", l.Server, "reported_by", l.source, "certain", ended, "connections", connections, "outcome", "its entry is not relied on until it is confirmed")
 	}
-	if l.source == "" && !many && (first && !l.Idle || news) {
+	if ask {
+		t.askLater(*l.server, l.At, firstAsk)
+	}
+	if l.source == "" && !many && !l.unannounced && (first && !l.Idle || news) {
 		t.Announce(Restart{Server: l.Server, At: l.At, Opened: l.Opened, Certain: ended, Idle: l.Idle})
 	}
 }
@@ -281,7 +290,7 @@
 		news = true
 	}
 	if l.source == "" {
-		s.address = l.address
+		s.address = l.server.Address
 	}
 	s.ownOnly = s.ownOnly && l.source == ""
 	s.proved = s.proved || l.Certain && l.source == ""
--- a/pkg/incarnation/tracker_test.go
+++ b/pkg/incarnation/tracker_test.go
@@ -166,7 +166,7 @@
 // Guards against an entry that is relied on because nobody noticed a restart, where nobody could.
 func TestEntryIsReliableOrProved(t *testing.T) {
 	idle := func(f *fakeTracker) {
-		f.RecordIdleClosed(Connection{Server: f.server, Opened: f.at(3), Broken: f.at(5)})
+		f.RecordIdleClosed(Connection{Server: f.server, Opened: f.at(3), Broken: f.at(5)}, true)
 	}
 	for name, c := range map[string]struct {
 		record      func(*fakeTracker)
