incarnation: a connection that was opened between two answers of a process leads to it

What callers saw: a stream that began at a server that had restarted, with an entry that was late, stays refused although its process had answered a query before and after the connection was opened, and is listed by now.

Cause: the process behind a connection is looked up among the last eight spans that the box's connections to the server prove. Once others have been used since, the span of the connection is gone, and nothing is taken to be known of it.

Change: where no span is kept, the connection's opening itself is a time at which its process ran.

--- a/pkg/incarnation/reports.go
+++ b/pkg/incarnation/reports.go
@@ -227,8 +227,11 @@
 		return own, processes[own.Started], true
 	}
 	from, until, ok := t.Lifetime(own, c.Opened)
+	if !ok {
+		from, until = c.Opened, c.Opened
+	}
 	for started, s := range processes {
-		if ok && s.address == c.Server.Address && !s.first.After(until) && !s.last.Before(from) {
+		if s.address == c.Server.Address && !s.first.After(until) && !s.last.Before(from) {
 			return routing.Incarnation{ID: own.ID, Started: started}, s, true
 		}
 	}
--- a/pkg/incarnation/reports_test.go
+++ b/pkg/incarnation/reports_test.go
@@ -44,6 +44,7 @@
 		"another process, opened before":      {record: report(func(f *fakeTracker) { f.list.confirmed = f.at(5) }, 2, 5.2), opened: 4, now: 5.3, maybe: true},
 		"another process, listed by now":      {record: func(f *fakeTracker) { ended(f); f.relist("v2", 5.3); f.report(2, 5.4) }, opened: 5.2, until: 5.45, now: 5.5, version: "v2", reliable: true},
 		"another process, listed since":       {record: func(f *fakeTracker) { report(ended, 2, 5.2)(f); f.relist("v2", 5.3) }, opened: 5.1, until: 5.3, now: 5.5, version: "v2", reliable: true},
+		"another process, opened between":     {record: func(f *fakeTracker) { ended(f); f.report(2, 5.2); f.report(2, 5.4); f.relist("v2", 5.5) }, opened: 5.3, now: 5.6, version: "v2", reliable: true},
 		"it may have ended before the query":  {record: func(f *fakeTracker) { report(ended, 2, 5.2)(f); f.relist("v2", 6.5) }, opened: 5.1, until: 5.15, now: 7},
 		"another one was listed":              {record: func(f *fakeTracker) { report(ended, 3, 5.2)(f); f.relist("v2", 6.5) }, opened: 5.1, until: 5.3, now: 7},
 	} {
