upstream: what a process had written before it ended does not prove that it runs

Cause: bytes of a body counted as sent 50 ms before the previous read. The kernel of a server's machine goes on sending what a process wrote before it ended; on a slow link that comes piece by piece, and refuted the end of the process.

Change: a connection proves its process up to the sending of the last request that was answered over it, and no further. A doubt ends by the server's answer to a query, or by the list. No bound on a silence is sound: TCP sends lost packets again after pauses that double.

What it costs: a stream that began at a restarted server before the box's first answer of the new process stays uncertain, where bytes after that answer made it certain once the entry was listed.

--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -70,7 +70,8 @@
 	List List
 	// Started is when this box started. It does not know of an outage of the source before.
 	Started time.Time
-	// Alive reports whether the process of a server ran after a time, to which a connection leads that was opened before another.
+	// Alive reports whether the process of a server ran after a time, to which a connection leads that was opened before another:
+	// whether it answered a request that was sent since.
 	Alive func(server routing.Incarnation, openedBefore, ranAfter time.Time) bool
 	// Lifetime returns a time during which one process of a server ran, that to which a connection led which was opened at a time,
 	// as far as connections prove. It returns false if they prove nothing.
@@ -128,8 +129,7 @@
 	first, last time.Time
 	// loss is when this box lost its last connection since, from which no restart need follow.
 	loss time.Time
-	// certain is as in Restart. proved is set if this box knows that a process has ended, which bytes that it had sent before
-	// and that are read late don't refute.
+	// certain is as in Restart. proved is set if this box knows that a process has ended, which its connections don't refute.
 	certain, proved bool
 	// ownOnly is set while only this box has noticed it, address is that at which it did.
 	ownOnly bool
--- a/pkg/upstream/busy.go
+++ b/pkg/upstream/busy.go
@@ -40,7 +40,7 @@
 }
 
 // Carries reports whether a connection to a server that was opened before a time carries an exchange, and the process to which it
-// leads ran after another. Bytes that are read late don't show that.
+// leads ran after another, as it has answered a request that was sent since.
 func (c *Client) Carries(serverKey string, openedBefore, ranAfter time.Time) bool {
 	c.busy.mu.Lock()
 	defer c.busy.mu.Unlock()
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -41,10 +41,8 @@
 	reader *bufio.Reader
 	// opened is when the connection was established.
 	opened time.Time
-	// ranAt is how many nanoseconds after opened the process of the server ran at least. emptyAt is when all bytes were last
-	// read that had arrived, zero if some may have been left; it is used by the reader only.
-	ranAt   atomic.Int64
-	emptyAt time.Time
+	// ranAt is how many nanoseconds after opened the process of the server ran at least.
+	ranAt atomic.Int64
 	// reused is set once the connection was taken from the pool.
 	reused bool
 	// peerClosed is set if the server was found to have closed the connection while it was idle, onIdleClosed is called then;
@@ -61,24 +59,12 @@
 
 func newConn(c net.Conn) *conn {
 	timed := &conn{Conn: c, opened: clock.Now()}
-	timed.head = &headRecorder{reader: readTimer{timed}}
+	timed.head = &headRecorder{reader: c}
 	timed.limit = &io.LimitedReader{R: timed.head, N: math.MaxInt64}
 	timed.reader = bufio.NewReaderSize(timed.limit, readBufferBytes)
 	return timed
 }
 
-// readTimer reads from the connection and records when bytes came.
-type readTimer struct{ conn *conn }
-
-// Read implements io.Reader.
-func (r readTimer) Read(b []byte) (int, error) {
-	n, err := r.conn.Conn.Read(b)
-	if n > 0 {
-		r.conn.recordRead(clock.Now(), n < len(b))
-	}
-	return n, err
-}
-
 // expired reports whether an idle connection has reached its idle timeout.
 func (c *conn) expired(now time.Time) bool { return now.Sub(c.idleSince) >= c.idleTimeout }
 
--- a/pkg/upstream/lifetime.go
+++ b/pkg/upstream/lifetime.go
@@ -9,8 +9,6 @@
 	// spanRetention is how long after its end a span is kept, maxSpans how many of a server.
 	spanRetention = time.Minute
 	maxSpans      = 8
-	// transitTime is how long bytes may be on their way from a process that has ended meanwhile.
-	transitTime = 50 * time.Millisecond
 )
 
 // span is a time during which one process of a server ran without a restart.
@@ -104,21 +102,10 @@
 // span returns the time during which the process ran to which the connection leads.
 func (c *conn) span() span { return span{c.opened, c.opened.Add(time.Duration(c.ranAt.Load()))} }
 
-// recordRan records that the process to which the connection leads ran at a time.
+// recordRan records that the process to which the connection leads ran at a time: when a request was sent that it has answered. Bytes
+// of a body prove no more, as the kernel of a server's machine sends what a process wrote after its end as well.
 func (c *conn) recordRan(at time.Time) {
 	if after := int64(at.Sub(c.opened)); after > c.ranAt.Load() {
 		c.ranAt.Store(after)
 	}
 }
-
-// recordRead records bytes that were read. They may have waited here since the connection was last empty, so they prove no more
-// than that the process ran then. empty reports whether the connection is empty now.
-func (c *conn) recordRead(now time.Time, empty bool) {
-	if !c.emptyAt.IsZero() {
-		c.recordRan(c.emptyAt.Add(-transitTime))
-	}
-	c.emptyAt = time.Time{}
-	if empty {
-		c.emptyAt = now
-	}
-}
