--- a/pkg/incarnation/histories_test.go
+++ b/pkg/incarnation/histories_test.go
@@ -34,11 +34,21 @@
 	due []event
 	// silentUntil is the end of an outage of the store.
 	silentUntil time.Time
+	historyKind
+	// queries counts the queries that are answered.
+	queries int
 	// blind leaves out what boxes notice.
 	blind                                      bool
 	streams, wrong, unknown, calm, calmUnknown int
 }
 
+// historyKind is a kind of histories.
+type historyKind struct {
+	// asked has boxes query servers. slowLinks is how much later than the end of a process its connections may break.
+	asked     bool
+	slowLinks time.Duration
+}
+
 type event struct {
 	at time.Time
 	do func()
@@ -75,6 +85,10 @@
 	entries              map[string]Entry
 	confirmed, recovered time.Time
 	conns                []*simConn
+	// closed are the connections of streams that ended lately.
+	closed []*simConn
+	// queriedUntil is until when no further query of a server is sent.
+	queriedUntil map[string]time.Time
 }
 
 func (b *simBox) ServerEntry(id string) (Entry, bool) { e, ok := b.entries[id]; return e, ok }
@@ -88,15 +102,55 @@
 	})
 }
 
-func newSimulation(seed uint64, boxes int, blind bool) *simulation {
-	s := &simulation{random: rand.New(rand.NewPCG(seed, 9)), now: time.Unix(1000, 0), blind: blind}
+// lifetime is as in Deps: spans that share an instant are of one process.
+func (b *simBox) lifetime(server routing.Incarnation, opened time.Time) (from, until time.Time, ok bool) {
+	from, until = opened, opened
+	for grown := true; grown; {
+		grown = false
+		for _, c := range append(slices.Clone(b.conns), b.closed...) {
+			if c.entry.Incarnation() != server || c.sent.Before(from) || c.opened.After(until) {
+				continue
+			}
+			ok = true
+			if c.opened.Before(from) {
+				from, grown = c.opened, true
+			}
+			if c.sent.After(until) {
+				until, grown = c.sent, true
+			}
+		}
+	}
+	return from, until, ok
+}
+
+// query queries a server, as a Querier does.
+func (b *simBox) query(server *routing.Server) bool {
+	s := b.sim
+	if s.now.Before(b.queriedUntil[server.ID]) {
+		return true
+	}
+	running := s.servers[slices.IndexFunc(s.servers, func(x *simServer) bool { return x.id == server.ID })]
+	sent, asked := s.now, *server
+	b.queriedUntil[server.ID] = sent.Add(queryInterval)
+	if running.down {
+		return true
+	}
+	s.queries++
+	answer := Answer{Started: running.started, Sent: sent, Received: sent.Add(tick)}
+	s.later(tick, func() { b.tracker.RecordReport(&asked, answer) })
+	return true
+}
+
+func newSimulation(seed uint64, boxes int, blind bool, kind historyKind) *simulation {
+	s := &simulation{random: rand.New(rand.NewPCG(seed, 9)), now: time.Unix(1000, 0), blind: blind, historyKind: kind}
 	for i := range simServers {
 		s.servers = append(s.servers, &simServer{id: fmt.Sprint("s", i), version: fmt.Sprint("v", i%2), started: int64(i + 1), startedAt: s.now.Add(-time.Hour)})
 	}
 	for i := range boxes {
-		b := &simBox{sim: s, name: fmt.Sprint("box-", i), entries: make(map[string]Entry), confirmed: s.now}
+		b := &simBox{sim: s, name: fmt.Sprint("box-", i), entries: make(map[string]Entry), queriedUntil: make(map[string]time.Time), confirmed: s.now}
 		b.tracker = New(Deps{
 			List: b, Alive: b.alive, LinkFailed: func(string) bool { return false }, Logger: log.NewNopLogger(), Announce: func(r Restart) { s.announce(b, r) },
+			Lifetime: b.lifetime, Query: b.query,
 		})
 		for _, server := range s.servers {
 			b.entries[server.id] = Entry{Incarnation: routing.Incarnation{ID: server.id, Started: server.started}, Version: server.version, ListedAt: s.now.Add(-time.Hour)}
@@ -114,6 +168,14 @@
 	return time.Duration(s.random.Int64N(int64(limit)))
 }
 
+// lateness draws how much later a connection breaks because of what its process wrote before it ended.
+func (s *simulation) lateness() time.Duration {
+	if s.slowLinks == 0 {
+		return 0
+	}
+	return s.duration(s.slowLinks)
+}
+
 // announce delivers a restart to the other boxes. One datagram in ten is lost.
 func (s *simulation) announce(from *simBox, r Restart) {
 	for _, b := range s.boxes {
@@ -139,7 +201,7 @@
 		noticed := s.duration(30 * time.Millisecond)
 		for _, c := range b.conns {
 			if c.server == server && c.busy {
-				s.later(noticed, func() { b.end(c, true) })
+				s.later(noticed+s.lateness(), func() { b.end(c, true) })
 			}
 		}
 	}
@@ -180,12 +242,22 @@
 	e := b.entries[server.id]
 	c := &simConn{
 		server: server, opened: s.now, version: server.version, crashes: server.crashes, busy: true, sent: s.now,
-		entry: routing.Server{ID: server.id, Started: e.Incarnation.Started, Version: e.Version},
+		entry: routing.Server{ID: server.id, Address: server.id, Started: e.Incarnation.Started, Version: e.Version},
 	}
 	b.conns = append(b.conns, c)
+	if s.asked && !s.blind {
+		s.ask(b, c, s.now.Add(time.Second))
+	}
 	s.later(100*time.Millisecond+s.duration(3*time.Second), func() { b.end(c, s.random.IntN(20) == 0) })
 }
 
+// ask queries the server of a stream until an answer tells of its process.
+func (s *simulation) ask(b *simBox, c *simConn, until time.Time) {
+	if c.busy && s.now.Before(until) && b.tracker.Query(Connection{Server: &c.entry, Opened: c.opened}) {
+		s.later(2*tick, func() { s.ask(b, c, until) })
+	}
+}
+
 // end ends a stream, and checks what is known of its version if its connection broke.
 func (b *simBox) end(c *simConn, broken bool) {
 	s := b.sim
@@ -194,6 +266,7 @@
 	}
 	c.busy = false
 	b.conns = slices.DeleteFunc(b.conns, func(x *simConn) bool { return x == c })
+	b.closed = append(b.closed[max(0, len(b.closed)-50):], c)
 	if !broken {
 		return
 	}
@@ -249,14 +322,23 @@
 
 // Guards against streams that are held for ones of another version, in drawn histories of servers that restart under their
 // IDs with any version, of connections that break for other reasons, and of outages of the store.
-func TestVersionsInDrawnHistories(t *testing.T) {
+func TestVersionsInDrawnHistories(t *testing.T) { testHistories(t, historyKind{}) }
+
+// Guards against the same where boxes ask the servers, and where what a process wrote before its end comes late.
+func TestVersionsInDrawnHistoriesOfAskedServers(t *testing.T) {
+	for name, slow := range map[string]time.Duration{"fast links": 0, "slow links": time.Second} {
+		t.Run(name, func(t *testing.T) { testHistories(t, historyKind{asked: true, slowLinks: slow}) })
+	}
+}
+
+func testHistories(t *testing.T, kind historyKind) {
 	for _, boxes := range []int{3, 7, 24} {
 		t.Run(fmt.Sprint(boxes, " boxes"), func(t *testing.T) {
 			t.Parallel()
-			streams, wrong, unknown, calm, calmUnknown, blind := 0, 0, 0, 0, 0, 0
+			streams, wrong, unknown, calm, calmUnknown, queries, blind := 0, 0, 0, 0, 0, 0, 0
 			for seed := range *histories * 3 / (boxes + 2) {
 				for _, b := range []bool{false, true} {
-					s := newSimulation(uint64(seed), boxes, b)
+					s := newSimulation(uint64(seed), boxes, b, kind)
 					for s.now.Before(time.Unix(1000, 0).Add(historyLength)) {
 						s.step()
 					}
@@ -265,10 +347,10 @@
 						continue
 					}
 					streams, wrong, unknown = streams+s.streams, wrong+s.wrong, unknown+s.unknown
-					calm, calmUnknown = calm+s.calm, calmUnknown+s.calmUnknown
+					calm, calmUnknown, queries = calm+s.calm, calmUnknown+s.calmUnknown, queries+s.queries
 				}
 			}
-			t.Logf("%d streams broke off: %d of another version than was known, %d unknown (%d of %d without a restart within %s); %d wrong without notices", streams, wrong, unknown, calmUnknown, calm, calmTime, blind)
+			t.Logf("%d streams broke off: %d of another version than was known, %d unknown (%d of %d without a restart within %s); %d wrong without notices; %d queries", streams, wrong, unknown, calmUnknown, calm, calmTime, blind, queries)
 			assert.LessOrEqual(t, float64(wrong), maxWrongShare*float64(blind))
 			assert.Positive(t, blind, "the histories have streams at restarted servers")
 		})
