--- a/pkg/incarnation/histories_test.go
+++ b/pkg/incarnation/histories_test.go
@@ -151,6 +151,7 @@
 		b.tracker = New(Deps{
 			List: b, Alive: b.alive, LinkFailed: func(string) bool { return false }, Logger: log.NewNopLogger(), Announce: func(r Restart) { s.announce(b, r) },
 			Lifetime: b.lifetime, Query: b.query,
+			Later: func(after time.Duration, call func(time.Time)) { s.later(after, func() { call(s.now) }) },
 		})
 		for _, server := range s.servers {
 			b.entries[server.id] = Entry{Incarnation: routing.Incarnation{ID: server.id, Started: server.started}, Version: server.version, ListedAt: s.now.Add(-time.Hour)}
--- a/pkg/incarnation/reports.go
+++ b/pkg/incarnation/reports.go
@@ -280,8 +280,7 @@
 // askLater has a server asked after a time, and again until its sign is resolved. Other boxes, which don't know of the sign, may send it
 // streams before one begins here.
 func (t *Tracker) askLater(server routing.Server, since time.Time, after time.Duration) {
-	time.AfterFunc(after, func() {
-		now := clock.Now()
+	t.Later(after, func(now time.Time) {
 		t.mu.Lock()
 		s := t.unresolved(server.ID, now)
 		t.mu.Unlock()
--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/routing"
 )
 
@@ -82,6 +83,8 @@
 	// Query has a server queried when its process started, see RecordReport, and reports whether an answer may come; nil if
 	// servers can't be queried. It must not block.
 	Query func(*routing.Server) bool
+	// Later calls a function after a time; nil for a timer.
+	Later func(after time.Duration, call func(now time.Time))
 	// Announce informs other boxes. It must not block.
 	Announce func(Restart)
 	Logger   log.Logger
@@ -177,6 +180,11 @@
 
 // New returns a tracker that knows of no restarts.
 func New(d Deps) *Tracker {
+	if d.Later == nil {
+		d.Later = func(after time.Duration, call func(now time.Time)) {
+			time.AfterFunc(after, func() { call(clock.Now()) })
+		}
+	}
 	return &Tracker{Deps: d, restarts: make(map[string]*restart), resolved: make(map[string][]resolution), bursts: make(map[string]*burst), lost: make(map[string]bool), lostInUse: make(map[string]bool), stated: make(map[string]map[int64]*statement)}
 }
 
