duties: a holder that has not collected for long waits for counts, in the time until a report is due

A box that acquired the lease closed all windows that had ended at once. One that had just started (a killed holder that restarts takes its lease back at once), or that was not among the three boxes that collect, had nothing of the windows that nobody had closed: they were reported {} or too low.

Cause: boxes send all their counts to a box as they learn that it collects, which is after its first step. The time since the process started is not what counts: a box that is not among the first three has no counts however long it has run.

Change: the collector records since when messages of other boxes have come without a gap. A holder closes windows once that is 2.5 s ago, or 2.5 s after the acquisition. So that no report is late for that, it closes an open window 6 s after its end at the latest, which leaves time for another takeover; one that acquires the lease later than 5 s after the end waits for 1 s, until 9 s after the end. After an outage, when the first open window is late already, the first one that isn't sets the time, without another takeover. No message changes its form: boxes of earlier builds send the same.

To end the wait as soon as every box of the roster has answered needs the roster in the collector (pkg/routerd); it is not built.

--- a/pkg/duties/duties_test.go
+++ b/pkg/duties/duties_test.go
@@ -60,9 +60,11 @@
 type fakeCloud struct {
 	mu      sync.Mutex
 	reports []metering.Report
-	orders  []autoscale.Order
-	callers []Caller
-	err     error
+	// reportedAt is when a window was first reported.
+	reportedAt map[metering.Window]time.Time
+	orders     []autoscale.Order
+	callers    []Caller
+	err        error
 	// hang makes calls block until their context is done.
 	hang bool
 }
@@ -82,7 +84,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reports = append(c.reports, r)
-	return c.answer(ctx, caller)
+	err := c.answer(ctx, caller)
+	if _, ok := c.reportedAt[r.Window]; !ok && err == nil {
+		c.reportedAt[r.Window] = time.Now()
+	}
+	return err
 }
 
 func (c *fakeCloud) OrderServers(ctx context.Context, caller Caller, o autoscale.Order) error {
@@ -117,6 +123,14 @@
 	return counts
 }
 
+// reportedAfter returns how long after its end a window was reported. It fails if it was not.
+func (c *fakeCloud) reportedAfter(t *testing.T, w metering.Window) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	require.Contains(t, c.reportedAt, w, "not reported")
+	return c.reportedAt[w].Sub(w.End(windowLength))
+}
+
 func (c *fakeCloud) calls() []Caller {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -179,7 +193,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
-		cloud := &fakeCloud{}
+		cloud := &fakeCloud{reportedAt: make(map[metering.Window]time.Time)}
 		f(t, cloud, func() *testBox {
 			b := newBox(cloud)
 			wg.Go(func() { b.duties.Run(ctx) })
--- a/pkg/duties/reporter.go
+++ b/pkg/duties/reporter.go
@@ -40,7 +40,9 @@
 	announcedNext atomic.Int64
 	// catchUp is set while the ledger from an older copy of the store has to be brought up to date.
 	catchUp mutexed[*pendingCatchUp]
-	retryAt time.Time
+	// acquiredAt is when this box last acquired the lease.
+	acquiredAt mutexed[time.Time]
+	retryAt    time.Time
 	// createdAt is when this box began to know anything of the windows.
 	createdAt time.Time
 	status    mutexed[ReporterStatus]
@@ -87,7 +89,7 @@
 	at  time.Time
 }
 
-// catchUpDelay lets each other box send what it knows of closed windows, as this box may just have started.
+// catchUpDelay lets each other box send its counts and what it knows of closed windows, as this box may just have started.
 const catchUpDelay = metering.MaxPublishInterval + 500*time.Millisecond
 
 // NextWindow returns the first window that no holder has closed and stored, as far as this box knows. After a
@@ -132,6 +134,7 @@
 		}
 		r.requiredSave.Store(0)
 	})
+	r.acquiredAt.with(func(at *time.Time) { *at = clock.Now() })
 	r.catchUp.with(func(p **pendingCatchUp) { *p = pending })
 }
 
@@ -178,7 +181,9 @@
 	if !r.ensureCaughtUp(now) {
 		return
 	}
-	r.closeWindows(r.Clock(now))
+	if !r.mustWait(now) {
+		r.closeWindows(r.Clock(now))
+	}
 	if !r.stored() || now.Before(r.retryAt) {
 		return
 	}
@@ -190,6 +195,54 @@
 	}
 }
 
+// mustWait reports whether open windows wait for the counts of other boxes, which send all of them to a box that begins to
+// collect, as it starts or acquires the lease.
+func (r *Reporter) mustWait(now time.Time) bool {
+	var acquiredAt time.Time
+	r.acquiredAt.with(func(at *time.Time) { acquiredAt = *at })
+	if now.Sub(acquiredAt) >= catchUpDelay || r.Collector.ReceivingFor(now) >= catchUpDelay {
+		return false
+	}
+	return r.Clock(now).Before(r.closeBy(r.Clock(now), r.Clock(acquiredAt)))
+}
+
+const (
+	// reportDue is how long after its end a window has to be reported.
+	reportDue = 10 * time.Second
+	// reportTime is what it takes to close, store and report a window.
+	reportTime = time.Second
+	// takeoverTime is what it takes another box to acquire a lease of three seconds, and to report a window then.
+	takeoverTime = 4 * time.Second
+	// minCollectTime lets each other box that runs send its counts twice.
+	minCollectTime = time.Second
+)
+
+// closeBy returns until when open windows may wait, such that the first one that can still be reported in time is.
+func (r *Reporter) closeBy(now, acquiredAt time.Time) time.Time {
+	var open metering.Ledger
+	r.ledger.with(func(l *metering.Ledger) { open.Next = l.Next })
+	open.StartAt(r.firstWindow(now))
+	due := open.Next.End(r.WindowLength).Add(reportDue)
+	if !due.After(acquiredAt) {
+		// It is late already, as are those for which no time to report them was left.
+		inTime := metering.WindowAt(acquiredAt.Add(reportTime-reportDue), r.WindowLength)
+		return inTime.End(r.WindowLength).Add(reportDue - reportTime)
+	}
+	withTakeover, collected := due.Add(-takeoverTime), acquiredAt.Add(minCollectTime)
+	if collected.Before(withTakeover) {
+		// This box may be lost meanwhile.
+		return withTakeover
+	}
+	return earlier(collected, due.Add(-reportTime))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // closeWindows closes the windows that have ended and requests that they be stored. The request is made under
 // the lock, as NextWindow must not take them for stored.
 func (r *Reporter) closeWindows(now time.Time) {
--- a/pkg/metering/collector.go
+++ b/pkg/metering/collector.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"headhill.example/headhill/pkg/metering/usagepb"
 )
@@ -22,6 +23,8 @@
 type Collector struct {
 	mu      sync.Mutex
 	windows map[Window]map[sender]requestCounts
+	// receivingSince is when the first of the messages of other boxes arrived that came without a long gap until lastReceived.
+	receivingSince, lastReceived time.Time
 }
 
 // NewCollector returns an empty collector.
@@ -29,6 +32,29 @@
 	return &Collector{windows: make(map[Window]map[sender]requestCounts)}
 }
 
+// maxReceiveGap allows for the loss of a message of the only other box.
+const maxReceiveGap = 2*MaxPublishInterval + 500*time.Millisecond
+
+// Received records that a message of another box arrived. Boxes send to collecting boxes only, and first all that they have counted.
+func (c *Collector) Received(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.Sub(c.lastReceived) > maxReceiveGap {
+		c.receivingSince = at
+	}
+	c.lastReceived = at
+}
+
+// ReceivingFor returns for how long this box has collected the counts of others, zero if it doesn't.
+func (c *Collector) ReceivingFor(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.lastReceived) > maxReceiveGap {
+		return 0
+	}
+	return now.Sub(c.receivingSince)
+}
+
 // maxCount caps received counts.
 const maxCount = 1 << 28
 
--- a/pkg/metering/metering_test.go
+++ b/pkg/metering/metering_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/datagram/datagrampb"
 	"headhill.example/headhill/pkg/fleetclock"
@@ -266,3 +267,22 @@
 		})
 	}
 }
+
+// Guards against a box that takes its counts for complete although it collects for a moment only, or did not for a while; one
+// lost message of the only other box is not taken for that.
+func TestCollectorKnowsForHowLongItCollects(t *testing.T) {
+	b := newPublishingBox(t)
+	body, err := proto.Marshal(usageMessage(1, nil))
+	require.NoError(t, err)
+	assert.Zero(t, b.Collector.ReceivingFor(startTime))
+	at := startTime
+	for _, c := range []struct{ gap, want time.Duration }{{0, 0}, {MaxPublishInterval, MaxPublishInterval}, {2 * MaxPublishInterval, 3 * MaxPublishInterval}, {3 * MaxPublishInterval, 0}} {
+		at = at.Add(c.gap)
+		b.handleUsage(datagram.Message{Box: "b", Received: at, Body: body})
+		assert.Equal(t, c.want, b.Collector.ReceivingFor(at), "after a gap of %s", c.gap)
+	}
+	assert.Equal(t, time.Second, b.Collector.ReceivingFor(at.Add(time.Second)))
+	assert.Zero(t, b.Collector.ReceivingFor(at.Add(3*MaxPublishInterval)))
+	b.publish(b.Counter.Changes(time.Now()))
+	assert.Zero(t, b.Collector.ReceivingFor(clock.Now()), "counts of the box itself")
+}
--- a/pkg/metering/publisher.go
+++ b/pkg/metering/publisher.go
@@ -89,6 +89,7 @@
 	}
 	p.Clock.AddReading(d.Box, m.GetWallMs(), d.Received)
 	p.Collector.Merge(d.Box, m)
+	p.Collector.Received(d.Received)
 	p.OnNextWindow(Window(m.GetNextWindow()))
 }
 
