metering: a new holder is sent the counts of open windows, also if it collected before

A box that collects is sent all counts once (twice, for loss) and changes from then on. One that was cut off or suspended meanwhile misses changes for good, as the others take it for informed; if it becomes the holder after an outage of the store, the windows of that time are reported without them.

Change: on a change of the holder, boxes send the counts of the windows that no holder has closed, with this message and the next. Those of closed windows are not needed again. The form of the message is the same; a holder beside boxes of an earlier build gets from these what it got before. A box that becomes the holder again, with no other in between, is not sent them: its announcement changes no holder.

Evidence: TestNewHolderReceivesCountsThatItMissed is red before (0 windows instead of 2), passes with the change. go test -race ./pkg/metering (5 times), ./pkg/duties, ./pkg/routerd: passed; ./platform -run 'Usage|Duty|Duties|Window|Lease': passed, once (load 11 to 22 on 8 cores).

--- a/pkg/metering/metering_test.go
+++ b/pkg/metering/metering_test.go
@@ -1,6 +1,7 @@
 package metering
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"testing"
@@ -286,3 +287,28 @@
 	b.publish(b.Counter.Changes(time.Now()))
 	assert.Zero(t, b.Collector.ReceivingFor(clock.Now()), "counts of the box itself")
 }
+
+// Guards against windows that are reported too low by a holder that was cut off while the store was silent: it collected before, so that
+// the other boxes take it for informed.
+func TestNewHolderReceivesCountsThatItMissed(t *testing.T) {
+	b := newPublishingBox(t)
+	closed, open := time.Now().Add(-3*windowLength), time.Now().Add(-2*windowLength)
+	b.NextWindow = func() Window { return WindowAt(open, windowLength) }
+	b.collect(t, 1)
+	b.collect(t, 1)
+	b.Counter.RequestStarted("alpha", closed)
+	b.Counter.RequestStarted("alpha", open)
+	for range sendsPerChange {
+		b.Counter.Changes(time.Now())
+	}
+	require.Zero(t, b.collect(t, 1), "the collecting box counts as informed")
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	b.Wake()
+	go func() { defer close(done); b.Run(ctx) }()
+	require.Eventually(t, func() bool { return len(b.wake) == 0 }, 10*time.Second, time.Millisecond)
+	cancel()
+	<-done
+	assert.Equal(t, 2, b.collect(t, 1), "the open window, in two messages")
+	assert.Zero(t, b.collect(t, 1))
+}
--- a/pkg/metering/publisher.go
+++ b/pkg/metering/publisher.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,6 +73,8 @@
 	lastPublished time.Time
 	// fullSends is how often each collecting box has been sent all counts, at most sendsPerChange.
 	fullSends map[collectorKey]int
+	// openSends is how often the counts of open windows have still to be sent after Wake.
+	openSends int
 }
 
 // NewPublisher returns a publisher that handles usage messages received on the port.
@@ -93,8 +96,8 @@
 	p.OnNextWindow(Window(m.GetNextWindow()))
 }
 
-// Wake makes the publisher check for new collecting boxes at once, as after a change of the lease
-// holder.
+// Wake makes the publisher check for new collecting boxes and send all counts of open windows at once, as after a change of
+// the lease holder: it may have been cut off when they were sent.
 func (p *Publisher) Wake() {
 	select {
 	case p.wake <- struct{}{}:
@@ -113,11 +116,30 @@
 		case <-ticker.C:
 			p.publish(p.Counter.Changes(clock.Now()))
 		case <-p.wake:
-			p.publish(nil)
+			p.publishOpen()
 		}
 	}
 }
 
+// publishOpen publishes the counts of the windows that no holder has closed, and once more with the next message.
+func (p *Publisher) publishOpen() {
+	p.mu.Lock()
+	p.openSends = sendsPerChange
+	p.mu.Unlock()
+	p.publish(nil)
+}
+
+// withOpen adds the counts of open windows if they have to be sent. The caller must hold p.mu.
+func (p *Publisher) withOpen(windows []*usagepb.Window) []*usagepb.Window {
+	if p.openSends == 0 {
+		return windows
+	}
+	p.openSends--
+	next := int64(p.NextWindow())
+	open := p.Counter.All()
+	return append(windows, slices.DeleteFunc(open, func(w *usagepb.Window) bool { return w.GetNumber() < next })...)
+}
+
 // Flush publishes all retained counts, before the box stops.
 func (p *Publisher) Flush() { p.publish(p.Counter.All()) }
 
@@ -126,6 +148,7 @@
 func (p *Publisher) publish(windows []*usagepb.Window) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	windows = p.withOpen(windows)
 	now := clock.Now()
 	p.Collector.Evict(WindowAt(p.Clock.Now(now), p.Counter.windowLength))
 	p.Collector.Merge(p.Box, p.message(windows, now))
