--- a/pkg/metering/metering_test.go
+++ b/pkg/metering/metering_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"path"
 	"testing"
 	"time"
 
@@ -312,3 +313,26 @@
 	assert.Equal(t, 2, b.collect(t, 1), "the open window, in two messages")
 	assert.Zero(t, b.collect(t, 1))
 }
+
+// Guards against counts of boxes of an earlier build that are taken for nothing, or that undo later ones.
+func TestCountsOfEarlierBuildsAreSummed(t *testing.T) {
+	builds := make(map[string]int)
+	for name, recorded := range formstest.Recorded(t, "usage-*.datagram") {
+		m := &usagepb.Usage{}
+		require.NoError(t, proto.Unmarshal(recorded, m), name)
+		c := NewCollector()
+		for range 2 {
+			c.Merge("earlier", m)
+			for _, w := range m.GetWindows() {
+				total, processes := c.Total(Window(w.GetNumber()))
+				assert.Equal(t, 1, processes, name)
+				for i, hash := range w.GetOrganisations() {
+					assert.Equal(t, int(w.GetCounts()[i]), total[OrganisationHash(hash)], name)
+				}
+				builds[path.Dir(name)] += len(w.GetOrganisations())
+			}
+		}
+	}
+	t.Logf("counts by build: %v", builds)
+	assert.NotEmpty(t, builds)
+}
