duties: windows that can be reported in time go before those that are late already

After an outage the holder reports the windows of it in order, one at each step of 0.2 s: a window that had ended 4 s before was reported after 30 older ones, 10 s after its end or later, though all the others were late anyway.

Change: the oldest window that ended less than 10 s ago is reported first, the late ones follow. The ledger keeps its form and order; a build before reads one of which windows in the middle are reported.

Evidence: TestWindowsInTimeAreReportedBeforeLateOnes, 30 windows: red before for windows that ended 4 to 8 s before (reported at 10 to 14 s), passes with the change, each window once.

--- a/pkg/duties/reporter.go
+++ b/pkg/duties/reporter.go
@@ -189,7 +189,8 @@
 	}
 	var report metering.Report
 	ok := false
-	r.ledger.with(func(l *metering.Ledger) { report, ok = l.NextReport() })
+	inTime := metering.WindowAt(r.Clock(now).Add(-reportDue), r.WindowLength)
+	r.ledger.with(func(l *metering.Ledger) { report, ok = l.NextReport(inTime) })
 	if ok {
 		r.report(ctx, report)
 	}
--- a/pkg/duties/reporter_wait_test.go
+++ b/pkg/duties/reporter_wait_test.go
@@ -177,3 +177,27 @@
 		})
 	}
 }
+
+// Guards against windows that become late behind those that are late already: a call is made at each step.
+func TestWindowsInTimeAreReportedBeforeLateOnes(t *testing.T) {
+	const windows = 30
+	for at := 2 * time.Second; at < reportDue-reportTime; at += time.Second {
+		t.Run(fmt.Sprint("ended ", at, " after a window"), func(t *testing.T) {
+			runBoxes(t, func(t *testing.T, cloud *fakeCloud, start func() *testBox) {
+				first := metering.WindowAt(time.Now(), windowLength)
+				b := start()
+				defer b.collect(first+windows-1, 3, 0)()
+				time.Sleep(windows*windowLength + at)
+				b.acquireLease(9, time.Hour, []byte(fmt.Sprintf(`{"metering":{"next":%d}}`, first)))
+				time.Sleep(3 * windowLength)
+				assert.LessOrEqual(t, cloud.reportedAfter(t, first+windows-1), maxReportAge)
+				assert.LessOrEqual(t, cloud.reportedAfter(t, first+windows), maxReportAge)
+				for w := first; w < first+windows; w++ {
+					assert.LessOrEqual(t, cloud.reportedAfter(t, w), windows*windowLength+at+8*time.Second, "late ones follow")
+				}
+				assert.Empty(t, b.duties.Reporter.Ledger().Closed)
+				assert.Len(t, cloud.reported(), len(cloud.countsByWindow(t)), "each once")
+			})
+		})
+	}
+}
--- a/pkg/metering/ledger.go
+++ b/pkg/metering/ledger.go
@@ -1,6 +1,9 @@
 package metering
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Report holds the final counts of a closed window.
 type Report struct {
@@ -70,17 +73,17 @@
 	return skipped
 }
 
-// NextReport returns the oldest unreported window. It returns false if there is none.
-func (l *Ledger) NextReport() (Report, bool) {
+// NextReport returns the unreported window to be reported next: the oldest one from inTime on, or if there is none, the oldest
+// one, which is late already. It returns false if there is none.
+func (l *Ledger) NextReport(inTime Window) (Report, bool) {
 	if len(l.Closed) == 0 {
 		return Report{}, false
 	}
-	return l.Closed[0], true
+	i := slices.IndexFunc(l.Closed, func(r Report) bool { return r.Window >= inTime })
+	return l.Closed[max(i, 0)], true
 }
 
 // MarkReported removes a reported window.
 func (l *Ledger) MarkReported(w Window) {
-	if len(l.Closed) > 0 && l.Closed[0].Window == w {
-		l.Closed = l.Closed[1:]
-	}
+	l.Closed = slices.DeleteFunc(l.Closed, func(r Report) bool { return r.Window == w })
 }
