upstream, serverpath: failing tests of idle timeouts taken for restarts, and of responses between two writes

A server that closes idle connections sooner than the box expects can't be told from one that restarted until it is asked; a second write of a request can't be told from the next request below the client.

--- a/pkg/serverpath/conns_test.go
+++ b/pkg/serverpath/conns_test.go
@@ -56,3 +56,21 @@
 		})
 	}
 }
+
+// Guards against doubts of a path whose response is read between two writes of its request.
+func TestResponseReadBetweenWritesLeavesNoDoubt(t *testing.T) {
+	const address = "a"
+	tracker := NewTracker(log.NewNopLogger())
+	prompt := &promptConn{}
+	c := &directConn{Conn: prompt, awaited: awaited{path: tracker, address: address}}
+	prompt.read = func() (int, error) { return 0, nil }
+	_, err := c.Write([]byte("head"))
+	require.NoError(t, err)
+	_, err = c.Read(make([]byte, 1))
+	require.NoError(t, err)
+	_, err = c.Write([]byte("body"))
+	require.NoError(t, err)
+	_, err = c.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	assert.Equal(t, NoCheck, tracker.CheckModeOf(address, clock.Now()))
+}
--- a/pkg/upstream/lifetime_test.go
+++ b/pkg/upstream/lifetime_test.go
@@ -238,3 +238,31 @@
 		assert.Equal(t, 1, reported)
 	})
 }
+
+// Guards against signs of a restart, at each box and for each request, of a server that closes idle connections sooner than the box
+// expects: Keep-Alive gives whole seconds only.
+func TestIdleTimeoutOfServerIsNoSignOfARestart(t *testing.T) {
+	withServer(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			_ = c.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+			if _, err := http.ReadRequest(r); err != nil {
+				c.Close()
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	}, func(c *Client, r Request) {
+		reported := 0
+		r.OnIdleClosed, r.ReportOnReuse = func(time.Time) { reported++ }, true
+		for range 5 {
+			resp, err := c.Do(context.Background(), r)
+			require.NoError(t, err)
+			_, err = io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			resp.Close()
+			time.Sleep(400 * time.Millisecond)
+		}
+		assert.LessOrEqual(t, reported, 1)
+	})
+}
