--- a/pkg/serverpath/conns_test.go
+++ b/pkg/serverpath/conns_test.go
@@ -37,16 +37,18 @@
 // Guards against doubts of a path whose response is read before the write of the request returns.
 func TestResponseReadDuringWriteLeavesNoDoubt(t *testing.T) {
 	const address = "a"
-	for name, wrap := range map[string]func(net.Conn, awaited) net.Conn{
-		"direct": func(c net.Conn, a awaited) net.Conn { return &directConn{Conn: c, awaited: a} },
-		"tunnel": func(c net.Conn, a awaited) net.Conn {
-			return &tunnelConn{Conn: c, awaited: a, dialer: NewDialer(Deps{Tracker: a.path, Logger: log.NewNopLogger()})}
+	for name, wrap := range map[string]func(net.Conn, *Tracker) net.Conn{
+		"direct": func(c net.Conn, t *Tracker) net.Conn {
+			return &directConn{Conn: c, awaited: awaited{path: t, address: address}}
+		},
+		"tunnel": func(c net.Conn, t *Tracker) net.Conn {
+			return &tunnelConn{Conn: c, awaited: awaited{path: t, address: address}, dialer: NewDialer(Deps{Tracker: t, Logger: log.NewNopLogger()})}
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tracker := NewTracker(log.NewNopLogger())
 			prompt := &promptConn{}
-			c := wrap(prompt, awaited{path: tracker, address: address})
+			c := wrap(prompt, tracker)
 			prompt.read = func() (int, error) { return c.Read(make([]byte, 1)) }
 			_, err := c.Write([]byte("request"))
 			require.NoError(t, err)
