directory: a test for a fleet whose readers the store rejects (known red)

Not mended: the first to read would have to be chosen by the number of boxes, or by their place in the tree of their hall.

--- a/pkg/directory/store_load_test.go
+++ b/pkg/directory/store_load_test.go
@@ -17,13 +17,14 @@
 
 // peakStoreLoad changes the table repeatedly and returns the maximum number of boxes that read from the store at a
 // time until all have the last version, which must be within the propagation bound.
-func peakStoreLoad(t *testing.T, boxes, changes int, interval time.Duration) (peak int64) {
+func peakStoreLoad(t *testing.T, boxes, changes int, interval time.Duration, fault func(*simulation)) (peak int64) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		sim := newSimulation(ctx, t, 1, boxes, newStore(routeBytes), 0)
 		sim.asksAgain.Store(true)
 		time.Sleep(10 * time.Second)
 		sim.store.resize(largeTableBytes)
+		fault(sim)
 		calls, bytes := sim.store.calls.Load(), sim.store.bytes.Load()
 		content := routing.Content{Version: 1}
 		for range changes {
@@ -50,9 +51,15 @@
 	return peak
 }
 
-// allAt reports whether all boxes have a version of the table.
+// allAt reports whether all boxes that the store does not reject have a version of the table.
 func (sim *simulation) allAt(version uint64) bool {
 	for _, b := range sim.boxes {
+		b.mu.Lock()
+		rejected := b.rejected
+		b.mu.Unlock()
+		if rejected {
+			continue
+		}
 		if t := b.currentDirectory().View().Table; t == nil || t.Version < version {
 			return false
 		}
@@ -60,12 +67,26 @@
 	return true
 }
 
+// rejectReaders makes the store reject the calls of the readers.
+func rejectReaders(sim *simulation) {
+	for _, b := range sim.boxes[:simulationReaders] {
+		b.mu.Lock()
+		b.rejected = true
+		b.mu.Unlock()
+	}
+}
+
 func assertFewReads(t *testing.T, peak int64) {
 	t.Helper()
 	assert.LessOrEqual(t, peak, int64(maxConcurrentReads), "boxes that read the whole table at a time")
 }
 
+// Guards against a fleet that reads the whole table from the store because its readers cannot.
+func TestRejectedReadersDoNotMakeAllBoxesRead(t *testing.T) {
+	assertFewReads(t, peakStoreLoad(t, largeFleet, 1, 0, rejectReaders))
+}
+
 // Guards against checks in the pause of the readers after a change: all boxes checked, and read the whole table.
 func TestChecksInLargeFleetDoNotReadTable(t *testing.T) {
-	assertFewReads(t, peakStoreLoad(t, largeFleet, 60, 150*time.Millisecond))
+	assertFewReads(t, peakStoreLoad(t, largeFleet, 60, 150*time.Millisecond, func(*simulation) {}))
 }
