--- a/pkg/directory/follow.go
+++ b/pkg/directory/follow.go
@@ -11,7 +11,6 @@
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/stall"
-	"headhill.example/headhill/pkg/storerev"
 )
 
 // Timing bounds the staleness of the directory.
@@ -53,7 +52,7 @@
 	t := opts.Timing
 	var wg conc.WaitGroup
 	wg.Go(func() {
-		d.table.run(ctx, t, &tablePart{directory: d, source: opts.Source, providers: opts.Providers, timing: t, reader: opts.Reader}, opts.Reader)
+		d.table.run(ctx, t, &tablePart{directory: d, source: opts.Source, providers: opts.Providers, timing: t}, opts.Reader)
 	})
 	wg.Go(func() {
 		d.list.run(ctx, t, &serversPart{directory: d, source: opts.Source, providers: opts.Providers, timing: t}, opts.Reader)
@@ -133,24 +132,12 @@
 	} else {
 		err = f.readOnce(ctx, p)
 	}
-	var changed *changedError
-	if errors.As(err, &changed) {
-		f.observe(0, changed.revision)
-		return nil
-	}
 	if err == nil {
 		f.resolve(target)
 	}
 	return err
 }
 
-// changedError is returned by a watch that found a change which is to be copied from another box.
-type changedError struct{ revision storerev.Revision }
-
-func (e *changedError) Error() string {
-	return "the part has changed: it is copied from another box"
-}
-
 func (f *follower) readOnce(ctx context.Context, p part) error {
 	pos, err := p.read(ctx, clock.Now())
 	if err != nil {
--- a/pkg/directory/parts.go
+++ b/pkg/directory/parts.go
@@ -31,7 +31,6 @@
 	source    Source
 	providers Providers
 	timing    Timing
-	reader    func() bool
 	// lastTableBytes is the length of the last answer that held a table.
 	lastTableBytes int
 	// failedWatchWait is the wait of a watch that failed because a full read is needed. It lets the
@@ -53,36 +52,6 @@
 	return max(minHistoryBytes, int(maxGrowth*float64(p.lastTableBytes)))
 }
 
-// maxCheckBytes is the longest answer that a check of a box that is no reader accepts. A longer one shows that the
-// table has changed; it is then copied from another box, so that those that check at the same time do not all
-// read it from the source.
-const maxCheckBytes = 64 << 10
-
-// checkedRevision returns the revision for which this box looks for changes on behalf of others that copy the
-// table as it does; zero if it reads changes itself.
-func (p *tablePart) checkedRevision(wait time.Duration) storerev.Revision {
-	if wait > pollWait || p.reader == nil || p.reader() {
-		return 0
-	}
-	return p.directory.table.target().revision
-}
-
-// maxAnswerBytes returns the longest accepted answer to a watch that looks for changes up to a revision, if it is
-// not zero.
-func (p *tablePart) maxAnswerBytes(checked storerev.Revision) int {
-	if checked > 0 {
-		return maxCheckBytes
-	}
-	return p.maxHistoryBytes()
-}
-
-// announceChange notifies the other boxes, the readers among them, of a change that this box has not read.
-func (p *tablePart) announceChange(revision storerev.Revision) {
-	if p.directory.shouldNotify(pollWait) {
-		p.directory.onNotification(Notification{TableChanged: revision})
-	}
-}
-
 // prefersFullRead is true if the table has changed: each change carries the whole table, so a full
 // read is never longer.
 func (p *tablePart) prefersFullRead(t target) bool { return t.changed > 0 }
@@ -100,12 +69,7 @@
 }
 
 func (p *tablePart) watch(ctx context.Context, after storerev.Revision, wait time.Duration) (position, error) {
-	checked := p.checkedRevision(wait)
-	result, err := p.source.WatchTable(ctx, after, wait, p.maxAnswerBytes(checked))
-	if checked > 0 && errors.Is(err, ErrHistoryTooLong) {
-		p.announceChange(checked)
-		return position{}, &changedError{revision: checked}
-	}
+	result, err := p.source.WatchTable(ctx, after, wait, p.maxHistoryBytes())
 	if needsFullRead(err) {
 		p.failedWatchWait = wait
 	}
--- a/pkg/directory/simulation_test.go
+++ b/pkg/directory/simulation_test.go
@@ -258,7 +258,7 @@
 
 // Table implements Providers.
 func (b *simulatedBox) Table(ctx context.Context, _ *routing.Table, minRevision storerev.Revision) (TableCopy, error) {
-	return queryProviders(ctx, b, func(ctx context.Context, p *simulatedBox, d *Directory) (TableCopy, error) {
+	return queryInTurn(ctx, b, func(ctx context.Context, p *simulatedBox, d *Directory) (TableCopy, error) {
 		c, err := d.TableCopy(ctx, minRevision)
 		if err != nil {
 			return c, err
@@ -274,7 +274,7 @@
 
 // Servers implements Providers.
 func (b *simulatedBox) Servers(ctx context.Context, since, minRevision storerev.Revision) (ListCopy, error) {
-	return queryProviders(ctx, b, func(ctx context.Context, _ *simulatedBox, d *Directory) (ListCopy, error) {
+	return queryInTurn(ctx, b, func(ctx context.Context, _ *simulatedBox, d *Directory) (ListCopy, error) {
 		if _, err := d.ListMetadata(ctx, minRevision); err != nil {
 			return ListCopy{}, err
 		}
@@ -289,23 +289,10 @@
 	firstProviderShare = 2.0 / 3
 )
 
-// providersRetryDelay is the pause before providers that are still loading are queried once more, as in pkg/snapshot.
-const providersRetryDelay = 50 * time.Millisecond
-
-// queryProviders queries the providers in turn, and in a simulation that asks again once more if one of them is still loading.
-func queryProviders[T any](ctx context.Context, b *simulatedBox, query func(context.Context, *simulatedBox, *Directory) (T, error)) (T, error) {
-	got, err := queryInTurn(ctx, b, query)
-	if !b.sim.asksAgain.Load() || !errors.Is(err, ErrLoading) {
-		return got, err
-	}
-	pause.For(ctx, providersRetryDelay)
-	return queryInTurn(ctx, b, query)
-}
-
 // queryInTurn queries the providers in turn. An unreachable provider times out.
 func queryInTurn[T any](ctx context.Context, b *simulatedBox, query func(context.Context, *simulatedBox, *Directory) (T, error)) (T, error) {
 	var got T
-	failures := []error{ErrNoProvider}
+	err := ErrNoProvider
 	end := time.Now().Add(providersWait)
 	for i, p := range b.providers {
 		wait := time.Until(end)
@@ -317,18 +304,16 @@
 		if b.isIsolated() || p.isIsolated() || b.sim.separated(b, p) {
 			<-callCtx.Done()
 			cancel()
-			failures = append(failures, callCtx.Err())
+			err = callCtx.Err()
 			continue
 		}
-		var err error
 		got, err = query(callCtx, p, p.currentDirectory())
 		cancel()
 		if err == nil {
 			return got, nil
 		}
-		failures = append(failures, err)
 	}
-	return got, errors.Join(failures...)
+	return got, err
 }
 
 func (b *simulatedBox) isIsolated() bool {
@@ -429,8 +414,6 @@
 	bytesBetweenBoxes atomic.Int64
 	// split is set while boxes with odd and with even numbers cannot reach each other.
 	split atomic.Bool
-	// asksAgain is set if boxes query their providers once more while these are loading.
-	asksAgain atomic.Bool
 }
 
 // separated reports whether two boxes are in different halves of a split fleet.
