incarnation: the question after a sign reads the state of a restart under the lock

Cause: whether a restart is certain was read after the lock had been released, while notices of other boxes set it.

TestNoticesArriveWhileServerIsAsked: race reported before, none now.

--- a/pkg/incarnation/reports.go
+++ b/pkg/incarnation/reports.go
@@ -283,8 +283,9 @@
 	t.Later(after, func(now time.Time) {
 		t.mu.Lock()
 		s := t.unresolved(server.ID, now)
+		doubted := s != nil && !s.certain
 		t.mu.Unlock()
-		if s != nil && !s.certain && now.Sub(since) < confirmDelay {
+		if doubted && now.Sub(since) < confirmDelay {
 			t.Deps.Query(&server)
 			t.askLater(server, since, min(2*after, maxAskInterval))
 		}
--- a/pkg/incarnation/signs_test.go
+++ b/pkg/incarnation/signs_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/assert"
 
 	"headhill.example/headhill/pkg/clock"
@@ -74,3 +75,21 @@
 	assert.True(t, f.MayHaveRestarted(f.server, true, f.at(5.1)))
 	assert.NotEmpty(t, f.announced)
 }
+
+// Guards against a race between the question after a sign and notices of other boxes.
+func TestNoticesArriveWhileServerIsAsked(t *testing.T) {
+	var wg conc.WaitGroup
+	f := newFakeTracker()
+	f.Deps.Announce = func(Restart) {}
+	f.Deps.Query = func(*routing.Server) bool { return true }
+	f.Deps.Later = func(_ time.Duration, call func(time.Time)) { wg.Go(func() { call(f.at(5.1)) }) }
+	for i := range 100 {
+		at := f.at(5 + float64(i)/1e6)
+		f.RecordIdleClosed(Connection{Server: f.server, Opened: f.at(3), Broken: at}, false)
+		f.RecordRemote("b", Restart{Server: f.server.ID, At: at, Certain: true})
+		f.mu.Lock()
+		f.remove(f.server.ID)
+		f.mu.Unlock()
+	}
+	wg.Wait()
+}
