gateway, incarnation, upstream: four comments say what they mean

Found in the last reading: a comment spoke of queries where all requests without a report are meant, and three left open who is asked and informed. No code is changed.

--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -43,7 +43,8 @@
 	MayHaveRestarted(server *routing.Server, certainOnly bool, now time.Time) bool
 	// RecordLost records that a connection to a server broke; last is set if it was the last one in use.
 	RecordLost(c incarnation.Connection, last bool)
-	// RecordIdleClosed records that a server has closed an idle connection. With announce, other boxes are told before the server was asked.
+	// RecordIdleClosed records that a server has closed an idle connection. With announce, other boxes are informed before the server has
+	// answered a query.
 	RecordIdleClosed(c incarnation.Connection, announce bool)
 	// RecordEnded records that the process of a server has ended.
 	RecordEnded(server *routing.Server, at time.Time)
--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -137,7 +137,7 @@
 	// ownOnly is set while only this box has noticed it, address is that at which it did.
 	ownOnly bool
 	address string
-	// asked is set once the server is asked, until the restart is resolved.
+	// asked is set once queries of the server are due, see askLater.
 	asked bool
 	// process and version are those of the entry when the restart was noticed.
 	process routing.Incarnation
@@ -197,7 +197,8 @@
 	t.record(loss{Restart: Restart{Server: c.Server.ID, At: c.Broken, Opened: c.Opened}, server: c.Server, last: last})
 }
 
-// RecordIdleClosed records that a server closed an idle connection. With announce, other boxes are told before the server was asked.
+// RecordIdleClosed records that a server closed an idle connection. With announce, other boxes are informed before the server has answered a
+// query.
 func (t *Tracker) RecordIdleClosed(c Connection, announce bool) {
 	t.record(loss{Restart: Restart{Server: c.Server.ID, At: c.Broken, Opened: c.Opened, Idle: true}, server: c.Server, unannounced: !announce})
 }
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -302,7 +302,7 @@
 		x.conn.Close()
 		return
 	}
-	// A query asks for no notice; that of the request before stays.
+	// A request that asks for no report leaves that of the one before in place.
 	if x.onIdleClosed != nil {
 		x.conn.onIdleClosed, x.conn.reportOnReuse = x.onIdleClosed, x.reportOnReuse
 	}
