gateway: the close of a connection ends a response only if the server's process runs on

Callers read an orderly end of streams, and of other responses, with neither a length nor chunks when the process of their server was killed: its kernel closes the connections in order, and the box passed that on. A stream that was reset ended in order as well if the attempt to resume it brought no event and ended with its connection.

Cause: the close of a connection was taken for a statement of the process behind it.

A response that ended with its connection is now confirmed: by a response over another connection since, or by the server's answer when its process started, if that is the process of its entry or one that answered before. Servers that don't tell are dialed. Without a proof the response was broken off, and goes on elsewhere, is answered with 502, or is reset for its caller. Connections that are closed meanwhile share a question, and the connection is kept for the next request. Framed responses cost nothing. The check once a second for crashes behind closed responses is gone, as each such response is checked.

--- a/pkg/gateway/attemptend.go
+++ b/pkg/gateway/attemptend.go
@@ -24,6 +24,10 @@
 	result balancer.Result
 	// reportedAt is when the server was done, nil before.
 	reportedAt atomic.Pointer[time.Time]
+	// resumes is set if the attempt is to resume an interrupted stream.
+	resumes bool
+	// closedAt is when the server closed the connection in order during the response, zero if it has not.
+	closedAt time.Time
 }
 
 // report reports the end of the attempt with a failure or an error, or with neither. Only the first
--- /dev/null
+++ b/pkg/gateway/closedend.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+
+	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/incarnation"
+	"headhill.example/headhill/pkg/upstream"
+)
+
+var (
+	errProcessEnded = errors.New("the response ended with its connection, and the server's process is not known to run on: look for a crash of the server")
+	errNoEvents     = errors.New("the stream was interrupted, and the attempt to resume it ended with its connection before an event: look for servers that close connections early")
+)
+
+// EndChecker tells whether the processes of servers run on. It must be safe for concurrent use.
+type EndChecker interface {
+	// Check returns whether the process runs on that closed a connection when it broke. mayAsk is set if the server answers queries. It
+	// blocks for a short time.
+	Check(ctx context.Context, c incarnation.Connection, mayAsk bool) incarnation.Life
+}
+
+// confirmEnd returns the error with which a response ends, given that of its last read and whether it brought anything. The close of a connection states the end of
+// a response only if the server's process runs on: the kernel closes the connections of one that has ended. After an interrupted
+// stream, an attempt without an event states nothing either.
+func (x *exchange) confirmEnd(ctx context.Context, err error, brought bool) error {
+	if upstream.EndOf(err) != upstream.EndClosed {
+		return err
+	}
+	x.end.closedAt = clock.Now()
+	switch {
+	case x.end.resumes && !brought:
+		return errNoEvents
+	case x.gateway.EndChecker == nil:
+		return err
+	}
+	c := x.attemptConnection()
+	c.Broken = x.end.closedAt
+	if x.gateway.EndChecker.Check(ctx, c, x.service.Engine) != incarnation.LifeRuns {
+		return errProcessEnded
+	}
+	return err
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -61,6 +61,8 @@
 	VersionRecord VersionRecord
 	// Incarnations tells which servers may have restarted; nil if none ever does.
 	Incarnations Incarnations
+	// EndChecker checks whether the processes of servers run on that closed connections. If it is nil, each does.
+	EndChecker EndChecker
 	// Shares tracks what organisations use. If it is nil, nothing is counted.
 	Shares Shares
 	// Shutdown returns the planned shutdown in progress, or nil.
@@ -87,7 +89,6 @@
 	outages           outages
 	queues            queues
 	turns             returnTurns
-	closedProbes      closedProbes
 	unchecked         uncheckedStreams
 	// readAhead accounts for the memory of streams that are read ahead of their callers.
 	readAhead *readahead.Ledger
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -17,7 +16,6 @@
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/quarantine"
-	"headhill.example/headhill/pkg/routing"
 	"headhill.example/headhill/pkg/upstream"
 )
 
@@ -127,49 +125,13 @@
 // reportToQuarantine reports the result of an attempt to the quarantine.
 func (x *exchange) reportToQuarantine(lease *balancer.Lease, result balancer.Result, f *failure, err error) {
 	switch {
-	case f == nil && err == nil && x.response != nil && x.response.End() == upstream.EndClosed:
-		if x.mayBeCutOff(lease) {
-			x.probeServer(lease, true)
-		}
 	case f == nil && err == nil, f != nil && f.response != nil && f.response.status != http.StatusGatewayTimeout:
 		x.reportSuccess(f == nil && x.response != nil && x.response.Status < http.StatusMultipleChoices)
 	case f != nil && f.disconnected && result == balancer.ResultFailed:
-		x.probeServer(lease, false)
+		x.probeServer(lease)
 	}
 }
 
-// closedProbeInterval is the minimum time between two probes of a server for responses that ended with its connection and
-// had a body.
-const closedProbeInterval = time.Second
-
-// mayBeCutOff reports whether the server of a response that ended with its connection is to be probed, as it may have
-// crashed. A probe for each such response would cost a connection, so one that looks complete has its server probed only
-// from time to time, unless servers crashed of the request before.
-func (x *exchange) mayBeCutOff(lease *balancer.Lease) bool {
-	return x.response.BodyBytes() == 0 || x.quarantineFinding().Crashes > 0 || x.gateway.closedProbes.take(lease.Server.Incarnation(), clock.Now())
-}
-
-// closedProbes holds when servers were last probed for responses that ended with their connection.
-type closedProbes struct {
-	mu   sync.Mutex
-	last map[routing.Incarnation]time.Time
-}
-
-// take reports whether a server is to be probed now, and counts the probe.
-func (p *closedProbes) take(server routing.Incarnation, now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if now.Sub(p.last[server]) < closedProbeInterval {
-		return false
-	}
-	maps.DeleteFunc(p.last, func(_ routing.Incarnation, at time.Time) bool { return now.Sub(at) >= closedProbeInterval })
-	if p.last == nil {
-		p.last = make(map[routing.Incarnation]time.Time)
-	}
-	p.last[server] = now
-	return true
-}
-
 // reportSuccess reports that a server responded completely and stayed up; whole is set if it did so with success.
 func (x *exchange) reportSuccess(whole bool) {
 	r := x.quarantineRequest()
@@ -177,24 +139,16 @@
 }
 
 // probeServer checks whether a server whose connection broke has crashed. A broken connection alone
-// is no evidence against the request, as servers also reset connections for other reasons. orderly is set if the
-// response may be complete, which a server that still runs confirms.
-func (x *exchange) probeServer(lease *balancer.Lease, orderly bool) {
+// is no evidence against the request, as servers also reset connections for other reasons.
+func (x *exchange) probeServer(lease *balancer.Lease) {
 	r, brokenAt := x.quarantineRequest(), clock.Now()
 	r.SentAt = x.attemptStart
-	since := time.Time{}
-	if orderly {
-		// A server that ran a moment before may have crashed with this response.
-		since = brokenAt
-	}
-	probe := x.gateway.Upstream.ProbeSince(lease.Server.Incarnation().String(), lease.Server.Address, since)
-	report := func() {
-		if orderly && probe.State == upstream.StateUp {
-			x.reportSuccess(true)
-			return
-		}
-		x.reportProbe(&r, lease, brokenAt, probe.State)
+	if !x.end.closedAt.IsZero() {
+		brokenAt = x.end.closedAt
 	}
+	// A server that ran a moment before may have crashed with a response that ended in order.
+	probe := x.gateway.Upstream.ProbeSince(lease.Server.Incarnation().String(), lease.Server.Address, x.end.closedAt)
+	report := func() { x.reportProbe(&r, lease, brokenAt, probe.State) }
 	timer := time.NewTimer(maxProbeWait)
 	defer timer.Stop()
 	select {
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -52,6 +52,8 @@
 	sessions chan aheadSession
 	// readErr is the error of the last read, which ends the response.
 	readErr error
+	// brought is set once something was read that may be written.
+	brought bool
 	// failure and err are the end of the attempt once done is set, end that of the response.
 	done    bool
 	end     upstream.End
@@ -152,6 +154,7 @@
 	data, splitErr := r.complete(buffer[:n])
 	r.readErr = cmp.Or(err, splitErr)
 	if len(data) > 0 {
+		r.brought = true
 		return data, nil
 	}
 	return nil, r.readErr
@@ -163,7 +166,7 @@
 	r.done = true
 	r.x.incompleteEvent.Store(int64(r.partialBytes()))
 	r.resp.Close()
-	err = r.endError(err)
+	err = r.x.confirmEnd(r.ctx, r.endError(err), r.brought)
 	if r.end = upstream.EndOf(err); r.end == upstream.EndBroken {
 		r.failure, r.err = r.failed(err)
 	}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -66,6 +66,11 @@
 		return x.forwardUnbuffered(ctx, resp, body, lease)
 	}
 	resp.Close()
+	if end == upstream.EndClosed {
+		if err := x.confirmEnd(ctx, upstream.ErrConnectionEnded, true); upstream.EndOf(err) == upstream.EndBroken {
+			return &failure{result: balancer.ResultFailed, disconnected: true, cause: err}, nil
+		}
+	}
 	buffered := &bufferedResponse{status: resp.Status, header: resp.Header, body: body, end: end}
 	if resp.Status >= http.StatusInternalServerError || x.headSent {
 		return &failure{result: resultOfStatus(resp.Status), cause: errors.New("server answered " + strconv.Itoa(resp.Status)), response: buffered}, nil
@@ -142,6 +147,7 @@
 			resp.Close()
 			return nil, &callerGoneError{Cause: writeErr}
 		}
+		err = x.confirmEnd(ctx, err, true)
 		switch end := upstream.EndOf(err); end {
 		case upstream.EndWhole, upstream.EndClosed:
 			resp.Close()
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -191,7 +191,7 @@
 	}
 	x.dequeue()
 	x.chargeShare(lease)
-	x.end = &attemptEnd{exchange: x, ctx: ctx, lease: lease}
+	x.end = &attemptEnd{exchange: x, ctx: ctx, lease: lease, resumes: x.lastEventID != ""}
 	f, err := x.sendWithTimeout(ctx, lease)
 	x.recordLoss(lease, f)
 	x.releaseEvent()
@@ -305,6 +305,9 @@
 	switch {
 	case f.disconnected:
 		c := incarnation.Connection{Server: &lease.Server, Opened: x.connectionOpened(f), Broken: x.end.doneAt()}
+		if !x.end.closedAt.IsZero() {
+			c.Broken = x.end.closedAt
+		}
 		if c.Broken.IsZero() {
 			c.Broken = clock.Now()
 		}
--- /dev/null
+++ b/pkg/incarnation/endcheck.go
@@ -0,0 +1,161 @@
+package incarnation
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/routing"
+)
+
+// Life is what is known of a process that has closed a connection.
+type Life int
+
+// States of a process that has closed a connection.
+const (
+	// LifeUnknown means that it can't be told whether the process runs.
+	LifeUnknown Life = iota
+	// LifeRuns means that the process ran after it had closed the connection.
+	LifeRuns
+	// LifeEnded means that the process has ended. Its kernel may have closed the connection.
+	LifeEnded
+)
+
+// String implements fmt.Stringer.
+func (l Life) String() string { return [...]string{"unknown", "runs", "ended"}[l] }
+
+// endCheckTimeout limits the check of a process.
+const endCheckTimeout = 300 * time.Millisecond
+
+// EndCheckerDeps are the dependencies of an EndChecker.
+type EndCheckerDeps struct {
+	// Ask asks the process that runs at the address of a server when it started, as in QuerierDeps.Query. MayAsk reports whether the
+	// server may be asked.
+	Ask    func(ctx context.Context, server *routing.Server) (started int64, err error)
+	MayAsk func(server *routing.Server) bool
+	// Reach returns whether a process accepts connections at the address of a server that can't be asked.
+	Reach func(ctx context.Context, server *routing.Server) Life
+	// Record and LifeAfter are those of the Tracker.
+	Record    func(server *routing.Server, a Answer)
+	LifeAfter func(Connection) Life
+	Logger    log.Logger
+}
+
+// EndChecker checks whether the processes of servers run on that closed connections in order. The kernel does so as well when a
+// process is killed.
+type EndChecker struct {
+	EndCheckerDeps
+	mu sync.Mutex
+	// byServer holds the latest check of each server that is under way.
+	byServer map[routing.Incarnation]*endCheck
+}
+
+// endCheck is a question to a server, for all connections that it had closed before.
+type endCheck struct {
+	began time.Time
+	// done is closed once life is set, which is LifeUnknown if the answer is to be found at the Tracker.
+	done chan struct{}
+	life Life
+}
+
+// NewEndChecker returns an EndChecker.
+func NewEndChecker(d EndCheckerDeps) *EndChecker {
+	return &EndChecker{EndCheckerDeps: d, byServer: make(map[routing.Incarnation]*endCheck)}
+}
+
+// Check returns whether the process runs on that closed a connection at the time at which it broke. It blocks until that is known, for
+// endCheckTimeout at most. mayAsk is set if servers of its service answer queries.
+func (e *EndChecker) Check(ctx context.Context, c Connection, mayAsk bool) Life {
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	life := e.LifeAfter(c)
+	for life == LifeUnknown {
+		check, joined := e.join(c, mayAsk)
+		select {
+		case <-check.done:
+		case <-ctx.Done():
+			return e.log(c, LifeUnknown)
+		}
+		if life = e.LifeAfter(c); joined {
+			if life == LifeUnknown {
+				life = check.life
+			}
+			break
+		}
+	}
+	return e.log(c, life)
+}
+
+func (e *EndChecker) log(c Connection, life Life) Life {
+	_ = level.Info(e.Logger).Log("msg", "checked process that closed a connection during a response", "server", c.Server.ID, "process", life,
+		"connection_age_ms", c.Broken.Sub(c.Opened).Milliseconds(), "took_ms", clock.Since(c.Broken).Milliseconds())
+	return life
+}
+
+// join returns the check of a server that is under way, or begins one. joined is set if it counts for a connection: it began after
+// that was closed.
+func (e *EndChecker) join(c Connection, mayAsk bool) (check *endCheck, joined bool) {
+	key := c.Server.Incarnation()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if check, ok := e.byServer[key]; ok {
+		return check, !check.began.Before(c.Broken)
+	}
+	check = &endCheck{began: clock.Now(), done: make(chan struct{})}
+	e.byServer[key] = check
+	go e.run(check, *c.Server, mayAsk)
+	return check, true
+}
+
+// run asks a server, or finds out whether it accepts connections if that is all that it may be asked.
+func (e *EndChecker) run(check *endCheck, server routing.Server, mayAsk bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	defer cancel()
+	if mayAsk && server.Started != 0 && e.MayAsk(&server) {
+		check.life = e.ask(ctx, &server)
+	} else {
+		check.life = e.Reach(ctx, &server)
+	}
+	e.mu.Lock()
+	delete(e.byServer, server.Incarnation())
+	e.mu.Unlock()
+	close(check.done)
+}
+
+// ask asks a server when its process started. It returns LifeUnknown if the answer is recorded.
+func (e *EndChecker) ask(ctx context.Context, server *routing.Server) Life {
+	sent := clock.Now()
+	started, err := e.Ask(ctx, server)
+	switch {
+	case err == nil:
+		e.Record(server, Answer{Started: started, Sent: sent, Received: clock.Now()})
+		return LifeUnknown
+	case errors.Is(err, ErrReplaced):
+		return LifeEnded
+	case errors.Is(err, ErrNoStart), errors.Is(err, ErrBusy):
+		return LifeRuns
+	}
+	return LifeUnknown
+}
+
+// LifeAfter returns whether the process to which a connection led ran after it had closed the connection: whether it has stated so, or
+// answered over another connection. A process that may have started since proves nothing.
+func (t *Tracker) LifeAfter(c Connection) Life {
+	own := c.Server.Incarnation()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, until, ok := t.Lifetime(own, c.Opened); ok && until.After(c.Broken) {
+		return LifeRuns
+	}
+	for started, s := range t.stated[own.ID] {
+		if s.address == c.Server.Address && !s.last.Before(c.Broken) && (started == own.Started || !s.first.After(c.Opened)) {
+			return LifeRuns
+		}
+	}
+	return LifeUnknown
+}
--- a/pkg/incarnation/reports.go
+++ b/pkg/incarnation/reports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"sync"
 	"time"
@@ -31,6 +32,9 @@
 // ErrNoStart is returned for a server that will not tell when its process started.
 var ErrNoStart = errors.New("the server does not tell when it started")
 
+// ErrReplaced is returned if another server answers at the address.
+var ErrReplaced = fmt.Errorf("another server has the address: %w", ErrNoStart)
+
 // ErrBusy is returned for a server that answers no queries at the moment.
 var ErrBusy = errors.New("the server answers no queries at the moment")
 
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -123,7 +123,9 @@
 	streams    *resumption.Exchange
 	// incarnations tells which servers may have restarted, restarts informs the other boxes of them.
 	incarnations *incarnation.Tracker
-	restarts     *incarnation.Exchange
+	// endChecker checks whether the processes run on that closed connections.
+	endChecker *incarnation.EndChecker
+	restarts   *incarnation.Exchange
 	// versions knows the software versions that services had before this box started.
 	versions *resumption.VersionHistory
 	// saver saves where streams began, for the case that all boxes end.
@@ -236,7 +238,7 @@
 	d.gateway = gateway.New(gateway.Deps{
 		Protocol: a.Protocol, Directory: d.directory, Balancer: balance,
 		Budget: d.retryBudget, Upstream: d.upstream, Quarantine: d.quarantine, Recorder: recorder{metrics}, Usage: d.duties, Logger: logs.For(logflags.Gateway),
-		Hall: s.Box.Hall, Shutdown: d.shutdown.Load, RegionOf: d.regionOf, Shares: d.shares, Streams: d.streams, Incarnations: d.incarnations, VersionRecord: versionRecord{d},
+		Hall: s.Box.Hall, Shutdown: d.shutdown.Load, RegionOf: d.regionOf, Shares: d.shares, Streams: d.streams, Incarnations: d.incarnations, EndChecker: d.endChecker, VersionRecord: versionRecord{d},
 		Scheduling: func() gateway.Scheduling { return d.settings.Load().Scheduling.gatewayScheduling() },
 		Limits: gateway.Limits{
 			MaxRequests:       int64(s.Limits.MemoryMB) * requestsPerMB,
--- a/pkg/routerd/incarnations.go
+++ b/pkg/routerd/incarnations.go
@@ -44,6 +44,33 @@
 		},
 	})
 	d.directory.OnRestoredEntry(d.incarnations.RecordRestoredEntry)
+	d.endChecker = incarnation.NewEndChecker(incarnation.EndCheckerDeps{
+		Ask: func(ctx context.Context, server *routing.Server) (int64, error) {
+			return d.readStart(ctx, report, server)
+		},
+		MayAsk:    func(server *routing.Server) bool { return report.Target != "" && !d.isRestricted(server) },
+		Reach:     d.reach,
+		Record:    d.incarnations.RecordReport,
+		LifeAfter: d.incarnations.LifeAfter,
+		Logger:    logger,
+	})
+}
+
+// isRestricted reports whether a server limits its requests, and may count a query as one.
+func (d *Daemon) isRestricted(server *routing.Server) bool {
+	state := d.balancer.Signals().State(signals.KeyOf(server.Incarnation()), clock.Now())
+	return state.Constrained() || state.Brittle.Set
+}
+
+// reach opens a connection to a server, which a later request may use.
+func (d *Daemon) reach(ctx context.Context, server *routing.Server) incarnation.Life {
+	key := server.Incarnation().String()
+	conn, err := d.serverDialer.Dial(ctx, key, server.Address)
+	if err != nil {
+		return incarnation.LifeUnknown
+	}
+	d.upstream.AddIdle(key, conn)
+	return incarnation.LifeRuns
 }
 
 // queryOf returns what has a server queried when it started, nil if servers can't be queried. One whose requests are restricted
@@ -59,10 +86,7 @@
 		},
 		Record: func(server *routing.Server, a incarnation.Answer) { d.incarnations.RecordReport(server, a) },
 	})
-	return func(server *routing.Server) bool {
-		state := d.balancer.Signals().State(signals.KeyOf(server.Incarnation()), clock.Now())
-		return !state.Constrained() && !state.Brittle.Set && q.Query(server)
-	}
+	return func(server *routing.Server) bool { return !d.isRestricted(server) && q.Query(server) }
 }
 
 // readStart reads when the process of a server started.
@@ -80,6 +104,8 @@
 	}
 	switch resp.Status {
 	case http.StatusOK:
+	case http.StatusMisdirectedRequest:
+		return 0, fmt.Errorf("%w: status %d", incarnation.ErrReplaced, resp.Status)
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		return 0, fmt.Errorf("%w: status %d", incarnation.ErrBusy, resp.Status)
 	default:
