routerd: a report that ends with its connection is an answer

The answer to the question when a process started was dropped if the report had neither a length nor chunks, so each response of that framing of such a server was broken off. A start that such a report states in full counts; without one, it tells nothing.

Red before: TestReportThatEndsWithItsConnectionIsAnAnswer, both parts; green after, 1 of 1.

--- a/pkg/routerd/incarnations.go
+++ b/pkg/routerd/incarnations.go
@@ -99,7 +99,7 @@
 	}
 	defer resp.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
-	if err != nil {
+	if err != nil && upstream.EndOf(err) != upstream.EndClosed {
 		return 0, err
 	}
 	switch resp.Status {
@@ -112,8 +112,12 @@
 		return 0, fmt.Errorf("%w: status %d", incarnation.ErrNoStart, resp.Status)
 	}
 	started, ok := report.Started(body)
-	if !ok {
-		return 0, incarnation.ErrNoStart
+	switch {
+	case ok:
+		return started, nil
+	case err != nil:
+		// A report that ends with its connection may be incomplete.
+		return 0, err
 	}
-	return started, nil
+	return 0, incarnation.ErrNoStart
 }
