gateway: the deadline of a request does not end the check of its server's process

A complete response whose deadline passed, or whose attempt timed out, while the process was asked was dropped for a 504, or sent again. Only a caller that leaves ends the check now, which is limited anyway.

Red before: TestCompleteResponseIsDeliveredThoughItsDeadlinePassesDuringTheCheck, both parts; green after, 1 of 1.

--- a/pkg/gateway/closedend.go
+++ b/pkg/gateway/closedend.go
@@ -24,7 +24,7 @@
 // confirmEnd returns the error with which a response ends, given that of its last read and whether it brought anything. The close of a connection states the end of
 // a response only if the server's process runs on: the kernel closes the connections of one that has ended. After an interrupted
 // stream, an attempt without an event states nothing either.
-func (x *exchange) confirmEnd(ctx context.Context, err error, brought bool) error {
+func (x *exchange) confirmEnd(err error, brought bool) error {
 	if upstream.EndOf(err) != upstream.EndClosed {
 		return err
 	}
@@ -37,7 +37,8 @@
 	}
 	c := x.attemptConnection()
 	c.Broken = x.end.closedAt
-	if x.gateway.EndChecker.Check(ctx, c, x.service.Engine) != incarnation.LifeRuns {
+	// A response that is ready is delivered although its deadline passes during the check.
+	if x.gateway.EndChecker.Check(x.request.Context(), c, x.service.Engine) != incarnation.LifeRuns {
 		return errProcessEnded
 	}
 	return err
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -166,7 +166,7 @@
 	r.done = true
 	r.x.incompleteEvent.Store(int64(r.partialBytes()))
 	r.resp.Close()
-	err = r.x.confirmEnd(r.ctx, r.endError(err), r.brought)
+	err = r.x.confirmEnd(r.endError(err), r.brought)
 	if r.end = upstream.EndOf(err); r.end == upstream.EndBroken {
 		r.failure, r.err = r.failed(err)
 	}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -67,7 +67,7 @@
 	}
 	resp.Close()
 	if end == upstream.EndClosed {
-		if err := x.confirmEnd(ctx, upstream.ErrConnectionEnded, true); upstream.EndOf(err) == upstream.EndBroken {
+		if err := x.confirmEnd(upstream.ErrConnectionEnded, true); upstream.EndOf(err) == upstream.EndBroken {
 			return &failure{result: balancer.ResultFailed, disconnected: true, cause: err}, nil
 		}
 	}
@@ -147,7 +147,7 @@
 			resp.Close()
 			return nil, &callerGoneError{Cause: writeErr}
 		}
-		err = x.confirmEnd(ctx, err, true)
+		err = x.confirmEnd(err, true)
 		switch end := upstream.EndOf(err); end {
 		case upstream.EndWhole, upstream.EndClosed:
 			resp.Close()
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -50,7 +50,7 @@
 			x.releaseEvent()
 		}
 		x.incompleteEvent.Store(int64(len(splitter.partial)))
-		err = x.confirmEnd(ctx, splitter.endError(cmp.Or(err, splitErr)), brought)
+		err = x.confirmEnd(splitter.endError(cmp.Or(err, splitErr)), brought)
 		switch end := upstream.EndOf(err); end {
 		case upstream.EndWhole, upstream.EndClosed:
 			resp.Close()
