incarnation: the test of the end check reads its counts once the questions have ended

go test -race found the read of the counts beside a question that was still under way, on, 1 of 1: the check returns at its time limit before the question does. The counts are compared after that now, which is as strict. 20 of 20 with -race.

--- a/pkg/incarnation/endcheck_test.go
+++ b/pkg/incarnation/endcheck_test.go
@@ -78,8 +78,9 @@
 					},
 				})
 				assert.Equal(t, x.want, x.server.checker(tracker).Check(t.Context(), c, x.engine))
-				assert.Equal(t, [2]int{x.wantAsked, x.wantDialed}, [2]int{x.server.asked, x.server.dialed})
 				time.Sleep(2 * time.Second)
+				synctest.Wait()
+				assert.Equal(t, [2]int{x.wantAsked, x.wantDialed}, [2]int{x.server.asked, x.server.dialed})
 			})
 		})
 	}
