incarnation: a check that waits for another question has its full time

A question to a server counts only for connections that were closed before it, so one that was closed a moment later waits for a second question, within the time of one. Where an answer took more than half of that, all but the first of several responses that ended together were broken off.

Red before: TestCheckThatWaitsForAnotherQuestionHasItsTime, 4 of 5 checks; green after, 20 of 20.

--- a/pkg/incarnation/endcheck.go
+++ b/pkg/incarnation/endcheck.go
@@ -29,7 +29,7 @@
 // String implements fmt.Stringer.
 func (l Life) String() string { return [...]string{"unknown", "runs", "ended"}[l] }
 
-// endCheckTimeout limits the check of a process.
+// endCheckTimeout limits a question to a process. A check may have to wait for another connection's question before its own.
 const endCheckTimeout = 300 * time.Millisecond
 
 // EndCheckerDeps are the dependencies of an EndChecker.
@@ -69,9 +69,9 @@
 }
 
 // Check returns whether the process runs on that closed a connection at the time at which it broke. It blocks until that is known, for
-// endCheckTimeout at most. mayAsk is set if servers of its service answer queries.
+// the time of two questions at most. mayAsk is set if servers of its service answer queries.
 func (e *EndChecker) Check(ctx context.Context, c Connection, mayAsk bool) Life {
-	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 2*endCheckTimeout)
 	defer cancel()
 	life := e.LifeAfter(c)
 	for life == LifeUnknown {
