incarnation: a server that resets new connections runs on

Complete responses without a length were answered with 502, or reset, if their server had as many connections as it takes and reset the one over which it was asked. Connections of a process that has ended are refused, so a server whose answer does not come counts as running if it accepts a further connection, or resets it.

--- a/pkg/incarnation/endcheck.go
+++ b/pkg/incarnation/endcheck.go
@@ -140,7 +140,8 @@
 	case errors.Is(err, ErrNoStart), errors.Is(err, ErrBusy):
 		return LifeRuns
 	}
-	return LifeUnknown
+	// A server that has reached its limit of connections resets them.
+	return e.Reach(ctx, server)
 }
 
 // LifeAfter returns whether the process to which a connection led ran after it had closed the connection: whether it has stated so, or
--- a/pkg/routerd/incarnations.go
+++ b/pkg/routerd/incarnations.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -66,11 +68,15 @@
 func (d *Daemon) reach(ctx context.Context, server *routing.Server) incarnation.Life {
 	key := server.Incarnation().String()
 	conn, err := d.serverDialer.Dial(ctx, key, server.Address)
-	if err != nil {
-		return incarnation.LifeUnknown
+	switch {
+	case err == nil:
+		d.upstream.AddIdle(key, conn)
+		return incarnation.LifeRuns
+	case errors.Is(err, syscall.ECONNRESET):
+		// A connection that was not accepted is refused, not reset.
+		return incarnation.LifeRuns
 	}
-	d.upstream.AddIdle(key, conn)
-	return incarnation.LifeRuns
+	return incarnation.LifeUnknown
 }
 
 // queryOf returns what has a server queried when it started, nil if servers can't be queried. One whose requests are restricted
