gateway: a stream of a service with one version goes on only at a server that was asked

An engine had ended with no connection in use at any box and ran again, under its ID and at its address, as the first of another version; streams that broke off elsewhere went on there, as its entry, which the silent store could not replace, still had the version before.

Cause: provedVersion left the query out where one version is known and there is no sign of a restart. Nobody has a sign of a server that nobody was connected to.

Now the first event of a stream that goes on waits for the answer of its server, 0.3 s at most, also with one version, unless the list proves the connection. Streams that are not interrupted ask and record nothing, as before (TestNewStreamOfOneVersionAsksNothing).

Ruled out: asking for each new connection, as streams that are not interrupted would pay for it; refusing without an answer, as a server may not be asked (brittle, no start stated): its entry counts then, as before.

The unit test is red without the change.

--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -287,8 +287,8 @@
 }
 
 // provedVersion returns the version of the server of the latest attempt, for a stream that goes on. The first event waits for the
-// answers of that server and of the one at which the stream began, if these are asked. With one version, the server's entry counts if
-// no answer comes.
+// answers of that server, if the connection is not proved, and of the one at which the stream began, if it is asked. With one version there
+// need not be a sign of a restart, as the server may be the first of another one; its entry counts if no answer comes.
 func (x *exchange) provedVersion(b *boundStream) (version string, ok bool) {
 	i := x.gateway.Incarnations
 	several := x.severalVersions()
@@ -296,7 +296,7 @@
 		now := clock.Now()
 		version, ok = x.attemptVersion()
 		proved := ok && !x.needsProof()
-		answered := proved && !several || !i.Query(x.attemptConnection())
+		answered := !i.Query(x.attemptConnection())
 		if answered && (b.answerBy.IsZero() || b.checkAnswer(i, now)) || now.After(end) {
 			return version, proved || ok && !several
 		}
