routerd: a report that ends with its connection is read if it is whole

Callers of a server whose reports have neither a length nor chunks lost each stream, and each other response, that ended with its connection: it was reset at its end, or answered with 502, although the server had ended it and ran on.

Cause: the report by which the server's process is shown to run on is read to its end, and the close of its connection was an error like a break. Nothing then showed that the process runs. Reports that are cut short are not the cause: they were, and are, no answer.

A report that ends with its connection now counts if it states the start in an object that has its end; one that is cut inside, also inside the number, stays an error and not "a server that doesn't tell".

--- a/pkg/routerd/incarnations.go
+++ b/pkg/routerd/incarnations.go
@@ -95,7 +95,7 @@
 	return func(server *routing.Server) bool { return !d.isRestricted(server) && q.Query(server) }
 }
 
-// readStart reads when the process of a server started.
+// readStart reads when the process of a server started. A report that ends with its connection counts if it is a whole object.
 func (d *Daemon) readStart(ctx context.Context, report ServerReport, server *routing.Server) (int64, error) {
 	resp, err := d.upstream.Do(ctx, upstream.Request{
 		ServerKey: server.Incarnation().String(), Address: server.Address, Method: http.MethodGet, Target: report.Target, Host: server.Address, Header: report.Header(server.ID),
@@ -105,7 +105,7 @@
 	}
 	defer resp.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
-	if err != nil && upstream.EndOf(err) != upstream.EndClosed {
+	if upstream.EndOf(err) == upstream.EndBroken {
 		return 0, err
 	}
 	switch resp.Status {
@@ -122,7 +122,6 @@
 	case ok:
 		return started, nil
 	case err != nil:
-		// A report that ends with its connection may be incomplete.
 		return 0, err
 	}
 	return 0, incarnation.ErrNoStart
