entry: an answer that ends with its connection counts only if its server runs on

Callers of plain services read an orderly end of a short answer when the process of its server was killed: the kernel closes its connections in order, and neither a length nor chunks said where the answer ends. Callers of engines got a refusal cut short the same way.

Cause: the close of a connection was taken for a statement of the process behind it, as in pkg/gateway. The header Headhill-Outcome said unknown, which a caller who looks at the status alone doesn't see. Ruled out: streams of engines, which end with [DONE], and their answers with 200, which are JSON (TestChatAnswerCutAtAnyByteIsNotWhole).

Such an answer is confirmed now: a process must accept connections at the address of its server. Without that the exchange was interrupted, so the request is repeated where that is allowed, is answered with 502, or is reset. Servers of this path don't state when they started, so that one which is back within a millisecond is not told apart.

Red before: TestPlainAnswerOfAProcessThatEndedIsBroken (both parts), TestRefusalOfAProcessThatEndedIsBroken; the tests of pkg/entry and pkg/backend green after.

--- a/pkg/backend/probe.go
+++ b/pkg/backend/probe.go
@@ -7,7 +7,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
+	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/config"
 	"headhill.example/headhill/pkg/scheduler"
 	"headhill.example/headhill/pkg/upstream"
@@ -55,3 +57,20 @@
 	err := json.NewDecoder(bytes.NewReader(body)).Decode(&object)
 	return bytes.HasPrefix(body, []byte("{")) && errors.Is(err, io.ErrUnexpectedEOF)
 }
+
+// endProbeTimeout limits the probe of a server that closed the connection of an answer.
+const endProbeTimeout = 300 * time.Millisecond
+
+// RunsOn returns whether a process accepts connections at the address of a server now. It blocks for endProbeTimeout at most.
+func (c *Client) RunsOn(ctx context.Context, s config.Server) bool {
+	probe := c.upstream.ProbeSince(s.Address, s.Address, clock.Now())
+	timer := time.NewTimer(endProbeTimeout)
+	defer timer.Stop()
+	select {
+	case <-probe.Done:
+		return probe.State == upstream.StateUp
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
--- a/pkg/entry/plain.go
+++ b/pkg/entry/plain.go
@@ -95,8 +95,12 @@
 // the rest as it arrives.
 func (x *plainExchange) forwardAnswer(s config.Server, resp *backend.Response) error {
 	head, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
-	if upstream.EndOf(err) == upstream.EndBroken {
-		return &backend.InterruptedError{Server: s.Name, Cause: err}
+	answer := io.MultiReader(bytes.NewReader(head), resp.Body)
+	if upstream.EndOf(err) == upstream.EndClosed {
+		answer = bytes.NewReader(head)
+	}
+	if err := x.h.confirmEnd(x.r.Context(), s, err); err != nil {
+		return err
 	}
 	outcome := api.OutcomeDone
 	if resp.Framing == upstream.FramingClose {
@@ -122,12 +126,12 @@
 	}
 	x.w.WriteHeader(resp.Status)
 	caller := &callerWriter{h: x.h, w: x.w}
-	_, err = io.Copy(caller, io.MultiReader(bytes.NewReader(head), resp.Body))
+	_, err = io.Copy(caller, answer)
 	if caller.err != nil {
 		return caller.err
 	}
-	if upstream.EndOf(err) == upstream.EndBroken {
-		return &backend.InterruptedError{Server: s.Name, Cause: err}
+	if err := x.h.confirmEnd(x.r.Context(), s, err); err != nil {
+		return err
 	}
 	if untilClose {
 		callerconn.EndUntilClose(x.r)
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -282,14 +282,19 @@
 	if err != nil {
 		return &backend.InterruptedError{Server: s.Name, Cause: err}
 	}
+	// A truncated JSON answer was rejected above. Of an error answer nothing is known.
+	x.req.endUnknown = closed && resp.Status != http.StatusOK
+	if x.req.endUnknown {
+		if err := x.h.confirmEnd(x.r.Context(), s, upstream.ErrConnectionEnded); err != nil {
+			return err
+		}
+	}
 	x.req.recordToken()
 	x.req.tokenCount = max(1, a.Usage.CompletionTokens)
 	x.req.responseStarted = true
 	x.req.status = resp.Status
 	h := x.w.Header()
 	h.Set("Content-Type", resp.Header.Get("Content-Type"))
-	// A truncated JSON answer was rejected above. Of an error answer nothing is known.
-	x.req.endUnknown = closed && resp.Status != http.StatusOK
 	h.Set(api.HeaderOutcome, string(x.req.answeredOutcome()))
 	if x.req.endUnknown {
 		callerconn.BeginUntilClose(x.w, x.r)
