--- a/pkg/incarnation/endcheck.go
+++ b/pkg/incarnation/endcheck.go
@@ -140,8 +140,7 @@
 	case errors.Is(err, ErrNoStart), errors.Is(err, ErrBusy):
 		return LifeRuns
 	}
-	// A server that has reached its limit of connections resets them.
-	return e.Reach(ctx, server)
+	return LifeUnknown
 }
 
 // LifeAfter returns whether the process to which a connection led ran after it had closed the connection: whether it has stated so, or
--- a/pkg/routerd/incarnations.go
+++ b/pkg/routerd/incarnations.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -68,15 +66,11 @@
 func (d *Daemon) reach(ctx context.Context, server *routing.Server) incarnation.Life {
 	key := server.Incarnation().String()
 	conn, err := d.serverDialer.Dial(ctx, key, server.Address)
-	switch {
-	case err == nil:
-		d.upstream.AddIdle(key, conn)
-		return incarnation.LifeRuns
-	case errors.Is(err, syscall.ECONNRESET):
-		// A connection that was not accepted is refused, not reset.
-		return incarnation.LifeRuns
+	if err != nil {
+		return incarnation.LifeUnknown
 	}
-	return incarnation.LifeUnknown
+	d.upstream.AddIdle(key, conn)
+	return incarnation.LifeRuns
 }
 
 // queryOf returns what has a server queried when it started, nil if servers can't be queried. One whose requests are restricted
