incarnation, routerd: a server that breaks new connections runs on

A server that has as many connections as it takes resets new ones. The question to its process got no answer then, and each of its responses without a length or chunks was broken off: reset, 502, or sent again. A question whose connection broke is repeated after 20 ms now, when a process that ended refuses connections; one that accepts and breaks that one too runs. The same holds for servers that are only dialed, whose reset may come before the connection is up.

--- a/pkg/incarnation/endcheck.go
+++ b/pkg/incarnation/endcheck.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"headhill.example/headhill/pkg/clock"
+	"headhill.example/headhill/pkg/pause"
 	"headhill.example/headhill/pkg/routing"
 )
 
@@ -32,6 +33,13 @@
 // endCheckTimeout limits a question to a process. A check may have to wait for another connection's question before its own.
 const endCheckTimeout = 300 * time.Millisecond
 
+// A question whose connection broke is repeated after questionInterval: a process that ends breaks connections as well, and refuses
+// them by then. maxQuestions is the number of questions in all.
+const (
+	questionInterval = 20 * time.Millisecond
+	maxQuestions     = 2
+)
+
 // EndCheckerDeps are the dependencies of an EndChecker.
 type EndCheckerDeps struct {
 	// Ask asks the process that runs at the address of a server when it started, as in QuerierDeps.Query. MayAsk reports whether the
@@ -127,20 +135,26 @@
 	close(check.done)
 }
 
-// ask asks a server when its process started. It returns LifeUnknown if the answer is recorded.
+// ask asks a server when its process started. It returns LifeUnknown if the answer is recorded. A server that accepts connections and
+// breaks each of them has as many as it takes, and runs.
 func (e *EndChecker) ask(ctx context.Context, server *routing.Server) Life {
-	sent := clock.Now()
-	started, err := e.Ask(ctx, server)
-	switch {
-	case err == nil:
-		e.Record(server, Answer{Started: started, Sent: sent, Received: clock.Now()})
-		return LifeUnknown
-	case errors.Is(err, ErrReplaced):
-		return LifeEnded
-	case errors.Is(err, ErrNoStart), errors.Is(err, ErrBusy):
-		return LifeRuns
+	for range maxQuestions {
+		sent := clock.Now()
+		started, err := e.Ask(ctx, server)
+		switch {
+		case err == nil:
+			e.Record(server, Answer{Started: started, Sent: sent, Received: clock.Now()})
+			return LifeUnknown
+		case errors.Is(err, ErrReplaced):
+			return LifeEnded
+		case errors.Is(err, ErrNoStart), errors.Is(err, ErrBusy):
+			return LifeRuns
+		case !errors.Is(err, ErrConnectionBroke) || ctx.Err() != nil:
+			return LifeUnknown
+		}
+		pause.For(ctx, questionInterval)
 	}
-	return LifeUnknown
+	return LifeRuns
 }
 
 // LifeAfter returns whether the process to which a connection led ran after it had closed the connection: whether it has stated so, or
--- a/pkg/incarnation/reports.go
+++ b/pkg/incarnation/reports.go
@@ -35,6 +35,9 @@
 // ErrReplaced is returned if another server answers at the address.
 var ErrReplaced = fmt.Errorf("another server has the address: %w", ErrNoStart)
 
+// ErrConnectionBroke is returned if a connection was accepted, and broke before the answer.
+var ErrConnectionBroke = errors.New("the connection broke before the answer")
+
 // ErrBusy is returned for a server that answers no queries at the moment.
 var ErrBusy = errors.New("the server answers no queries at the moment")
 
--- a/pkg/routerd/incarnations.go
+++ b/pkg/routerd/incarnations.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -66,7 +68,10 @@
 func (d *Daemon) reach(ctx context.Context, server *routing.Server) incarnation.Life {
 	key := server.Incarnation().String()
 	conn, err := d.serverDialer.Dial(ctx, key, server.Address)
-	if err != nil {
+	switch {
+	case isBroken(err):
+		return incarnation.LifeRuns
+	case err != nil:
 		return incarnation.LifeUnknown
 	}
 	d.upstream.AddIdle(key, conn)
@@ -95,7 +100,7 @@
 		ServerKey: server.Incarnation().String(), Address: server.Address, Method: http.MethodGet, Target: report.Target, Host: server.Address, Header: report.Header(server.ID),
 	})
 	if err != nil {
-		return 0, err
+		return 0, queryError(err)
 	}
 	defer resp.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
@@ -120,3 +125,18 @@
 	}
 	return 0, incarnation.ErrNoStart
 }
+
+// queryError returns the error of a query that got no answer.
+func queryError(err error) error {
+	if isBroken(err) {
+		return fmt.Errorf("%w: %w", incarnation.ErrConnectionBroke, err)
+	}
+	return err
+}
+
+// isBroken reports whether a server accepted a connection and broke it, as one does that has as many as it takes. The loss of the box
+// by way of which it led says nothing of the server.
+func isBroken(err error) bool {
+	var lost *upstream.PathLostError
+	return !errors.As(err, &lost) && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
+}
