incarnation: a metric of checks of processes that closed a connection

headhill_end_checks counts them by what was found, so that an operator sees responses that were broken off as nothing showed that their server runs on.

--- a/pkg/incarnation/endcheck.go
+++ b/pkg/incarnation/endcheck.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -25,6 +26,8 @@
 	LifeRuns
 	// LifeEnded means that the process has ended. Its kernel may have closed the connection.
 	LifeEnded
+
+	lives
 )
 
 // String implements fmt.Stringer.
@@ -61,6 +64,8 @@
 	mu sync.Mutex
 	// byServer holds the latest check of each server that is under way.
 	byServer map[routing.Incarnation]*endCheck
+	// counts are the results since the start.
+	counts [lives]atomic.Int64
 }
 
 // endCheck is a question to a server, for all connections that it had closed before.
@@ -87,7 +92,7 @@
 		select {
 		case <-check.done:
 		case <-ctx.Done():
-			return e.log(c, LifeUnknown)
+			return e.report(c, LifeUnknown)
 		}
 		if life = e.LifeAfter(c); joined {
 			if life == LifeUnknown {
@@ -96,10 +101,21 @@
 			break
 		}
 	}
-	return e.log(c, life)
+	return e.report(c, life)
+}
+
+// Counts returns how many checks had which result since the start, by its name.
+func (e *EndChecker) Counts() map[string]int64 {
+	counts := make(map[string]int64, lives)
+	for life := range lives {
+		counts[life.String()] = e.counts[life].Load()
+	}
+	return counts
 }
 
-func (e *EndChecker) log(c Connection, life Life) Life {
+// report counts and logs the result of a check, and returns it.
+func (e *EndChecker) report(c Connection, life Life) Life {
+	e.counts[life].Add(1)
 	_ = level.Info(e.Logger).Log("msg", "checked process that closed a connection during a response", "server", c.Server.ID, "process", life,
 		"connection_age_ms", c.Broken.Sub(c.Opened).Milliseconds(), "took_ms", clock.Since(c.Broken).Milliseconds())
 	return life
--- a/pkg/routerd/gauges.go
+++ b/pkg/routerd/gauges.go
@@ -158,6 +158,14 @@
 	}
 }
 
+// endChecksGauge returns the gauge for the checks of processes that closed a connection during a response.
+func endChecksGauge(d *Daemon) telemetry.Gauge {
+	return telemetry.Gauge{
+		Name: "headhill_end_checks", Help: "Checks of servers' processes that closed the connection of a response without a length, by what was found (runs, ended, unknown), since the start. Only the close of one that runs ends the response.",
+		Attribute: "process", Observe: func() map[string]int64 { return d.endChecker.Counts() },
+	}
+}
+
 // pathsGauge returns the gauge for direct connections to servers by how they ended.
 func pathsGauge(t *serverpath.Tracker) telemetry.Gauge {
 	return telemetry.Gauge{
