gateway: the server of an interrupted stream of a service with one version is asked

An engine had restarted as the first of another version with no connection at any box; streams began there as streams of the version in its entry, broke off, and went on at engines of that version.

Cause: while one version is known, a stream counts as certain as it begins, and nobody looked again as it was interrupted.

Now the server is asked as soon as such a stream breaks off, if the list does not prove its connection. The stream is uncertain until the answer, and boxes that keep its record get that before the caller learns of the break. Its request is sent on meanwhile, but no event is forwarded before the answer.

Ruled out: to date the start of the process that answers by its born, which counts for equality only in this project; to trust a noticed end of the process, as three streams that a running server breaks off look the same; to refuse without an answer, as the streams of each crashed server would be refused.

Open: a process that was never listed and has ended by the time of the question, and a box that dies or is suspended with such streams in progress.

--- a/pkg/gateway/asked_test.go
+++ b/pkg/gateway/asked_test.go
@@ -61,3 +61,86 @@
 	assert.False(t, x.bound.Load().resolve(server, clock.Now()).Uncertain)
 	assert.Zero(t, server.queries)
 }
+
+// laterServer is a server of a service with one version, whose process was not proved as a stream began, and which answers later.
+type laterServer struct {
+	signedServer
+	listProves bool
+}
+
+func (s *laterServer) MayHaveRestarted(*routing.Server, bool, time.Time) bool { return false }
+func (s *laterServer) Reliable(incarnation.Connection, time.Time) bool        { return true }
+func (s *laterServer) Proved(incarnation.Connection) bool                     { return s.listProves }
+
+func (s *laterServer) VersionAsked(c incarnation.Connection) (string, bool) {
+	a := s.current()
+	switch {
+	case a.denied && s.listProves:
+		return "v2", true
+	case a.denied:
+		return "", false
+	}
+	return c.Server.Version, true
+}
+
+// Guards against streams of one version that began at the first server of another one, and that go on at servers of the version in its
+// entry, and against those that are refused though their server runs, is gone or can't be asked.
+func TestServerOfInterruptedStreamIsAsked(t *testing.T) {
+	certain := resumption.Origin{Service: "s", Version: "v1"}
+	uncertain, ambiguous := certain, certain
+	uncertain.Uncertain, ambiguous.Ambiguous = true, true
+	none := func(*laterServer) {}
+	for name, c := range map[string]struct {
+		before, after func(*laterServer)
+		broken, later resumption.Origin
+		// wait is how long after the break the origin is looked at.
+		wait time.Duration
+	}{
+		"list proves the connection": {before: func(s *laterServer) { s.listProves = true }, after: none, broken: certain, later: certain},
+		"can't be asked":             {before: func(s *laterServer) { s.set(serverAnswer{}) }, after: none, broken: certain, later: certain},
+		"no answer yet":              {before: none, after: none, broken: uncertain, later: uncertain},
+		"no answer comes":            {before: none, after: none, broken: uncertain, later: certain, wait: maxProofWait + time.Second},
+		"its process runs":           {before: none, after: func(s *laterServer) { s.set(serverAnswer{answerable: true, proved: true}) }, broken: uncertain, later: certain},
+		"another process":            {before: none, after: func(s *laterServer) { s.set(serverAnswer{denied: true}) }, broken: uncertain, later: uncertain, wait: time.Minute},
+		"another process, listed by now": {before: none, after: func(s *laterServer) {
+			s.set(serverAnswer{denied: true})
+			s.listProves = true
+		}, broken: uncertain, later: ambiguous},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := &laterServer{}
+			server.set(serverAnswer{answerable: true})
+			streams := &severalStreams{registeredStreams: registeredStreams{Registry: resumption.NewRegistry()}}
+			x := newSignedExchange(&server.signedServer)
+			x.gateway.Incarnations, x.gateway.Streams, x.firstEventTime = server, streams, clock.Now()
+			c.before(server)
+			require.NoError(t, x.bindStream())
+			_, recorded := streams.Get(x.streamKey(), clock.Now())
+			assert.False(t, recorded, "a stream that is not interrupted costs nothing")
+			x.checkLife()
+			assert.Equal(t, c.broken, x.bound.Load().origin, "as it broke off")
+			candidates := x.ofBoundVersion([]routing.Server{{ID: "j", Version: "v1"}})
+			assert.Len(t, candidates, 1, "the request is sent on while the answer is awaited")
+			c.after(server)
+			now := clock.Now().Add(c.wait)
+			assert.Equal(t, c.later, x.bound.Load().resolve(server, now))
+			x.keepInterrupted()
+			origin, _ := streams.Get(x.streamKey(), clock.Now())
+			assert.Equal(t, c.later, origin, "as it is passed on")
+		})
+	}
+}
+
+// Guards against events for a stream whose server turned out to run as another process while the stream was sent on.
+func TestStreamThatWasSentOnGetsNoEventsOnceItsServerDenies(t *testing.T) {
+	server := &laterServer{}
+	server.set(serverAnswer{answerable: true})
+	x := newSignedExchange(&server.signedServer)
+	x.gateway.Incarnations = server
+	require.NoError(t, x.bindStream())
+	x.checkLife()
+	x.end = &attemptEnd{lease: x.end.lease}
+	time.AfterFunc(50*time.Millisecond, func() { server.set(serverAnswer{denied: true}) })
+	assert.ErrorIs(t, x.bindStream(), errUncertainVersion)
+	assert.Empty(t, x.ofBoundVersion([]routing.Server{{ID: "j", Version: "v1"}}))
+}
--- a/pkg/gateway/attemptend.go
+++ b/pkg/gateway/attemptend.go
@@ -19,6 +19,8 @@
 	lease *balancer.Lease
 	// bound is set once an event of the attempt was to be forwarded and the stream is bound to a version.
 	bound bool
+	// asked is set once the server is asked since the stream broke off, see askAfterBreak.
+	asked bool
 
 	once   sync.Once
 	result balancer.Result
--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -42,6 +42,11 @@
 type Incarnations interface {
 	// Version returns the version of the server to which a connection leads, and false if that can't be told.
 	Version(c incarnation.Connection, now time.Time) (string, bool)
+	// VersionAsked returns the version of the server to which a broken connection led, after the server was asked since: its entry counts
+	// unless another process may have run by then. It returns false if that can't be told yet.
+	VersionAsked(c incarnation.Connection) (string, bool)
+	// Proved reports whether the list proves that a connection led to the process of its server's entry.
+	Proved(c incarnation.Connection) bool
 	// Reliable reports whether the entry of a server may be relied on for a connection.
 	Reliable(c incarnation.Connection, now time.Time) bool
 	// Query has the server of a connection queried whether its entry describes the process that runs, and reports whether an
@@ -65,6 +70,10 @@
 func (noRestarts) Version(c incarnation.Connection, _ time.Time) (string, bool) {
 	return c.Server.Version, true
 }
+func (noRestarts) VersionAsked(c incarnation.Connection) (string, bool) {
+	return c.Server.Version, true
+}
+func (noRestarts) Proved(incarnation.Connection) bool                     { return true }
 func (noRestarts) Reliable(incarnation.Connection, time.Time) bool        { return true }
 func (noRestarts) Query(incarnation.Connection) bool                      { return false }
 func (noRestarts) MayHaveRestarted(*routing.Server, bool, time.Time) bool { return false }
@@ -101,6 +110,8 @@
 	// doubted is set if the origin was certain until connection broke, over which the stream began or went on: its server
 	// must have had the version of the origin.
 	doubted bool
+	// asked is set if connection was not proved when it broke: the server is asked, and its entry counts from proofBy on.
+	asked bool
 	// answerBy is until when the answer of the server is awaited; zero for none. The origin counts as certain meanwhile.
 	answerBy time.Time
 }
@@ -122,6 +133,9 @@
 	if !o.Uncertain || o.Ambiguous {
 		return o
 	}
+	if b.asked {
+		return b.resolveAsked(i, now)
+	}
 	if b.doubted && i.Query(b.connection) {
 		// A failed link refutes a restart without proof that the process ran.
 		return o
@@ -145,6 +159,26 @@
 	return b.known()
 }
 
+// resolveAsked returns the origin of a stream whose server is asked since it broke off.
+func (b *boundStream) resolveAsked(i Incarnations, now time.Time) resumption.Origin {
+	o := b.known()
+	if b.awaitsAnswer(i, now) {
+		return o
+	}
+	version, ok := i.VersionAsked(b.connection)
+	if !ok {
+		return o
+	}
+	o.Uncertain, o.Ambiguous = false, version != o.Version
+	b.resolution.set(o)
+	return b.known()
+}
+
+// awaitsAnswer reports whether the stream broke off and the answer of its server is still to come.
+func (b *boundStream) awaitsAnswer(i Incarnations, now time.Time) bool {
+	return b.asked && b.known().Uncertain && now.Before(b.proofBy) && i.Query(b.connection)
+}
+
 // checkAnswer checks a certain origin against the answer of the server, and reports whether the check is over: the server has answered,
 // or the time for it is up, so that the origin stands. The stream is ambiguous if the server denies its entry, as the version has been
 // passed on.
@@ -297,6 +331,7 @@
 		version, ok = x.attemptVersion()
 		proved := ok && !x.needsProof()
 		answered := !i.Query(x.attemptConnection())
+		answered = answered && !b.awaitsAnswer(i, now)
 		if answered && (b.answerBy.IsZero() || b.checkAnswer(i, now)) || now.After(end) {
 			return version, proved || ok && !several
 		}
@@ -354,7 +389,7 @@
 	}
 	now := clock.Now()
 	origin := b.resolve(x.gateway.Incarnations, now)
-	if origin.Ambiguous || origin.Uncertain {
+	if origin.Ambiguous || origin.Uncertain && !b.awaitsAnswer(x.gateway.Incarnations, now) {
 		return nil
 	}
 	fit := filterServers(servers, func(s *routing.Server) bool {
@@ -398,7 +433,7 @@
 // version, it is uncertain instead of ambiguous where it may yet be told.
 func (x *exchange) checkLife() {
 	b := x.bound.Load()
-	if b == nil || b.origin.Ambiguous || x.end == nil {
+	if b == nil || b.origin.Ambiguous || x.end == nil || x.end.asked {
 		return
 	}
 	now := clock.Now()
@@ -414,14 +449,32 @@
 	if x.end.bound && ok && listed.ID == used.ID && listed.Version != used.Version && !provable && (after.origin.Uncertain || after.origin.Version != listed.Version) {
 		after.origin.Ambiguous = true
 	}
+	x.askAfterBreak(&after)
 	if after.origin != b.origin {
 		x.bound.Store(&after)
 	}
-	if after.doubted && !b.doubted && !after.origin.Ambiguous && x.firstCall() != "" {
+	if (after.doubted && !b.doubted || after.asked && !b.asked) && !after.origin.Ambiguous && x.firstCall() != "" {
 		x.gateway.addUnchecked(&after)
 	}
 }
 
+// askAfterBreak has the server of an interrupted stream asked, if nothing proves that the stream began at the process of its entry. Where
+// one version is known, nobody has asked before: the server may be the first of another one.
+func (x *exchange) askAfterBreak(b *boundStream) {
+	if !x.end.bound || x.response == nil || b.asked || b.origin.Uncertain || b.origin.Ambiguous || b.resolution == nil || b.resolution.origin.Load() != nil {
+		return
+	}
+	c := x.attemptConnection()
+	if x.severalVersions() || x.gateway.Incarnations.Proved(c) || !x.gateway.unchecked.hasRoom() || !x.gateway.Incarnations.Query(c) {
+		return
+	}
+	x.end.asked = true
+	c.Server = new(x.end.lease.Server)
+	b.connection, b.resolution, b.answerBy = c, &resolution{}, time.Time{}
+	b.asked, b.proofBy = true, clock.Now().Add(maxProofWait)
+	b.origin.Uncertain = true
+}
+
 // doubt makes the origin of an interrupted stream uncertain until the version of the latest attempt's server can be told. It returns false
 // if other boxes may know the version, which would not wait: it has been passed on, or the stream was taken up here.
 func (x *exchange) doubt(b *boundStream) bool {
--- a/pkg/incarnation/reports.go
+++ b/pkg/incarnation/reports.go
@@ -261,6 +261,37 @@
 	return s.version, true, s.listed
 }
 
+// VersionAsked returns the version of the process to which a connection led, after its server was asked since it broke. The entry of the
+// connection's server counts unless another process is known, by its own answer or by the list, that may have run when the connection
+// was opened. Then the version is told only if both have the same one, and it is that of the list if they don't. It returns false
+// until the other process is listed.
+func (t *Tracker) VersionAsked(c Connection) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if version, told, ok := t.statedVersion(c); told {
+		return version, ok
+	}
+	if t.provedByList(c) {
+		return c.Server.Version, true
+	}
+	own := c.Server.Incarnation()
+	entry, listed := t.List.ServerEntry(own.ID)
+	if listed && entry.Version != c.Server.Version {
+		return entry.Version, true
+	}
+	for started, s := range t.stated[own.ID] {
+		switch {
+		case started == own.Started, s.address != c.Server.Address, s.last.Before(c.Opened):
+		case listed && entry.Incarnation.Started == started:
+		case !s.listed:
+			return "", false
+		case s.version != c.Server.Version:
+			return s.version, true
+		}
+	}
+	return c.Server.Version, true
+}
+
 // Query has the server of a connection queried, and reports whether an answer may come. It returns false if the connection is
 // proved, or if there has been an answer since it was opened.
 func (t *Tracker) Query(c Connection) bool {
--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -462,11 +462,29 @@
 	return watched && stable && t.unresolved(c.Server.ID, now) == nil || t.proved(c)
 }
 
-// proved reports whether a connection is proved to lead to the process that the entry of its server describes: the connection,
-// or others that were open side by side, date from a time whose restarts are in the list. The caller holds mu.
+// Proved reports whether the list proves that a connection leads, or led, to the process that the entry of its server describes. Nothing
+// can be proved of a server whose entry does not state when it started.
+func (t *Tracker) Proved(c Connection) bool {
+	if c.Server.Started == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.provedByList(c)
+}
+
+// proved reports whether a connection is proved to lead to the process that the entry of its server describes, which has not ended as far
+// as is known. The caller holds mu.
 func (t *Tracker) proved(c Connection) bool {
 	entry, listed := t.List.ServerEntry(c.Server.ID)
-	if !listed || entry.Incarnation != c.Server.Incarnation() || entry.Version != c.Server.Version || t.denied(entry) {
+	return listed && !t.denied(entry) && t.provedByList(c)
+}
+
+// provedByList reports whether a connection, or others that were open side by side, date from a time whose restarts are in the list. The
+// caller holds mu.
+func (t *Tracker) provedByList(c Connection) bool {
+	entry, listed := t.List.ServerEntry(c.Server.ID)
+	if !listed || entry.Incarnation != c.Server.Incarnation() || entry.Version != c.Server.Version {
 		return false
 	}
 	settled := t.settledAt()
