--- a/pkg/incarnation/brokenquestions_test.go
+++ b/pkg/incarnation/brokenquestions_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
@@ -31,10 +30,7 @@
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				tracker := New(Deps{List: &fakeList{}, Logger: log.NewNopLogger(), Announce: func(Restart) {},
-					Alive: func(routing.Incarnation, time.Time, time.Time) bool { return false }, LinkFailed: func(string) bool { return false },
-					Lifetime: func(routing.Incarnation, time.Time) (from, until time.Time, ok bool) { return },
-				})
+				tracker := newUnlistedTracker(noLifetime)
 				asked := 0
 				e := NewEndChecker(EndCheckerDeps{
 					Ask: func(context.Context, *routing.Server) (int64, error) {
--- a/pkg/incarnation/endcheck_test.go
+++ b/pkg/incarnation/endcheck_test.go
@@ -41,6 +41,16 @@
 	})
 }
 
+// newUnlistedTracker returns a tracker without entries, for which connections prove what lifetime returns.
+func newUnlistedTracker(lifetime func(routing.Incarnation, time.Time) (from, until time.Time, ok bool)) *Tracker {
+	return New(Deps{
+		List: &fakeList{}, Logger: log.NewNopLogger(), Announce: func(Restart) {}, Lifetime: lifetime,
+		Alive: func(routing.Incarnation, time.Time, time.Time) bool { return false }, LinkFailed: func(string) bool { return false },
+	})
+}
+
+func noLifetime(routing.Incarnation, time.Time) (from, until time.Time, ok bool) { return }
+
 // Guards against the end of a process that is taken for the end of its responses.
 func TestCloseCountsOnlyIfTheProcessRuns(t *testing.T) {
 	const born, next = 1000, 2000
@@ -71,11 +81,8 @@
 				time.Sleep(time.Second)
 				c := Connection{Server: &routing.Server{ID: "e-0", Address: "a", Started: x.started}, Opened: opened, Broken: clock.Now()}
 				time.Sleep(time.Millisecond)
-				tracker := New(Deps{List: &fakeList{}, Logger: log.NewNopLogger(), Announce: func(Restart) {},
-					Alive: func(routing.Incarnation, time.Time, time.Time) bool { return false }, LinkFailed: func(string) bool { return false },
-					Lifetime: func(routing.Incarnation, time.Time) (from, until time.Time, ok bool) {
-						return opened, c.Broken.Add(time.Millisecond / 2), x.proved
-					},
+				tracker := newUnlistedTracker(func(routing.Incarnation, time.Time) (from, until time.Time, ok bool) {
+					return opened, c.Broken.Add(time.Millisecond / 2), x.proved
 				})
 				assert.Equal(t, x.want, x.server.checker(tracker).Check(t.Context(), c, x.engine))
 				time.Sleep(2 * time.Second)
@@ -91,10 +98,7 @@
 func TestQuestionsOfConnectionsClosedMeanwhileAreShared(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := askedServer{started: 1000, delay: 100 * time.Millisecond, mayAsk: true}
-		tracker := New(Deps{List: &fakeList{}, Logger: log.NewNopLogger(), Announce: func(Restart) {},
-			Alive: func(routing.Incarnation, time.Time, time.Time) bool { return false }, LinkFailed: func(string) bool { return false },
-			Lifetime: func(routing.Incarnation, time.Time) (from, until time.Time, ok bool) { return },
-		})
+		tracker := newUnlistedTracker(noLifetime)
 		e := s.checker(tracker)
 		opened, lives := clock.Now(), make(chan Life, 10)
 		for range cap(lives) {
--- a/pkg/incarnation/slowendcheck_test.go
+++ b/pkg/incarnation/slowendcheck_test.go
@@ -5,7 +5,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
 
 	"headhill.example/headhill/pkg/clock"
@@ -17,10 +16,7 @@
 func TestCheckThatWaitsForAnotherQuestionHasItsTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := askedServer{started: 1000, delay: 200 * time.Millisecond, mayAsk: true}
-		tracker := New(Deps{List: &fakeList{}, Logger: log.NewNopLogger(), Announce: func(Restart) {},
-			Alive: func(routing.Incarnation, time.Time, time.Time) bool { return false }, LinkFailed: func(string) bool { return false },
-			Lifetime: func(routing.Incarnation, time.Time) (from, until time.Time, ok bool) { return },
-		})
+		tracker := newUnlistedTracker(noLifetime)
 		e := s.checker(tracker)
 		opened, lives := clock.Now(), make(chan Life, 5)
 		for range cap(lives) {
