incarnation: a question to a process may take as long as a packet that is sent again

Sound responses without a length were broken off if their server took longer than 0.3 s to answer whether its process runs, as over a link that loses the first packet of a connection, which is sent again after a second. A question has 1.3 s now, a check 1.8 s, less than the two seconds after which callers give a response up; refused connections end it at once, as before.

--- a/pkg/backend/probe.go
+++ b/pkg/backend/probe.go
@@ -59,7 +59,7 @@
 }
 
 // endProbeTimeout limits the probe of a server that closed the connection of an answer.
-const endProbeTimeout = 300 * time.Millisecond
+const endProbeTimeout = 1300 * time.Millisecond
 
 // RunsOn returns whether a process accepts connections at the address of a server now. It blocks for endProbeTimeout at most.
 func (c *Client) RunsOn(ctx context.Context, s config.Server) bool {
--- a/pkg/incarnation/endcheck.go
+++ b/pkg/incarnation/endcheck.go
@@ -33,8 +33,13 @@
 // String implements fmt.Stringer.
 func (l Life) String() string { return [...]string{"unknown", "runs", "ended"}[l] }
 
-// endCheckTimeout limits a question to a process. A check may have to wait for another connection's question before its own.
-const endCheckTimeout = 300 * time.Millisecond
+const (
+	// questionTimeout limits a question to a process. It leaves time for a packet that is sent again after a second.
+	questionTimeout = 1300 * time.Millisecond
+	// endCheckTimeout limits a check, which may have to wait for another connection's question before its own. Callers give a response
+	// up after two seconds.
+	endCheckTimeout = 1800 * time.Millisecond
+)
 
 // A question whose connection broke is repeated after questionInterval: a process that ends breaks connections as well, and refuses
 // them by then. maxQuestions is the number of questions in all.
@@ -82,9 +87,9 @@
 }
 
 // Check returns whether the process runs on that closed a connection at the time at which it broke. It blocks until that is known, for
-// the time of two questions at most. mayAsk is set if servers of its service answer queries.
+// endCheckTimeout at most. mayAsk is set if servers of its service answer queries.
 func (e *EndChecker) Check(ctx context.Context, c Connection, mayAsk bool) Life {
-	ctx, cancel := context.WithTimeout(ctx, 2*endCheckTimeout)
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
 	life := e.LifeAfter(c)
 	for life == LifeUnknown {
@@ -138,7 +143,7 @@
 
 // run asks a server, or finds out whether it accepts connections if that is all that it may be asked.
 func (e *EndChecker) run(check *endCheck, server routing.Server, mayAsk bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), questionTimeout)
 	defer cancel()
 	if mayAsk && server.Started != 0 && e.MayAsk(&server) {
 		check.life = e.ask(ctx, &server)
