resumption: a box removes no version of whose addition to the record it does not know

Callers saw: a stream that went on at another version than the one it began at (ORDER), if all boxes lost power just after a version had come back. A box that had counted the version as gone took it out of the record of versions again, as it did not list it yet; the box that had written it took it for recorded and sent new streams there.

Cause: a box keeps the versions that it has counted as gone for as long as each read of the record has them, so that boxes which began to watch at different times do not add one again and again for good. A version that had left the record and had come back between two reads looked the same as one that had never left.

Ruled out: to forget a version as this box itself removes it. That is enough for the test, but not where another box removes and adds it between two reads, nor for boxes behind the first nine by rank, which may read nothing meanwhile. The revision of the record as the number: the record changes for other services too, and numbers are given out again after a restore.

Change: the record has a random number for each version, given by the box that adds it because it lists it, and compared for equality only. Another number than the one that was known, or none in its place, is another addition: the version counts as present for a minute. A box that adds a version only because it still counts as present leaves its number, so that the record does not keep it for good. A build that does not know the numbers passes over them, and drops them as it writes; beside it, and by it, versions are removed as before.

TestUnreadableRecordIsNotEmpty compared the whole record. It still does, with the one number that the record must have.

Open: a version that comes back 60 to 65 s after it left the list, while the record still has it, as a box that is behind is about to remove it: nobody writes it anew. By reading, no test.

--- a/pkg/resumption/unrecorded_test.go
+++ b/pkg/resumption/unrecorded_test.go
@@ -55,6 +55,73 @@
 	})
 }
 
+// Guards against a box that removes a version which another box has removed and added again, where it does not list it yet, and against a
+// version that stays because its number was lost or never given.
+func TestVersionIsRemovedOnlyByABoxThatKnowsOfItsAddition(t *testing.T) {
+	for name, c := range map[string]struct {
+		// before and after are the numbers of the addition, as this box first saw it and as it finds it later; zero for none.
+		before, after uint32
+		stays         bool
+	}{
+		"the same addition":                           {before: 7, after: 7},
+		"added again, higher":                         {before: 7, after: 8, stays: true},
+		"added again, lower":                          {before: 7, after: 6, stays: true},
+		"number lost at an earlier build":             {before: 7, after: 0, stays: true},
+		"added by an earlier build, then added again": {before: 0, after: 7, stays: true},
+		"added by an earlier build, which gives none": {before: 0, after: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				record := func(addition uint32) VersionRecord {
+					r := VersionRecord{Services: map[string][]string{"s": {"v1", "v2"}}}
+					r.setAddition(serviceVersion{"s", "v2"}, addition)
+					return r
+				}
+				store := &versionStore{record: record(c.before)}
+				h, _ := newTestHistory(t, store, map[string][]string{"s": {"v1"}})
+				time.Sleep(time.Second)
+				store.setSilent(true)
+				time.Sleep(Retention + versionCheckInterval)
+				store.replace(record(c.after))
+				store.setSilent(false)
+				time.Sleep(versionCheckInterval)
+				want := []string{"v1"}
+				if c.stays {
+					want = append(want, "v2")
+				}
+				assert.Equal(t, want, store.services()["s"])
+				assert.Equal(t, want, h.With("s", []string{"v1"}, clock.Now()), "versions that count as present")
+				time.Sleep(Retention + versionCheckInterval)
+				assert.Equal(t, []string{"v1"}, store.services()["s"], "it is not listed")
+			})
+		})
+	}
+}
+
+// Guards against versions that outlive all boxes by their numbers only, or lose them as another service changes.
+func TestAdditionsAreKeptWhileOtherServicesChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &versionStore{}
+		h, listed := newTestHistory(t, store, map[string][]string{"s": {"v1", "v2"}})
+		time.Sleep(time.Second)
+		additions := func() map[string]uint32 {
+			s, err := store.Read(t.Context())
+			assert.NoError(t, err)
+			return s.Record.Additions["s"]
+		}
+		before := additions()
+		assert.Len(t, before, 2)
+		other, _ := newTestHistory(t, store, map[string][]string{"s": {"v1"}, "t": {"v7"}})
+		time.Sleep(time.Second)
+		listed.Store(&map[string][]string{"s": {"v1", "v2"}, "t": {"v7", "v8"}})
+		h.ServersChanged()
+		time.Sleep(time.Second)
+		assert.Equal(t, []string{"v7", "v8"}, store.services()["t"])
+		assert.Equal(t, before, additions())
+		assert.True(t, other.Known(clock.Now()))
+	})
+}
+
 // Guards against a version that stays in the record for good, because boxes that began to watch at different times each add it again.
 func TestVersionLeavesTheRecordWhileOtherServicesChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/resumption/versions.go
+++ b/pkg/resumption/versions.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -23,6 +24,10 @@
 // a box has not seen it for Retention, so that no times are compared between boxes.
 type VersionRecord struct {
 	Services map[string][]string `json:"services"`
+	// Additions has a random number for each version, which identifies when it was added. A version that left the record and came
+	// back has another one, so that a box which has counted it as gone does not remove it. Versions that a build added
+	// which gives no numbers have none.
+	Additions map[string]map[string]uint32 `json:"additions,omitempty"`
 	// Era is the era of the store in which a box that knew the recent versions last wrote the record.
 	Era uint64 `json:"era,omitempty"`
 	// Incomplete is set if only boxes have written it that did not know the recent versions.
@@ -134,8 +139,8 @@
 	watchedSince time.Time
 	// knownSince is when this box knew the recent versions from the record; zero if it did not read it.
 	knownSince time.Time
-	// former holds the versions of the record, with the time until which they count as present; lastUntil is the latest.
-	former    map[serviceVersion]time.Time
+	// former holds the versions of the record; lastUntil is the latest time until which one of them counts as present.
+	former    map[serviceVersion]formerVersion
 	lastUntil time.Time
 	// stored are the versions of the record as this box last saw it, nil if that is unknown. confirmed is set if a box that
 	// knew the recent versions wrote it in the present era of the store.
@@ -147,9 +152,33 @@
 
 type serviceVersion struct{ service, version string }
 
+// formerVersion is a version that the record held.
+type formerVersion struct {
+	// until is the time until which it counts as present.
+	until    time.Time
+	addition uint32
+}
+
+// addition returns the number of a version, zero if it has none.
+func (r *VersionRecord) addition(v serviceVersion) uint32 { return r.Additions[v.service][v.version] }
+
+// setAddition sets the number of a version unless it is zero.
+func (r *VersionRecord) setAddition(v serviceVersion, addition uint32) {
+	if addition == 0 {
+		return
+	}
+	if r.Additions == nil {
+		r.Additions = make(map[string]map[string]uint32)
+	}
+	if r.Additions[v.service] == nil {
+		r.Additions[v.service] = make(map[string]uint32)
+	}
+	r.Additions[v.service][v.version] = addition
+}
+
 // NewVersionHistory returns a VersionHistory that knows nothing.
 func NewVersionHistory(d VersionHistoryDeps) *VersionHistory {
-	return &VersionHistory{VersionHistoryDeps: d, changed: make(chan struct{}, 1), urgent: make(chan struct{}, 1), former: make(map[serviceVersion]time.Time), unrecorded: make(map[serviceVersion]time.Time)}
+	return &VersionHistory{VersionHistoryDeps: d, changed: make(chan struct{}, 1), urgent: make(chan struct{}, 1), former: make(map[serviceVersion]formerVersion), unrecorded: make(map[serviceVersion]time.Time)}
 }
 
 // Unrecorded returns those of the listed versions of a service that new streams should avoid while others serve: the record
@@ -204,8 +233,8 @@
 	if !now.Before(h.lastUntil) {
 		return versions
 	}
-	for v, until := range h.former {
-		if v.service == service && now.Before(until) && !slices.Contains(versions, v.version) {
+	for v, f := range h.former {
+		if v.service == service && now.Before(f.until) && !slices.Contains(versions, v.version) {
 			versions = append(slices.Clip(versions), v.version)
 		}
 	}
@@ -291,7 +320,7 @@
 	return false
 }
 
-// read reads the record. Versions that it holds count as present for Retention from now on, since the record does
+// read reads the record. Versions that were added to it count as present for Retention from now on, since the record does
 // not tell when they were removed.
 func (h *VersionHistory) read(ctx context.Context) (StoredVersions, error) {
 	ctx, cancel := context.WithTimeout(ctx, h.Timeout)
@@ -304,17 +333,19 @@
 	defer h.mu.Unlock()
 	now := clock.Now()
 	for service, versions := range s.Record.Services {
-		for _, v := range versions {
-			if _, known := h.former[serviceVersion{service, v}]; !known {
+		for _, version := range versions {
+			v := serviceVersion{service, version}
+			addition := s.Record.addition(v)
+			if f, known := h.former[v]; !known || f.addition != addition {
 				h.lastUntil = now.Add(Retention)
-				h.former[serviceVersion{service, v}] = h.lastUntil
+				h.former[v] = formerVersion{h.lastUntil, addition}
 			}
 		}
 	}
 	// A version that has left the record may come back to it. One that counts as present is kept: an older copy of the
 	// record does not have it.
-	maps.DeleteFunc(h.former, func(v serviceVersion, until time.Time) bool {
-		return !now.Before(until) && !slices.Contains(s.Record.Services[v.service], v.version)
+	maps.DeleteFunc(h.former, func(v serviceVersion, f formerVersion) bool {
+		return !now.Before(f.until) && !slices.Contains(s.Record.Services[v.service], v.version)
 	})
 	wait := s.wait(h.EarlierBuild())
 	known := now.Add(wait)
@@ -337,8 +368,8 @@
 			all[service] = slices.Clone(versions)
 		}
 	}
-	for v, until := range h.former {
-		if now.Before(until) && !slices.Contains(all[v.service], v.version) {
+	for v, f := range h.former {
+		if now.Before(f.until) && !slices.Contains(all[v.service], v.version) {
 			all[v.service] = append(all[v.service], v.version)
 		}
 	}
@@ -419,6 +450,28 @@
 	return min(maxVersionReadSpread, time.Duration(h.Boxes())*versionReadSpread)
 }
 
+// numberAdditions copies the numbers of the versions that a record replaces, and gives new ones to those that this box adds as it lists
+// them. One that only counts as present yet keeps its number: with a new one, boxes that started at different times would
+// keep it for good.
+func (h *VersionHistory) numberAdditions(next, replaced *VersionRecord) {
+	listed, _ := h.Listed()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for service, versions := range next.Services {
+		for _, version := range versions {
+			v := serviceVersion{service, version}
+			switch {
+			case slices.Contains(replaced.Services[service], version):
+				next.setAddition(v, replaced.addition(v))
+			case slices.Contains(listed[service], version):
+				next.setAddition(v, 1+rand.Uint32N(math.MaxUint32))
+			default:
+				next.setAddition(v, h.former[v].addition)
+			}
+		}
+	}
+}
+
 // save reads the record and replaces it if it is out of date. A box that does not know the recent versions itself adds
 // those that it knows, and does not confirm the record, as boxes that start later would rely on that.
 func (h *VersionHistory) save(ctx context.Context) error {
@@ -431,6 +484,7 @@
 		return nil
 	}
 	next := VersionRecord{Services: h.current(now), Era: s.Revision.Era()}
+	h.numberAdditions(&next, &s.Record)
 	known := h.Known(now)
 	if !known {
 		next.Era, next.Incomplete = s.Record.Era, s.Record.Incomplete || s.Record.Unreadable
--- a/pkg/resumption/versions_test.go
+++ b/pkg/resumption/versions_test.go
@@ -102,6 +102,14 @@
 	return nil
 }
 
+// replace replaces the record as another box does.
+func (s *versionStore) replace(r VersionRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.number++
+	s.record = r
+}
+
 // services returns the versions that the record holds.
 func (s *versionStore) services() map[string][]string {
 	s.mu.Lock()
@@ -405,7 +413,9 @@
 		assert.True(t, later.Known(clock.Now()))
 		s, err := store.Read(t.Context())
 		assert.NoError(t, err)
-		assert.Equal(t, VersionRecord{Services: map[string][]string{"s": {"v1"}}}, s.Record)
+		addition := s.Record.addition(serviceVersion{"s", "v1"})
+		assert.NotZero(t, addition)
+		assert.Equal(t, VersionRecord{Services: map[string][]string{"s": {"v1"}}, Additions: map[string]map[string]uint32{"s": {"v1": addition}}}, s.Record)
 	})
 }
 
