gateway: the server of a stream is asked after a break also if a second version has appeared since

What callers would see: a stream with events of two versions. It begins over a connection that nothing proves while one version is known, at an engine that restarted as the first of another one; a sibling is listed first, so that several versions are known as the stream breaks off, and nobody asks: neither where it began, as there was one version then, nor after the break, which was for services with one version.

Cause: askAfterBreak left services with several versions out, as their streams are checked as they begin. Those that began earlier are not.

Now such a stream is checked like one that begins among several versions: it counts until the answer, and is ambiguous if the server denies its entry, as its version may have been passed on.

The test is red without the change: the stream is kept as one of v1 though its server denies its entry.

--- a/pkg/gateway/asked_test.go
+++ b/pkg/gateway/asked_test.go
@@ -144,3 +144,28 @@
 	assert.ErrorIs(t, x.bindStream(), errUncertainVersion)
 	assert.Empty(t, x.ofBoundVersion([]routing.Server{{ID: "j", Version: "v1"}}))
 }
+
+func (s *laterServer) Version(c incarnation.Connection, _ time.Time) (string, bool) {
+	return c.Server.Version, !s.current().denied
+}
+
+// Guards against streams that go on at the version of an entry which their server denies, where the second version appeared while
+// they were in progress.
+func TestServerOfInterruptedStreamIsAskedAfterSecondVersionAppeared(t *testing.T) {
+	for name, denied := range map[string]bool{"its process runs": false, "another process": true} {
+		t.Run(name, func(t *testing.T) {
+			server := &laterServer{}
+			server.set(serverAnswer{answerable: true})
+			streams := &severalStreams{registeredStreams: registeredStreams{Registry: resumption.NewRegistry()}}
+			x := newSignedExchange(&server.signedServer)
+			x.gateway.Incarnations, x.gateway.Streams, x.firstEventTime = server, streams, clock.Now()
+			require.NoError(t, x.bindStream())
+			streams.several.Store(true)
+			x.keepInterrupted()
+			server.set(serverAnswer{denied: denied, proved: !denied})
+			x.gateway.checkStreams()
+			origin, _ := streams.Get(x.streamKey(), clock.Now())
+			assert.Equal(t, resumption.Origin{Service: "s", Version: "v1", Ambiguous: denied}, origin)
+		})
+	}
+}
--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -450,10 +450,11 @@
 		after.origin.Ambiguous = true
 	}
 	x.askAfterBreak(&after)
-	if after.origin != b.origin {
+	if after != *b {
 		x.bound.Store(&after)
 	}
-	if (after.doubted && !b.doubted || after.asked && !b.asked) && !after.origin.Ambiguous && x.firstCall() != "" {
+	toCheck := after.doubted && !b.doubted || after.asked && !b.asked || !after.answerBy.IsZero() && b.answerBy.IsZero()
+	if toCheck && !after.origin.Ambiguous && x.firstCall() != "" {
 		x.gateway.addUnchecked(&after)
 	}
 }
@@ -461,17 +462,22 @@
 // askAfterBreak has the server of an interrupted stream asked, if nothing proves that the stream began at the process of its entry. Where
 // one version is known, nobody has asked before: the server may be the first of another one.
 func (x *exchange) askAfterBreak(b *boundStream) {
-	if !x.end.bound || x.response == nil || b.asked || b.origin.Uncertain || b.origin.Ambiguous || b.resolution == nil || b.resolution.origin.Load() != nil {
+	if !x.end.bound || x.response == nil || b.origin.Uncertain || b.origin.Ambiguous || b.resolution == nil || b.resolution.origin.Load() != nil {
 		return
 	}
-	c := x.attemptConnection()
-	if x.severalVersions() || x.gateway.Incarnations.Proved(c) || !x.gateway.unchecked.hasRoom() || !x.gateway.Incarnations.Query(c) {
+	c, now := x.attemptConnection(), clock.Now()
+	if b.asked || !b.answerBy.IsZero() || x.gateway.Incarnations.Proved(c) || !x.gateway.unchecked.hasRoom() || !x.gateway.Incarnations.Query(c) {
 		return
 	}
-	x.end.asked = true
 	c.Server = new(x.end.lease.Server)
-	b.connection, b.resolution, b.answerBy = c, &resolution{}, time.Time{}
-	b.asked, b.proofBy = true, clock.Now().Add(maxProofWait)
+	b.connection = c
+	if x.severalVersions() {
+		// The second version has appeared since the stream began, whose own was passed on.
+		b.answerBy = now.Add(maxAnswerWait)
+		return
+	}
+	x.end.asked = true
+	b.resolution, b.asked, b.proofBy = &resolution{}, true, now.Add(maxProofWait)
 	b.origin.Uncertain = true
 }
 
