gateway: a stream is doubted after a break also if another process had answered before

From the log of one: the stream begins at an engine that had restarted unconnected, over a connection of which there was no sign; 40 ms later another box finds the restart and tells this one, which then asks too and gets the start of another process; 80 ms after the notice the stream breaks off, and goes on at an engine of the version in the entry.

Cause: a connection that breaks within 150 ms of a restart counts as one to the process that ended, and a notice dates the restart at its query. Nothing was asked after the break, as the server had answered since the connection was opened; that answer was not looked at.

Now the answer that is there decides as one that comes does: the stream is uncertain until the list has the process that answered.

Ruled out: a further field in the notice, as the box asks itself.

The new test is red without it.

--- a/pkg/gateway/asked_test.go
+++ b/pkg/gateway/asked_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -169,3 +170,45 @@
 		})
 	}
 }
+
+// Guards against streams that go on at the version of an entry which another process had denied by the time at which they broke off, and
+// shortly before.
+func TestStreamOfServerThatDeniedItsEntryJustBeforeTheBreak(t *testing.T) {
+	uncertain := resumption.Origin{Service: "s", Version: "v1", Uncertain: true}
+	for listed, later := range map[string]resumption.Origin{
+		"":   uncertain,
+		"v1": {Service: "s", Version: "v1"},
+		"v2": {Service: "s", Version: "v1", Ambiguous: true},
+	} {
+		t.Run("listed "+listed, func(t *testing.T) {
+			now := clock.Now()
+			server := routing.Server{ID: "i", Address: "127.0.0.1:1", Version: "v1", Started: 1}
+			list := newRestartedList(incarnation.Entry{Incarnation: server.Incarnation(), Version: "v1", ListedAt: now.Add(-time.Hour)})
+			tracker := incarnation.New(incarnation.Deps{
+				List: list, Started: now.Add(-time.Hour), Logger: log.NewNopLogger(), Announce: func(incarnation.Restart) {},
+				Alive:      func(routing.Incarnation, time.Time, time.Time) bool { return false },
+				Lifetime:   func(routing.Incarnation, time.Time) (_, _ time.Time, ok bool) { return },
+				LinkFailed: func(string) bool { return false },
+				Query:      func(*routing.Server) bool { return true },
+			})
+			streams := &severalStreams{registeredStreams: registeredStreams{Registry: resumption.NewRegistry()}}
+			x := newSignedExchange(&signedServer{})
+			x.gateway.Incarnations, x.gateway.Streams = tracker, streams
+			x.end.lease.Server, x.response.ConnOpened, x.firstEventTime = server, now, now
+			require.NoError(t, x.bindStream())
+			tracker.RecordRemote("b", incarnation.Restart{Server: "i", At: now.Add(40 * time.Millisecond), Certain: true})
+			tracker.RecordReport(&server, incarnation.Answer{Started: 2, Sent: now.Add(90 * time.Millisecond), Received: now.Add(91 * time.Millisecond)})
+			brokenAt := now.Add(120 * time.Millisecond)
+			x.end.reportedAt.Store(&brokenAt)
+			x.keepInterrupted()
+			origin, _ := streams.Get(x.streamKey(), clock.Now())
+			assert.Equal(t, uncertain, origin, "as it broke off")
+			if listed != "" {
+				list.entry.Store(&incarnation.Entry{Incarnation: routing.Incarnation{ID: "i", Started: 2}, Version: listed, ListedAt: now.Add(2 * time.Second)})
+			}
+			x.gateway.checkStreams()
+			origin, _ = streams.Get(x.streamKey(), clock.Now())
+			assert.Equal(t, later, origin, "later")
+		})
+	}
+}
--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -187,6 +187,9 @@
 		return false
 	}
 	version, ok := i.Version(b.connection, now)
+	if ok && !b.connection.Broken.IsZero() {
+		version, ok = i.VersionAsked(b.connection)
+	}
 	if !ok || version != b.origin.Version {
 		o := b.origin
 		o.Ambiguous = true
@@ -466,7 +469,7 @@
 		return
 	}
 	c, now := x.attemptConnection(), clock.Now()
-	if b.asked || !b.answerBy.IsZero() || x.gateway.Incarnations.Proved(c) || !x.gateway.unchecked.hasRoom() || !x.gateway.Incarnations.Query(c) {
+	if b.asked || !b.answerBy.IsZero() || x.gateway.Incarnations.Proved(c) || !x.gateway.unchecked.hasRoom() || !x.asks(c, b.origin.Version) {
 		return
 	}
 	c.Server = new(x.end.lease.Server)
@@ -481,6 +484,16 @@
 	b.origin.Uncertain = true
 }
 
+// asks has the server of a connection asked that broke, and reports whether its version is open: an answer may come, or another process
+// has answered by now.
+func (x *exchange) asks(c incarnation.Connection, version string) bool {
+	if x.gateway.Incarnations.Query(c) {
+		return true
+	}
+	found, ok := x.gateway.Incarnations.VersionAsked(c)
+	return !ok || found != version
+}
+
 // doubt makes the origin of an interrupted stream uncertain until the version of the latest attempt's server can be told. It returns false
 // if other boxes may know the version, which would not wait: it has been passed on, or the stream was taken up here.
 func (x *exchange) doubt(b *boundStream) bool {
