gateway: servers that are no engines are not asked after a break without a sign

What servers would see: GET /report at servers of services with one version that are no engines and know no such query, for each resumable stream that is interrupted and each that goes on. It may be priced as a probe, and can't prove anything; the first one makes the stream wait for its answer.

Cause: the two queries that were added for interrupted streams did not look at the kind of the service, as the check of ends does.

Now both are for engines only.

--- a/pkg/gateway/streamversion.go
+++ b/pkg/gateway/streamversion.go
@@ -325,7 +325,7 @@
 
 // provedVersion returns the version of the server of the latest attempt, for a stream that goes on. The first event waits for the
 // answers of that server, if the connection is not proved, and of the one at which the stream began, if it is asked. With one version there
-// need not be a sign of a restart, as the server may be the first of another one; its entry counts if no answer comes.
+// need not be a sign of a restart, as the server may be the first of another one; its entry counts if no answer comes. Only engines answer.
 func (x *exchange) provedVersion(b *boundStream) (version string, ok bool) {
 	i := x.gateway.Incarnations
 	several := x.severalVersions()
@@ -333,7 +333,7 @@
 		now := clock.Now()
 		version, ok = x.attemptVersion()
 		proved := ok && !x.needsProof()
-		answered := !i.Query(x.attemptConnection())
+		answered := proved && !several && !x.service.Engine || !i.Query(x.attemptConnection())
 		answered = answered && !b.awaitsAnswer(i, now)
 		if answered && (b.answerBy.IsZero() || b.checkAnswer(i, now)) || now.After(end) {
 			return version, proved || ok && !several
@@ -469,7 +469,7 @@
 		return
 	}
 	c, now := x.attemptConnection(), clock.Now()
-	if b.asked || !b.answerBy.IsZero() || x.gateway.Incarnations.Proved(c) || !x.gateway.unchecked.hasRoom() || !x.asks(c, b.origin.Version) {
+	if !x.service.Engine || b.asked || !b.answerBy.IsZero() || x.gateway.Incarnations.Proved(c) || !x.gateway.unchecked.hasRoom() || !x.asks(c, b.origin.Version) {
 		return
 	}
 	c.Server = new(x.end.lease.Server)
