incarnation: drawn histories of servers that are asked after a break

Servers restart under their IDs with any of three versions, mostly with no connection, as streams are few; the store is silent at times. Boxes ask a server only once a stream that began there has broken off.

--- a/pkg/incarnation/histories_test.go
+++ b/pkg/incarnation/histories_test.go
@@ -40,6 +40,10 @@
 	// blind leaves out what boxes notice.
 	blind                                      bool
 	streams, wrong, unknown, calm, calmUnknown int
+	// wrongAfter and unknownAfter count the streams whose servers were queried after the break.
+	wrongAfter, unknownAfter int
+	// sound counts the streams that broke off though their servers ran on, which had not restarted lately.
+	sound, soundUnknown int
 }
 
 // historyKind is a kind of histories.
@@ -47,6 +51,8 @@
 	// asked has boxes query servers. slowLinks is how much later than the end of a process its connections may break.
 	asked     bool
 	slowLinks time.Duration
+	// askedAfter has them query servers only after a break. Streams are few then, so that servers restart with no connection.
+	askedAfter bool
 }
 
 type event struct {
@@ -281,6 +287,13 @@
 	if calm {
 		s.calm++
 	}
+	if s.askedAfter {
+		sound := calm && !c.server.down && c.server.crashes == c.crashes
+		if sound {
+			s.sound++
+		}
+		b.askAfter(c, s.now, s.now.Add(300*time.Millisecond), ok && version == c.entry.Version, sound)
+	}
 	switch {
 	case !ok:
 		s.unknown++
@@ -292,6 +305,41 @@
 	}
 }
 
+// askAfter queries the server of a stream that broke off, unless the list proves its connection, and checks what is known of its version
+// once it has answered or the time is up. certain tells whether the entry counted as the stream broke off.
+func (b *simBox) askAfter(c *simConn, broken, until time.Time, certain, sound bool) {
+	s, connection := b.sim, Connection{Server: &c.entry, Opened: c.opened, Broken: broken}
+	if certain && !b.tracker.Proved(connection) {
+		if s.now.Before(until) && b.tracker.Query(connection) {
+			s.later(2*tick, func() { b.askAfter(c, broken, until, certain, sound) })
+			return
+		}
+		version, ok := b.tracker.VersionAsked(connection)
+		if !ok && s.now.Before(broken.Add(maxUnknownTime)) {
+			s.later(10*tick, func() { b.askAfter(c, broken, until, certain, sound) })
+			return
+		}
+		certain = ok && version == c.entry.Version
+	}
+	switch {
+	case !certain:
+		s.unknownAfter++
+		if sound {
+			s.soundUnknown++
+		}
+	case c.entry.Version != c.version:
+		s.wrongAfter++
+	}
+}
+
+// beginInterval is how many steps pass between two streams of a box, on average.
+func (s *simulation) beginInterval() int {
+	if s.askedAfter {
+		return 80
+	}
+	return 8
+}
+
 func (s *simulation) step() {
 	s.now = s.now.Add(tick)
 	for _, b := range s.boxes {
@@ -301,7 +349,7 @@
 			}
 			b.confirmed = s.now
 		}
-		if s.random.IntN(8) == 0 {
+		if s.random.IntN(s.beginInterval()) == 0 {
 			b.begin()
 		}
 	}
@@ -361,3 +409,36 @@
 // maxWrongShare is the share of the streams at restarted servers whose version may be taken for another one: a box that had
 // no connection to a server relies on others.
 const maxWrongShare = 0.01
+
+const (
+	// maxUnknownTime is how long a stream waits for the list to tell its version.
+	maxUnknownTime = 3 * time.Second
+	// maxAskedWrongShare is the share of the streams that would go on at another version without a query after the break that may do so
+	// with one: a process that has ended before it was listed tells nobody.
+	maxAskedWrongShare = 0.25
+	// minAskedKnown is the share of the streams of sound servers that go on.
+	minAskedKnown = 0.95
+)
+
+// Guards against streams that are held for ones of another version in drawn histories in which few streams make servers restart
+// unconnected, and against streams that are refused though their servers are sound.
+func TestVersionsInDrawnHistoriesOfServersAskedAfterABreak(t *testing.T) {
+	for _, boxes := range []int{1, 3, 7} {
+		t.Run(fmt.Sprint(boxes, " boxes"), func(t *testing.T) {
+			t.Parallel()
+			streams, wrong, wrongAfter, unknown, sound, soundUnknown, queries := 0, 0, 0, 0, 0, 0, 0
+			for seed := range *histories * 60 / boxes {
+				s := newSimulation(uint64(seed), boxes, false, historyKind{askedAfter: true})
+				for s.now.Before(time.Unix(1000, 0).Add(historyLength)) {
+					s.step()
+				}
+				streams, wrong, wrongAfter, unknown = streams+s.streams, wrong+s.wrong, wrongAfter+s.wrongAfter, unknown+s.unknownAfter
+				sound, soundUnknown, queries = sound+s.sound, soundUnknown+s.soundUnknown, queries+s.queries
+			}
+			t.Logf("%d streams broke off: %d of another version than the entry had, %d once servers were asked, %d unknown (%d of %d of sound servers); %d queries", streams, wrong, wrongAfter, unknown, soundUnknown, sound, queries)
+			assert.Positive(t, wrong, "the histories have streams at servers that restarted unconnected")
+			assert.LessOrEqual(t, float64(wrongAfter), maxAskedWrongShare*float64(wrong))
+			assert.GreaterOrEqual(t, float64(sound-soundUnknown), minAskedKnown*float64(sound))
+		})
+	}
+}
