gateway: a caller that leaves during the check of a process is the end of its response

The response counted as one of a process that ended, and a long one had its server probed. TestCallersMayLeave... with -race: green before and after, 3 runs; the outcome is as for other callers that leave.

--- a/pkg/gateway/closedend.go
+++ b/pkg/gateway/closedend.go
@@ -38,8 +38,12 @@
 	c := x.attemptConnection()
 	c.Broken = x.end.closedAt
 	// A response that is ready is delivered although its deadline passes during the check.
-	if x.gateway.EndChecker.Check(x.request.Context(), c, x.service.Engine) != incarnation.LifeRuns {
-		return errProcessEnded
+	life := x.gateway.EndChecker.Check(x.request.Context(), c, x.service.Engine)
+	switch gone := context.Cause(x.request.Context()); {
+	case life == incarnation.LifeRuns:
+		return err
+	case gone != nil:
+		return gone
 	}
-	return err
+	return errProcessEnded
 }
