upstream: a response that closes beside one that breaks may not be complete

Callers read an orderly end of streams with neither a length nor chunks when their server closed all of its connections at once and ran on, as a proxy or a worker in front that restarts does: its process is shown to run, so each close was an end.

Cause: the close of one connection was judged alone. A response that ended with its connection now counts as broken off if another response of the same server, over a connection that was open beside it, was broken off within 10 ms before or 5 ms after: one with a length or chunks cut short, a reset, or an event cut in its middle. Other orderly ends say nothing, as streams that run beside each other also end together; nor do silence, the loss of a box on the way and closes by this box. A response waits up to 5 ms for that, and only while the box has another exchange with the server.

--- a/pkg/gateway/closedend.go
+++ b/pkg/gateway/closedend.go
@@ -10,8 +10,9 @@
 )
 
 var (
-	errProcessEnded = errors.New("the response ended with its connection, and the server's process is not known to run on: look for a crash of the server")
-	errNoEvents     = errors.New("the stream was interrupted, and the attempt to resume it ended with its connection before an event: look for servers that close connections early")
+	errProcessEnded   = errors.New("the response ended with its connection, and the server's process is not known to run on: look for a crash of the server")
+	errClosedTogether = errors.New("the response ended with its connection, and another response of the server was broken off at the same time: look for a restart of a proxy or a worker")
+	errNoEvents       = errors.New("the stream was interrupted, and the attempt to resume it ended with its connection before an event: look for servers that close connections early")
 )
 
 // EndChecker tells whether the processes of servers run on. It must be safe for concurrent use.
@@ -21,10 +22,13 @@
 	Check(ctx context.Context, c incarnation.Connection, mayAsk bool) incarnation.Life
 }
 
-// confirmEnd returns the error with which a response ends, given that of its last read and whether it brought anything. The close of a connection states the end of
-// a response only if the server's process runs on: the kernel closes the connections of one that has ended. After an interrupted
-// stream, an attempt without an event states nothing either.
+// confirmEnd returns the error with which a response ends, given that of its last read and whether it brought anything. The close of a
+// connection states the end of a response only if the server's process runs on, as the kernel closes the connections of one that has
+// ended, and if it did not close them all. After events of an interrupted stream, an attempt without one states nothing either.
 func (x *exchange) confirmEnd(err error, brought bool) error {
+	if errors.Is(err, errInsideEvent) {
+		x.response.RecordCut()
+	}
 	if upstream.EndOf(err) != upstream.EndClosed {
 		return err
 	}
@@ -35,15 +39,18 @@
 	case x.gateway.EndChecker == nil:
 		return err
 	}
+	// A response that is ready is delivered although its deadline passes during the check.
+	caller := x.request.Context()
 	c := x.attemptConnection()
 	c.Broken = x.end.closedAt
-	// A response that is ready is delivered although its deadline passes during the check.
-	life := x.gateway.EndChecker.Check(x.request.Context(), c, x.service.Engine)
-	switch gone := context.Cause(x.request.Context()); {
-	case life == incarnation.LifeRuns:
-		return err
-	case gone != nil:
+	life := x.gateway.EndChecker.Check(caller, c, x.service.Engine)
+	switch gone := context.Cause(caller); {
+	case life != incarnation.LifeRuns && gone != nil:
 		return gone
+	case life != incarnation.LifeRuns:
+		return errProcessEnded
+	case x.response.ClosedTogether(caller, x.end.closedAt):
+		return errClosedTogether
 	}
-	return errProcessEnded
+	return err
 }
--- a/pkg/upstream/busy.go
+++ b/pkg/upstream/busy.go
@@ -32,6 +32,18 @@
 	}
 }
 
+// hasOther reports whether another connection than own to a server carries an exchange.
+func (b *busyConns) hasOther(key string, own *conn) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for open := range b.byKey[key] {
+		if open != own {
+			return true
+		}
+	}
+	return false
+}
+
 // InUse returns the number of connections to a server that carry an exchange.
 func (c *Client) InUse(serverKey string) int {
 	c.busy.mu.Lock()
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -95,6 +95,7 @@
 	busy busyConns
 	// lifetimes is what connections prove that carry no exchange.
 	lifetimes lifetimes
+	breaks    breaks
 	probes    *probes
 	dialer    Dialer
 	// reused and dialed count the connections over which requests were sent.
@@ -157,7 +158,7 @@
 	framing := framingOf(raw)
 	return &Response{
 		Via: conn.via(), ConnOpened: conn.opened, Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, Framing: framing,
-		Body: &body{reader: raw.Body, framing: framing}, exchange: x, raw: raw,
+		Body: &body{reader: raw.Body, framing: framing, onBreak: x.recordBreak}, exchange: x, raw: raw,
 	}, nil
 }
 
--- a/pkg/upstream/end.go
+++ b/pkg/upstream/end.go
@@ -81,6 +81,8 @@
 	end     atomic.Int32
 	bytes   atomic.Int64
 	err     error
+	// onBreak is called once the server has ended the connection within the response.
+	onBreak func()
 }
 
 // Read implements io.Reader. Once it has returned an error, it returns only that.
@@ -96,6 +98,9 @@
 	if err != nil {
 		b.err = err
 		b.end.Store(int32(EndOf(err)))
+		if isBreak(err) {
+			b.onBreak()
+		}
 	}
 	return n, err
 }
