entry: long answers that are whole state their length

A caller with HTTP/1.0 got a long answer of an engine, or its refusal, without a length, which ended with the connection: if the box is killed meanwhile, its kernel closes that in order, and what came looks like the whole.

Cause: net/http counts short bodies only, and the connection was not set to be reset either. These answers are read whole before they are sent, so they have a length now, for callers with HTTP/1.1 in place of chunks. Streams are not concerned, they end with [DONE]; answers of plain services and refusals that end with their connection reset it until their end.

Red before: TestCompleteAnswerStatesItsLength (both parts, HTTP/1.0).

--- a/pkg/entry/closedend_test.go
+++ b/pkg/entry/closedend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -63,3 +64,32 @@
 		assert.Empty(t, w.Body.Bytes())
 	})
 }
+
+// Guards against a long answer to an HTTP/1.0 caller that ends with its connection: the kernel of a box that is killed closes that in
+// order too.
+func TestCompleteAnswerStatesItsLength(t *testing.T) {
+	body := fmt.Sprintf(`{"id":%q,"choices":[{"index":0,"message":{"content":%q}}],"usage":{"completion_tokens":2}}`, answerIDPrefix+"r", strings.Repeat("x", 100<<10))
+	server, respond := newCutServer(t)
+	for name, answer := range map[string]string{
+		"answer":  fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body),
+		"refusal": fmt.Sprintf("HTTP/1.1 400 Bad Request\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", len(body), body),
+	} {
+		t.Run(name, func(t *testing.T) {
+			respond(answer)
+			withEngines(t, func(h *Handler, _ [2]*engine.Engine, _ [2]config.Server) {
+				box := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					x, _ := newExchange(t, h, "r", false, 0)
+					x.w, x.r = w, r
+					_, err := x.do(r.Context(), server)
+					assert.NoError(t, err)
+				}))
+				defer box.Close()
+				for _, version := range []string{"1.0", "1.1"} {
+					_, _, end, got := plainBox{box.Listener.Addr().String()}.call(t, version)
+					assert.Equal(t, "whole", end, version)
+					assert.Equal(t, body, got)
+				}
+			})
+		})
+	}
+}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"headhill.example/headhill/pkg/api"
@@ -298,6 +299,9 @@
 	h.Set(api.HeaderOutcome, string(x.req.answeredOutcome()))
 	if x.req.endUnknown {
 		callerconn.BeginUntilClose(x.w, x.r)
+	} else {
+		// Without it a long answer to an HTTP/1.0 caller would end with its connection, also if this box is killed.
+		h.Set("Content-Length", strconv.Itoa(len(data)))
 	}
 	x.h.extendWriteDeadline(x.w)
 	x.w.WriteHeader(resp.Status)
