--- a/pkg/incarnation/endcheck.go
+++ b/pkg/incarnation/endcheck.go
@@ -121,7 +121,11 @@
 // report counts and logs the result of a check, and returns it.
 func (e *EndChecker) report(c Connection, life Life) Life {
 	e.counts[life].Add(1)
-	_ = level.Info(e.Logger).Log("msg", "checked process that closed a connection during a response", "server", c.Server.ID, "process", life,
+	logger := level.Info(e.Logger)
+	if life == LifeRuns {
+		logger = level.Debug(e.Logger)
+	}
+	_ = logger.Log("msg", "checked process that closed a connection during a response", "server", c.Server.ID, "process", life,
 		"connection_age_ms", c.Broken.Sub(c.Opened).Milliseconds(), "took_ms", clock.Since(c.Broken).Milliseconds())
 	return life
 }
