resumption: a stream whose version is soon certain waits 50 ms in place of 200

What callers saw: a stream that is taken up just after it broke off waits 200 ms for its version, as its server is asked by then, though that answers within some 10 ms and its box tells the others within 25 ms of it.

Cause: the pause before boxes are asked again was chosen for versions that the list tells, 0.1 to 1.5 s later.

Now it is 50 ms, doubled up to 200. A stream that waits for the list has two more rounds of questions in its 1.5 s.

--- a/pkg/resumption/exchange.go
+++ b/pkg/resumption/exchange.go
@@ -38,8 +38,10 @@
 	// retryPause is the pause before boxes are asked again. The record of a stream that a box sent just
 	// before it was lost may be on its way, as may that of a version that has just appeared.
 	retryPause = 80 * time.Millisecond
-	// uncertainPause is the pause before they are asked again for the version of a stream that is not certain yet.
-	uncertainPause = 200 * time.Millisecond
+	// uncertainPause is the pause before they are asked again for the version of a stream that is not certain yet, maxUncertainPause the
+	// longest one: it is doubled, as a server mostly answers at once and the list of servers later.
+	uncertainPause    = 50 * time.Millisecond
+	maxUncertainPause = 200 * time.Millisecond
 	// lookupRounds is how often boxes are asked where there are several versions and no record.
 	lookupRounds = 3
 	// maxListWait limits how long a stream waits for the list of servers to be confirmed.
@@ -168,7 +170,7 @@
 	var v Verdict
 	for round := 0; round < lookupRounds || v.mayResolve && clock.Since(start) < maxWaitFor(v); round++ {
 		if round > 0 {
-			pause.For(ctx, pauseFor(v))
+			pause.For(ctx, pauseFor(v, round))
 		}
 		v = Decide(service, e.collect(ctx, k, service, start))
 		if v.Known || ctx.Err() != nil {
@@ -194,10 +196,10 @@
 	return maxListWait
 }
 
-// pauseFor returns the pause before boxes are asked again after a verdict.
-func pauseFor(v Verdict) time.Duration {
+// pauseFor returns the pause before boxes are asked again after the verdict of a number of rounds.
+func pauseFor(v Verdict, rounds int) time.Duration {
 	if v.Uncertain {
-		return uncertainPause
+		return min(uncertainPause<<min(rounds-1, 8), maxUncertainPause)
 	}
 	return retryPause
 }
