resumption: doubtful streams of a service with one version are saved, and refused after all boxes ended

Cause: records of such streams were in memory only. Boxes save streams, and read what was saved, only where a service has several versions; a stream without a record then counts as one of the only version.

Change: a box also saves the ambiguous streams of services with one version, and those that have been uncertain for 0.4 s; a stream that becomes certain is saved as such. It sets doubtful_streams in the record of versions, once. Boxes that start read that record anyway; one that finds the mark, or a record that is unreadable, or not written since a restore, reads all objects, and does not confirm a version before, for a minute at most. In fleets of more than 128 boxes, where some read for the others, all wait 2.5 s. Ambiguous streams of objects from before a restore count: at worst they are refused. Without a doubtful stream nothing is called, at the start neither. The daemon passes the record to the saver (one line).

Not run: the gateway end to end with a server that restarts unnoticed.

--- a/pkg/resumption/exchange.go
+++ b/pkg/resumption/exchange.go
@@ -79,6 +79,8 @@
 	// ofOthers are the latest records of other boxes, which this one saves too while savesOthers is set.
 	ofOthers    *Registry
 	savesOthers atomic.Bool
+	// savesDoubtful reports whether a stream of a service with one version is saved.
+	savesDoubtful func(k Key, o Origin, now time.Time) bool
 	// loading is set until the saved streams were read.
 	loading atomic.Bool
 	changed chan struct{}
--- a/pkg/resumption/histories_test.go
+++ b/pkg/resumption/histories_test.go
@@ -180,7 +180,7 @@
 	})
 	if h.saved != nil {
 		b.saver = NewStreamSaver(b.exchange, StreamSaverDeps{
-			Store: h.saved, Several: func() bool { return b.versions.AnySeveral(clock.Now()) }, HistoryKnown: func() bool { return b.versions.Known(clock.Now()) },
+			Store: h.saved, Several: func() bool { return b.versions.AnySeveral(clock.Now()) }, HistoryKnown: func() bool { return b.versions.Known(clock.Now()) }, Doubts: b.versions,
 			Rank: func() int { return i }, WritesPerSecond: h.store.allowedWrites, Timeout: 700 * time.Millisecond, Logger: log.NewNopLogger(),
 		})
 		if h.readingFleet > 0 {
--- a/pkg/resumption/saved.go
+++ b/pkg/resumption/saved.go
@@ -129,12 +129,16 @@
 	return streams > maxSaved
 }
 
-// each calls f for the streams that were saved in an era. It calls it for none if no box can have saved them.
+// each calls f for the streams that were saved in an era, and for those that were ambiguous before already. It calls it for none if no box can
+// have saved them.
 func (s SavedStreams) each(era uint64, f func(Key, Origin)) {
-	if s.Era != era || s.oversized() {
+	if s.oversized() {
 		return
 	}
 	for _, o := range s.Origins {
+		if s.Era != era && !o.Ambiguous {
+			continue
+		}
 		for k := range slices.Chunk(o.Keys, keyBytes) {
 			if len(k) == keyBytes {
 				f(Key(k), Origin{Service: o.Service, Version: o.Version, Ambiguous: o.Ambiguous})
@@ -144,7 +148,7 @@
 }
 
 // toSave returns the streams to save: those in progress, then those that were interrupted, then the latest ones of other boxes, of
-// services with several versions.
+// services with several versions. Of those with one version, it returns the streams for which savesDoubtful does.
 func (e *Exchange) toSave(now time.Time) map[Key]Origin {
 	streams := make(map[Key]Origin)
 	lists := []map[Key]Origin{maps.Collect(e.InProgress()), e.interrupted.newest(maxSaved, now)}
@@ -158,13 +162,16 @@
 			if _, asked := several[o.Service]; !asked {
 				several[o.Service] = e.hasSeveral(o.Service)
 			}
-			if !several[o.Service] || len(streams) >= maxSaved {
+			if len(streams) >= maxSaved || !several[o.Service] && !o.Uncertain && !o.Ambiguous && !e.savesDoubtful(k, o, now) {
 				continue
 			}
 			// A statement of another box may have made it ambiguous.
 			if known, ok := e.registry.Get(k, now); ok && known.Service == o.Service {
 				o = known
 			}
+			if !several[o.Service] && !e.savesDoubtful(k, o, now) {
+				continue
+			}
 			// What is uncertain can't become certain any more once all boxes have ended.
 			o.Ambiguous, o.Uncertain = o.Ambiguous || o.Uncertain, false
 			streams[k] = o
--- a/pkg/resumption/saver.go
+++ b/pkg/resumption/saver.go
@@ -38,13 +38,27 @@
 	sweepInterval = 2 * Retention
 	// maxCallsPerList limits the time of a list of all boxes, which may take several calls.
 	maxCallsPerList = 5
+	// minDoubt is how long a stream of a service with one version is uncertain before it is saved. Most are only until their server
+	// has answered a query, for which 0.3 s are allowed.
+	minDoubt = 400 * time.Millisecond
+	// readersDelay is the time in which the boxes that read for others have sent what they read.
+	readersDelay = maxVersionReadSpread + sendInterval
 )
 
+// DoubtRecord keeps whether boxes have saved doubtful streams of services with one version: streams that are uncertain or ambiguous.
+type DoubtRecord interface {
+	// DoubtfulStreams reports whether boxes may have saved some before this one started. known is unset until that was read.
+	DoubtfulStreams() (may, known bool)
+	// RecordDoubtfulStreams is called as this box saves some. It must not block.
+	RecordDoubtfulStreams()
+}
+
 // StreamSaverDeps are the dependencies of a StreamSaver.
 type StreamSaverDeps struct {
 	Store StreamStore
 	// Several reports whether a service has several versions. HistoryKnown reports whether this box knows all of them.
 	Several, HistoryKnown func() bool
+	Doubts                DoubtRecord
 	// Rank returns the rank of this box in the fleet, WritesPerSecond the writes that the store allows to all boxes.
 	Rank            func() int
 	WritesPerSecond func() float64
@@ -54,7 +68,7 @@
 }
 
 // StreamSaver saves where the streams of a box began, for the case that all boxes end. It makes no calls while each
-// service has one version. Streams don't wait for it.
+// service has one version and no stream is doubtful. Streams don't wait for it.
 type StreamSaver struct {
 	StreamSaverDeps
 	exchange *Exchange
@@ -69,7 +83,7 @@
 	// nextSweep is when objects of boxes that are gone are looked for; unchanged has those of the last time.
 	nextSweep time.Time
 	unchanged map[string]storerev.Revision
-	// lastCall is when this box last began to save.
+	// lastCall is when this box last began to save, or looked for doubtful streams.
 	lastCall time.Time
 	// failures is the number of failed attempts to save since the last one that did not fail.
 	failures int
@@ -77,6 +91,14 @@
 	// start later.
 	forOthers           map[Key]Origin
 	sendUntil, nextSend time.Time
+	// uncertain are the uncertain streams of services with one version, with the time at which they were first seen; seenUncertain are
+	// those that were seen now.
+	uncertain, seenUncertain map[Key]time.Time
+	// savesAnyDoubtful is set if there are doubtful streams of services with one version to save.
+	savesAnyDoubtful bool
+	// started is when the box started. lacksSaved is set until what boxes saved before was read.
+	started    time.Time
+	lacksSaved atomic.Bool
 	// restored is set if the store may have lost what this box saved.
 	restored atomic.Bool
 }
@@ -84,7 +106,26 @@
 // NewStreamSaver returns a StreamSaver for the streams of an Exchange.
 func NewStreamSaver(e *Exchange, d StreamSaverDeps) *StreamSaver {
 	e.loading.Store(true)
-	return &StreamSaver{StreamSaverDeps: d, exchange: e, changed: make(chan struct{}, 1), readingFleet: maxReadingFleet}
+	s := &StreamSaver{StreamSaverDeps: d, exchange: e, changed: make(chan struct{}, 1), readingFleet: maxReadingFleet, started: clock.Now(), seenUncertain: make(map[Key]time.Time)}
+	s.lacksSaved.Store(true)
+	e.savesDoubtful = s.savesDoubtful
+	versions := e.Versions
+	e.Versions = func(service string) ServiceVersions {
+		v := versions(service)
+		v.HistoryKnown = v.HistoryKnown && !s.mayLackDoubtful()
+		return v
+	}
+	return s
+}
+
+// mayLackDoubtful reports whether boxes may have saved doubtful streams that this one does not know yet, so that it can't tell that a
+// stream without a record began at the only version.
+func (s *StreamSaver) mayLackDoubtful() bool {
+	if !s.lacksSaved.Load() || clock.Since(s.started) >= Retention {
+		return false
+	}
+	may, _ := s.Doubts.DoubtfulStreams()
+	return may
 }
 
 // ServersChanged is called when the list of servers has changed. It does not block.
@@ -93,27 +134,35 @@
 // Run reads what all boxes saved, and then saves the streams of this box until ctx is done.
 func (s *StreamSaver) Run(ctx context.Context) {
 	s.exchange.saveOthers(s.interval())
-	s.load(ctx)
+	if s.load(ctx) {
+		s.lacksSaved.Store(false)
+	} else {
+		time.AfterFunc(readersDelay, func() { s.lacksSaved.Store(false) })
+	}
 	s.exchange.loading.Store(false)
 	if s.Several() {
 		// Boxes that started at one moment would all write at one, and lose what began since.
 		pause.For(ctx, rand.N(s.interval()))
 	}
-	for ctx.Err() == nil {
+	for notified := false; ctx.Err() == nil; {
 		several := s.Several()
 		s.sendAgain()
-		if several || len(s.saved) > 0 {
+		if several || notified || len(s.saved) > 0 {
 			s.report(s.save(ctx))
 		}
 		if several || len(s.unchanged) > 0 {
 			s.sweep(ctx)
 		}
-		if several {
+		notified = !several && (len(s.uncertain) > 0 || s.failures > 0)
+		if several || notified || len(s.forOthers) > 0 {
 			s.awaitNextSave(ctx)
 			continue
 		}
 		select {
 		case <-ctx.Done():
+		case <-s.exchange.toSaveChanged:
+			notified = true
+			pause.For(ctx, s.interval()-clock.Since(s.lastCall))
 		case <-s.changed:
 		case <-time.After(streamsCheckInterval):
 		}
@@ -172,13 +221,17 @@
 	}
 }
 
-// load reads what all boxes saved, if a service has several versions.
-func (s *StreamSaver) load(ctx context.Context) {
+// load reads what all boxes saved, if a service has several versions or doubtful streams may have been saved. It returns false if other boxes
+// read it, or a part of it, for this one.
+func (s *StreamSaver) load(ctx context.Context) bool {
 	for ctx.Err() == nil && !s.Several() && !s.HistoryKnown() {
+		if _, known := s.Doubts.DoubtfulStreams(); known {
+			break
+		}
 		pause.For(ctx, streamsPollInterval)
 	}
-	if !s.Several() {
-		return
+	if !s.needsSaved() {
+		return true
 	}
 	for start := clock.Now(); ctx.Err() == nil && !s.exchange.BoxesKnown() && clock.Since(start) < maxRosterWait; {
 		pause.For(ctx, streamsPollInterval)
@@ -186,28 +239,34 @@
 	boxes := len(s.exchange.Boxes())
 	forOthers := boxes > s.readingFleet
 	if forOthers && s.Rank() >= maxReaders {
-		return
+		return false
 	}
 	pause.For(ctx, rand.N(min(maxVersionReadSpread, time.Duration(boxes)*versionReadSpread)+1))
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && s.needsSaved() {
 		start := clock.Now()
 		read, err := s.readAll(ctx)
 		if err == nil {
 			_ = level.Info(s.Logger).Log("msg", "loaded streams", "objects", read.objects, "of_earlier_era", read.ofEarlierEra, "oversized", read.oversized, "streams", len(read.streams), "for_others", forOthers, "after_ms", clock.Since(start).Milliseconds())
 			s.take(read, forOthers)
-			return
+			return !forOthers
 		}
 		_ = level.Info(s.Logger).Log("msg", "reading saved streams failed", "err", err, "outcome", "retrying; streams whose version no box has recorded are refused")
 		s.report(s.save(ctx))
 		pause.For(ctx, versionRetryDelay+rand.N(versionRetryDelay))
 	}
+	return true
 }
 
+// needsSaved reports whether this box needs what boxes saved before it started.
+func (s *StreamSaver) needsSaved() bool { return s.Several() || s.mayLackDoubtful() }
+
 // readStreams is what all boxes saved.
 type readStreams struct {
 	streams               []savedStream
 	own                   StoredStreams
 	objects, ofEarlierEra int
+	// revisions are those of the objects of other boxes.
+	revisions map[string]storerev.Revision
 	// oversized is the number of objects that hold more streams than a box saves, which are not used.
 	oversized int
 }
@@ -220,6 +279,7 @@
 func (s *StreamSaver) readAll(ctx context.Context) (r readStreams, err error) {
 	ctx, cancel := context.WithTimeout(ctx, maxCallsPerList*s.Timeout)
 	defer cancel()
+	r.revisions = make(map[string]storerev.Revision)
 	err = s.Store.All(ctx, func(box string, stored StoredStreams) {
 		era := stored.Revision.Era()
 		r.objects++
@@ -231,6 +291,8 @@
 		}
 		if box == s.exchange.Box {
 			r.own = stored
+		} else {
+			r.revisions[box] = stored.Revision
 		}
 		stored.Streams.each(era, func(k Key, o Origin) { r.streams = append(r.streams, savedStream{k, o}) })
 	})
@@ -241,6 +303,7 @@
 func (s *StreamSaver) take(r readStreams, forOthers bool) {
 	now := clock.Now()
 	s.forOthers, s.sendUntil = make(map[Key]Origin), now.Add(sendPeriod)
+	s.unchanged, s.nextSweep = r.revisions, now.Add(sweepInterval)
 	for _, stream := range r.streams {
 		if forOthers && !readsPart(s.Rank(), stream.key) {
 			continue
@@ -281,7 +344,10 @@
 	if s.restored.Swap(false) {
 		s.known = false
 	}
-	streams := s.exchange.toSave(now)
+	streams := s.toSave(now)
+	if !s.Several() {
+		s.lastCall = now
+	}
 	if s.known && len(streams) > 0 && !adds(streams, s.saved) || len(streams) == 0 && len(s.saved) == 0 {
 		return nil
 	}
@@ -294,11 +360,38 @@
 			return err
 		}
 		s.takeOwn(stored, now)
-		streams = s.exchange.toSave(now)
+		streams = s.toSave(now)
 	}
 	return s.write(ctx, streams)
 }
 
+// toSave returns the streams of this box to save.
+func (s *StreamSaver) toSave(now time.Time) map[Key]Origin {
+	s.seenUncertain, s.savesAnyDoubtful = make(map[Key]time.Time), false
+	streams := s.exchange.toSave(now)
+	s.uncertain = s.seenUncertain
+	if s.savesAnyDoubtful {
+		s.Doubts.RecordDoubtfulStreams()
+	}
+	return streams
+}
+
+// savesDoubtful reports whether a stream of a service with one version is saved: an ambiguous one, one that has been uncertain for a while,
+// or one that was saved as such and is certain now.
+func (s *StreamSaver) savesDoubtful(k Key, o Origin, now time.Time) bool {
+	is := o.Ambiguous
+	if o.Uncertain {
+		since, known := s.uncertain[k]
+		if !known {
+			since = now
+		}
+		s.seenUncertain[k] = since
+		is = now.Sub(since) >= minDoubt
+	}
+	s.savesAnyDoubtful = s.savesAnyDoubtful || is
+	return is || s.saved[k].Ambiguous
+}
+
 func (s *StreamSaver) write(ctx context.Context, streams map[Key]Origin) (err error) {
 	defer func() { s.known = err == nil }()
 	if len(streams) == 0 {
--- a/pkg/resumption/saver_test.go
+++ b/pkg/resumption/saver_test.go
@@ -433,6 +433,13 @@
 	t.Logf("%d streams went on, %d were refused", wentOn, refused)
 }
 
+// noDoubts is a DoubtRecord of a fleet that has never saved doubtful streams. It counts how often they are recorded.
+type noDoubts struct{ recorded atomic.Int64 }
+
+func (d *noDoubts) DoubtfulStreams() (may, known bool) { return false, true }
+
+func (d *noDoubts) RecordDoubtfulStreams() { d.recorded.Add(1) }
+
 // saverOf returns an Exchange without others and its saver.
 func saverOf(t *testing.T, store StreamStore, name string, versions ...string) (*Exchange, *StreamSaver, *atomic.Pointer[[]string]) {
 	listed := &atomic.Pointer[[]string]{}
@@ -449,7 +456,7 @@
 		InProgress: func() iter.Seq2[Key, Origin] { return maps.All(map[Key]Origin{}) },
 	})
 	s := NewStreamSaver(e, StreamSaverDeps{
-		Store: store, Several: func() bool { return len(*listed.Load()) > 1 }, HistoryKnown: func() bool { return true },
+		Store: store, Several: func() bool { return len(*listed.Load()) > 1 }, HistoryKnown: func() bool { return true }, Doubts: &noDoubts{},
 		Rank: func() int { return 0 }, WritesPerSecond: func() float64 { return 400 }, Timeout: time.Second, Logger: log.NewNopLogger(),
 	})
 	return e, s, listed
--- a/pkg/resumption/versions.go
+++ b/pkg/resumption/versions.go
@@ -28,6 +28,9 @@
 	// back has another one, so that a box which has counted it as gone does not remove it. Versions that a build added
 	// which gives no numbers have none.
 	Additions map[string]map[string]uint32 `json:"additions,omitempty"`
+	// DoubtfulStreams is set once a box has saved doubtful streams of a service with one version, of which boxes that start must know. It
+	// stays set, as a box cannot tell whether another one has saved some since.
+	DoubtfulStreams bool `json:"doubtful_streams,omitempty"`
 	// Era is the era of the store in which a box that knew the recent versions last wrote the record.
 	Era uint64 `json:"era,omitempty"`
 	// Incomplete is set if only boxes have written it that did not know the recent versions.
@@ -64,6 +67,12 @@
 	return 0
 }
 
+// mayHaveDoubtfulStreams reports whether boxes may have saved doubtful streams of a service with one version. A record that was not
+// written since a restore, or replaces one that could not be read, may lack that.
+func (s StoredVersions) mayHaveDoubtfulStreams() bool {
+	return s.Record.DoubtfulStreams || s.Record.Unreadable || s.Record.Incomplete || s.Record.Era != s.Revision.Era()
+}
+
 // VersionStore reads and writes the record.
 type VersionStore interface {
 	Read(ctx context.Context) (StoredVersions, error)
@@ -146,6 +155,10 @@
 	// knew the recent versions wrote it in the present era of the store.
 	stored    map[string][]string
 	confirmed bool
+	// doubtful is set once this box has saved doubtful streams of a service with one version, doubtfulStored if the record has that.
+	doubtful, doubtfulStored bool
+	// loaded is set once the record was read, mayHaveDoubtful if boxes may have saved doubtful streams before.
+	loaded, mayHaveDoubtful bool
 	// unrecorded are the versions that new streams avoid, with the time until which they do.
 	unrecorded map[serviceVersion]time.Time
 }
@@ -253,11 +266,37 @@
 // record before its turn. It does not block.
 func (h *VersionHistory) RecordNow() { notify(h.urgent) }
 
+// DoubtfulStreams implements DoubtRecord.
+func (h *VersionHistory) DoubtfulStreams() (may, known bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.mayHaveDoubtful || !h.loaded, h.loaded
+}
+
+// RecordDoubtfulStreams implements DoubtRecord.
+func (h *VersionHistory) RecordDoubtfulStreams() {
+	h.mu.Lock()
+	h.doubtful = true
+	stored := h.doubtfulStored
+	h.mu.Unlock()
+	if !stored {
+		h.RecordNow()
+		h.ServersChanged()
+	}
+}
+
+// hasDoubtful reports whether this box has saved doubtful streams of a service with one version.
+func (h *VersionHistory) hasDoubtful() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.doubtful
+}
+
 // ObserveEra is called when the store was restored from an older copy, which may have lost the record. It does not
 // block.
 func (h *VersionHistory) ObserveEra() {
 	h.mu.Lock()
-	h.stored = nil
+	h.stored, h.doubtfulStored = nil, false
 	h.mu.Unlock()
 	h.ServersChanged()
 }
@@ -354,6 +393,8 @@
 		h.knownSince = known
 	}
 	h.setStored(s.Record.Services, wait == 0 && !incomplete)
+	h.doubtfulStored = s.Record.DoubtfulStreams
+	h.loaded, h.mayHaveDoubtful = true, h.mayHaveDoubtful || s.mayHaveDoubtfulStreams()
 	return s, nil
 }
 
@@ -395,13 +436,13 @@
 	versions, known := h.current(now), h.Known(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.stored != nil && (h.confirmed || !known) && maps.EqualFunc(h.stored, versions, slices.Equal)
+	return h.stored != nil && (h.confirmed || !known) && (h.doubtfulStored || !h.doubtful) && maps.EqualFunc(h.stored, versions, slices.Equal)
 }
 
 // saveIfChanged writes the record if it differs from the current versions and no other box writes it before.
 func (h *VersionHistory) saveIfChanged(ctx context.Context) {
 	now := clock.Now()
-	if h.upToDate(now) || h.Rank() >= maxVersionWriters && !h.AnySeveral(now) {
+	if h.upToDate(now) || h.Rank() >= maxVersionWriters && !h.AnySeveral(now) && !h.hasDoubtful() {
 		return
 	}
 	h.awaitTurn(ctx)
@@ -485,6 +526,7 @@
 	}
 	next := VersionRecord{Services: h.current(now), Era: s.Revision.Era()}
 	h.numberAdditions(&next, &s.Record)
+	next.DoubtfulStreams = s.Record.DoubtfulStreams || h.hasDoubtful()
 	known := h.Known(now)
 	if !known {
 		next.Era, next.Incomplete = s.Record.Era, s.Record.Incomplete || s.Record.Unreadable
@@ -501,6 +543,7 @@
 	}
 	h.mu.Lock()
 	h.setStored(next.Services, known)
+	h.doubtfulStored = next.DoubtfulStreams
 	h.mu.Unlock()
 	_ = level.Info(h.Logger).Log("msg", "saved software versions", "services", len(next.Services), "before_revision", s.Revision, "confirmed", known)
 	return nil
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -227,6 +227,7 @@
 		Store: a.SavedStreams(access), Rank: d.roster.Rank, Timeout: storeLimits.FirstByte, Logger: logs.For(logflags.Directory),
 		Several:         func() bool { return d.versions.AnySeveral(clock.Now()) },
 		HistoryKnown:    func() bool { return d.versions.Known(clock.Now()) },
+		Doubts:          d.versions,
 		WritesPerSecond: func() float64 { return d.settings.Load().CallBudget.WritesPerSecond },
 	})
 	d.directory.OnServersChange(func() {
