gateway, incarnation: names of the check of closed connections

errUnconfirmedEnd says what is known, and answersQueries which of two questions is asked; the file of EndChecker has another name than that of pkg/upstream, which checks something else. No change of behaviour: pkg/gateway and pkg/incarnation green.

--- a/pkg/gateway/attemptend.go
+++ b/pkg/gateway/attemptend.go
@@ -28,7 +28,8 @@
 	reportedAt atomic.Pointer[time.Time]
 	// resumes is set if the attempt is to resume a stream that was interrupted after its response had begun.
 	resumes bool
-	// closedAt is when the server closed the connection in order during the response, zero if it has not.
+	// closedAt is when the server closed the connection in order during the response, zero if it has not. What reads the response
+	// sets it before it reports the end.
 	closedAt time.Time
 }
 
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -127,7 +127,7 @@
 	switch {
 	case f == nil && err == nil, f != nil && f.response != nil && f.response.status != http.StatusGatewayTimeout:
 		x.reportSuccess(f == nil && x.response != nil && x.response.Status < http.StatusMultipleChoices)
-	case f != nil && f.disconnected && result == balancer.ResultFailed, f == nil && errors.Is(err, errProcessEnded):
+	case f != nil && f.disconnected && result == balancer.ResultFailed, f == nil && errors.Is(err, errUnconfirmedEnd):
 		x.probeServer(lease)
 	}
 }
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -52,8 +52,8 @@
 	sessions chan aheadSession
 	// readErr is the error of the last read, which ends the response.
 	readErr error
-	// brought is set once something was read that may be written.
-	brought bool
+	// gotData is set once something was read that may be written.
+	gotData bool
 	// failure and err are the end of the attempt once done is set, end that of the response.
 	done    bool
 	end     upstream.End
@@ -154,7 +154,7 @@
 	data, splitErr := r.complete(buffer[:n])
 	r.readErr = cmp.Or(err, splitErr)
 	if len(data) > 0 {
-		r.brought = true
+		r.gotData = true
 		return data, nil
 	}
 	return nil, r.readErr
@@ -166,7 +166,7 @@
 	r.done = true
 	r.x.incompleteEvent.Store(int64(r.partialBytes()))
 	r.resp.Close()
-	err = r.x.confirmEnd(r.endError(err), r.brought)
+	err = r.x.confirmEnd(r.endError(err), r.gotData)
 	if r.end = upstream.EndOf(err); r.end == upstream.EndBroken {
 		r.failure, r.err = r.failed(err)
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -31,7 +31,7 @@
 	if x.gateway.scheduling().ReadAhead {
 		return x.forwardStreamAhead(ctx, resp, lease)
 	}
-	splitter, brought := eventSplitter{}, false
+	splitter, gotEvents := eventSplitter{}, false
 	buffer := make([]byte, 4<<10)
 	for {
 		if err := x.holdEvent(ctx, len(splitter.partial)); err != nil {
@@ -41,7 +41,7 @@
 		n, err := resp.Body.Read(buffer)
 		events, splitErr := splitter.add(buffer[:n])
 		if len(events) > 0 {
-			brought = true
+			gotEvents = true
 			x.recordStart(clock.Now())
 			lease.PrefillDone(clock.Now())
 			if sendErr := x.sendEvents(resp, events); sendErr != nil {
@@ -50,7 +50,7 @@
 			x.releaseEvent()
 		}
 		x.incompleteEvent.Store(int64(len(splitter.partial)))
-		err = x.confirmEnd(splitter.endError(cmp.Or(err, splitErr)), brought)
+		err = x.confirmEnd(splitter.endError(cmp.Or(err, splitErr)), gotEvents)
 		switch end := upstream.EndOf(err); end {
 		case upstream.EndWhole, upstream.EndClosed:
 			resp.Close()
--- a/pkg/incarnation/endcheck.go
+++ b/pkg/incarnation/closecheck.go
@@ -87,19 +87,19 @@
 }
 
 // Check returns whether the process runs on that closed a connection at the time at which it broke. It blocks until that is known, for
-// endCheckTimeout at most. mayAsk is set if servers of its service answer queries.
-func (e *EndChecker) Check(ctx context.Context, c Connection, mayAsk bool) Life {
+// endCheckTimeout at most. answersQueries is set if servers of its service answer queries.
+func (e *EndChecker) Check(ctx context.Context, c Connection, answersQueries bool) Life {
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
 	life := e.LifeAfter(c)
 	for life == LifeUnknown {
-		check, joined := e.join(c, mayAsk)
+		check, counts := e.join(c, answersQueries)
 		select {
 		case <-check.done:
 		case <-ctx.Done():
 			return e.report(c, LifeUnknown)
 		}
-		if life = e.LifeAfter(c); joined {
+		if life = e.LifeAfter(c); counts {
 			if life == LifeUnknown {
 				life = check.life
 			}
@@ -130,9 +130,9 @@
 	return life
 }
 
-// join returns the check of a server that is under way, or begins one. joined is set if it counts for a connection: it began after
+// join returns the check of a server that is under way, or begins one. counts is set if it counts for a connection: it began after
 // that was closed.
-func (e *EndChecker) join(c Connection, mayAsk bool) (check *endCheck, joined bool) {
+func (e *EndChecker) join(c Connection, answersQueries bool) (check *endCheck, counts bool) {
 	key := c.Server.Incarnation()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -141,15 +141,15 @@
 	}
 	check = &endCheck{began: clock.Now(), done: make(chan struct{})}
 	e.byServer[key] = check
-	go e.run(check, *c.Server, mayAsk)
+	go e.run(check, *c.Server, answersQueries)
 	return check, true
 }
 
 // run asks a server, or finds out whether it accepts connections if that is all that it may be asked.
-func (e *EndChecker) run(check *endCheck, server routing.Server, mayAsk bool) {
+func (e *EndChecker) run(check *endCheck, server routing.Server, answersQueries bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), questionTimeout)
 	defer cancel()
-	if mayAsk && server.Started != 0 && e.MayAsk(&server) {
+	if answersQueries && server.Started != 0 && e.MayAsk(&server) {
 		check.life = e.ask(ctx, &server)
 	} else {
 		check.life = e.Reach(ctx, &server)
--- a/pkg/incarnation/reports.go
+++ b/pkg/incarnation/reports.go
@@ -32,7 +32,7 @@
 // ErrNoStart is returned for a server that will not tell when its process started.
 var ErrNoStart = errors.New("the server does not tell when it started")
 
-// ErrReplaced is returned if another server answers at the address.
+// ErrReplaced is returned if another server answers at the address. It is an ErrNoStart as well.
 var ErrReplaced = fmt.Errorf("another server has the address: %w", ErrNoStart)
 
 // ErrConnectionBroke is returned if a connection was accepted, and broke before the answer.
