incarnation: a restart that is certain is announced also while many servers are lost

Five engines had ended at one moment; one ran again as the first of another version. Two boxes knew of its restart by its own answer within 0.2 s, and others sent it streams meanwhile.

Cause: a box that has lost connections to three servers or more tells nobody, as it may have lost its link; that held for what processes state, and for ends that two boxes found, as well.

Evidence: TestCertainRestartIsAnnouncedAlthoughManyServersAreLost, red 3 of 3 before. Why it works: an answer came over the link, so that the loss of the link explains nothing. Ruled out: the notices of the four other engines, which reached all boxes within milliseconds.

--- a/pkg/incarnation/tracker.go
+++ b/pkg/incarnation/tracker.go
@@ -258,7 +258,7 @@
 	if ask {
 		t.askLater(*l.server, l.At, firstAsk)
 	}
-	if l.source == "" && !many && !l.unannounced && (first && !l.Idle || news) {
+	if l.source == "" && (l.Certain || !many) && !l.unannounced && (first && !l.Idle || news) {
 		t.Announce(Restart{Server: l.Server, At: l.At, Opened: l.Opened, Certain: ended, Idle: l.Idle})
 	}
 }
