--- a/pkg/gateway/attemptend.go
+++ b/pkg/gateway/attemptend.go
@@ -26,7 +26,7 @@
 	result balancer.Result
 	// reportedAt is when the server was done, nil before.
 	reportedAt atomic.Pointer[time.Time]
-	// resumes is set if the attempt is to resume a stream that was interrupted after its response had begun.
+	// resumes is set if the attempt is to resume an interrupted stream.
 	resumes bool
 	// closedAt is when the server closed the connection in order during the response, zero if it has not. What reads the response
 	// sets it before it reports the end.
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -191,7 +191,7 @@
 	}
 	x.dequeue()
 	x.chargeShare(lease)
-	x.end = &attemptEnd{exchange: x, ctx: ctx, lease: lease, resumes: x.headSent}
+	x.end = &attemptEnd{exchange: x, ctx: ctx, lease: lease, resumes: x.lastEventID != ""}
 	f, err := x.sendWithTimeout(ctx, lease)
 	x.recordLoss(lease, f)
 	x.releaseEvent()
