--- a/review/driver2/router.go
+++ b/review/driver2/router.go
@@ -97,8 +97,21 @@
 	return ""
 }
 
-// startRouter starts a router in front of a store.
+// startRouter starts a router in front of a store. It is started anew with other ports if one of them was taken meanwhile.
 func startRouter(name, store string) *router {
+	for range 5 {
+		r := startOnce(name, store)
+		select {
+		case <-r.ended:
+		case <-time.After(400 * time.Millisecond):
+			return r
+		}
+	}
+	unable("router %s ends as soon as it is started", name)
+	return nil
+}
+
+func startOnce(name, store string) *router {
 	if folder == "" {
 		var err error
 		if folder, err = os.MkdirTemp("", "review2-"); err != nil {
