--- a/review/driver2/router.go
+++ b/review/driver2/router.go
@@ -41,7 +41,7 @@
 
 [limits]
 memory-mb = %d
-descriptors = 4100
+descriptors = %d
 link-mbps = 1000.0
 
 [bounds]
@@ -74,6 +74,8 @@
 	folder    string
 	// memoryMB is the memory of the machines of kichhoat-hn.
 	memoryMB = 284
+	// descriptors is their limit on descriptors.
+	descriptors = 4100
 )
 
 // freeAddress returns a loopback address whose port is free for TCP and UDP now. Its port is below those that the system gives to
@@ -120,7 +122,7 @@
 	}
 	r := &router{name: name, front: freeAddress(), ready: freeAddress(), ended: make(chan struct{})}
 	file := filepath.Join(folder, name+".ini")
-	text := fmt.Sprintf(routerLines, name, r.front, r.ready, freeAddress(), freeAddress(), store, memoryMB)
+	text := fmt.Sprintf(routerLines, name, r.front, r.ready, freeAddress(), freeAddress(), store, memoryMB, descriptors)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		unable("settings: %v", err)
 	}
