--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
 [ -x target/headhill ] && [ -x target/review2/driver2 ] || { echo "build first: the deploy file's build, then review/build-2.sh" >&2; exit 2; }
-exec target/review2/driver2 -case slow-reader -trouble=$trouble -seed "${SEED:-1}" -record review/9/record.txt
+exec target/review2/driver2 -case drill-and-holders -trouble=$trouble -seed "${SEED:-1}" -record review/9/record.txt
--- a/review/driver2/router.go
+++ b/review/driver2/router.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -18,8 +19,10 @@
 	name  string
 	front string
 	ready string
-	cmd   *exec.Cmd
-	ended chan struct{}
+	// file has the settings, log the output.
+	file, log string
+	cmd       *exec.Cmd
+	ended     chan struct{}
 }
 
 // routerLines are the settings of a router. They are those of deploy/box.ini.tmpl, filled for a machine of kichhoat-hn.
@@ -76,6 +79,8 @@
 	memoryMB = 284
 	// descriptors is their limit on descriptors.
 	descriptors = 4100
+	// moreLines are further settings, such as those of the duties.
+	moreLines = ""
 )
 
 // freeAddress returns a loopback address whose port is free for TCP and UDP now. Its port is below those that the system gives to
@@ -120,34 +125,51 @@
 			unable("folder: %v", err)
 		}
 	}
-	r := &router{name: name, front: freeAddress(), ready: freeAddress(), ended: make(chan struct{})}
-	file := filepath.Join(folder, name+".ini")
-	text := fmt.Sprintf(routerLines, name, r.front, r.ready, freeAddress(), freeAddress(), store, memoryMB, descriptors)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		unable("settings: %v", err)
-	}
-	output := filepath.Join(folder, name+".log")
+	r := &router{name: name, front: freeAddress(), ready: freeAddress(), file: filepath.Join(folder, name+".ini"), log: filepath.Join(folder, name+".log")}
 	if *logs != "" {
-		output = filepath.Join(*logs, name+".log")
+		r.log = filepath.Join(*logs, name+".log")
+	}
+	text := fmt.Sprintf(routerLines, name, r.front, r.ready, freeAddress(), freeAddress(), store, memoryMB, descriptors) + moreLines
+	if err := os.WriteFile(r.file, []byte(text), 0o600); err != nil {
+		unable("settings: %v", err)
 	}
-	log, err := os.Create(output)
+	r.run()
+	return r
+}
+
+// run starts the process of a router.
+func (r *router) run() {
+	log, err := os.OpenFile(r.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		unable("log: %v", err)
 	}
-	r.cmd = exec.Command(*headhill, "route", "-c", file)
-	r.cmd.Stdout, r.cmd.Stderr = log, log
-	if err := r.cmd.Start(); err != nil {
+	cmd, ended := exec.Command(*headhill, "route", "-c", r.file), make(chan struct{})
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
 		unable("start: %v", err)
 	}
 	startedMu.Lock()
-	started = append(started, r)
+	r.cmd, r.ended = cmd, ended
+	if !slices.Contains(started, r) {
+		started = append(started, r)
+	}
 	startedMu.Unlock()
 	go func() {
-		_ = r.cmd.Wait()
+		_ = cmd.Wait()
 		_ = log.Close()
-		close(r.ended)
+		close(ended)
 	}()
-	return r
+}
+
+// kill kills the process, which is started again after a time.
+func (r *router) kill(rec *record, down time.Duration) {
+	rec.add("%s is killed", r.name)
+	_ = r.cmd.Process.Signal(syscall.SIGKILL)
+	<-r.ended
+	time.AfterFunc(down, func() {
+		rec.add("%s is started again", r.name)
+		r.run()
+	})
 }
 
 // awaitReady waits until a router says that it is ready.
