upstream: a response belongs to a request by its ID, for every exchange, and one without an ID ends the use of its connection

Cause: a response without an attempt ID was taken for that of the request sent last. Requests for reports carried no ID, so that their responses carried none, and shared connections with callers' requests: a second copy of a report, sent at the place of the next response, became a caller's answer. Reports in turn accepted any response.

Why it works: the decision is made in one place, upstream.Client.identify, for callers' requests, reports and whatever else uses the client; Protocol names the header only. Where a server leaves the ID out, its connection is closed after the response, so that every response on a pooled connection had an ID and a copy of it is skipped.

--- a/pkg/gateway/ends_test.go
+++ b/pkg/gateway/ends_test.go
@@ -38,7 +38,7 @@
 		relay.Close()
 		box.Close()
 	})
-	return upstream.NewClientWithDialer(throughBox{box.Listener.Addr().String()})
+	return upstream.NewClientWithDialer(throughBox{box.Listener.Addr().String()}, "")
 }
 
 // throughBox is a dialer whose connections lead through another box.
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -145,7 +145,7 @@
 		"prefix", in.Prefix, "home", in.Home, "interactive", in.Interactive, "lane", in.LaneSize, "cached", in.CachedTokens, "transferred", in.TransferredTokens, "slowness", in.Slowness, "unreported", in.Unreported, "failures", math.Round(in.FailureRatio*100) / 100, "rank", x.rank(), "expected_wait_ms", x.expectedWait.Milliseconds(), "left_ms", clock.Until(x.deadline).Milliseconds(),
 	}
 	if x.response != nil {
-		fields = append(fields, "connection_age_ms", clock.Since(x.response.ConnOpened).Milliseconds(), "framing", x.response.Framing, "end", x.response.End(), "incomplete_event", x.incompleteEvent.Load())
+		fields = append(fields, "connection_age_ms", clock.Since(x.response.ConnOpened).Milliseconds(), "identity", x.response.Identity, "framing", x.response.Framing, "end", x.response.End(), "incomplete_event", x.incompleteEvent.Load())
 	}
 	if f != nil {
 		fields = append(fields, "not_run", f.notExecuted, "last_event", x.lastEventID, "err", f.cause)
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -62,8 +62,8 @@
 	RequestHeader(caller http.Header, a Attempt) http.Header
 	// ParseResponse parses a response header.
 	ParseResponse(status int, h http.Header) ResponseInfo
-	// MatchesResponse reports whether a response header belongs to the call.
-	MatchesResponse(c *Call, h http.Header) bool
+	// IDHeader returns the name of the header that carries the ID of a request, which servers repeat in the response.
+	IDHeader() string
 	// SetRetryAfter sets the Retry-After of a refusal.
 	SetRetryAfter(h http.Header, retryAfter time.Duration)
 }
--- a/pkg/gateway/relayfleet_test.go
+++ b/pkg/gateway/relayfleet_test.go
@@ -223,7 +223,7 @@
 }
 
 func (relayProtocol) ParseResponse(int, http.Header) ResponseInfo  { return ResponseInfo{} }
-func (relayProtocol) MatchesResponse(*Call, http.Header) bool      { return true }
+func (relayProtocol) IDHeader() string                             { return "" }
 func (relayProtocol) SetRetryAfter(h http.Header, _ time.Duration) { h.Set("Retry-After", "1") }
 
 type noUsage struct{}
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -394,17 +394,16 @@
 	}
 	several := x.gateway.Streams != nil && x.gateway.Streams.SeveralVersions(lease.Server.Service)
 	return upstream.Request{
-		ServerKey:       lease.Server.Incarnation().String(),
-		Address:         lease.Server.Address,
-		Method:          x.request.Method,
-		Target:          x.request.RequestURI,
-		Host:            x.request.Host,
-		Header:          x.gateway.Protocol.RequestHeader(x.request.Header, a),
-		Body:            x.body,
-		MatchesResponse: func(h http.Header) bool { return x.gateway.Protocol.MatchesResponse(&x.call, h) },
-		OnSend:          x.beforeSend,
-		OnIdleClosed:    x.idleClosed(lease.Server, several),
-		ReportOnReuse:   !several,
+		ServerKey:     lease.Server.Incarnation().String(),
+		Address:       lease.Server.Address,
+		Method:        x.request.Method,
+		Target:        x.request.RequestURI,
+		Host:          x.request.Host,
+		Header:        x.gateway.Protocol.RequestHeader(x.request.Header, a),
+		Body:          x.body,
+		OnSend:        x.beforeSend,
+		OnIdleClosed:  x.idleClosed(lease.Server, several),
+		ReportOnReuse: !several,
 	}
 }
 
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -209,7 +209,7 @@
 	d.quarantine = quarantine.New(quarantine.Deps{
 		Port: d.peers, Peers: d.roster.Peers, Store: a.Quarantine(access), Timeout: storeLimits.FirstByte, Logger: logs.For(logflags.Quarantine),
 	})
-	if err := metrics.AddGauges(quarantineGauge(d.quarantine), formsGauge(d.roster), signalsGauge(balance.Signals()), slownessGauge(balance), arrivalsGauge(balance), connectionsGauge(d.upstream), responseEndsGauge(d.upstream), endChecksGauge(d), pathsGauge(d.paths), readyGauge(d), relaysGauge(d.serverDialer), retriesGauge(d), callerConnectionsGauge(d)); err != nil {
+	if err := metrics.AddGauges(quarantineGauge(d.quarantine), formsGauge(d.roster), signalsGauge(balance.Signals()), slownessGauge(balance), arrivalsGauge(balance), connectionsGauge(d.upstream), responseEndsGauge(d.upstream), responseIdentitiesGauge(d.upstream), endChecksGauge(d), pathsGauge(d.paths), readyGauge(d), relaysGauge(d.serverDialer), retriesGauge(d), callerConnectionsGauge(d)); err != nil {
 		return nil, oops.In("telemetry").Wrap(err)
 	}
 	d.retryBudget = retry.NewBudget(s.Bounds.retryLimits(), clock.Now())
--- a/pkg/routerd/gauges.go
+++ b/pkg/routerd/gauges.go
@@ -158,6 +158,14 @@
 	}
 }
 
+// responseIdentitiesGauge returns the gauge for responses of servers by whose they are.
+func responseIdentitiesGauge(c *upstream.Client) telemetry.Gauge {
+	return telemetry.Gauge{
+		Name: "headhill_response_identities", Help: "Responses of servers by whether they carry the ID of the request (own), that of another one (other, skipped) or none (missing, the connection is closed), since the start.",
+		Attribute: "identity", Observe: c.ResponseIdentities,
+	}
+}
+
 // endChecksGauge returns the gauge for the checks of processes that closed a connection during a response.
 func endChecksGauge(d *Daemon) telemetry.Gauge {
 	return telemetry.Gauge{
--- a/pkg/routerd/serverdial.go
+++ b/pkg/routerd/serverdial.go
@@ -29,11 +29,13 @@
 
 // checkPath returns the function that checks new connections to servers over paths in doubt; nil if the platform has no
 // request for that.
-func (a Adapter) checkPath() func(context.Context, net.Conn) (bool, error) {
+func (d *Daemon) checkPath(a Adapter) func(context.Context, net.Conn) (bool, error) {
 	if a.PathCheck == nil {
 		return nil
 	}
-	return func(ctx context.Context, c net.Conn) (bool, error) { return upstream.CheckPath(ctx, c, a.PathCheck()) }
+	return func(ctx context.Context, c net.Conn) (bool, error) {
+		return d.upstream.CheckPath(ctx, c, a.PathCheck())
+	}
 }
 
 // openServerPaths creates the client of the servers.
@@ -41,9 +43,9 @@
 	d.paths = serverpath.NewTracker(logger)
 	d.serverDialer = serverpath.NewDialer(serverpath.Deps{
 		Tracker: d.paths, Hall: hall, Direct: a.dialServer(), Timeout: serverDialTimeout, Peers: d.peerBoxes, HallOf: d.hallOfServer, MayRelay: d.mayRelay,
-		OtherServer: d.otherServer, Logger: logger, Check: a.checkPath(),
+		OtherServer: d.otherServer, Logger: logger, Check: d.checkPath(a),
 	})
-	d.upstream = upstream.NewClientWithDialer(d.serverDialer)
+	d.upstream = upstream.NewClientWithDialer(d.serverDialer, a.Protocol.IDHeader())
 	d.serverDialer.AddIdle = d.upstream.AddIdle
 }
 
--- a/pkg/serverpath/conns_test.go
+++ b/pkg/serverpath/conns_test.go
@@ -149,7 +149,7 @@
 			Tracker: NewTracker(log.NewNopLogger()), Logger: log.NewNopLogger(), Timeout: time.Second, Direct: upstream.DialDirect,
 			Peers: func() []Peer { return nil }, HallOf: func(string) string { return "" },
 		})
-		client, server := upstream.NewClientWithDialer(d), listener.Addr().String()
+		client, server := upstream.NewClientWithDialer(d, ""), listener.Addr().String()
 		request := upstream.Request{ServerKey: "s", Address: server, Host: server, Method: http.MethodGet, Target: "/"}
 		resp, err := client.Do(t.Context(), request)
 		require.NoError(t, err)
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -28,8 +28,6 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// MatchesResponse reports whether a response header belongs to this request; nil accepts any.
-	MatchesResponse func(http.Header) bool
 	// NewConnection bypasses the connection pool.
 	NewConnection bool
 	// OnSend is called once a connection is open, just before the first byte is written; nil for none. If it
@@ -51,6 +49,8 @@
 	// Length is the length of the body, or -1 if the header does not declare it.
 	Length  int64
 	Framing Framing
+	// Identity is IdentityOwn or IdentityMissing.
+	Identity Identity
 	// Body returns io.EOF only at the end of a complete response, see EndOf.
 	Body io.Reader
 	// Via is the address of the box by way of which the connection leads, "" for a direct one.
@@ -101,6 +101,9 @@
 	// reused and dialed count the connections over which requests were sent.
 	reused, dialed atomic.Int64
 	ends           endCounts
+	// idHeader is the header that carries the ID of a request, "" if the protocol has none.
+	idHeader   string
+	identities [identities]atomic.Int64
 }
 
 // ConnectionCounts returns how many requests were sent over an idle connection and over a new one.
@@ -108,14 +111,15 @@
 	return map[string]int64{"idle": c.reused.Load(), "new": c.dialed.Load()}
 }
 
-// NewClient returns a client that opens all connections directly, with the given timeout.
+// NewClient returns a client that opens all connections directly, with the given timeout, for a protocol without IDs.
 func NewClient(dialTimeout time.Duration) *Client {
-	return NewClientWithDialer(directDialer{timeout: dialTimeout})
+	return NewClientWithDialer(directDialer{timeout: dialTimeout}, "")
 }
 
-// NewClientWithDialer returns a client that opens connections with a dialer.
-func NewClientWithDialer(d Dialer) *Client {
-	return &Client{pool: newPool(), probes: &probes{byServer: make(map[string]*Probe)}, dialer: d}
+// NewClientWithDialer returns a client that opens connections with a dialer. Servers repeat the idHeader of a request in its
+// response; "" if the protocol has no such header.
+func NewClientWithDialer(d Dialer, idHeader string) *Client {
+	return &Client{pool: newPool(), probes: &probes{byServer: make(map[string]*Probe)}, dialer: d, idHeader: idHeader}
 }
 
 // Do sends a request and returns once the response header has been read. The error is a
@@ -157,7 +161,7 @@
 	conn.recordRan(sent)
 	framing := framingOf(raw)
 	return &Response{
-		Via: conn.via(), ConnOpened: conn.opened, Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, Framing: framing,
+		Via: conn.via(), ConnOpened: conn.opened, Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, Framing: framing, Identity: x.identity,
 		Body: &body{reader: raw.Body, framing: framing, onBreak: x.recordBreak}, exchange: x, raw: raw,
 	}, nil
 }
@@ -194,6 +198,8 @@
 	onIdleClosed  func(opened time.Time)
 	reportOnReuse bool
 	writeResult   chan error
+	// identity is that of the response.
+	identity Identity
 	// stopAbort cancels the closing of the connection at the end of the context. It returns false
 	// if that has already begun.
 	stopAbort func() bool
@@ -233,8 +239,8 @@
 // that reads slowly would make the box hold a longer one twice.
 const maxCopiedBody = 4 << 10
 
-// readHead reads response headers until one matches the request, and discards the bodies of the
-// others.
+// readHead reads response headers until one belongs to the request, and discards the bodies of the
+// others. One without an ID belongs to it, as all earlier responses on the connection carried IDs, see Close.
 func (x *exchange) readHead(r Request) (*http.Response, error) {
 	interim := int64(0)
 	for read := 0; read < maxStaleResponses; {
@@ -249,7 +255,10 @@
 			continue
 		}
 		read++
-		if r.MatchesResponse == nil || r.MatchesResponse(raw.Header) {
+		identity := x.client.identify(r.Header, raw.Header)
+		x.client.identities[identity].Add(1)
+		if identity != IdentityOther {
+			x.identity = identity
 			return raw, nil
 		}
 		if raw.Close || raw.ContentLength < 0 && len(raw.TransferEncoding) == 0 {
@@ -277,11 +286,12 @@
 }
 
 // Close returns the connection to the pool if the response is complete and the connection is reusable. It
-// closes the connection otherwise.
+// closes the connection otherwise. That of a response without an ID is not reusable: a second copy of it, sent
+// late, would pass for the response to the next request.
 func (r *Response) Close() {
 	x := r.exchange
 	r.countEnd.Do(func() { x.client.ends[r.Framing][r.End()].Add(1) })
-	if r.End() != EndWhole || r.raw.Close || !x.stopAbort() || !x.writeCompleted() {
+	if r.End() != EndWhole || r.raw.Close || r.Identity == IdentityMissing || !x.stopAbort() || !x.writeCompleted() {
 		x.abort()
 		return
 	}
--- a/pkg/upstream/heads_test.go
+++ b/pkg/upstream/heads_test.go
@@ -61,10 +61,10 @@
 
 // do sends a request to the server and reads the response to its end.
 func (s script) do(ctx context.Context) (resp *Response, content string, reusable bool, err error) {
-	c := NewClientWithDialer(s)
+	c := NewClientWithDialer(s, "Id")
 	resp, err = c.Do(ctx, Request{
 		ServerKey: "s", Address: "s", Method: http.MethodGet, Target: "/", Host: "s",
-		MatchesResponse: func(h http.Header) bool { return h.Get("Id") == "" || h.Get("Id") == "mine" },
+		Header: http.Header{"Id": {"mine"}},
 	})
 	if err != nil {
 		return nil, "", false, err
@@ -218,7 +218,7 @@
 					}, func(c *Client, r Request) {
 						ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 						defer cancel()
-						r.MatchesResponse = func(h http.Header) bool { return h.Get("Id") == "" }
+						c.idHeader = "Id"
 						start := time.Now()
 						_, err := c.Do(ctx, r)
 						var interrupted *InterruptedError
--- /dev/null
+++ b/pkg/upstream/identity_test.go
@@ -0,0 +1,76 @@
+package upstream
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a response that is passed to another request than its own.
+func TestResponseIsIdentifiedByItsID(t *testing.T) {
+	ids := func(values ...string) http.Header { return http.Header{"Id": values} }
+	for _, c := range []struct {
+		request, response http.Header
+		identity          Identity
+	}{
+		{ids("a"), ids("a"), IdentityOwn},
+		{ids("a"), ids("b"), IdentityOther},
+		{ids("a"), ids(""), IdentityMissing},
+		{ids("a"), nil, IdentityMissing},
+		{ids("a"), ids("b", "a"), IdentityOwn},
+		{ids("a", "b"), ids("b"), IdentityOwn},
+		{nil, ids("b"), IdentityOther},
+		{nil, nil, IdentityMissing},
+		{ids(""), ids(""), IdentityMissing},
+	} {
+		client := NewClientWithDialer(nil, "Id")
+		assert.Equal(t, c.identity, client.identify(c.request, c.response), "%v, %v", c.request, c.response)
+		assert.Equal(t, IdentityOwn, NewClientWithDialer(nil, "").identify(c.request, c.response), "a protocol without IDs")
+	}
+}
+
+// repeatingServer answers each request on a connection and sends a second copy of each response once the next request arrives.
+// The ID is left out of responses to targets that begin with "/no-id".
+func repeatingServer(c net.Conn) {
+	reader := bufio.NewReader(c)
+	for copied := ""; ; {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		id := "Id: " + r.Header.Get("Id") + "\r\n"
+		if strings.HasPrefix(r.RequestURI, "/no-id") {
+			id = ""
+		}
+		response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", id, len(r.RequestURI), r.RequestURI)
+		if _, err := io.WriteString(c, copied+response); err != nil {
+			return
+		}
+		copied = response
+	}
+}
+
+// Guards against a second copy of a response that is taken for the response to the next request, whichever of the two carries an ID.
+func TestSecondCopyIsSkipped(t *testing.T) {
+	withServer(t, repeatingServer, func(c *Client, r Request) {
+		c.idHeader = "Id"
+		for n, target := range []string{"/a", "/b", "/no-id/a", "/no-id/b", "/c", "/no-id/c", "/d", "/e"} {
+			r.Target, r.Header = target, http.Header{"Id": {fmt.Sprint("id-", n)}}
+			resp, err := c.Do(t.Context(), r)
+			require.NoError(t, err)
+			body, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			resp.Close()
+			assert.Equal(t, target, string(body))
+		}
+		assert.Equal(t, map[string]int64{"idle": 4, "new": 4}, c.ConnectionCounts(), "only responses with an ID leave their connections open")
+		assert.Equal(t, map[string]int64{"own": 5, "other": 4, "missing": 3}, c.ResponseIdentities())
+	})
+}
--- a/pkg/upstream/pathcheck.go
+++ b/pkg/upstream/pathcheck.go
@@ -14,9 +14,9 @@
 
 // CheckPath checks whether a server can be reached over a new connection, by sending a request with a header that has the
 // server answer without running it. The error is nil as soon as anything has arrived, since a path that carries bytes is
-// sound whatever they are. reusable reports whether a whole response came and the connection can carry a further
-// exchange. The connection is closed if ctx ends first.
-func CheckPath(ctx context.Context, c net.Conn, header http.Header) (reusable bool, err error) {
+// sound whatever they are. reusable reports whether a whole response to the check came and the connection can carry a
+// further exchange. The connection is closed if ctx ends first.
+func (client *Client) CheckPath(ctx context.Context, c net.Conn, header http.Header) (reusable bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	var request bytes.Buffer
 	request.WriteString("GET / HTTP/1.1\r\nHost: " + c.RemoteAddr().String() + "\r\n")
@@ -36,6 +36,8 @@
 		stop()
 		return false, nil
 	}
+	identity := client.identify(header, resp.Header)
+	client.identities[identity].Add(1)
 	n, err := io.Copy(io.Discard, resp.Body)
 	whole := err == nil && n == resp.ContentLength && !resp.Close && resp.StatusCode >= http.StatusOK && reader.Buffered() == 0
 	return stop() && whole, nil
