lease: a state from an older copy of the store remains one until a holder has brought it up to date

Cause: whether the ledger may lack what an older copy lost was concluded from the era of the lease's record. Acquiring the lease writes the record, with the old ledger, in the new era, 2.5 s before the holder has brought it up to date. If that one ends in between, by a kill or a planned stop, the next one takes the old ledger for the latest and closes the windows again.

Evidence: lease acquired, restored=true, then restored=false for the box that closes window again with boxes=0.

Why it works: the record keeps in which era its state was last up to date; only a holder that has caught up raises that, decided in RenewRecord. Ledger and pending catch-up change under one lock, so that none is saved as up to date in between. A second acquisition before the catch-up keeps the box's own ledger.

The field is in the stored record only, which boxes don't forward: no new level of forms. Read: the record of software versions (keeps the era of the last writer that knew them), saved streams (era of the writing box), held requests (only grow), orders (absolute numbers).

--- a/pkg/duties/duties.go
+++ b/pkg/duties/duties.go
@@ -169,18 +169,20 @@
 	Ordered  map[string]autoscale.HallCounts `json:"books,omitempty"`
 }
 
-// State returns the state for the next holder of the lease.
-func (r *Runner) State() []byte {
+// State returns the state for the next holder of the lease. It is not up to date while it comes from an older copy of the store
+// and this box has not found out yet what was lost.
+func (r *Runner) State() (data []byte, upToDate bool) {
 	var s savedState
+	upToDate = true
 	if r.Reporter != nil {
-		s.Metering = r.Reporter.Ledger()
+		s.Metering, upToDate = r.Reporter.savedLedger()
 	}
 	if r.Scaler != nil {
 		s.Ordered = r.Scaler.Ordered()
 	}
 	// Marshalling plain structs cannot fail.
-	data, _ := json.Marshal(s)
-	return data
+	data, _ = json.Marshal(s)
+	return data, upToDate
 }
 
 // Restore loads the state of the previous holder. If restored is set, it comes from an older copy of
--- a/pkg/duties/earlier_test.go
+++ b/pkg/duties/earlier_test.go
@@ -36,7 +36,8 @@
 
 		closed := metering.Report{Window: before.Metering.Next, Counts: map[string]int{"alpha": 3}}
 		b.duties.Reporter.ledger.with(func(l *metering.Ledger) { l.Next, l.Closed = l.Next+1, append(l.Closed, closed) })
-		require.NoError(t, json.Unmarshal(b.duties.State(), &after), name)
+		state, _ := b.duties.State()
+		require.NoError(t, json.Unmarshal(state, &after), name)
 		assert.Equal(t, before.Metering.Next+1, after.Metering.Next, name)
 		last := after.Metering.Closed[len(after.Metering.Closed)-1]
 		assert.Equal(t, closed, metering.Report{Window: last.Window, Counts: last.Counts}, name)
--- a/pkg/duties/reporter.go
+++ b/pkg/duties/reporter.go
@@ -31,6 +31,8 @@
 	logger log.Logger
 
 	ledger mutexed[metering.Ledger]
+	// catchUp is set while the ledger from an older copy of the store has to be brought up to date, guarded by ledger.
+	catchUp *pendingCatchUp
 	// requiredSave is the save request whose state includes all closed windows.
 	requiredSave atomic.Uint64
 	// storedNext is the first window that this box has not closed and stored, guarded by ledger. Only stored
@@ -38,8 +40,6 @@
 	storedNext metering.Window
 	// announcedNext is the first window that no other holder has closed and stored, as far as other boxes know.
 	announcedNext atomic.Int64
-	// catchUp is set while the ledger from an older copy of the store has to be brought up to date.
-	catchUp mutexed[*pendingCatchUp]
 	// acquiredAt is when this box last acquired the lease.
 	acquiredAt mutexed[time.Time]
 	retryAt    time.Time
@@ -69,9 +69,17 @@
 
 // Ledger returns a copy of the ledger.
 func (r *Reporter) Ledger() *metering.Ledger {
-	var c metering.Ledger
-	r.ledger.with(func(l *metering.Ledger) { c = metering.Ledger{Next: l.Next, Closed: slices.Clone(l.Closed)} })
-	return &c
+	l, _ := r.savedLedger()
+	return l
+}
+
+// savedLedger returns a copy of the ledger, and whether it is up to date.
+func (r *Reporter) savedLedger() (saved *metering.Ledger, upToDate bool) {
+	r.ledger.with(func(l *metering.Ledger) {
+		saved = &metering.Ledger{Next: l.Next, Closed: slices.Clone(l.Closed)}
+		upToDate = r.catchUp == nil
+	})
+	return saved, upToDate
 }
 
 // Status returns the current status.
@@ -84,7 +92,7 @@
 
 // pendingCatchUp is a ledger that is brought up to date at a time.
 type pendingCatchUp struct {
-	// own is the ledger of this box from when it last held the lease.
+	// own is the latest ledger of this box that was up to date.
 	own metering.Ledger
 	at  time.Time
 }
@@ -123,10 +131,14 @@
 // from an older copy of the store: a window that was closed since may have been reported, and must not
 // be reported again with other counts.
 func (r *Reporter) restore(l *metering.Ledger, restored bool) {
-	var pending *pendingCatchUp
 	r.ledger.with(func(current *metering.Ledger) {
+		own := *current
+		if r.catchUp != nil {
+			own = r.catchUp.own
+		}
+		r.catchUp = nil
 		if restored {
-			pending = &pendingCatchUp{own: *current, at: clock.Now().Add(catchUpDelay)}
+			r.catchUp = &pendingCatchUp{own: own, at: clock.Now().Add(catchUpDelay)}
 		}
 		*current = metering.Ledger{}
 		if l != nil {
@@ -135,7 +147,6 @@
 		r.requiredSave.Store(0)
 	})
 	r.acquiredAt.with(func(at *time.Time) { *at = clock.Now() })
-	r.catchUp.with(func(p **pendingCatchUp) { *p = pending })
 }
 
 // firstCertainWindow returns the first window that no other holder can have closed: one that is not known to
@@ -152,27 +163,19 @@
 // ensureCaughtUp brings a ledger from an older copy of the store up to date when that is due. It reports whether
 // the ledger is up to date.
 func (r *Reporter) ensureCaughtUp(now time.Time) bool {
-	var pending *pendingCatchUp
-	r.catchUp.with(func(p **pendingCatchUp) {
-		if pending = *p; pending != nil && !now.Before(pending.at) {
-			*p = nil
-		}
-	})
-	if pending == nil {
-		return true
-	}
-	if now.Before(pending.at) {
-		return false
-	}
-	skipped := 0
+	upToDate, skipped := false, 0
 	r.ledger.with(func(l *metering.Ledger) {
-		skipped = l.CatchUp(pending.own, r.firstCertainWindow())
-		r.requiredSave.Store(r.calls.lease.RequestSave())
+		upToDate = r.catchUp == nil
+		if !upToDate && !now.Before(r.catchUp.at) {
+			skipped = l.CatchUp(r.catchUp.own, r.firstCertainWindow())
+			r.catchUp, upToDate = nil, true
+			r.requiredSave.Store(r.calls.lease.RequestSave())
+		}
 	})
 	if skipped > 0 {
 		_ = level.Error(r.logger).Log("msg", "skipped usage windows", "count", skipped, "reason", "the store lost which of them were reported", "outcome", "usage of these windows is only in the request log")
 	}
-	return true
+	return upToDate
 }
 
 // step closes the windows that have ended and reports the next stored one.
--- a/pkg/duties/reporter_restore_test.go
+++ b/pkg/duties/reporter_restore_test.go
@@ -72,3 +72,31 @@
 		assert.Equal(t, c.want, r.NextWindow(), "after %d", c.observed)
 	}
 }
+
+// Guards against a ledger from an older copy of the store that is saved as if it were the latest one.
+func TestLedgerIsNotUpToDateBeforeItHasCaughtUp(t *testing.T) {
+	r := NewReporter(ReporterDeps{Collector: metering.NewCollector(), WindowLength: time.Second, Clock: startOfTime})
+	r.attach(&fencedCaller{lease: &fakeLease{}}, nil, log.NewNopLogger())
+	runner := &Runner{Deps: Deps{Reporter: r}}
+	_, upToDate := runner.State()
+	assert.True(t, upToDate, "without a lease")
+	r.restore(&metering.Ledger{Next: 5}, true)
+	r.ObserveNext(8)
+	_, upToDate = runner.State()
+	assert.False(t, upToDate, "restored")
+	r.ensureCaughtUp(clock.Now().Add(2 * catchUpDelay))
+	state, upToDate := runner.State()
+	assert.True(t, upToDate, "caught up")
+	assert.JSONEq(t, `{"metering":{"next":8}}`, string(state))
+}
+
+// Guards against windows that a box closes again which acquires the lease twice after a restore, and knows best itself what was closed.
+func TestOwnLedgerIsKeptUntilItHasCaughtUp(t *testing.T) {
+	r := NewReporter(ReporterDeps{Collector: metering.NewCollector(), WindowLength: time.Second, Clock: startOfTime})
+	r.attach(&fencedCaller{lease: &fakeLease{}}, nil, log.NewNopLogger())
+	r.restore(&metering.Ledger{Next: 9, Closed: []metering.Report{{Window: 8}}}, false)
+	r.restore(&metering.Ledger{Next: 5}, true)
+	r.restore(&metering.Ledger{Next: 5}, true)
+	assert.True(t, r.ensureCaughtUp(clock.Now().Add(2*catchUpDelay)))
+	assert.Equal(t, &metering.Ledger{Next: 9, Closed: []metering.Report{{Window: 8}}}, r.Ledger())
+}
--- a/pkg/duties/reporter_wait_test.go
+++ b/pkg/duties/reporter_wait_test.go
@@ -34,7 +34,8 @@
 // kill ends the lease of a box, which does nothing from then on, and returns what it has stored.
 func (b *testBox) kill() []byte {
 	b.lease.update(func(l *fakeLease) { l.until = time.Now() })
-	return b.duties.State()
+	state, _ := b.duties.State()
+	return state
 }
 
 // successor is a holder that acquires the lease some time after the end of the previous one.
--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -181,7 +181,7 @@
 	return later(e.latestSince.Add(e.timing.TakeoverDelay+delay), e.lastHeldAt.Add(e.timing.Cooldown))
 }
 
-// AcquireRecord returns the record that acquires the lease.
+// AcquireRecord returns the record that acquires the lease. Its state remains that of the previous holder.
 func (e *Elector) AcquireRecord() Record {
 	r := e.latest.Record
 	r.Holder, r.Incarnation, r.Fence, r.Era = e.box, e.incarnation, 0, e.latest.Revision.Era()
@@ -189,18 +189,22 @@
 	return r
 }
 
-// RenewRecord returns the record that renews the lease.
-func (e *Elector) RenewRecord(state []byte) Record {
+// RenewRecord returns the record that renews the lease. upToDate tells whether the state includes all that the duties did in
+// earlier eras of the store.
+func (e *Elector) RenewRecord(state []byte, upToDate bool) Record {
 	r := e.latest.Record
 	r.Holder, r.Incarnation, r.Fence, r.Era = e.box, e.incarnation, e.fence, e.latest.Revision.Era()
 	r.State = state
+	if upToDate {
+		r.StateEra = r.Era
+	}
 	r.Renewals++
 	return r
 }
 
-// ReleaseRecord returns the record that releases the lease.
-func (e *Elector) ReleaseRecord(state []byte) Record {
-	r := e.RenewRecord(state)
+// ReleaseRecord returns the record that releases the lease. upToDate is as in RenewRecord.
+func (e *Elector) ReleaseRecord(state []byte, upToDate bool) Record {
+	r := e.RenewRecord(state, upToDate)
 	r.Holder, r.Incarnation, r.Fence = "", 0, 0
 	return r
 }
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -24,8 +24,10 @@
 	Era uint64 `json:"era,omitempty"`
 	// Renewals counts the writes, so that each one changes the record.
 	Renewals uint64 `json:"renewals"`
-	// State is the state of the duties that is passed from holder to holder.
-	State []byte `json:"state,omitempty"`
+	// State is the state of the duties that is passed from holder to holder. StateEra is the last era in which a holder has
+	// brought it up to date: its changes since may have been lost by restores of the store.
+	State    []byte `json:"state,omitempty"`
+	StateEra uint64 `json:"state_era,omitempty"`
 }
 
 // VersionedRecord is a record and its revision in the store, which is the start of an era if there is
@@ -42,6 +44,9 @@
 // missing in it. A later record, and with it a later holder, may have been lost.
 func (r VersionedRecord) restored() bool { return r.Era < r.Revision.Era() }
 
+// stateRestored reports whether the state comes from an older copy of the store and no holder has brought it up to date since.
+func (r VersionedRecord) stateRestored() bool { return r.StateEra < r.Revision.Era() }
+
 // Store stores the record.
 type Store interface {
 	Read(ctx context.Context) (VersionedRecord, error)
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -11,6 +11,7 @@
 	"headhill.example/headhill/pkg/datagram"
 	"headhill.example/headhill/pkg/forms/formstest"
 	"headhill.example/headhill/pkg/lease/leasepb"
+	"headhill.example/headhill/pkg/storerev"
 	"pgregory.net/rapid"
 )
 
@@ -221,14 +222,14 @@
 	e := NewElector("a", 1, TimingFor(leaseDuration), now)
 	e.ObserveRead(VersionedRecord{}, now)
 	e.Acquired(VersionedRecord{Record: e.AcquireRecord(), Revision: 10}, now, now)
-	renewed := VersionedRecord{Record: e.RenewRecord(nil), Revision: 14}
+	renewed := VersionedRecord{Record: e.RenewRecord(nil, true), Revision: 14}
 	now = now.Add(2 * leaseDuration)
 	_, _, ok := e.Holding(now)
 	require.False(t, ok, "unconfirmed renewal")
 	e.ObserveRead(renewed, now)
 	step, _ := e.Next(0, now)
 	assert.Equal(t, StepRenew, step)
-	e.Renewed(VersionedRecord{Record: e.RenewRecord(nil), Revision: 15}, now, now)
+	e.Renewed(VersionedRecord{Record: e.RenewRecord(nil, true), Revision: 15}, now, now)
 	fence, _, ok := e.Holding(now)
 	assert.True(t, ok)
 	assert.EqualValues(t, 10, fence, "no other box held the lease in between")
@@ -301,3 +302,42 @@
 func TestLeaseWireForm(t *testing.T) {
 	formstest.CheckShape(t, "lease", &leasepb.Lease{}, Record{})
 }
+
+// Guards against the state from an older copy of the store that passes for the latest one once a box has written it again: the box may end, or
+// release the lease, before it has found out what was lost.
+func TestRestoredStateIsOneUntilItIsUpToDate(t *testing.T) {
+	now := time.Unix(100, 0)
+	restored := VersionedRecord{Record: Record{Holder: "a", Incarnation: 1, Era: 1, StateEra: 1, State: []byte("old")}, Revision: storerev.StartOf(2) + 7}
+	e := NewElector("b", 2, TimingFor(leaseDuration), now)
+	write := func(r Record) VersionedRecord {
+		restored.Revision++
+		return VersionedRecord{Record: r, Revision: restored.Revision}
+	}
+	require.True(t, restored.stateRestored())
+	e.ObserveRead(restored, now)
+	acquired := write(e.AcquireRecord())
+	assert.False(t, acquired.restored())
+	assert.True(t, acquired.stateRestored(), "acquired")
+	e.Acquired(acquired, now, now)
+	renewed := write(e.RenewRecord([]byte("old"), false))
+	assert.True(t, renewed.stateRestored(), "renewed")
+	e.Renewed(renewed, now, now)
+	assert.True(t, write(e.ReleaseRecord([]byte("old"), false)).stateRestored(), "released")
+	next := NewElector("c", 3, TimingFor(leaseDuration), now)
+	next.ObserveRead(renewed, now)
+	assert.True(t, write(next.AcquireRecord()).stateRestored(), "acquired again")
+	assert.False(t, write(e.ReleaseRecord([]byte("new"), true)).stateRestored(), "released up to date")
+	renewed = write(e.RenewRecord([]byte("new"), true))
+	assert.False(t, renewed.stateRestored(), "renewed up to date")
+	renewed.Revision = storerev.StartOf(3) + 7
+	assert.True(t, renewed.stateRestored(), "restored once more")
+}
+
+// Guards against a state that counts as up to date although the store was restored between the read of the record and the write that
+// acquired the lease.
+func TestStateIsRestoredIfTheLeaseIsAcquiredInALaterEra(t *testing.T) {
+	now := time.Unix(100, 0)
+	e := NewElector("b", 2, TimingFor(leaseDuration), now)
+	e.ObserveRead(VersionedRecord{Record: Record{Holder: "", Era: 1, StateEra: 1}, Revision: storerev.StartOf(1) + 7}, now)
+	assert.True(t, VersionedRecord{Record: e.AcquireRecord(), Revision: storerev.StartOf(2) + 8}.stateRestored())
+}
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -29,11 +29,12 @@
 	Rank  func() int
 	// NoPeers reports whether this box knows no peers, as before discovery at startup.
 	NoPeers func() bool
-	// State returns the state of the duties. It is called before each renewal.
-	State func() []byte
+	// State returns the state of the duties, and whether it is up to date: that of a restored state is not until the duties have
+	// found out what was lost. It is called before each renewal.
+	State func() (state []byte, upToDate bool)
 	// OnAcquired is called on each acquisition with the state of the previous holder, before the
-	// lease is used. If restored is set, the state comes from an older copy of the store, so that a
-	// later holder and its state may have been lost.
+	// lease is used. If restored is set, the state comes from an older copy of the store and was not
+	// brought up to date since, so that a later holder and its state may have been lost.
 	OnAcquired func(state []byte, restored bool)
 	// Announcement returns the payload that the holder announces with each renewal, OnAnnouncement
 	// receives it on the other boxes.
@@ -270,12 +271,12 @@
 	if err != nil {
 		return err
 	}
-	m.OnAcquired(previous.State, previous.restored())
+	m.OnAcquired(previous.State, s.stateRestored())
 	m.mu.Lock()
 	m.elector.Acquired(s, sent, clock.NowExact())
 	m.status.Acquisitions++
 	m.mu.Unlock()
-	_ = level.Info(m.Logger).Log("msg", "lease acquired", "fence", s.Revision, "before", previous.Holder, "before_revision", previous.Revision, "restored", previous.restored(), "after", clock.Since(sent))
+	_ = level.Info(m.Logger).Log("msg", "lease acquired", "fence", s.Revision, "before", previous.Holder, "before_revision", previous.Revision, "restored", previous.restored(), "state_era", s.StateEra, "state_restored", s.stateRestored(), "after", clock.Since(sent))
 	m.announce(s)
 	return nil
 }
@@ -284,9 +285,9 @@
 	m.mu.Lock()
 	requested := m.saveRequested
 	m.mu.Unlock()
-	state := m.State()
+	state, upToDate := m.State()
 	m.mu.Lock()
-	r, revision := m.elector.RenewRecord(state), m.elector.Latest().Revision
+	r, revision := m.elector.RenewRecord(state, upToDate), m.elector.Latest().Revision
 	m.mu.Unlock()
 	sent := clock.NowExact()
 	s, err := m.write(ctx, r, revision)
@@ -345,12 +346,12 @@
 // Release releases the lease after Stop, so that another box can acquire it at once. No calls may
 // be in flight, as they would arrive after those of the next holder.
 func (m *Manager) Release(ctx context.Context) {
-	state := m.State()
+	state, upToDate := m.State()
 	err := errConflictResolved
 	for attempt := 0; attempt < releaseAttempts && errors.Is(err, errConflictResolved); attempt++ {
 		m.mu.Lock()
 		ownsLatest := m.elector.ownsLatest()
-		r, revision := m.elector.ReleaseRecord(state), m.elector.Latest().Revision
+		r, revision := m.elector.ReleaseRecord(state, upToDate), m.elector.Latest().Revision
 		m.elector.Released(clock.NowExact())
 		m.mu.Unlock()
 		if !ownsLatest {
--- a/pkg/lease/simulation_test.go
+++ b/pkg/lease/simulation_test.go
@@ -225,7 +225,7 @@
 	case StepAcquire:
 		p.record = b.elector.AcquireRecord()
 	case StepRenew:
-		p.record = b.elector.RenewRecord(nil)
+		p.record = b.elector.RenewRecord(nil, true)
 	}
 	b.pending = p
 }
@@ -332,7 +332,7 @@
 // stop shuts a box down gracefully: it releases the lease and restarts later.
 func (sim *simulation) stop(b *simulatedBox) {
 	if _, _, ok := b.elector.Holding(sim.elapsed(b)); ok && b.pending == nil {
-		r, revision := b.elector.ReleaseRecord(nil), b.elector.Latest().Revision
+		r, revision := b.elector.ReleaseRecord(nil, true), b.elector.Latest().Revision
 		b.elector.Released(sim.elapsed(b))
 		if !sim.now.Before(b.storeCutUntil) && !sim.now.Before(sim.storeDownUntil) && sim.write(r, revision) {
 			sim.announce(b, sim.store.stored)
--- a/pkg/routerd/fleetduties.go
+++ b/pkg/routerd/fleetduties.go
@@ -147,8 +147,8 @@
 	}
 }
 
-// state returns the duties' state that is stored with the lease.
-func (f *fleetDuties) state() []byte { return f.duties.State() }
+// state returns the duties' state that is stored with the lease, and whether it is up to date.
+func (f *fleetDuties) state() (state []byte, upToDate bool) { return f.duties.State() }
 
 // restoreState restores the state stored by the previous holder.
 func (f *fleetDuties) restoreState(state []byte, restored bool) { f.duties.Restore(state, restored) }
