upstream: a response whose status is not from 100 to 599 is malformed

Cause: a status below 200 counted as an interim response, after which the next one is awaited, and any other one as a response.

Why it works: conn.readHead is where all headers of servers are read, for requests, reports and the product's own path. Read: CheckPath (any bytes show a sound path; a status below 200 is not used again), the store's client and the platform's interface (anything but 2xx is an error), net/http for boxes.

--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -76,6 +76,9 @@
 	c.head.start(buffered)
 	defer c.head.stop()
 	resp, err = http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err == nil {
+		err = checkStatus(resp)
+	}
 	if err == nil {
 		err = checkFraming(resp, c.head.recorded)
 	}
--- a/pkg/upstream/framing.go
+++ b/pkg/upstream/framing.go
@@ -29,6 +29,20 @@
 	return n, err
 }
 
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// checkStatus returns an error if the status of a response is none of HTTP. Anything below 200 would else count as an interim response,
+// after which another one is awaited.
+func checkStatus(r *http.Response) error {
+	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
+		return &MalformedResponseError{Reason: "its status is not from 100 to 599"}
+	}
+	return nil
+}
+
 // checkFraming returns an error if the header of a response, whose bytes head begins with, allows more than
 // one framing. The caller could read another end out of it, or the next response.
 func checkFraming(r *http.Response, head []byte) error {
