upstream: errors of malformed responses do not quote what the server sent

What callers saw: the text of the box's own 502 quotes the status line, a header line, a length, a coding or a trailer that a faulty server sent. Such bytes belong to no request, and may be meant for another organisation's caller.

Cause: the errors of net/http's parsers were passed on, which quote what they can't parse.

Why it works: upstream replaces each error that is not one of the connection itself, for headers and bodies. Read: errors of tunnels (reasons are the box's own words), of the store and other boxes (in logs only, never in a response).

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -162,7 +162,7 @@
 	framing := framingOf(raw)
 	return &Response{
 		Via: conn.via(), ConnOpened: conn.opened, Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, Framing: framing, Identity: x.identity,
-		Body: &body{reader: raw.Body, framing: framing, onBreak: x.recordBreak}, exchange: x, raw: raw,
+		Body: &body{reader: raw.Body, framing: framing, conn: conn, onBreak: x.recordBreak}, exchange: x, raw: raw,
 	}, nil
 }
 
@@ -265,7 +265,7 @@
 			return nil, &MalformedResponseError{Reason: "an answer to another request ends the connection"}
 		}
 		if _, err := io.Copy(io.Discard, raw.Body); err != nil {
-			return nil, err
+			return nil, x.conn.withoutContent(err, "the body of an answer to another request can't be parsed")
 		}
 	}
 	return nil, &MalformedResponseError{Reason: "only answers to other requests came"}
--- a/pkg/upstream/end.go
+++ b/pkg/upstream/end.go
@@ -81,6 +81,7 @@
 	end     atomic.Int32
 	bytes   atomic.Int64
 	err     error
+	conn    *conn
 	// onBreak is called once the server has ended the connection within the response.
 	onBreak func()
 }
@@ -96,6 +97,9 @@
 		err = ErrConnectionEnded
 	}
 	if err != nil {
+		if err != ErrConnectionEnded {
+			err = b.conn.withoutContent(err, "its body can't be parsed")
+		}
 		b.err = err
 		b.end.Store(int32(EndOf(err)))
 		if isBreak(err) {
--- a/pkg/upstream/framing.go
+++ b/pkg/upstream/framing.go
@@ -12,6 +12,8 @@
 	reader    io.Reader
 	recording bool
 	recorded  []byte
+	// err is the error that ended the connection, nil until then.
+	err error
 }
 
 func (r *headRecorder) start(buffered []byte) {
@@ -26,6 +28,9 @@
 	if r.recording {
 		r.recorded = append(r.recorded, p[:n]...)
 	}
+	if err != nil {
+		r.err = err
+	}
 	return n, err
 }
 
