gateway: a request that may outlast a stopping box is not sent late in the grace period

Requests that arrive late were refused already, and none was cut without an answer.

Cause: whether a request may outlast the box was asked only as its header was read.

Why it works: beforeSend, which all sends pass, asks again before the first one. Later sends of a request that may have run are left to the retry budget. Read: admission (queues pass beforeSend), tunnels of other boxes (end with the grace period; the first box answers).

--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -125,7 +125,7 @@
 	}
 	ask := admission.Ask{Wait: x.expectedWait, Remaining: remaining}
 	if s := x.gateway.Shutdown(); s != nil {
-		ask.Notice = s.RefuseStreamsAfter
+		ask.Notice = s.StartUntil
 	}
 	return x.gateway.turns.take(x.turnLine(), ask, now)
 }
--- a/pkg/gateway/admit_test.go
+++ b/pkg/gateway/admit_test.go
@@ -57,7 +57,7 @@
 	now := clock.Now()
 	x := admittedExchange(0)
 	x.deadline = now.Add(20 * time.Second)
-	x.gateway.Shutdown = func() *Shutdown { return &Shutdown{RefuseStreamsAfter: now.Add(time.Second)} }
+	x.gateway.Shutdown = func() *Shutdown { return &Shutdown{StartUntil: now.Add(time.Second)} }
 	for range 20 {
 		retryAfter, turn := x.admissionRetryAfter(admission.Policy{Turns: true}, now)
 		assert.True(t, turn == admission.TurnOff || retryAfter <= time.Second, "%s %s", turn, retryAfter)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -69,15 +69,6 @@
 	Shutdown func() *Shutdown
 }
 
-// Shutdown describes a planned shutdown. Requests that may not finish before its deadline are
-// refused.
-type Shutdown struct {
-	// RefuseStreamsAfter is the time from which on new streams are refused.
-	RefuseStreamsAfter time.Time
-	// Deadline is when the process exits.
-	Deadline time.Time
-}
-
 // Gateway is the HTTP handler for callers' requests.
 type Gateway struct {
 	Deps
@@ -341,18 +332,6 @@
 	return &CallError{Status: status, Message: message}
 }
 
-// checkShutdown refuses requests that may not finish before the box exits.
-func (x *exchange) checkShutdown() error {
-	if x.shutdown == nil {
-		return nil
-	}
-	stream := x.route.Kind == routing.KindStream
-	if stream && x.arrival.After(x.shutdown.RefuseStreamsAfter) || !stream && x.deadline.After(x.shutdown.Deadline) {
-		return &RefusedError{Reason: "the box is about to stop", RetryAfter: shutdownRetryAfter}
-	}
-	return nil
-}
-
 // readBody reads the body within the limits on its size and on the memory of the box.
 func (x *exchange) readBody() error {
 	x.limitBodyReads()
--- a/pkg/gateway/retrybudget.go
+++ b/pkg/gateway/retrybudget.go
@@ -36,11 +36,16 @@
 // releaseRetry returns the charge of a retry that was not sent.
 func (x *exchange) releaseRetry() { x.sends.retry.Release(clock.Now()) }
 
-// beforeSend counts a request that is about to be written to a server. All sends pass it, and each after the
-// first needs a retry that was charged for it.
+// beforeSend counts a request that is about to be written to a server. All sends pass it. The first one must not be too late in a
+// shutdown, and each further one needs a retry that was charged for it.
 func (x *exchange) beforeSend() error {
 	now := clock.Now()
 	x.sends.chargeAge = 0
+	if x.sends.count == 0 {
+		if err := x.checkSendDuringShutdown(now); err != nil {
+			return err
+		}
+	}
 	if x.sends.count > 0 {
 		if x.sends.retry == nil || !x.sends.retry.Send(now) {
 			x.logRetryDenied(now)
@@ -52,6 +57,11 @@
 	return nil
 }
 
+// isSendDenied reports whether an error is one of beforeSend, after which no other server is tried.
+func isSendDenied(err error) bool {
+	return errors.Is(err, errRetryDenied) || errors.Is(err, errStopping)
+}
+
 func (x *exchange) logRetryDenied(now time.Time) {
 	u := x.gateway.Budget.Usage(x.service.Name, now)
 	_ = level.Info(x.gateway.Logger).Log("msg", "retry denied by the budget", "id", x.call.ID, "service", x.service.Name,
--- a/pkg/gateway/retrybudget_test.go
+++ b/pkg/gateway/retrybudget_test.go
@@ -14,7 +14,7 @@
 func newBudgetedExchange(slack float64) *exchange {
 	b := retry.NewBudget(retry.Limits{Window: time.Minute, Slack: slack}, time.Now().Add(-time.Hour))
 	b.ObserveRoster(1, true, time.Now())
-	return &exchange{gateway: &Gateway{Deps: Deps{Budget: b, Logger: log.NewNopLogger()}}, service: &routing.Service{Name: "s"}}
+	return &exchange{gateway: &Gateway{Deps: Deps{Budget: b, Logger: log.NewNopLogger(), Shutdown: func() *Shutdown { return nil }}}, service: &routing.Service{Name: "s"}}
 }
 
 // Guards against a path by which a request is sent again without a charge to the retry budget.
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -82,7 +82,7 @@
 			if !x.quarantineAllowsRetry() {
 				return x.finalError(f)
 			}
-		case errors.Is(f.cause, errRetryDenied):
+		case isSendDenied(f.cause):
 			return x.finalError(f)
 		case f.notSent && !f.usesRetryBudget && !x.mayHaveRun && !x.headSent:
 			if err := x.waitForServer(ctx, f); err != nil {
@@ -103,7 +103,7 @@
 	if x.mayHaveRun && !x.route.Repeatable() {
 		return false
 	}
-	if x.headSent && !x.route.Resumable || errors.Is(f.cause, errRetryDenied) || !x.quarantineAllowsRetry() {
+	if x.headSent && !x.route.Resumable || isSendDenied(f.cause) || !x.quarantineAllowsRetry() {
 		return false
 	}
 	if f.notSent {
@@ -153,6 +153,8 @@
 		return x.sendBuffered(f.response)
 	case x.mayHaveRun:
 		return &UnknownError{Cause: f.cause}
+	case errors.Is(f.cause, errStopping):
+		return &RefusedError{Reason: errStopping.Error(), RetryAfter: shutdownRetryAfter}
 	}
 	return &RefusedError{Reason: f.cause.Error(), RetryAfter: x.retryAfterRefusal(clock.Now())}
 }
@@ -262,7 +264,7 @@
 	if x.via = viaOf(resp, err); x.via != "" {
 		lease.MarkRelayed()
 	}
-	if errors.Is(err, errRetryDenied) {
+	if isSendDenied(err) {
 		return &failure{result: balancer.ResultAbandoned, notExecuted: true, notSent: true, cause: err}, nil
 	}
 	if upstream.IsNotSent(err) {
--- a/pkg/routerd/stop.go
+++ b/pkg/routerd/stop.go
@@ -17,9 +17,9 @@
 	// killMargin is reserved for cleanup between the last response and the kill.
 	killMargin       = 600 * time.Millisecond
 	idlePollInterval = 20 * time.Millisecond
-	// streamAcceptTime is how long after the signal new streams are accepted. The load balancer
-	// sends its last requests within this time.
-	streamAcceptTime = 2500 * time.Millisecond
+	// startTime is how long after the signal streams, and other requests that may outlast the grace period, are sent to
+	// servers. The load balancer sends its last requests within this time.
+	startTime = 2500 * time.Millisecond
 )
 
 // Stop stops the daemon gracefully. The box becomes not ready and serves requests until the load
@@ -27,7 +27,7 @@
 func (d *Daemon) Stop() {
 	start := clock.Now()
 	deadline := start.Add(d.settings.Load().Bounds.Grace - killMargin)
-	d.shutdown.Store(&gateway.Shutdown{RefuseStreamsAfter: start.Add(streamAcceptTime), Deadline: deadline})
+	d.shutdown.Store(&gateway.Shutdown{StartUntil: start.Add(startTime), Deadline: deadline})
 	// Close keep-alive connections once they are idle, so that callers send their next request to
 	// another box.
 	d.conns.closeIdle()
