--- a/pkg/routerd/join_test.go
+++ b/pkg/routerd/join_test.go
@@ -12,6 +12,7 @@
 
 	"headhill.example/headhill/pkg/clock"
 	"headhill.example/headhill/pkg/directory"
+	"headhill.example/headhill/pkg/gateway"
 	"headhill.example/headhill/pkg/logflags"
 	"headhill.example/headhill/pkg/quarantine"
 	"headhill.example/headhill/pkg/resumption"
@@ -38,6 +39,11 @@
 	return r.entries, r.revision, r.err
 }
 
+// noIDs is a protocol whose requests have no IDs, and which is not used otherwise.
+type noIDs struct{ gateway.Protocol }
+
+func (noIDs) IDHeader() string { return "" }
+
 // newTestDaemon returns a daemon that has not been started and whose roster store holds n other
 // boxes.
 func newTestDaemon(t *testing.T, n int) (*Daemon, *staticRoster) {
@@ -50,6 +56,7 @@
 	s.Listen = ListenSettings{Caller: "127.0.0.1:0", Ready: "127.0.0.1:0", Metrics: "127.0.0.1:0", Peer: "127.0.0.1:0"}
 	s.Bounds.RetrySlack = 200
 	d, err := New(s, Adapter{
+		Protocol:     noIDs{},
 		Source:       func(StoreAccess) directory.Source { return nil },
 		Roster:       func(StoreAccess) roster.Store { return r },
 		Quarantine:   func(StoreAccess) quarantine.Store { return nil },
