gateway: only a stream continues one

Cause: that the header of the response had been sent was looked at for responses that were buffered. One without memory for a buffer, or longer than that, was passed on as it came, into the stream.

Why it works: exchange.send, where each response to an attempt arrives, decides it before anything of the body is read. Read: forwardStream (the head of a stream that goes on is not sent again), sendBuffered (only from finalError, which looks at headSent first).

--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -72,8 +72,8 @@
 		}
 	}
 	buffered := &bufferedResponse{status: resp.Status, header: resp.Header, body: body, end: end}
-	if resp.Status >= http.StatusInternalServerError || x.headSent {
-		return &failure{result: resultOfStatus(resp.Status), cause: errors.New("server answered " + strconv.Itoa(resp.Status)), response: buffered}, nil
+	if resp.Status >= http.StatusInternalServerError {
+		return serverFailure(resp.Status, buffered), nil
 	}
 	return nil, x.sendBuffered(buffered)
 }
@@ -97,6 +97,12 @@
 	return balancer.ResultFailed
 }
 
+// serverFailure returns the failure of an attempt that a server answered with a status. The response is that to be forwarded if there is no
+// further attempt, or nil.
+func serverFailure(status int, response *bufferedResponse) *failure {
+	return &failure{result: resultOfStatus(status), cause: errors.New("server answered " + strconv.Itoa(status)), response: response}
+}
+
 // sendBuffered sends a buffered response to the caller.
 func (x *exchange) sendBuffered(resp *bufferedResponse) error {
 	copyHeader(x.writer.Header(), resp.header)
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -294,6 +294,10 @@
 		return &failure{result: balancer.ResultRefused, notExecuted: true, cause: &notExecutedError{Server: lease.Server.ID, Status: resp.Status}}, nil
 	case isStream(resp):
 		return x.forwardStream(ctx, resp, lease)
+	case x.headSent:
+		// Only a stream can continue one.
+		drain(resp)
+		return serverFailure(resp.Status, nil), nil
 	}
 	return x.forwardBuffered(ctx, resp, lease)
 }
