callerconn: idle connections give way to new ones at the limit, and a box that takes none is not ready

Cause: at the limit the listener closed what came last, whatever the others were used for; readiness did not look at it.

Why it works: connTracker keeps the idle connections in the order of their idleness, without those over which a request arrives, and the listener has the first one closed. If none is idle for a second, Ready is false, so that the load balancer sends new connections elsewhere. Read: overload.Gate (closes for lack of processor time, another matter), the listeners of peers and metrics (limits of their own).

--- a/pkg/callerconn/listener.go
+++ b/pkg/callerconn/listener.go
@@ -3,34 +3,80 @@
 import (
 	"net"
 	"sync"
+	"time"
+
+	"headhill.example/headhill/pkg/clock"
 )
 
-// LimitListener returns a TCP listener that has at most n open connections at once and closes others unread, so
-// that their callers don't wait for a place that may not come free. It calls rejected for each of those.
-func LimitListener(l net.Listener, n int, rejected func()) net.Listener {
-	return &limitListener{Listener: l, slots: make(chan struct{}, n), rejected: rejected}
-}
+const (
+	// fullDelay is for how long a listener must have taken no connection to be full, fullMemory how long it is after it closed the
+	// last one unread.
+	fullDelay  = time.Second
+	fullMemory = 2 * time.Second
+)
 
-type limitListener struct {
+// LimitedListener is a TCP listener that has a number of open connections at most. For a further one it closes one of them that can
+// be spared. If there is none, it closes the new one unread, so that its caller doesn't wait for a place that may not come free.
+type LimitedListener struct {
 	net.Listener
-	slots    chan struct{}
+	slots chan struct{}
+	// makeRoom closes a connection that can be spared and reports whether it did. rejected is called for each that is closed unread.
+	makeRoom func() bool
 	rejected func()
+
+	mu sync.Mutex
+	// rejectingSince is when the first connection was closed unread since one was taken, zero for none, rejectedAt the last one.
+	rejectingSince, rejectedAt time.Time
+}
+
+// LimitListener returns a listener that has at most n open connections at once.
+func LimitListener(l net.Listener, n int, makeRoom func() bool, rejected func()) *LimitedListener {
+	return &LimitedListener{Listener: l, slots: make(chan struct{}, n), makeRoom: makeRoom, rejected: rejected}
 }
 
 // Accept implements net.Listener. It waits for a connection that has a place.
-func (l *limitListener) Accept() (net.Conn, error) {
+func (l *LimitedListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		select {
-		case l.slots <- struct{}{}:
+		taken := l.takeSlot() || l.makeRoom() && l.takeSlot()
+		l.record(taken, clock.Now())
+		if taken {
 			return &limitedConn{Conn: c, release: sync.OnceFunc(func() { <-l.slots })}, nil
-		default:
-			l.rejected()
-			_ = c.Close()
 		}
+		l.rejected()
+		_ = c.Close()
+	}
+}
+
+func (l *LimitedListener) record(taken bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case taken:
+		l.rejectingSince = time.Time{}
+		return
+	case l.rejectingSince.IsZero():
+		l.rejectingSince = now
+	}
+	l.rejectedAt = now
+}
+
+// Full reports whether the listener has closed all connections unread for some time.
+func (l *LimitedListener) Full(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.rejectingSince.IsZero() && now.Sub(l.rejectingSince) >= fullDelay && now.Sub(l.rejectedAt) < fullMemory
+}
+
+func (l *LimitedListener) takeSlot() bool {
+	select {
+	case l.slots <- struct{}{}:
+		return true
+	default:
+		return false
 	}
 }
 
--- a/pkg/callerconn/listener_test.go
+++ b/pkg/callerconn/listener_test.go
@@ -15,7 +15,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	var rejected atomic.Int32
-	l := LimitListener(inner, 2, func() { rejected.Add(1) })
+	l := LimitListener(inner, 2, func() bool { return false }, func() { rejected.Add(1) })
 	accepted := make(chan net.Conn)
 	ended := make(chan error, 1)
 	go func() {
@@ -86,3 +86,38 @@
 	require.Error(t, err)
 	assert.NotErrorIs(t, err, os.ErrDeadlineExceeded)
 }
+
+// Guards against a listener that closes new connections although it could spare others, and against one that does not tell that it
+// takes none.
+func TestLimitListenerMakesRoom(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer inner.Close()
+	open := make(chan net.Conn, 10)
+	spare := true
+	l := LimitListener(inner, 2, func() bool {
+		if spare {
+			(<-open).Close()
+		}
+		return spare
+	}, func() {})
+	for range 5 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		defer c.Close()
+		accepted, err := l.Accept()
+		require.NoError(t, err)
+		open <- accepted
+	}
+	assert.Len(t, open, 2)
+
+	now := time.Unix(100, 0)
+	assert.False(t, l.Full(now))
+	l.record(false, now)
+	assert.False(t, l.Full(now), "a single connection")
+	l.record(false, now.Add(fullDelay))
+	assert.True(t, l.Full(now.Add(fullDelay)))
+	assert.False(t, l.Full(now.Add(fullDelay+fullMemory)), "no further ones come")
+	l.record(true, now.Add(fullDelay))
+	assert.False(t, l.Full(now.Add(fullDelay)), "one was taken")
+}
--- a/pkg/routerd/connections.go
+++ b/pkg/routerd/connections.go
@@ -1,6 +1,7 @@
 package routerd
 
 import (
+	"container/list"
 	"context"
 	"net"
 	"net/http"
@@ -14,9 +15,11 @@
 // http.Server.Shutdown may close a connection between reading a request and calling the handler.
 type connTracker struct {
 	// keep reports whether a connection with a further request should be kept after the response.
-	keep     func() bool
-	mu       sync.Mutex
-	open     map[net.Conn]*trackedConn
+	keep func() bool
+	mu   sync.Mutex
+	open map[net.Conn]*trackedConn
+	// resting holds the idle connections over which nothing has been received since, those that have been idle for longest first.
+	resting  *list.List
 	stopping bool
 }
 
@@ -24,6 +27,8 @@
 type trackedConn struct {
 	conn  net.Conn
 	state connState
+	// resting is the place in connTracker.resting, nil for none.
+	resting *list.Element
 }
 
 // connState is the state of a connection.
@@ -44,7 +49,7 @@
 
 // newConnTracker installs a tracker in a server that has not been started.
 func newConnTracker(s *http.Server, keep func() bool) *connTracker {
-	t := &connTracker{keep: keep, open: make(map[net.Conn]*trackedConn)}
+	t := &connTracker{keep: keep, open: make(map[net.Conn]*trackedConn), resting: list.New()}
 	s.ConnContext = t.onConnect
 	s.ConnState = t.onStateChange
 	s.Handler = t.wrapHandler(s.Handler)
@@ -65,18 +70,45 @@
 func (t *connTracker) onStateChange(conn net.Conn, state http.ConnState) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	tc := t.open[conn]
+	if tc == nil {
+		return
+	}
+	t.endRestLocked(tc)
 	switch state {
 	case http.StateIdle:
-		tc := t.open[conn]
 		tc.state = connIdle
 		if t.stopping {
 			tc.closeLocked()
+			return
 		}
+		tc.resting = t.resting.PushBack(tc)
 	case http.StateClosed, http.StateHijacked:
 		delete(t.open, conn)
 	}
 }
 
+func (t *connTracker) endRestLocked(tc *trackedConn) {
+	if tc.resting != nil {
+		t.resting.Remove(tc.resting)
+		tc.resting = nil
+	}
+}
+
+// closeLongestIdle closes the connection that has been idle for longest. It returns false if none is idle.
+func (t *connTracker) closeLongestIdle() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	longest := t.resting.Front()
+	if longest == nil {
+		return false
+	}
+	tc := longest.Value.(*trackedConn)
+	t.endRestLocked(tc)
+	tc.closeLocked()
+	return true
+}
+
 // closeLocked closes a connection without a request in flight. connTracker.mu must be held.
 func (tc *trackedConn) closeLocked() {
 	tc.state = connClosed
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -145,9 +145,11 @@
 	// gate decides which new connections of callers are read.
 	gate *overload.Gate
 	// rejectedConns counts the connections that were closed as there were too many, of which was last logged at
-	// rejectedLoggedAt.
-	rejectedConns                                                    atomic.Int64
-	rejectedLoggedAt                                                 time.Time
+	// rejectedLoggedAt. reclaimedConns counts the idle ones that were closed to make room for others.
+	rejectedConns, reclaimedConns atomic.Int64
+	rejectedLoggedAt              time.Time
+	// limitedCallers is callerListener with the limits on its connections.
+	limitedCallers                                                   *callerconn.LimitedListener
 	callerListener, readyListener, metricsListener, snapshotListener net.Listener
 	peerConn                                                         net.PacketConn
 
@@ -424,6 +426,7 @@
 		DisableGeneralOptionsHandler: true,
 	}
 	d.conns = newConnTracker(d.callerServer, d.keepConnection)
+	d.limitedCallers = d.limitCallers(d.settings.Load().Limits)
 	readyRouter := httprouter.New()
 	readyRouter.GET(readiness.Path, readiness.Handler(d.Ready))
 	d.readyServer = &http.Server{Handler: readyRouter, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -451,7 +454,7 @@
 		d.peers.Listen,
 		func() { d.upstream.Run(d.ctx) },
 		func() {
-			d.logServeError("caller", d.callerServer.Serve(d.limitCallers(s.Limits)))
+			d.logServeError("caller", d.callerServer.Serve(d.limitedCallers))
 		},
 		func() { d.logServeError("ready", d.readyServer.Serve(d.readyListener)) },
 		func() { d.logServeError("metrics", d.metricsServer.Serve(d.metricsListener)) },
@@ -463,12 +466,21 @@
 }
 
 // limitCallers returns the listener for callers with the limits on their connections.
-func (d *Daemon) limitCallers(l LimitSettings) net.Listener {
+func (d *Daemon) limitCallers(l LimitSettings) *callerconn.LimitedListener {
 	listener := d.callerListener
 	if l.CloseWhenOverloaded {
 		listener = callerconn.GateListener(listener, d.gate.Admit)
 	}
-	return callerconn.LimitListener(listener, maxCallerConns(l), d.recordRejectedConnection)
+	return callerconn.LimitListener(listener, maxCallerConns(l), d.makeRoomForCaller, d.recordRejectedConnection)
+}
+
+// makeRoomForCaller closes a connection that a caller keeps without using it.
+func (d *Daemon) makeRoomForCaller() bool {
+	if !d.conns.closeLongestIdle() {
+		return false
+	}
+	d.reclaimedConns.Add(1)
+	return true
 }
 
 // recordRejectedConnection counts a connection that was closed as there are too many, and logs the count at most
@@ -478,7 +490,7 @@
 	if now := clock.Now(); now.Sub(d.rejectedLoggedAt) > rejectedLogInterval {
 		d.rejectedLoggedAt = now
 		_ = level.Warn(d.logger).Log("msg", "too many connections", "limit", maxCallerConns(d.settings.Load().Limits), "closed", d.rejectedConns.Load(),
-			"outcome", "further ones are closed unread")
+			"reclaimed", d.reclaimedConns.Load(), "outcome", "further ones are closed unread")
 	}
 }
 
@@ -502,8 +514,10 @@
 	}
 }
 
-// Ready reports whether the box should receive requests.
-func (d *Daemon) Ready() bool { return d.shutdown.Load() == nil && d.directory.Loaded() }
+// Ready reports whether the box should receive requests. One that takes no more connections should not.
+func (d *Daemon) Ready() bool {
+	return d.shutdown.Load() == nil && d.directory.Loaded() && !d.limitedCallers.Full(clock.Now())
+}
 
 // Reload applies changed settings. Changes to the box, the listen addresses and the limits take
 // effect only after a restart.
--- a/pkg/routerd/gauges.go
+++ b/pkg/routerd/gauges.go
@@ -204,10 +204,10 @@
 // callerConnectionsGauge returns the gauge for new connections of callers.
 func callerConnectionsGauge(d *Daemon) telemetry.Gauge {
 	return telemetry.Gauge{
-		Name: "headhill_caller_connections", Help: "Connections of callers since the start that were read (admitted), closed unread, and closed after a further response (ended), the last two for lack of processor time; and closed unread as there were too many (rejected).",
+		Name: "headhill_caller_connections", Help: "Connections of callers since the start that were read (admitted), closed unread, and closed after a further response (ended), the last two for lack of processor time; closed unread as there were too many (rejected), and closed while idle to make room for others (reclaimed).",
 		Attribute: "state", Observe: func() map[string]int64 {
 			t := d.gate.Totals()
-			return map[string]int64{"admitted": t.Admitted, "closed": t.Closed, "ended": t.Ended, "rejected": d.rejectedConns.Load()}
+			return map[string]int64{"admitted": t.Admitted, "closed": t.Closed, "ended": t.Ended, "rejected": d.rejectedConns.Load(), "reclaimed": d.reclaimedConns.Load()}
 		},
 	}
 }
