gateway: the timeout of an attempt ends as its response begins to be sent

Cause: the timeout, meant for a server that does not answer, was the context's of the whole attempt.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -175,6 +175,8 @@
 	// sent, "" if it was sent directly.
 	attemptStart time.Time
 	via          string
+	// attemptTimeout cancels the attempt, nil if it has no timeout.
+	attemptTimeout *time.Timer
 	// avoided are the versions that the latest attempt avoided, as they are not in the record.
 	avoided []string
 	// attempted lists the servers that received the request, in order. unreachable lists those that
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -373,14 +373,28 @@
 }
 
 // attemptContext returns the context of one attempt. An attempt that may be retried elsewhere gets
-// a timeout, so that it does not wait for an unresponsive server until the deadline.
+// a timeout, so that it does not wait for an unresponsive server until the deadline. It ends with keepAttempt.
 func (x *exchange) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	x.attemptTimeout = nil
 	timeout := max(attemptTimeoutTargets*x.route.FirstEventTarget, minAttemptTimeout)
 	attemptsLeft := len(x.attempted)+1 < x.route.MaxAttempts
 	if x.service.Engine || !x.route.Repeatable() || !attemptsLeft || clock.Until(x.deadline) < 2*timeout {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithCancelCause(ctx)
+	x.attemptTimeout = time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
+	return ctx, func() {
+		x.attemptTimeout.Stop()
+		cancel(nil)
+	}
+}
+
+// keepAttempt ends the timeout of the attempt, as something of its response is sent to the caller: how long the rest takes is up to
+// both of them.
+func (x *exchange) keepAttempt() {
+	if x.attemptTimeout != nil {
+		x.attemptTimeout.Stop()
+	}
 }
 
 func (x *exchange) rank() int { return x.view.Table.Rank(x.organisation, x.route) }
