--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -382,9 +382,10 @@
 		return context.WithCancel(ctx)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	x.attemptTimeout = time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
+	timer := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
+	x.attemptTimeout = timer
 	return ctx, func() {
-		x.attemptTimeout.Stop()
+		timer.Stop()
 		cancel(nil)
 	}
 }
