gateway: a stream that its server turns away with 4xx is not counted as begun

Cause, from a trial that logs the requests without a run: the request is one for a stream that a server answered with 413 before it had read it. Responses other than streams were counted as started when they were sent, also on routes of streams, whose requests begin with their first event.

Evidence: TestWhatCountsAsUsage with such a response, 2 counted before, 1 after. Other statuses are counted as before: a server may have begun.

--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -51,7 +51,7 @@
 // forwardBuffered reads the whole response before it forwards any of it, so that a truncated
 // response never reaches the caller.
 func (x *exchange) forwardBuffered(ctx context.Context, resp *upstream.Response, lease *balancer.Lease) (*failure, error) {
-	x.recordStart(x.attemptStart)
+	x.recordResponse(resp.Status)
 	if err := x.checkLength(resp); err != nil {
 		resp.Close()
 		return &failure{result: balancer.ResultFailed, cause: err}, nil
--- a/pkg/gateway/usage.go
+++ b/pkg/gateway/usage.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
 	"headhill.example/headhill/pkg/routing"
@@ -28,3 +29,11 @@
 		x.recordStart(x.attemptStart)
 	}
 }
+
+// recordResponse counts a request as started whose response is no stream. A server that answers a request for one with 4xx has turned
+// it away before its first event.
+func (x *exchange) recordResponse(status int) {
+	if x.route.Kind != routing.KindStream || status < http.StatusBadRequest || status >= http.StatusInternalServerError {
+		x.recordStart(x.attemptStart)
+	}
+}
