tunnel: errors do not quote what answered at the address of another box

What callers may see: a box that finds no way to a server refuses a request with the text of its errors, among them those of tunnels. They quote a malformed answer, and any reason of a refusal, of whatever program has the address of the box that was asked.

--- a/pkg/tunnel/client.go
+++ b/pkg/tunnel/client.go
@@ -42,7 +42,8 @@
 	relay  string
 	reader *bufio.Reader
 	// limit caps what is read of the answer to the request for the tunnel.
-	limit *io.LimitedReader
+	limit    *io.LimitedReader
+	received *errorReader
 	// remaining is what is left of the current frame.
 	remaining int
 	// stopping is set once the relay has announced that it is shutting down.
@@ -51,9 +52,25 @@
 	ended error
 }
 
+// errorReader keeps the error with which a reader ended.
+type errorReader struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (r *errorReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if err != nil {
+		r.err = err
+	}
+	return n, err
+}
+
 func newConn(raw net.Conn, relay string) *conn {
-	limit := &io.LimitedReader{R: raw, N: maxAnswerBytes}
-	return &conn{Conn: raw, relay: relay, limit: limit, reader: bufio.NewReaderSize(limit, maxFrameBytes+frameHeaderBytes)}
+	received := &errorReader{Reader: raw}
+	limit := &io.LimitedReader{R: received, N: maxAnswerBytes}
+	return &conn{Conn: raw, relay: relay, limit: limit, received: received, reader: bufio.NewReaderSize(limit, maxFrameBytes+frameHeaderBytes)}
 }
 
 // maxAnswerBytes limits what is read of the answer to a request for a tunnel. Another program may have taken the address
@@ -67,18 +84,14 @@
 	}
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodConnect})
 	if err != nil {
-		return err
+		return upstream.WithoutContent(err, c.received.err, "the answer to the request for a tunnel can't be parsed")
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusOK {
 		c.limit.N = math.MaxInt64
 		return nil
 	}
-	reason := Reason(resp.Header.Get(headerReason))
-	if reason == "" {
-		reason = ReasonUnsupported
-	}
-	return &RefusedError{Relay: c.relay, Server: server, Reason: reason}
+	return &RefusedError{Relay: c.relay, Server: server, Reason: parseReason(resp.Header.Get(headerReason))}
 }
 
 // Read implements net.Conn. It returns io.EOF only if the server closed its connection, and a
--- a/pkg/tunnel/errors.go
+++ b/pkg/tunnel/errors.go
@@ -5,7 +5,7 @@
 // Reason tells why a relay opened no tunnel.
 type Reason string
 
-// Reasons. All but ReasonUnsupported are sent in the header headerReason.
+// Reasons. All but ReasonUnsupported and ReasonOther are sent in the header headerReason.
 const (
 	// ReasonIsolated means that the relay has no links to the servers itself.
 	ReasonIsolated Reason = "isolated"
@@ -22,8 +22,22 @@
 	ReasonUnknownBox    Reason = "unknown-box"
 	// ReasonUnsupported means that the relay's build has no tunnels.
 	ReasonUnsupported Reason = "unsupported"
+	// ReasonOther stands for those that this build does not know. Errors must not quote them: another program may have taken the address
+	// of a box.
+	ReasonOther Reason = "other"
 )
 
+// parseReason returns the reason that a relay sent.
+func parseReason(sent string) Reason {
+	switch r := Reason(sent); r {
+	case "":
+		return ReasonUnsupported
+	case ReasonIsolated, ReasonServerRefused, ReasonServerSilent, ReasonBusy, ReasonStopping, ReasonUnknownServer, ReasonUnknownBox:
+		return r
+	}
+	return ReasonOther
+}
+
 // RefusedError is returned if a relay opened no tunnel.
 type RefusedError struct {
 	Relay, Server string
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -85,14 +85,9 @@
 	return resp, maxHeaderBytes - c.limit.N, c.withoutContent(err, "its header can't be parsed")
 }
 
-// withoutContent replaces an error of a parser, which quotes what was received: that may be meant for another caller. It returns
-// errors of the connection unchanged.
+// withoutContent is WithoutContent for errors of parsers that read from the connection.
 func (c *conn) withoutContent(err error, reason string) error {
-	var malformed *MalformedResponseError
-	if err == nil || err == io.EOF || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, c.head.err) || errors.As(err, &malformed) {
-		return err
-	}
-	return &MalformedResponseError{Reason: reason}
+	return WithoutContent(err, c.head.err, reason)
 }
 
 // directDialer is the Dialer of a client that has no other box to ask.
--- a/pkg/upstream/errors.go
+++ b/pkg/upstream/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"time"
 )
 
@@ -42,6 +43,16 @@
 	return "malformed answer: " + e.Reason + ": check the server"
 }
 
+// WithoutContent replaces an error of a parser, which quotes what was received: that may be meant for another caller. It returns
+// connErr, the error of the connection from which the parser read, and ends of that unchanged.
+func WithoutContent(err, connErr error, reason string) error {
+	var malformed *MalformedResponseError
+	if err == nil || err == io.EOF || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, connErr) || errors.As(err, &malformed) {
+		return err
+	}
+	return &MalformedResponseError{Reason: reason}
+}
+
 // IsNotSent reports whether err states that no byte of a request was written.
 func IsNotSent(err error) bool {
 	var e *NotSentError
