--- a/pkg/callerconn/listener.go
+++ b/pkg/callerconn/listener.go
@@ -9,23 +9,24 @@
 )
 
 const (
-	// fullDelay is for how long a listener must have taken no connection to be full, fullMemory how long it is after it closed the
-	// last one unread.
+	// A listener is full once it has accepted no connection for fullDelay, until it has closed none unread for fullRetention.
 	fullDelay  = time.Second
-	fullMemory = 2 * time.Second
+	fullRetention = 2 * time.Second
 )
 
-// LimitedListener is a TCP listener that has a number of open connections at most. For a further one it closes one of them that can
-// be spared. If there is none, it closes the new one unread, so that its caller doesn't wait for a place that may not come free.
+// LimitedListener is a TCP listener with a limit on its open connections. At the limit it closes one that is not in use for each new
+// one. If all are in use, it closes the new one unread, so that its caller doesn't wait for a place that may not come free.
 type LimitedListener struct {
 	net.Listener
 	slots chan struct{}
-	// makeRoom closes a connection that can be spared and reports whether it did. rejected is called for each that is closed unread.
+	// makeRoom closes a connection that is not in use and reports whether there was one. rejected is called for each new connection that
+	// is closed unread.
 	makeRoom func() bool
 	rejected func()
 
 	mu sync.Mutex
-	// rejectingSince is when the first connection was closed unread since one was taken, zero for none, rejectedAt the last one.
+	// rejectingSince is when the first connection was closed unread since one was accepted, zero for none, rejectedAt when the last one
+	// was.
 	rejectingSince, rejectedAt time.Time
 }
 
@@ -68,7 +69,7 @@
 func (l *LimitedListener) Full(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.rejectingSince.IsZero() && now.Sub(l.rejectingSince) >= fullDelay && now.Sub(l.rejectedAt) < fullMemory
+	return !l.rejectingSince.IsZero() && now.Sub(l.rejectingSince) >= fullDelay && now.Sub(l.rejectedAt) < fullRetention
 }
 
 func (l *LimitedListener) takeSlot() bool {
--- a/pkg/callerconn/listener_test.go
+++ b/pkg/callerconn/listener_test.go
@@ -87,8 +87,8 @@
 	assert.NotErrorIs(t, err, os.ErrDeadlineExceeded)
 }
 
-// Guards against a listener that closes new connections although it could spare others, and against one that does not tell that it
-// takes none.
+// Guards against a listener that closes new connections although others are not in use, and against one that accepts none and does not
+// report that it is full.
 func TestLimitListenerMakesRoom(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -117,7 +117,7 @@
 	assert.False(t, l.Full(now), "a single connection")
 	l.record(false, now.Add(fullDelay))
 	assert.True(t, l.Full(now.Add(fullDelay)))
-	assert.False(t, l.Full(now.Add(fullDelay+fullMemory)), "no further ones come")
+	assert.False(t, l.Full(now.Add(fullDelay+fullRetention)), "no further ones come")
 	l.record(true, now.Add(fullDelay))
 	assert.False(t, l.Full(now.Add(fullDelay)), "one was taken")
 }
--- a/pkg/gateway/callerend.go
+++ b/pkg/gateway/callerend.go
@@ -19,7 +19,7 @@
 	if framing == upstream.FramingClose {
 		callerconn.BeginUntilClose(x.writer, x.request)
 	}
-	x.keepAttempt()
+	x.stopAttemptTimeout()
 	x.extendWriteDeadline()
 	x.writer.WriteHeader(status)
 }
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -373,7 +373,7 @@
 }
 
 // attemptContext returns the context of one attempt. An attempt that may be retried elsewhere gets
-// a timeout, so that it does not wait for an unresponsive server until the deadline. It ends with keepAttempt.
+// a timeout, so that it does not wait for an unresponsive server until the deadline. stopAttemptTimeout ends it.
 func (x *exchange) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	x.attemptTimeout = nil
 	timeout := max(attemptTimeoutTargets*x.route.FirstEventTarget, minAttemptTimeout)
@@ -390,9 +390,9 @@
 	}
 }
 
-// keepAttempt ends the timeout of the attempt, as something of its response is sent to the caller: how long the rest takes is up to
-// both of them.
-func (x *exchange) keepAttempt() {
+// stopAttemptTimeout ends the timeout of the attempt, as something of its response is sent to the caller. How long the rest takes depends on
+// the server and the caller.
+func (x *exchange) stopAttemptTimeout() {
 	if x.attemptTimeout != nil {
 		x.attemptTimeout.Stop()
 	}
--- a/pkg/gateway/shutdown.go
+++ b/pkg/gateway/shutdown.go
@@ -10,7 +10,7 @@
 // Shutdown describes a planned shutdown. Requests that may not finish before its deadline are
 // refused.
 type Shutdown struct {
-	// StartUntil is when the last streams, and other requests that may outlast the deadline, are sent to servers.
+	// StartUntil is until when streams, and other requests that may last beyond the deadline, are sent to servers.
 	StartUntil time.Time
 	// Deadline is when the process exits.
 	Deadline time.Time
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -85,7 +85,7 @@
 		return err
 	}
 	x.writeStreamHead(resp)
-	x.keepAttempt()
+	x.stopAttemptTimeout()
 	x.extendWriteDeadline()
 	if _, err := x.writer.Write(events); err != nil {
 		return err
--- a/pkg/routerd/daemon.go
+++ b/pkg/routerd/daemon.go
@@ -514,7 +514,7 @@
 	}
 }
 
-// Ready reports whether the box should receive requests. One that takes no more connections should not.
+// Ready reports whether the box should receive requests. One that accepts no connections should not.
 func (d *Daemon) Ready() bool {
 	return d.shutdown.Load() == nil && d.directory.Loaded() && !d.limitedCallers.Full(clock.Now())
 }
--- a/pkg/upstream/framing.go
+++ b/pkg/upstream/framing.go
@@ -39,8 +39,8 @@
 	maxStatus = 599
 )
 
-// checkStatus returns an error if the status of a response is none of HTTP. Anything below 200 would else count as an interim response,
-// after which another one is awaited.
+// checkStatus returns an error if the status of a response is not valid in HTTP. Any status below 200 would otherwise count as that of
+// an interim response, after which another one is awaited.
 func checkStatus(r *http.Response) error {
 	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
 		return &MalformedResponseError{Reason: "its status is not from 100 to 599"}
