--- a/pkg/callerconn/listener.go
+++ b/pkg/callerconn/listener.go
@@ -10,7 +10,7 @@
 
 const (
 	// A listener is full once it has accepted no connection for fullDelay, until it has closed none unread for fullRetention.
-	fullDelay  = time.Second
+	fullDelay     = time.Second
 	fullRetention = 2 * time.Second
 )
 
