--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -341,3 +343,27 @@
 	e.ObserveRead(VersionedRecord{Record: Record{Holder: "", Era: 1, StateEra: 1}, Revision: storerev.StartOf(1) + 7}, now)
 	assert.True(t, VersionedRecord{Record: e.AcquireRecord(), Revision: storerev.StartOf(2) + 8}.stateRestored())
 }
+
+// Guards against a record of a build that does not know StateEra: that of a later era than the first counts as restored, which is safe, and
+// such a build reads what this one writes.
+func TestRecordsOfEarlierBuildsAreRead(t *testing.T) {
+	var r Record
+	require.NoError(t, json.Unmarshal([]byte(`{"holder":"a","incarnation":7,"fence":12,"era":3,"renewals":5,"state":"b2xk"}`), &r))
+	assert.Equal(t, Record{Holder: "a", Incarnation: 7, Fence: 12, Era: 3, Renewals: 5, State: []byte("old")}, r)
+	assert.True(t, VersionedRecord{Record: r, Revision: storerev.StartOf(3) + 9}.stateRestored())
+	r.Era = 0
+	assert.False(t, VersionedRecord{Record: r, Revision: 9}.stateRestored(), "no store was restored yet")
+
+	var earlier struct {
+		Holder      string `json:"holder"`
+		Incarnation uint64 `json:"incarnation"`
+		Fence       uint64 `json:"fence"`
+		Era         uint64 `json:"era,omitempty"`
+		Renewals    uint64 `json:"renewals"`
+		State       []byte `json:"state,omitempty"`
+	}
+	data, err := json.Marshal(Record{Holder: "b", Incarnation: 8, Fence: 13, Era: 4, Renewals: 6, State: []byte("new"), StateEra: 4})
+	require.NoError(t, err)
+	require.NoError(t, json.Unmarshal(data, &earlier))
+	assert.Equal(t, "b 8 13 4 6 new", fmt.Sprint(earlier.Holder, " ", earlier.Incarnation, " ", earlier.Fence, " ", earlier.Era, " ", earlier.Renewals, " ", string(earlier.State)))
+}
